Follow objects without listing them again, and read the host list only when it changed

Cause: a daemon listed all endpoint owners after each watch of 60 s and read the whole host list each second. At 660 endpoints and 360 daemons these two alone are over the control limit of 13 KB/s by the size of their answers; not yet measured. Change: ObjectFollower continues an ended watch at its last version, retries with random exponential delays and lists again when a peer shows that the known owners are out of date; the host list is read with an entity tag; the root object is read each 8 s in case a watch loses an event; control traffic has its own client, whose bytes are metrics.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -41,10 +41,11 @@
     : m_settings(std::move(settings))
     , m_timers(m_loop)
     , m_http(m_loop, m_timers)
-    , m_objects(m_http, {m_settings.objectApiIp, m_settings.objectApiPort})
-    , m_context {m_settings, m_loop, m_timers, m_http, m_objects, m_metrics}
+    , m_controlHttp(m_loop, m_timers)
+    , m_objects(m_controlHttp, {m_settings.objectApiIp, m_settings.objectApiPort})
+    , m_context {m_settings, m_loop, m_timers, m_http, m_controlHttp, m_objects, m_metrics}
     , m_lease(m_context)
-    , m_dispatcher(m_context, m_lease)
+    , m_dispatcher(m_context, m_lease, [this] { m_ownership.resync(); })
     , m_claims(m_context)
     , m_callers(m_context, m_dispatcher, m_claims)
     , m_ownership(m_context, m_lease,
@@ -156,6 +157,8 @@
     }
     if (path == "/metrics") {
         m_metrics.setObjectApiCalls(m_objects.callCount());
+        m_metrics.setControlBytes(m_controlHttp.traffic().bytesSent,
+                                  m_controlHttp.traffic().bytesReceived);
         exchange->respond({.status = 200,
                            .headers = {{"Content-Type", "text/plain"}},
                            .body = m_metrics.render()});
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -27,6 +27,17 @@
     return found == codes.end() ? EVHTTP_REQ_GET : found->second;
 }
 
+std::uint64_t sizeOf(const Headers &headers)
+{
+    constexpr std::uint64_t separatorBytes = 4; // Colon, space and line end.
+    std::uint64_t size = 0;
+    for (const auto &[name, value] : headers.fields())
+        size += name.size() + value.size() + separatorBytes;
+    return size;
+}
+
+constexpr std::uint64_t requestLineBytes = 60; // With the Host and Connection fields.
+constexpr std::uint64_t statusLineBytes = 19;
 // Above every limit of ours: the timers of this file decide, with one limit for each phase.
 constexpr int libraryTimeoutSeconds = 24 * 60 * 60;
 
@@ -36,12 +47,13 @@
 {
 public:
     Implementation(EventLoop &loop, TimerService &timers, Address peer, HttpTimeouts timeouts,
-                   HttpReplyHandlers handlers)
+                   HttpReplyHandlers handlers, std::shared_ptr<HttpTraffic> traffic)
         : m_loop(loop)
         , m_timers(timers)
         , m_peer(std::move(peer))
         , m_timeouts(timeouts)
         , m_handlers(std::move(handlers))
+        , m_traffic(std::move(traffic))
     { }
     ~Implementation() { close(); }
     Implementation(const Implementation &) = delete;
@@ -63,6 +75,9 @@
             evhttp_add_header(fields, name.c_str(), value.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(handle), request.body.data(),
                      request.body.size());
+        ++m_traffic->calls;
+        m_traffic->bytesSent += requestLineBytes + request.method.size() + request.path.size()
+            + sizeOf(request.headers) + request.body.size();
         m_keepAlive = shared_from_this();
         m_timer = m_timers.once(m_timeouts.firstByte, [this] { expire("first byte"); });
         const int result = evhttp_make_request(m_connection, handle, methodCode(request.method),
@@ -94,6 +109,7 @@
         self->restartGapTimer();
         Headers headers;
         headReceivedFields(request, headers);
+        self->m_traffic->bytesReceived += statusLineBytes + sizeOf(headers);
         if (self->m_handlers.onHead)
             self->m_handlers.onHead(evhttp_request_get_response_code(request), headers);
         return 0;
@@ -105,6 +121,7 @@
         evbuffer *buffer = evhttp_request_get_input_buffer(request);
         std::string data(evbuffer_get_length(buffer), '\0');
         evbuffer_remove(buffer, data.data(), data.size());
+        self->m_traffic->bytesReceived += data.size();
         if (self->m_isFinished)
             return;
         self->restartGapTimer();
@@ -183,6 +200,7 @@
     evhttp_connection *m_connection = nullptr;
     TimerService::Subscription m_timer;
     std::shared_ptr<Implementation> m_keepAlive;
+    std::shared_ptr<HttpTraffic> m_traffic;
     bool m_isFinished = false;
 };
 
@@ -223,7 +241,7 @@
                             HttpReplyHandlers handlers)
 {
     auto call = std::make_shared<HttpCall::Implementation>(m_loop, m_timers, peer, timeouts,
-                                                           std::move(handlers));
+                                                           std::move(handlers), m_traffic);
     call->start(request);
     return HttpCall(std::move(call));
 }
--- a/src/libs/net/httpclient.h
+++ b/src/libs/net/httpclient.h
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +32,14 @@
     std::function<void(const absl::Status &status)> onEnd;
 };
 
+/// What a client has sent and received, headers included.
+struct HttpTraffic
+{
+    std::uint64_t calls = 0;
+    std::uint64_t bytesSent = 0;
+    std::uint64_t bytesReceived = 0;
+};
+
 /// One call in progress; destroying it cancels the call without a further callback.
 class HttpCall
 {
@@ -62,9 +71,13 @@
     void send(const Address &peer, const HttpRequest &request, HttpTimeouts timeouts,
               ResponseHandler handler);
 
+    /// Totals since the start.
+    const HttpTraffic &traffic() const { return *m_traffic; }
+
 private:
     EventLoop &m_loop;
     TimerService &m_timers;
+    std::shared_ptr<HttpTraffic> m_traffic = std::make_shared<HttpTraffic>();
 };
 
 } // namespace jackdawlead::net
--- a/src/libs/observability/metrics.cpp
+++ b/src/libs/observability/metrics.cpp
@@ -50,6 +50,11 @@
           gauge(*m_registry, "jackdawlead_owned_endpoints", "Endpoints that this daemon owns"))
     , m_objectApiCalls(gauge(*m_registry, "jackdawlead_object_api_calls",
                              "Calls sent to the object API since the start"))
+    , m_controlBytesSent(gauge(*m_registry, "jackdawlead_control_bytes_sent",
+                               "Bytes sent to the platform and other daemons since the start"))
+    , m_controlBytesReceived(
+          gauge(*m_registry, "jackdawlead_control_bytes_received",
+                "Bytes received from the platform and other daemons since the start"))
 { }
 
 void Metrics::requestEnded(core::Outcome outcome, core::Duration total)
@@ -94,6 +99,12 @@
     m_objectApiCalls.Set(static_cast<double>(count));
 }
 
+void Metrics::setControlBytes(std::uint64_t sent, std::uint64_t received)
+{
+    m_controlBytesSent.Set(static_cast<double>(sent));
+    m_controlBytesReceived.Set(static_cast<double>(received));
+}
+
 std::string Metrics::render() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/libs/observability/metrics.h
+++ b/src/libs/observability/metrics.h
@@ -28,6 +28,7 @@
     void setGeneration(std::uint64_t generation);
     void setOwnedEndpoints(std::size_t count);
     void setObjectApiCalls(std::uint64_t count);
+    void setControlBytes(std::uint64_t sent, std::uint64_t received);
 
     /// All metrics in the Prometheus text format.
     std::string render() const;
@@ -42,6 +43,8 @@
     prometheus::Gauge &m_generation;
     prometheus::Gauge &m_ownedEndpoints;
     prometheus::Gauge &m_objectApiCalls;
+    prometheus::Gauge &m_controlBytesSent;
+    prometheus::Gauge &m_controlBytesReceived;
 };
 
 } // namespace jackdawlead::observability
--- a/src/libs/platform/hostlist.cpp
+++ b/src/libs/platform/hostlist.cpp
@@ -25,14 +25,14 @@
     return entry;
 }
 
-absl::StatusOr<std::vector<HostEntry>> parseHosts(const std::string &body, const std::string &peer)
+absl::StatusOr<HostListClient::Hosts> parseHosts(const std::string &body, const std::string &peer)
 {
     try {
         std::vector<HostEntry> entries;
         const json list = json::parse(body);
         for (const json &item : list.at("items"))
             entries.push_back(entryFromJson(item));
-        return entries;
+        return HostListClient::Hosts(std::move(entries));
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kInternal, "host-list", peer,
                                std::string("malformed host list: ") + error.what());
@@ -49,17 +49,31 @@
 void HostListClient::read(Handler handler)
 {
     const std::string peer = m_server.toString();
+    net::HttpRequest request {"GET", "/v1/hosts", {}, {}};
+    // At the two-year size the list is larger than the control budget of several seconds, so it is
+    // sent only when it changed.
+    if (!m_entityTag.empty())
+        request.headers.add("If-None-Match", m_entityTag);
     m_http.send(
-        m_server, {.method = "GET", .path = "/v1/hosts", .headers = {}, .body = {}},
-        {std::chrono::seconds(2), std::chrono::seconds(2)},
-        [peer, handler = std::move(handler)](const absl::StatusOr<net::HttpResponse> &reply) {
-            if (!reply.ok())
+        m_server, request, {std::chrono::seconds(2), std::chrono::seconds(2)},
+        [this, peer, handler = std::move(handler)](const absl::StatusOr<net::HttpResponse> &reply) {
+            if (!reply.ok()) {
                 handler(reply.status());
-            else if (reply->status != 200)
+                return;
+            }
+            if (reply->status == 304) {
+                handler(Hosts());
+                return;
+            }
+            if (reply->status != 200) {
                 handler(core::makeError(absl::StatusCode::kUnavailable, "host-list", peer,
                                         "status " + std::to_string(reply->status)));
-            else
-                handler(parseHosts(reply->body, peer));
+                return;
+            }
+            auto hosts = parseHosts(reply->body, peer);
+            if (hosts.ok())
+                m_entityTag = reply->headers.value("ETag");
+            handler(std::move(hosts));
         });
 }
 
--- a/src/libs/platform/hostlist.h
+++ b/src/libs/platform/hostlist.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,9 @@
 class HostListClient
 {
 public:
-    using Handler = std::function<void(absl::StatusOr<std::vector<HostEntry>>)>;
+    /// The entries, or nothing if they did not change since the last read.
+    using Hosts = std::optional<std::vector<HostEntry>>;
+    using Handler = std::function<void(absl::StatusOr<Hosts>)>;
 
     HostListClient(net::HttpClient &http, net::Address server);
     void read(Handler handler);
@@ -38,6 +41,7 @@
 private:
     net::HttpClient &m_http;
     net::Address m_server;
+    std::string m_entityTag;
 };
 
 } // namespace jackdawlead::platform
--- a/src/libs/platform/objectclient.cpp
+++ b/src/libs/platform/objectclient.cpp
@@ -28,7 +28,8 @@
 {
     try {
         const json &metadata = source.at("metadata");
-        return Object {metadata.at("name"), metadata.value("resourceVersion", std::string()),
+        return Object {metadata.value("name", std::string()),
+                       metadata.value("resourceVersion", std::string()),
                        source.value("spec", json::object())};
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kInternal, step, peer,
--- a/src/libs/serving/configtask.cpp
+++ b/src/libs/serving/configtask.cpp
@@ -10,54 +10,44 @@
 namespace {
 
 constexpr core::Duration retryDelay = std::chrono::seconds(1);
-constexpr core::Duration watchTimeout = std::chrono::seconds(60);
+// A watch can lose an event without notice. Reading the root twice within the 16 s in which a
+// generation must be in force costs one small read for each daemon.
+constexpr core::Duration backstopPeriod = std::chrono::seconds(8);
+constexpr const char *rootName = "main";
 
 } // namespace
 
 ConfigTask::ConfigTask(Context &context, Subscriber subscriber)
     : m_context(context)
     , m_subscriber(std::move(subscriber))
+    , m_roots(context.objects, context.timers, platform::kinds::configRoots,
+              {[this](const std::vector<platform::Object> &roots) {
+                   for (const platform::Object &root : roots)
+                       rootSeen(root);
+               },
+               [this](const std::string &type, const platform::Object &root) {
+                   if (type != "DELETED")
+                       rootSeen(root);
+               },
+               [](const absl::Status &status) {
+                   observability::logError(observability::LogLevel::Warn, status);
+               }})
 { }
 
 void ConfigTask::start()
 {
-    list();
+    m_roots.start();
+    m_backstop = m_context.timers.every(backstopPeriod, [this] { readRoot(); });
 }
 
-void ConfigTask::list()
+void ConfigTask::readRoot()
 {
-    m_context.objects.list(platform::kinds::configRoots, [this](const auto &result) {
-        if (!result.ok()) {
-            observability::logError(observability::LogLevel::Warn, result.status());
-            listLater();
-            return;
-        }
-        for (const platform::Object &object : result->items)
-            rootSeen(object);
-        watch(result->resourceVersion);
+    m_context.objects.read(platform::kinds::configRoots, rootName, [this](const auto &root) {
+        if (root.ok())
+            rootSeen(*root);
     });
 }
 
-void ConfigTask::listLater()
-{
-    m_retry = m_context.timers.once(retryDelay, [this] { list(); });
-}
-
-void ConfigTask::watch(const std::string &resourceVersion)
-{
-    m_watch = m_context.objects.watch(
-        platform::kinds::configRoots, resourceVersion, watchTimeout,
-        [this](const std::string &type, const platform::Object &object) {
-            if (type == "ADDED" || type == "MODIFIED")
-                rootSeen(object);
-        },
-        [this](const absl::Status &status) {
-            if (!status.ok())
-                observability::logError(observability::LogLevel::Warn, status);
-            listLater();
-        });
-}
-
 void ConfigTask::rootSeen(const platform::Object &object)
 {
     auto root = config::rootFromJson(object.spec);
--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -2,6 +2,7 @@
 
 #include "config/catalog.h"
 #include "config/release.h"
+#include "platform/objectfollower.h"
 #include "serving/context.h"
 
 #include <functional>
@@ -27,9 +28,7 @@
     const CatalogPtr &current() const { return m_current; }
 
 private:
-    void list();
-    void watch(const std::string &resourceVersion);
-    void listLater();
+    void readRoot();
     void rootSeen(const platform::Object &object);
     void fetchMissingParts();
     void apply();
@@ -40,8 +39,8 @@
     config::ConfigRoot m_wanted;
     std::map<std::string, config::ConfigPart> m_parts;
     int m_fetching = 0;
-    net::HttpCall m_watch;
-    net::TimerService::Subscription m_retry;
+    platform::ObjectFollower m_roots;
+    net::TimerService::Subscription m_backstop;
     net::TimerService::Subscription m_partRetry;
 };
 
--- a/src/libs/serving/context.h
+++ b/src/libs/serving/context.h
@@ -15,7 +15,9 @@
     const config::Settings &settings;
     net::EventLoop &loop;
     net::TimerService &timers;
-    net::HttpClient &http;
+    net::HttpClient &http; ///< Requests of callers and orders to endpoints.
+    net::HttpClient
+        &controlHttp; ///< The platform and other daemons; its bytes are counted as control.
     platform::ObjectClient &objects;
     observability::Metrics &metrics;
 };
--- a/src/libs/serving/dispatcher.cpp
+++ b/src/libs/serving/dispatcher.cpp
@@ -13,17 +13,18 @@
 absl::Status notOwned(const core::EndpointId &endpoint, std::string_view message)
 {
     return core::withRetryAfter(
-        core::withOutcome(
-            core::makeError(absl::StatusCode::kUnavailable, "forward", endpoint.value(), message),
-            core::Outcome::NotRun),
+        core::withOutcome(core::makeError(absl::StatusCode::kUnavailable,
+                                          peerprotocol::ownershipStep, endpoint.value(), message),
+                          core::Outcome::NotRun),
         std::chrono::seconds(1));
 }
 
 } // namespace
 
-Dispatcher::Dispatcher(Context &context, LeaseTask &lease)
+Dispatcher::Dispatcher(Context &context, LeaseTask &lease, std::function<void()> ownersStale)
     : m_context(context)
     , m_lease(lease)
+    , m_ownersStale(std::move(ownersStale))
 { }
 
 void Dispatcher::fleetChanged(FleetTask::ViewPtr view)
@@ -145,6 +146,11 @@
     if (peer == m_view->daemons.end()) {
         return refuse(request, notOwned(endpoint, "the owner is not in the host list"));
     }
+    request.sink.onEnd = [this, onEnd = std::move(request.sink.onEnd)](const absl::Status &status) {
+        if (core::stepOf(status) == peerprotocol::ownershipStep)
+            m_ownersStale();
+        onEnd(status);
+    };
     auto call = std::make_shared<net::HttpCall>(
         forwardToPeer(m_context, peer->second.address, endpoint, request));
     return [call] { call->cancel(); };
--- a/src/libs/serving/dispatcher.h
+++ b/src/libs/serving/dispatcher.h
@@ -19,7 +19,9 @@
 public:
     using Cancel = std::function<void()>;
 
-    Dispatcher(Context &context, LeaseTask &lease);
+    /// `ownersStale` is called when another daemon refuses a request because it does not own the
+    /// endpoint, which shows that the known owners are out of date.
+    Dispatcher(Context &context, LeaseTask &lease, std::function<void()> ownersStale);
 
     void fleetChanged(FleetTask::ViewPtr view);
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
@@ -44,6 +46,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    std::function<void()> m_ownersStale;
     FleetTask::ViewPtr m_view;
     std::shared_ptr<const config::Catalog> m_catalog;
     OwnerMap m_owners;
--- a/src/libs/serving/fleettask.cpp
+++ b/src/libs/serving/fleettask.cpp
@@ -6,7 +6,7 @@
 
 FleetTask::FleetTask(Context &context, Subscriber subscriber)
     : m_context(context)
-    , m_client(context.http, {context.settings.hostListIp, context.settings.hostListPort})
+    , m_client(context.controlHttp, {context.settings.hostListIp, context.settings.hostListPort})
     , m_subscriber(std::move(subscriber))
 { }
 
@@ -23,8 +23,10 @@
             observability::logError(observability::LogLevel::Warn, entries.status());
             return;
         }
+        if (!*entries)
+            return;
         auto view = std::make_shared<FleetView>();
-        for (const platform::HostEntry &entry : *entries) {
+        for (const platform::HostEntry &entry : **entries) {
             if (entry.role == platform::HostRole::Daemon)
                 view->daemons.emplace(core::HostId(entry.name), entry);
             else
--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr core::Duration reconcilePeriod = std::chrono::seconds(1);
-constexpr core::Duration retryDelay = std::chrono::seconds(1);
-constexpr core::Duration watchTimeout = std::chrono::seconds(60);
 
 nlohmann::json specOf(const Ownership &ownership)
 {
@@ -25,11 +23,17 @@
     : m_context(context)
     , m_lease(lease)
     , m_subscriber(std::move(subscriber))
+    , m_follower(context.objects, context.timers, platform::kinds::endpointOwners,
+                 {[this](const auto &objects) { listed(objects); },
+                  [this](const auto &type, const auto &object) { changed(type, object); },
+                  [](const absl::Status &status) {
+                      observability::logError(observability::LogLevel::Warn, status);
+                  }})
 { }
 
 void OwnershipTask::start()
 {
-    list();
+    m_follower.start();
     m_timer = m_context.timers.every(reconcilePeriod, [this] { reconcile(); });
 }
 
@@ -43,37 +47,28 @@
     m_enginePools = std::move(enginePools);
 }
 
-void OwnershipTask::list()
+void OwnershipTask::listed(const std::vector<platform::Object> &objects)
 {
-    m_context.objects.list(platform::kinds::endpointOwners, [this](const auto &result) {
-        if (!result.ok()) {
-            m_retry = m_context.timers.once(retryDelay, [this] { list(); });
-            return;
-        }
-        m_records.clear();
-        for (const platform::Object &object : result->items)
-            recordSeen(object);
-        m_isListed = true;
-        publish();
-        reconcile();
-        watch(result->resourceVersion);
-    });
+    m_records.clear();
+    for (const platform::Object &object : objects)
+        recordSeen(object);
+    m_isListed = true;
+    publish();
+    reconcile();
 }
 
-void OwnershipTask::watch(const std::string &resourceVersion)
+void OwnershipTask::changed(const std::string &type, const platform::Object &object)
 {
-    m_watch = m_context.objects.watch(
-        platform::kinds::endpointOwners, resourceVersion, watchTimeout,
-        [this](const std::string &type, const platform::Object &object) {
-            if (type == "DELETED")
-                recordGone(object.name);
-            else if (type == "ADDED" || type == "MODIFIED")
-                recordSeen(object);
-            publish();
-        },
-        [this](const absl::Status &) {
-            m_retry = m_context.timers.once(retryDelay, [this] { list(); });
-        });
+    if (type == "DELETED")
+        recordGone(object.name);
+    else
+        recordSeen(object);
+    publish();
+}
+
+void OwnershipTask::resync()
+{
+    m_follower.resync();
 }
 
 void OwnershipTask::recordSeen(const platform::Object &object)
--- a/src/libs/serving/ownershiptask.h
+++ b/src/libs/serving/ownershiptask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/lease.h"
+#include "platform/objectfollower.h"
 #include "serving/context.h"
 #include "serving/fleettask.h"
 #include "serving/fleetview.h"
@@ -34,6 +35,9 @@
     /// are answered.
     void releaseAll(std::function<void()> done);
 
+    /// Reads all records again, since the known owners were seen to be out of date.
+    void resync();
+
     const OwnerMap &owners() const { return m_owners; }
 
 private:
@@ -43,8 +47,8 @@
         Ownership ownership;
     };
 
-    void list();
-    void watch(const std::string &resourceVersion);
+    void listed(const std::vector<platform::Object> &objects);
+    void changed(const std::string &type, const platform::Object &object);
     void recordSeen(const platform::Object &object);
     void recordGone(const std::string &name);
     void reconcile();
@@ -67,9 +71,8 @@
     std::set<core::EndpointId> m_claimed; ///< Claimed by this process under its present lease.
     bool m_isListed = false;
     bool m_isReleasing = false;
-    net::HttpCall m_watch;
+    platform::ObjectFollower m_follower;
     net::TimerService::Subscription m_timer;
-    net::TimerService::Subscription m_retry;
 };
 
 } // namespace jackdawlead::serving
--- a/src/libs/serving/peerforward.h
+++ b/src/libs/serving/peerforward.h
@@ -15,6 +15,8 @@
 inline constexpr const char *streamHeader = "X-Stream";
 inline constexpr const char *deadlineHeader = "X-Request-Deadline-Ms";
 inline constexpr const char *requestHeader = "X-Request-Id";
+/// The step of a refusal by a daemon that does not own the endpoint.
+inline constexpr const char *ownershipStep = "find-owner";
 } // namespace peerprotocol
 
 /// Sends a request to the daemon that owns its endpoint and relays the answer into its sink.
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -230,8 +230,10 @@
         const auto position = std::prev(m_watches.end());
         watch.exchange = exchange;
         watch.kind = kind;
-        watch.bookmark = m_timers.every(bookmarkPeriod, [exchange] {
-            exchange->write(json {{"type", "BOOKMARK"}}.dump() + "\n");
+        watch.bookmark = m_timers.every(bookmarkPeriod, [this, exchange] {
+            const json metadata {{"resourceVersion", std::to_string(m_version)}};
+            exchange->write(json {{"type", "BOOKMARK"}, {"object", {{"metadata", metadata}}}}.dump()
+                            + "\n");
         });
         const std::string seconds = query(path, "timeoutSeconds");
         watch.end = m_timers.once(std::chrono::seconds(seconds.empty() ? 60 : std::stoi(seconds)),
@@ -243,12 +245,17 @@
 
     void handleHosts(const ExchangePtr &exchange)
     {
-        if (exchange->request().method == "PUT")
+        if (exchange->request().method == "PUT") {
             m_hosts = json::parse(exchange->request().body);
+            ++m_hostsVersion;
+        }
+        const std::string tag = "\"" + std::to_string(m_hostsVersion) + "\"";
         if (m_fault["hostList"] == "out")
             reply(exchange, 503, {{"message", "host list is out"}});
+        else if (exchange->request().headers.value("If-None-Match") == tag)
+            exchange->respond({.status = 304, .headers = {{"ETag", tag}}, .body = {}});
         else
-            reply(exchange, 200, m_hosts);
+            exchange->respond({.status = 200, .headers = {{"ETag", tag}}, .body = m_hosts.dump()});
     }
 
     // A load takes 250 ms while at most 16 are in flight, and proportionally longer beyond.
@@ -279,6 +286,7 @@
     std::uint64_t m_version = 1;
     int m_loadsInFlight = 0;
     json m_hosts {{"items", json::array()}};
+    int m_hostsVersion = 1;
     json m_counts {{"GET", 0}, {"POST", 0}, {"PUT", 0}, {"DELETE", 0}, {"loads", 0}};
     json m_fault {{"objectApi", "ok"},
                   {"delayMs", 0},
