--- /dev/null
+++ b/src/libs/decisions/claimattempt.cpp
@@ -0,0 +1,83 @@
+#include "decisions/claimattempt.h"
+
+#include <utility>
+
+namespace jackdawlead::decisions {
+
+core::Outcome outcomeOf(ClaimRefusal refusal)
+{
+    // Nothing was dispatched by the refused attempt. Only an earlier one can have run.
+    return refusal == ClaimRefusal::OutcomeUnknown ? core::Outcome::Unknown : core::Outcome::NotRun;
+}
+
+ClaimAttempt::ClaimAttempt(Claim own)
+    : m_own(std::move(own))
+{ }
+
+ClaimStep ClaimAttempt::start()
+{
+    m_written = m_own;
+    return {.kind = ClaimStep::Kind::Create, .claim = m_own};
+}
+
+ClaimStep ClaimAttempt::written(ClaimWrite result)
+{
+    if (result == ClaimWrite::NotSent)
+        return refuse(ClaimRefusal::ApiUnavailable);
+    if (result != ClaimWrite::Stored)
+        return {.kind = ClaimStep::Kind::Read, .claim = m_own};
+    m_existing = m_written;
+    return decide(true);
+}
+
+ClaimStep ClaimAttempt::read(const std::optional<Claim> &existing)
+{
+    // This attempt dispatched nothing, so it was not run even if its claim was stored.
+    if (!existing)
+        return refuse(ClaimRefusal::ApiUnavailable);
+    m_existing = *existing;
+    if (m_existing.state != ClaimState::Claimed || m_existing.attempt == m_own.attempt)
+        return decide(true);
+    return {.kind = ClaimStep::Kind::ReadHolderLease, .claim = m_existing};
+}
+
+ClaimStep ClaimAttempt::holderLeaseRead(bool isHolderAlive)
+{
+    return decide(isHolderAlive);
+}
+
+ClaimStep ClaimAttempt::decide(bool isHolderAlive)
+{
+    Claim unknown = m_existing;
+    unknown.state = ClaimState::Unknown;
+    switch (decideClaim(m_existing, m_own.attempt, m_own.bodyDigest, isHolderAlive)) {
+    case ClaimAction::Run:
+        return {.kind = ClaimStep::Kind::Run, .claim = m_own};
+    case ClaimAction::ReplayAnswer:
+        return {.kind = ClaimStep::Kind::ReplayAnswer, .claim = m_existing};
+    case ClaimAction::TakeReleased:
+        return replace(m_own);
+    case ClaimAction::MarkUnknown:
+        return replace(unknown);
+    case ClaimAction::RefuseRunning:
+        return refuse(ClaimRefusal::AnotherRuns);
+    case ClaimAction::RefuseOtherBody:
+        return refuse(ClaimRefusal::OtherBody);
+    case ClaimAction::RefuseUnknown:
+        break;
+    }
+    return refuse(ClaimRefusal::OutcomeUnknown);
+}
+
+ClaimStep ClaimAttempt::replace(const Claim &claim)
+{
+    m_written = claim;
+    return {.kind = ClaimStep::Kind::Replace, .claim = claim};
+}
+
+ClaimStep ClaimAttempt::refuse(ClaimRefusal refusal)
+{
+    return {.kind = ClaimStep::Kind::Refuse, .claim = {}, .refusal = refusal};
+}
+
+} // namespace jackdawlead::decisions
--- /dev/null
+++ b/src/libs/decisions/claimattempt.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "decisions/claim.h"
+
+#include <optional>
+#include <string>
+
+namespace jackdawlead::decisions {
+
+/// How a write of the claim ended.
+enum class ClaimWrite {
+    Stored,
+    Conflict,   ///< Another claim exists, or the claim has changed since it was read.
+    Unanswered, ///< It may have taken effect, now or later.
+    NotSent,
+};
+
+enum class ClaimRefusal { ApiUnavailable, AnotherRuns, OtherBody, OutcomeUnknown };
+
+/// What is told to a caller whose attempt may not run. Thread safety: any thread.
+core::Outcome outcomeOf(ClaimRefusal refusal);
+
+/// The next step of an attempt.
+struct ClaimStep
+{
+    enum class Kind {
+        Create,
+        Read,
+        ReadHolderLease, ///< Of the holder of the claim read last.
+        Replace,         ///< Conditional update of the claim read last by `claim`.
+        Run,             ///< The attempt holds the claim and may dispatch.
+        ReplayAnswer,    ///< Return the answer stored in `claim`.
+        Refuse,
+    };
+    Kind kind = Kind::Refuse;
+    Claim claim;
+    ClaimRefusal refusal = ClaimRefusal::ApiUnavailable;
+};
+
+/// One attempt at a claim, from the conditional create to the right to run or a refusal. Each event
+/// returns the one step to carry out next. Thread safety: one thread at a time.
+class ClaimAttempt
+{
+public:
+    explicit ClaimAttempt(Claim own);
+
+    ClaimStep start();
+    /// The write of the last Create or Replace step has ended.
+    ClaimStep written(ClaimWrite result);
+    /// The last Read step has ended; no claim if it could not be read.
+    ClaimStep read(const std::optional<Claim> &existing);
+    /// The last ReadHolderLease step has ended; an unreadable lease counts as held.
+    ClaimStep holderLeaseRead(bool isHolderAlive);
+
+private:
+    ClaimStep decide(bool isHolderAlive);
+    ClaimStep replace(const Claim &claim);
+    static ClaimStep refuse(ClaimRefusal refusal);
+
+    Claim m_own;
+    Claim m_existing;
+    Claim m_written;
+};
+
+} // namespace jackdawlead::decisions
--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -6,6 +6,13 @@
 
 namespace jackdawlead::decisions {
 
+namespace {
+
+constexpr core::Duration drainRetryAfter = std::chrono::seconds(1);
+constexpr core::Duration evictAgainDelay = std::chrono::seconds(1);
+
+} // namespace
+
 EndpointScheduler::EndpointScheduler(SchedulerLimits limits)
     : m_limits(limits)
 { }
@@ -14,6 +21,8 @@
                                             const core::AdapterVersion &adapter,
                                             core::TimePoint deadline, core::TimePoint now)
 {
+    if (m_isDraining)
+        return {RefuseRequest {request, "endpoint takes no new work", drainRetryAfter}};
     if (m_queued.size() >= m_limits.maxQueued)
         return {RefuseRequest {request, "queue of the endpoint is full", std::chrono::seconds(1)}};
     const auto backoff = m_backoffs.find(adapter);
@@ -29,15 +38,24 @@
     const auto running = m_running.find(request);
     if (running == m_running.end())
         return {};
-    const auto slot = m_slots.find(running->second);
-    if (slot != m_slots.end() && slot->second.uses > 0) {
-        --slot->second.uses;
+    if (const auto slot = m_slots.find(running->second); slot != m_slots.end())
         slot->second.lastUsed = now;
-    }
+    if (const auto uses = m_uses.find(running->second); --uses->second == 0)
+        m_uses.erase(uses);
     m_running.erase(running);
     return schedule(now);
 }
 
+SchedulerCommands EndpointScheduler::cut(const core::RequestId &request, core::TimePoint now)
+{
+    const auto running = m_running.find(request);
+    if (running == m_running.end())
+        return {};
+    if (const auto slot = m_slots.find(running->second); slot != m_slots.end())
+        slot->second.isPinned = true;
+    return finished(request, now);
+}
+
 SchedulerCommands EndpointScheduler::cancelled(const core::RequestId &request, core::TimePoint now)
 {
     std::erase_if(m_queued, [&](const Queued &queued) { return queued.request == request; });
@@ -47,9 +65,11 @@
 SchedulerCommands EndpointScheduler::loaded(const core::AdapterVersion &adapter,
                                             core::TimePoint now)
 {
-    Slot &slot = m_slots[adapter];
-    slot.state = SlotState::Resident;
-    slot.lastUsed = now;
+    Slot *slot = slotIn(SlotState::Loading, adapter);
+    if (!slot)
+        return {};
+    slot->state = SlotState::Resident;
+    slot->lastUsed = now;
     m_backoffs.erase(adapter);
     return schedule(now);
 }
@@ -57,6 +77,8 @@
 SchedulerCommands EndpointScheduler::loadFailed(const core::AdapterVersion &adapter,
                                                 core::TimePoint now)
 {
+    if (!slotIn(SlotState::Loading, adapter))
+        return {};
     m_slots.erase(adapter);
     Backoff &backoff = m_backoffs[adapter];
     backoff.delay = backoff.delay.count() == 0
@@ -73,6 +95,8 @@
 SchedulerCommands EndpointScheduler::evicted(const core::AdapterVersion &adapter,
                                              core::TimePoint now)
 {
+    if (!slotIn(SlotState::Evicting, adapter))
+        return {};
     m_slots.erase(adapter);
     return schedule(now);
 }
@@ -80,12 +104,32 @@
 SchedulerCommands EndpointScheduler::evictionFailed(const core::AdapterVersion &adapter,
                                                     core::TimePoint now)
 {
-    const auto slot = m_slots.find(adapter);
-    if (slot == m_slots.end())
+    Slot *slot = slotIn(SlotState::Evicting, adapter);
+    if (!slot)
         return {};
-    slot->second.state = SlotState::Resident;
+    // An earlier order without an answer can still take effect.
+    if (slot->evictAgainAt)
+        return evictionUnanswered(adapter, now);
+    slot->state = SlotState::Resident;
     // Counts as a use, so that another adapter is tried first the next time.
-    slot->second.lastUsed = now;
+    slot->lastUsed = now;
+    m_evictNotBefore = now + evictAgainDelay;
+    return schedule(now);
+}
+
+SchedulerCommands EndpointScheduler::evictionUnanswered(const core::AdapterVersion &adapter,
+                                                        core::TimePoint now)
+{
+    if (Slot *slot = slotIn(SlotState::Evicting, adapter))
+        slot->evictAgainAt = now + evictAgainDelay;
+    return schedule(now);
+}
+
+SchedulerCommands EndpointScheduler::missing(const core::AdapterVersion &adapter,
+                                             core::TimePoint now)
+{
+    if (slotIn(SlotState::Resident, adapter))
+        m_slots.erase(adapter);
     return schedule(now);
 }
 
@@ -93,15 +137,13 @@
                                            const std::vector<core::AdapterVersion> &pinned,
                                            core::TimePoint now)
 {
-    m_slots.clear();
+    std::erase_if(m_slots,
+                  [](const auto &entry) { return entry.second.state == SlotState::Resident; });
     for (const core::AdapterVersion &adapter : resident)
-        m_slots[adapter] = {.state = SlotState::Resident, .lastUsed = now};
+        m_slots.try_emplace(adapter, Slot {.state = SlotState::Resident, .lastUsed = now});
     for (const core::AdapterVersion &adapter : pinned)
         if (const auto slot = m_slots.find(adapter); slot != m_slots.end())
             slot->second.isPinned = true;
-    for (const auto &[request, adapter] : m_running)
-        if (const auto slot = m_slots.find(adapter); slot != m_slots.end())
-            ++slot->second.uses;
     return schedule(now);
 }
 
@@ -120,10 +162,11 @@
 
 SchedulerCommands EndpointScheduler::drain(core::TimePoint)
 {
+    m_isDraining = true;
     SchedulerCommands commands;
     for (const Queued &queued : std::exchange(m_queued, {}))
         commands.emplace_back(
-            RefuseRequest {queued.request, "daemon is stopping", core::Duration::zero()});
+            RefuseRequest {queued.request, "endpoint takes no new work", drainRetryAfter});
     return commands;
 }
 
@@ -135,8 +178,8 @@
 
 std::size_t EndpointScheduler::useCount(const core::AdapterVersion &adapter) const
 {
-    const auto slot = m_slots.find(adapter);
-    return slot == m_slots.end() ? 0 : slot->second.uses;
+    const auto uses = m_uses.find(adapter);
+    return uses == m_uses.end() ? 0 : uses->second;
 }
 
 std::vector<core::AdapterVersion> EndpointScheduler::residentAdapters() const
@@ -153,6 +196,7 @@
     SchedulerCommands commands;
     refuseExpired(now, commands);
     dispatchReady(now, commands);
+    repeatEvictions(now, commands);
     startLoads(now, commands);
     return commands;
 }
@@ -172,9 +216,8 @@
     std::erase_if(m_queued, [&](const Queued &queued) {
         if (m_running.size() >= m_limits.maxRunning || !isResident(queued.adapter))
             return false;
-        Slot &slot = m_slots[queued.adapter];
-        ++slot.uses;
-        slot.lastUsed = now;
+        ++m_uses[queued.adapter];
+        m_slots[queued.adapter].lastUsed = now;
         m_running.emplace(queued.request, queued.adapter);
         commands.emplace_back(DispatchRequest {queued.request});
         return true;
@@ -203,25 +246,45 @@
             --freeSoon;
             continue;
         }
-        if (!evictOne(commands))
+        if (!evictOne(now, commands))
             return;
     }
 }
 
+void EndpointScheduler::repeatEvictions(core::TimePoint now, SchedulerCommands &commands)
+{
+    for (auto &[adapter, slot] : m_slots) {
+        if (slot.state != SlotState::Evicting || !slot.evictAgainAt || now < *slot.evictAgainAt)
+            continue;
+        // Far enough for this order to be answered first; its own answer sets the time again.
+        slot.evictAgainAt = core::TimePoint::max();
+        commands.emplace_back(EvictAdapter {adapter});
+    }
+}
+
+EndpointScheduler::Slot *EndpointScheduler::slotIn(SlotState state,
+                                                   const core::AdapterVersion &adapter)
+{
+    const auto slot = m_slots.find(adapter);
+    return slot != m_slots.end() && slot->second.state == state ? &slot->second : nullptr;
+}
+
 bool EndpointScheduler::isWanted(const core::AdapterVersion &adapter) const
 {
     return std::ranges::any_of(
         m_queued, [&adapter](const Queued &queued) { return queued.adapter == adapter; });
 }
 
-bool EndpointScheduler::evictOne(SchedulerCommands &commands)
+bool EndpointScheduler::evictOne(core::TimePoint now, SchedulerCommands &commands)
 {
+    if (now < m_evictNotBefore)
+        return false;
     auto victim = m_slots.end();
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
         const Slot &candidate = slot->second;
-        if (candidate.state != SlotState::Resident || candidate.uses > 0 || candidate.isPinned)
+        if (candidate.state != SlotState::Resident || candidate.isPinned)
             continue;
-        if (isWanted(slot->first))
+        if (m_uses.contains(slot->first) || isWanted(slot->first))
             continue;
         if (victim == m_slots.end() || candidate.lastUsed < victim->second.lastUsed)
             victim = slot;
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -59,6 +60,9 @@
                              core::TimePoint deadline, core::TimePoint now);
     /// The request ended at the endpoint, whatever its outcome.
     SchedulerCommands finished(const core::RequestId &request, core::TimePoint now);
+    /// The connection of a running request was closed before its answer was whole. The endpoint may
+    /// still run it, so its adapter is not evicted until unpinned().
+    SchedulerCommands cut(const core::RequestId &request, core::TimePoint now);
     /// The caller of a request that may still be queued has gone.
     SchedulerCommands cancelled(const core::RequestId &request, core::TimePoint now);
     SchedulerCommands loaded(const core::AdapterVersion &adapter, core::TimePoint now);
@@ -66,15 +70,23 @@
     SchedulerCommands evicted(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The endpoint refused the eviction; the adapter is still resident.
     SchedulerCommands evictionFailed(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The eviction may take effect at any later time; it is ordered again until it is answered.
+    SchedulerCommands evictionUnanswered(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The endpoint answered that it does not hold the adapter.
+    SchedulerCommands missing(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The endpoint was met with these adapters: after a take-over or a restart. Adapters with a
     /// running request of another daemon are given with `pinned` and not evicted until unpinned.
+    /// Orders that are not answered yet keep their slots.
     SchedulerCommands reset(const std::vector<core::AdapterVersion> &resident,
                             const std::vector<core::AdapterVersion> &pinned, core::TimePoint now);
     SchedulerCommands unpinned(const core::AdapterVersion &adapter, core::TimePoint now);
     /// Refuses requests whose deadline has passed and retries failed loads.
     SchedulerCommands tick(core::TimePoint now);
-    /// Refuses all queued requests; running ones go on. Used by a planned stop.
+    /// Refuses all queued and all further requests; running ones go on. Used by a planned stop and
+    /// for a leaving endpoint.
     SchedulerCommands drain(core::TimePoint now);
+    /// Takes new requests again after drain().
+    void resume() { m_isDraining = false; }
 
     bool isResident(const core::AdapterVersion &adapter) const;
     std::size_t useCount(const core::AdapterVersion &adapter) const;
@@ -87,9 +99,10 @@
     struct Slot
     {
         SlotState state = SlotState::Loading;
-        std::size_t uses = 0;
         bool isPinned = false;
         core::TimePoint lastUsed;
+        /// When an eviction without an answer is ordered again.
+        std::optional<core::TimePoint> evictAgainAt = std::nullopt;
     };
     struct Queued
     {
@@ -107,7 +120,9 @@
     void refuseExpired(core::TimePoint now, SchedulerCommands &commands);
     void dispatchReady(core::TimePoint now, SchedulerCommands &commands);
     void startLoads(core::TimePoint now, SchedulerCommands &commands);
-    bool evictOne(SchedulerCommands &commands);
+    void repeatEvictions(core::TimePoint now, SchedulerCommands &commands);
+    bool evictOne(core::TimePoint now, SchedulerCommands &commands);
+    Slot *slotIn(SlotState state, const core::AdapterVersion &adapter);
     bool isWanted(const core::AdapterVersion &adapter) const;
     void refuseWaiters(const core::AdapterVersion &adapter, core::Duration retryAfter,
                        SchedulerCommands &commands);
@@ -116,7 +131,14 @@
     std::map<core::AdapterVersion, Slot> m_slots;
     std::vector<Queued> m_queued; ///< Ordered by deadline.
     std::unordered_map<core::RequestId, core::AdapterVersion> m_running;
+    /// Running requests by adapter. Kept apart from the slots, which a restart of the endpoint
+    /// replaces while requests that it cut are not settled yet.
+    std::map<core::AdapterVersion, std::size_t> m_uses;
     std::map<core::AdapterVersion, Backoff> m_backoffs;
+    /// After a refused eviction, the next one waits. Without a valid lease each would be refused at
+    /// once, and ordered again without end.
+    core::TimePoint m_evictNotBefore;
+    bool m_isDraining = false;
 };
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/lease.cpp
+++ b/src/libs/decisions/lease.cpp
@@ -1,5 +1,7 @@
 #include "decisions/lease.h"
 
+#include <algorithm>
+
 namespace jackdawlead::decisions {
 
 void LeaseHolder::renewed(core::TimePoint sentAt)
@@ -13,17 +15,24 @@
     return m_renewedAt && now < *m_renewedAt + m_limits.duration - m_limits.guard;
 }
 
-void LeaseObserver::observed(const std::string &resourceVersion, core::TimePoint now)
+void LeaseObserver::observed(const std::string &resourceVersion, core::TimePoint sentAt,
+                             core::TimePoint now)
 {
-    if (m_unchangedSince && resourceVersion == m_resourceVersion)
+    const bool isContinued = m_unchangedSince && resourceVersion == m_resourceVersion
+        && sentAt <= m_unchangedUntil + m_limits.maxGap;
+    if (!isContinued) {
+        m_resourceVersion = resourceVersion;
+        m_unchangedSince = now;
+        m_unchangedUntil = now;
         return;
-    m_resourceVersion = resourceVersion;
-    m_unchangedSince = now;
+    }
+    m_unchangedUntil = std::max(m_unchangedUntil, sentAt);
 }
 
 bool LeaseObserver::hasLapsed(core::TimePoint now) const
 {
-    return m_unchangedSince && now >= *m_unchangedSince + m_limits.duration + m_limits.guard;
+    return m_unchangedSince && now <= m_unchangedUntil + m_limits.maxGap
+        && m_unchangedUntil >= *m_unchangedSince + m_limits.duration + m_limits.guard;
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/lease.h
+++ b/src/libs/decisions/lease.h
@@ -12,6 +12,9 @@
 {
     core::Duration duration = std::chrono::seconds(15);
     core::Duration guard = std::chrono::seconds(1);
+    /// The greatest time between two readings of a record that count as one observation. In a
+    /// longer gap the object API may have been out, so that the holder could not renew.
+    core::Duration maxGap = std::chrono::seconds(3);
 };
 
 /// The holder's view of its lease. It counts from the time at which a renewal was sent, so that the
@@ -45,8 +48,9 @@
         : m_limits(limits)
     { }
 
-    /// Records that the lease record was read with this resource version.
-    void observed(const std::string &resourceVersion, core::TimePoint now);
+    /// Records that a reading sent at `sentAt` and answered at `now` found this resource version.
+    /// An answer proves the state of the record at `sentAt` only.
+    void observed(const std::string &resourceVersion, core::TimePoint sentAt, core::TimePoint now);
     /// Records that the object API did not answer, or that no majority of the region's daemons
     /// reports it as reachable; the observation starts again.
     void interrupted() { m_unchangedSince.reset(); }
@@ -56,6 +60,7 @@
     LeaseLimits m_limits;
     std::string m_resourceVersion;
     std::optional<core::TimePoint> m_unchangedSince;
+    core::TimePoint m_unchangedUntil;
 };
 
 } // namespace jackdawlead::decisions
--- a/src/libs/serving/adaptercall.cpp
+++ b/src/libs/serving/adaptercall.cpp
@@ -8,14 +8,6 @@
 
 namespace jackdawlead::serving {
 
-namespace {
-
-// One repeat bounds the extra load that a failing endpoint causes.
-constexpr int maxUnknownAttempts = 2;
-constexpr std::size_t maxAttempts = 3;
-
-} // namespace
-
 void AdapterCall::start(CallerTask &owner, ResolvedAdapterCall call,
                         std::shared_ptr<net::ServerExchange> exchange)
 {
@@ -102,31 +94,25 @@
     }
     observability::logError(observability::LogLevel::Warn, status, m_call.call.call.id.value());
     if (mayTryNext(status)) {
-        if (core::outcomeOf(status) == core::Outcome::Unknown)
-            ++m_unknownAttempts;
         sendNext();
         return;
     }
     refuse(status);
 }
 
-bool AdapterCall::mayTryNext(const absl::Status &status) const
+bool AdapterCall::mayTryNext(const absl::Status &status)
 {
-    if (m_exchange->isReplied() || m_next >= m_order.size() || m_next >= maxAttempts)
-        return false;
-    if (m_owner.m_context.timers.now() >= m_call.call.deadline)
-        return false;
-    if (status.code() == absl::StatusCode::kInvalidArgument)
-        return false;
-    return core::outcomeOf(status) == core::Outcome::NotRun
-        || m_unknownAttempts + 1 < maxUnknownAttempts;
+    const decisions::AttemptEnd end {.outcome = core::outcomeOf(status),
+                                     .isAnswerStarted = m_exchange->isReplied(),
+                                     .isBadInput
+                                     = status.code() == absl::StatusCode::kInvalidArgument};
+    return m_attempts.mayRepeatAfter(end, m_call.call.deadline, m_owner.m_context.timers.now())
+        && m_next < m_order.size();
 }
 
 void AdapterCall::refuse(const absl::Status &status)
 {
-    // An attempt that may have run outweighs a later refusal.
-    const core::Outcome outcome
-        = m_unknownAttempts > 0 ? core::Outcome::Unknown : core::outcomeOf(status);
+    const core::Outcome outcome = m_attempts.outcomeToTell(core::outcomeOf(status));
     const absl::Status told = core::withOutcome(status, outcome);
     if (m_exchange->isStreaming())
         m_exchange->cutStream("data: " + refusalResponse(told, m_call.call.call.id).body + "\n\n");
--- a/src/libs/serving/adaptercall.h
+++ b/src/libs/serving/adaptercall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/attempts.h"
 #include "net/httpserver.h"
 #include "serving/callertask.h"
 #include "serving/filters.h"
@@ -29,7 +30,7 @@
     void headReceived(int status, const net::Headers &headers);
     void dataReceived(std::string_view data);
     void ended(const absl::Status &status);
-    bool mayTryNext(const absl::Status &status) const;
+    bool mayTryNext(const absl::Status &status);
     void refuse(const absl::Status &status);
     void endAttempt();
     void callerGone();
@@ -39,7 +40,7 @@
     std::shared_ptr<net::ServerExchange> m_exchange;
     std::vector<core::EndpointId> m_order;
     std::size_t m_next = 0;
-    int m_unknownAttempts = 0;
+    decisions::Attempts m_attempts {{}, true};
     core::EndpointId m_endpoint;
     Dispatcher::Cancel m_cancel;
     std::shared_ptr<AdapterCall> m_keepAlive;
--- a/src/libs/serving/callerreply.cpp
+++ b/src/libs/serving/callerreply.cpp
@@ -12,6 +12,8 @@
 
 using nlohmann::json;
 
+constexpr core::Duration defaultRetryAfter = std::chrono::seconds(1);
+
 struct CodeRow
 {
     absl::StatusCode code;
@@ -49,6 +51,7 @@
 net::HttpResponse refusalResponse(const absl::Status &status, const core::RequestId &request)
 {
     const core::Outcome outcome = core::outcomeOf(status);
+    const absl::StatusCode code = status.code();
     json error {{"type", rowOf(status.code()).type},
                 {"message", std::string(status.message())},
                 {"step", core::stepOf(status)},
@@ -59,7 +62,11 @@
     response.headers.add("Content-Type", "application/json");
     response.headers.add("X-Request-Id", request.value());
     response.headers.add("X-Outcome", std::string(core::toString(outcome)));
-    if (const auto delay = core::retryAfterOf(status)) {
+    std::optional<core::Duration> delay = core::retryAfterOf(status);
+    // The caller of work that was not run is always told when to come back.
+    if (!delay && outcome == core::Outcome::NotRun && code == absl::StatusCode::kUnavailable)
+        delay = defaultRetryAfter;
+    if (delay) {
         const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(*delay).count();
         error["retry_after_ms"] = ms;
         // The header counts whole seconds, so it is rounded up.
--- a/src/libs/serving/claimtask.cpp
+++ b/src/libs/serving/claimtask.cpp
@@ -35,9 +35,45 @@
     return claim;
 }
 
-bool mayHaveTakenEffect(const absl::Status &status)
+decisions::ClaimWrite writeResult(const absl::Status &status)
 {
-    return core::outcomeOf(status) != core::Outcome::NotRun;
+    const absl::StatusCode code = status.code();
+    if (status.ok())
+        return decisions::ClaimWrite::Stored;
+    if (code == absl::StatusCode::kAlreadyExists || code == absl::StatusCode::kAborted)
+        return decisions::ClaimWrite::Conflict;
+    return core::outcomeOf(status) == core::Outcome::NotRun ? decisions::ClaimWrite::NotSent
+                                                            : decisions::ClaimWrite::Unanswered;
+}
+
+absl::Status refusalStatus(decisions::ClaimRefusal refusal)
+{
+    struct Row
+    {
+        absl::StatusCode code;
+        const char *message;
+    };
+    const auto row = [refusal]() -> Row {
+        switch (refusal) {
+        case decisions::ClaimRefusal::ApiUnavailable:
+            return {absl::StatusCode::kUnavailable, "object API cannot record the claim"};
+        case decisions::ClaimRefusal::AnotherRuns:
+            return {absl::StatusCode::kAborted,
+                    "another attempt with this idempotency key is running"};
+        case decisions::ClaimRefusal::OtherBody:
+            return {absl::StatusCode::kAlreadyExists, "Idempotency-Key was used with another body"};
+        case decisions::ClaimRefusal::OutcomeUnknown:
+            break;
+        }
+        return {absl::StatusCode::kDataLoss,
+                "outcome of the earlier attempt is unknown; it is not run again"};
+    }();
+    const absl::Status status
+        = core::withOutcome(core::makeError(row.code, "claim", "object API", row.message),
+                            decisions::outcomeOf(refusal));
+    const bool mayComeBack = refusal == decisions::ClaimRefusal::ApiUnavailable
+        || refusal == decisions::ClaimRefusal::AnotherRuns;
+    return mayComeBack ? core::withRetryAfter(status, std::chrono::seconds(1)) : status;
 }
 
 } // namespace
@@ -48,129 +84,76 @@
 
 void ClaimTask::begin(const std::string &name, const std::string &bodyDigest, Handler handler)
 {
-    auto attempt = std::make_shared<Attempt>();
-    attempt->name = name;
-    attempt->claim.attempt = core::AttemptId(randomId());
-    attempt->claim.holder = m_context.settings.host;
-    attempt->claim.bodyDigest = bodyDigest;
-    attempt->handler = std::move(handler);
-    create(attempt);
-}
-
-void ClaimTask::create(const AttemptPtr &attempt)
-{
-    m_context.objects.create(
-        platform::kinds::claims, attempt->name, claimToJson(attempt->claim),
-        [this, attempt](const auto &result) {
-            if (result.ok())
-                granted(attempt, *result);
-            else if (result.status().code() == absl::StatusCode::kAlreadyExists)
-                readBack(attempt, false);
-            else if (mayHaveTakenEffect(result.status()))
-                readBack(attempt, true);
-            else
-                fail(attempt, absl::StatusCode::kUnavailable, "object API cannot record the claim",
-                     core::Outcome::NotRun);
-        });
-}
-
-void ClaimTask::readBack(const AttemptPtr &attempt, bool mayHaveWritten)
-{
-    m_context.objects.read(platform::kinds::claims, attempt->name,
-                           [this, attempt, mayHaveWritten](const auto &result) {
-                               if (result.ok()) {
-                                   checkHolder(attempt, *result);
-                                   return;
-                               }
-                               // This attempt dispatched nothing, so it was not run even if its
-                               // claim was stored.
-                               fail(attempt, absl::StatusCode::kUnavailable,
-                                    mayHaveWritten
-                                        ? "the claim could not be settled by reading it back"
-                                        : "the claim could not be read",
-                                    core::Outcome::NotRun);
-                           });
-}
-
-void ClaimTask::checkHolder(const AttemptPtr &attempt, const platform::Object &object)
-{
-    const decisions::Claim existing = claimFromJson(object.spec);
-    const bool isOwn = existing.attempt == attempt->claim.attempt;
-    if (existing.state != decisions::ClaimState::Claimed || isOwn) {
-        decide(attempt, object, true);
-        return;
-    }
-    m_context.objects.read(platform::kinds::hostLeases, existing.holder.value(),
-                           [this, attempt, object](const auto &lease) {
-                               const bool isGone = !lease.ok()
-                                   && lease.status().code() == absl::StatusCode::kNotFound;
-                               decide(attempt, object, !isGone);
-                           });
+    decisions::Claim own;
+    own.attempt = core::AttemptId(randomId());
+    own.holder = m_context.settings.host;
+    own.bodyDigest = bodyDigest;
+    auto attempt = std::make_shared<Attempt>(
+        Attempt {name, decisions::ClaimAttempt(std::move(own)), std::move(handler), {}});
+    carryOut(attempt, attempt->decisions.start());
 }
 
-void ClaimTask::decide(const AttemptPtr &attempt, const platform::Object &object,
-                       bool isHolderAlive)
+void ClaimTask::carryOut(const AttemptPtr &attempt, const decisions::ClaimStep &step)
 {
-    decisions::Claim existing = claimFromJson(object.spec);
-    switch (decisions::decideClaim(existing, attempt->claim.attempt, attempt->claim.bodyDigest,
-                                   isHolderAlive)) {
-    case decisions::ClaimAction::Run:
-        granted(attempt, object);
+    switch (step.kind) {
+    case decisions::ClaimStep::Kind::Create:
+        m_context.objects.create(platform::kinds::claims, attempt->name, claimToJson(step.claim),
+                                 writeHandler(attempt));
         return;
-    case decisions::ClaimAction::ReplayAnswer:
-        attempt->handler(
-            Result {std::nullopt, StoredAnswer {existing.answerStatus, existing.answerBody}});
+    case decisions::ClaimStep::Kind::Read:
+        read(attempt);
         return;
-    case decisions::ClaimAction::TakeReleased:
-        replace(attempt, object, attempt->claim);
+    case decisions::ClaimStep::Kind::ReadHolderLease:
+        readHolderLease(attempt, step.claim.holder);
         return;
-    case decisions::ClaimAction::MarkUnknown:
-        existing.state = decisions::ClaimState::Unknown;
-        replace(attempt, object, existing);
+    case decisions::ClaimStep::Kind::Replace:
+        m_context.objects.update(
+            platform::kinds::claims,
+            {attempt->name, attempt->object.resourceVersion, claimToJson(step.claim)},
+            writeHandler(attempt));
         return;
-    case decisions::ClaimAction::RefuseRunning:
-        fail(attempt, absl::StatusCode::kAborted,
-             "another attempt with this idempotency key is running", core::Outcome::NotRun);
+    case decisions::ClaimStep::Kind::Run:
+        attempt->handler(Result {ClaimGrant {attempt->object, step.claim}, std::nullopt});
         return;
-    case decisions::ClaimAction::RefuseOtherBody:
-        fail(attempt, absl::StatusCode::kAlreadyExists,
-             "Idempotency-Key was used with another body", core::Outcome::NotRun);
+    case decisions::ClaimStep::Kind::ReplayAnswer:
+        attempt->handler(
+            Result {std::nullopt, StoredAnswer {step.claim.answerStatus, step.claim.answerBody}});
         return;
-    case decisions::ClaimAction::RefuseUnknown:
+    case decisions::ClaimStep::Kind::Refuse:
         break;
     }
-    fail(attempt, absl::StatusCode::kDataLoss,
-         "outcome of the earlier attempt is unknown; it is not run again", core::Outcome::Unknown);
+    attempt->handler(refusalStatus(step.refusal));
 }
 
-void ClaimTask::replace(const AttemptPtr &attempt, const platform::Object &object,
-                        const decisions::Claim &claim)
+ClaimTask::WriteHandler ClaimTask::writeHandler(const AttemptPtr &attempt)
 {
-    const platform::Object replacement {object.name, object.resourceVersion, claimToJson(claim)};
-    m_context.objects.update(
-        platform::kinds::claims, replacement, [this, attempt](const auto &result) {
-            if (result.ok() || mayHaveTakenEffect(result.status())
-                || result.status().code() == absl::StatusCode::kAborted)
-                readBack(attempt, true);
-            else
-                fail(attempt, absl::StatusCode::kUnavailable, "object API cannot record the claim",
-                     core::Outcome::NotRun);
-        });
+    return [this, attempt](const absl::StatusOr<platform::Object> &result) {
+        if (result.ok())
+            attempt->object = *result;
+        carryOut(attempt, attempt->decisions.written(writeResult(result.status())));
+    };
 }
 
-void ClaimTask::granted(const AttemptPtr &attempt, const platform::Object &object)
+void ClaimTask::read(const AttemptPtr &attempt)
 {
-    attempt->handler(Result {ClaimGrant {object, attempt->claim}, std::nullopt});
+    m_context.objects.read(platform::kinds::claims, attempt->name,
+                           [this, attempt](const auto &result) {
+                               std::optional<decisions::Claim> existing;
+                               if (result.ok()) {
+                                   attempt->object = *result;
+                                   existing = claimFromJson(result->spec);
+                               }
+                               carryOut(attempt, attempt->decisions.read(existing));
+                           });
 }
 
-void ClaimTask::fail(const AttemptPtr &attempt, absl::StatusCode code, std::string_view message,
-                     core::Outcome outcome)
+void ClaimTask::readHolderLease(const AttemptPtr &attempt, const core::HostId &holder)
 {
-    absl::Status status
-        = core::withOutcome(core::makeError(code, "claim", "object API", message), outcome);
-    if (outcome == core::Outcome::NotRun && code != absl::StatusCode::kAlreadyExists)
-        status = core::withRetryAfter(status, std::chrono::seconds(1));
-    attempt->handler(status);
+    m_context.objects.read(
+        platform::kinds::hostLeases, holder.value(), [this, attempt](const auto &lease) {
+            const bool isGone = !lease.ok() && lease.status().code() == absl::StatusCode::kNotFound;
+            carryOut(attempt, attempt->decisions.holderLeaseRead(!isGone));
+        });
 }
 
 void ClaimTask::settle(ClaimGrant grant, decisions::ClaimState state, const StoredAnswer &answer,
--- a/src/libs/serving/claimtask.h
+++ b/src/libs/serving/claimtask.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/claim.h"
+#include "decisions/claimattempt.h"
 #include "serving/context.h"
 
 #include <absl/status/statusor.h>
@@ -50,20 +50,17 @@
     struct Attempt
     {
         std::string name;
-        decisions::Claim claim;
+        decisions::ClaimAttempt decisions;
         Handler handler;
+        platform::Object object; ///< The claim as last written or read.
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
+    using WriteHandler = platform::ObjectClient::ObjectHandler;
 
-    void create(const AttemptPtr &attempt);
-    void readBack(const AttemptPtr &attempt, bool mayHaveWritten);
-    void decide(const AttemptPtr &attempt, const platform::Object &object, bool isHolderAlive);
-    void checkHolder(const AttemptPtr &attempt, const platform::Object &object);
-    void replace(const AttemptPtr &attempt, const platform::Object &object,
-                 const decisions::Claim &claim);
-    void granted(const AttemptPtr &attempt, const platform::Object &object);
-    void fail(const AttemptPtr &attempt, absl::StatusCode code, std::string_view message,
-              core::Outcome outcome);
+    void carryOut(const AttemptPtr &attempt, const decisions::ClaimStep &step);
+    void read(const AttemptPtr &attempt);
+    void readHolderLease(const AttemptPtr &attempt, const core::HostId &holder);
+    WriteHandler writeHandler(const AttemptPtr &attempt);
 
     Context &m_context;
 };
--- a/src/libs/serving/configtask.cpp
+++ b/src/libs/serving/configtask.cpp
@@ -65,7 +65,7 @@
         observability::logError(observability::LogLevel::Error, root.status());
         return;
     }
-    if (root->generation <= m_wanted.generation)
+    if (!m_gate.offer(root->generation))
         return;
     m_wanted = *std::move(root);
     fetchMissingParts();
@@ -117,6 +117,8 @@
     std::erase_if(m_parts, [this](const auto &entry) {
         return std::ranges::find(m_wanted.parts, entry.first) == m_wanted.parts.end();
     });
+    if (!m_gate.apply(m_wanted.generation))
+        return;
     m_current = std::make_shared<const config::Catalog>(m_wanted.generation, *std::move(manifest));
     m_context.metrics.setGeneration(m_wanted.generation.value());
     const std::string message
--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -2,6 +2,7 @@
 
 #include "config/catalog.h"
 #include "config/release.h"
+#include "decisions/generationgate.h"
 #include "serving/context.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
     Context &m_context;
     Subscriber m_subscriber;
     CatalogPtr m_current;
+    decisions::GenerationGate m_gate;
     config::ConfigRoot m_wanted;
     std::map<std::string, config::ConfigPart> m_parts;
     int m_fetching = 0;
--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -157,9 +157,26 @@
     const RunPtr run = found->second;
     m_runs.erase(found);
     run->call.cancel();
+    carryOut(m_scheduler.cancelled(id, m_context.timers.now()));
+    cutRun(id, run->request.adapter);
+}
+
+void EndpointTask::setLeaving(bool isLeaving)
+{
+    if (isLeaving == std::exchange(m_isLeaving, isLeaving))
+        return;
+    if (m_isLeaving)
+        carryOut(m_scheduler.drain(m_context.timers.now()));
+    else if (!m_isDraining)
+        m_scheduler.resume();
+}
+
+// The endpoint may still run the request until it sees that the connection was closed.
+void EndpointTask::cutRun(const core::RequestId &id, const core::AdapterVersion &adapter)
+{
     const core::TimePoint now = m_context.timers.now();
-    carryOut(m_scheduler.cancelled(id, now));
-    carryOut(m_scheduler.finished(id, now));
+    m_pinned[adapter] = now + reportLag;
+    carryOut(m_scheduler.cut(id, now));
 }
 
 void EndpointTask::drain()
@@ -209,7 +226,10 @@
             return;
         }
         observability::logError(observability::LogLevel::Warn, status);
-        carryOut(m_scheduler.evictionFailed(command.adapter, now));
+        if (core::outcomeOf(status) == core::Outcome::NotRun)
+            carryOut(m_scheduler.evictionFailed(command.adapter, now));
+        else
+            carryOut(m_scheduler.evictionUnanswered(command.adapter, now));
     });
 }
 
@@ -345,6 +365,8 @@
     if (run->status != 200) {
         // An engine answers 404 when it does not hold the adapter, and runs nothing.
         const bool isNotRun = run->status < 500;
+        if (run->status == 404)
+            carryOut(m_scheduler.missing(run->request.adapter, m_context.timers.now()));
         fail(run,
              endpointError(run->status == 400 ? absl::StatusCode::kInvalidArgument
                                               : absl::StatusCode::kUnavailable,
@@ -368,7 +390,10 @@
 void EndpointTask::fail(const RunPtr &run, const absl::Status &status)
 {
     run->call.cancel();
-    release(run);
+    if (core::outcomeOf(status) == core::Outcome::NotRun)
+        release(run);
+    else if (m_runs.erase(run->request.id) > 0)
+        cutRun(run->request.id, run->request.adapter);
     run->request.sink.onEnd(status);
 }
 
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -59,7 +59,8 @@
     void cancel(const core::RequestId &id);
     /// Refuses what is queued; what is running goes on.
     void drain();
-    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+    /// A leaving endpoint refuses what is queued and gets no new work.
+    void setLeaving(bool isLeaving);
     std::size_t runningCount() const { return m_scheduler.runningCount(); }
     std::size_t queuedCount() const { return m_scheduler.queuedCount(); }
 
@@ -94,6 +95,7 @@
     void sendHead(const RunPtr &run);
     void fail(const RunPtr &run, const absl::Status &status);
     void release(const RunPtr &run);
+    void cutRun(const core::RequestId &id, const core::AdapterVersion &adapter);
     net::Headers orderHeaders() const;
     std::string weightSourceOf(const core::AdapterVersion &adapter) const;
 
--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -7,7 +7,7 @@
 
 LeaseTask::LeaseTask(Context &context)
     : m_context(context)
-    , m_holder({context.settings.leaseDuration, context.settings.leaseGuard})
+    , m_holder({.duration = context.settings.leaseDuration, .guard = context.settings.leaseGuard})
     , m_incarnation(randomId())
 { }
 
--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -1,5 +1,6 @@
 #include "serving/ownershiptask.h"
 
+#include "decisions/ownership.h"
 #include "decisions/placement.h"
 #include "observability/log.h"
 
@@ -155,46 +156,46 @@
         return;
     std::vector<core::HostId> preferred = preferredOwners(endpoint);
     const auto record = m_records.find(endpoint);
-    if (record == m_records.end()) {
-        if (!preferred.empty() && preferred.front() == m_context.settings.host)
-            claim(endpoint, nullptr);
-        return;
-    }
-    const core::HostId holder = record->second.ownership.holder;
-    if (holder == m_context.settings.host) {
-        // A record of an earlier process, or from before a lapse of the lease, is not used as it
-        // is.
-        if (!m_claimed.contains(endpoint))
-            claim(endpoint, &record->second);
-        return;
-    }
-    m_claimed.erase(endpoint);
-    std::erase(preferred, holder);
-    if (preferred.empty() || preferred.front() != m_context.settings.host)
-        return;
-    if (holder.isEmpty()) {
-        claim(endpoint, &record->second);
-        return;
+    const Record *previous = record == m_records.end() ? nullptr : &record->second;
+    decisions::OwnershipView view;
+    view.self = m_context.settings.host;
+    view.isClaimedHere = m_claimed.contains(endpoint);
+    if (previous) {
+        const core::HostId holder = previous->ownership.holder;
+        view.record = {holder, previous->ownership.token};
+        std::erase(preferred, holder);
+        if (holder != view.self)
+            m_claimed.erase(endpoint);
+        if (!preferred.empty() && preferred.front() == view.self)
+            view.hasHolderLapsed = hasLapsed(holder);
     }
+    if (!preferred.empty())
+        view.preferred = preferred.front();
+    if (const auto token = decisions::tokenToClaim(view))
+        claim(endpoint, previous, *token);
+}
+
+bool OwnershipTask::hasLapsed(const core::HostId &holder)
+{
+    if (holder.isEmpty() || holder == m_context.settings.host)
+        return false;
     observeLease(holder);
     const auto observer = m_observers.find(holder);
-    const bool hasLapsed = m_gone.contains(holder)
-        || (observer != m_observers.end() && observer->second.hasLapsed(m_context.timers.now()));
-    if (hasLapsed)
-        claim(endpoint, &record->second);
+    return m_gone.contains(holder) || observer->second.hasLapsed(m_context.timers.now());
 }
 
 void OwnershipTask::observeLease(const core::HostId &holder)
 {
-    const decisions::LeaseLimits limits {m_context.settings.leaseDuration,
-                                         m_context.settings.leaseGuard};
+    const decisions::LeaseLimits limits {.duration = m_context.settings.leaseDuration,
+                                         .guard = m_context.settings.leaseGuard};
     m_observers.try_emplace(holder, limits);
     m_context.objects.read(
-        platform::kinds::hostLeases, holder.value(), [this, holder](const auto &result) {
+        platform::kinds::hostLeases, holder.value(),
+        [this, holder, sentAt = m_context.timers.now()](const auto &result) {
             decisions::LeaseObserver &observer = m_observers.at(holder);
             m_gone.erase(holder);
             if (result.ok())
-                observer.observed(result->resourceVersion, m_context.timers.now());
+                observer.observed(result->resourceVersion, sentAt, m_context.timers.now());
             else if (result.status().code() == absl::StatusCode::kNotFound)
                 m_gone.insert(holder); // A lease is deleted only by its holder's planned stop.
             else
@@ -202,11 +203,10 @@
         });
 }
 
-void OwnershipTask::claim(const core::EndpointId &endpoint, const Record *previous)
+void OwnershipTask::claim(const core::EndpointId &endpoint, const Record *previous,
+                          core::FencingToken token)
 {
     m_pending.insert(endpoint);
-    const core::FencingToken token
-        = previous ? previous->ownership.token.next() : core::FencingToken(1);
     const Ownership ownership {m_context.settings.host, token};
     const auto handler = [this, endpoint](const absl::StatusOr<platform::Object> &result) {
         m_pending.erase(endpoint);
--- a/src/libs/serving/ownershiptask.h
+++ b/src/libs/serving/ownershiptask.h
@@ -50,7 +50,8 @@
     void reconcile();
     void reconcileEndpoint(const core::EndpointId &endpoint);
     std::vector<core::HostId> preferredOwners(const core::EndpointId &endpoint) const;
-    void claim(const core::EndpointId &endpoint, const Record *previous);
+    void claim(const core::EndpointId &endpoint, const Record *previous, core::FencingToken token);
+    bool hasLapsed(const core::HostId &holder);
     void observeLease(const core::HostId &holder);
     void publish();
 
--- a/src/libs/serving/servicecall.cpp
+++ b/src/libs/serving/servicecall.cpp
@@ -10,12 +10,6 @@
 
 namespace jackdawlead::serving {
 
-namespace {
-
-constexpr std::size_t maxAttempts = 3;
-
-} // namespace
-
 void ServiceCall::start(CallerTask &owner, ResolvedServiceCall call,
                         std::shared_ptr<net::ServerExchange> exchange)
 {
@@ -31,6 +25,7 @@
     : m_owner(owner)
     , m_call(std::move(call))
     , m_exchange(std::move(exchange))
+    , m_attempts({}, m_call.isRepeatable)
 {
     ++m_owner.m_running;
 }
@@ -48,12 +43,36 @@
     const std::string digest
         = config::sha256Hex(m_call.call.call.request.method + "\n" + m_call.path + "\n"
                             + m_call.call.call.request.body);
+    const core::TimePoint now = m_owner.m_context.timers.now();
+    m_claimLimit = m_owner.m_context.timers.once(
+        std::max(m_call.call.deadline - now, core::Duration::zero()), [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->giveUpClaim();
+        });
     m_owner.m_claims.begin(
         name, digest, [self = shared_from_this()](const auto &result) { self->claimed(result); });
 }
 
+// Nothing was dispatched, so the answer does not wait for the object API.
+void ServiceCall::giveUpClaim()
+{
+    m_isGivenUp = true;
+    refuse(core::withRetryAfter(
+        core::withOutcome(core::makeError(absl::StatusCode::kDeadlineExceeded, "claim",
+                                          "object API", "deadline passed before the claim"),
+                          core::Outcome::NotRun),
+        std::chrono::seconds(1)));
+}
+
 void ServiceCall::claimed(const absl::StatusOr<ClaimTask::Result> &result)
 {
+    m_claimLimit.cancel();
+    if (m_isGivenUp) {
+        if (result.ok())
+            m_grant = result->grant;
+        settleClaim(decisions::ClaimState::Released, {}, [] {});
+        return;
+    }
     if (!result.ok()) {
         refuse(result.status());
         return;
@@ -76,17 +95,17 @@
             return left.isHomeRegion;
         return left.outstanding < right.outstanding;
     });
-    if (candidates.size() <= m_attempts) {
+    if (candidates.size() <= m_next) {
         const absl::Status status = core::withRetryAfter(
             core::withOutcome(core::makeError(absl::StatusCode::kUnavailable, "place",
                                               m_call.pool.value(), "no usable endpoint"),
                               core::Outcome::NotRun),
             std::chrono::seconds(1));
-        settleClaim(decisions::ClaimState::Released, {},
-                    [self = shared_from_this(), status] { self->refuse(status); });
+        refuse(status);
+        settleClaim(decisions::ClaimState::Released, {}, [] {});
         return;
     }
-    m_endpoint = candidates[m_attempts++].endpoint;
+    m_endpoint = candidates[m_next++].endpoint;
     net::Address address;
     for (const platform::HostEntry &entry : m_owner.m_dispatcher.usableEndpoints(m_call.pool))
         if (entry.name == m_endpoint.value())
@@ -119,13 +138,15 @@
         = core::withOutcome(core::makeError(reply.status().code(), "dispatch", m_endpoint.value(),
                                             std::string(reply.status().message())),
                             core::outcomeOf(reply.status()));
-    const bool isNotRun = core::outcomeOf(status) == core::Outcome::NotRun;
-    if ((isNotRun || m_call.isRepeatable) && m_attempts < maxAttempts) {
+    if (m_attempts.mayRepeatAfter({.outcome = core::outcomeOf(status)}, m_call.call.deadline,
+                                  m_owner.m_context.timers.now())) {
         dispatch();
         return;
     }
+    const bool isNotRun = core::outcomeOf(status) == core::Outcome::NotRun;
+    refuse(status);
     settleClaim(isNotRun ? decisions::ClaimState::Released : decisions::ClaimState::Unknown, {},
-                [self = shared_from_this(), status] { self->refuse(status); });
+                [] {});
 }
 
 void ServiceCall::settleClaim(decisions::ClaimState state, const StoredAnswer &answer,
@@ -147,8 +168,10 @@
     m_owner.settled(core::Outcome::Completed, m_call.call.call.acceptedAt);
 }
 
-void ServiceCall::refuse(const absl::Status &status)
+void ServiceCall::refuse(const absl::Status &last)
 {
+    const absl::Status status
+        = core::withOutcome(last, m_attempts.outcomeToTell(core::outcomeOf(last)));
     observability::logError(observability::LogLevel::Warn, status, m_call.call.call.id.value());
     m_exchange->respond(refusalResponse(status, m_call.call.call.id));
     m_owner.settled(core::outcomeOf(status), m_call.call.call.acceptedAt);
--- a/src/libs/serving/servicecall.h
+++ b/src/libs/serving/servicecall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/attempts.h"
 #include "net/httpserver.h"
 #include "serving/callertask.h"
 #include "serving/claimtask.h"
@@ -26,19 +27,23 @@
 private:
     void claim();
     void claimed(const absl::StatusOr<ClaimTask::Result> &result);
+    void giveUpClaim();
     void dispatch();
     void answered(const absl::StatusOr<net::HttpResponse> &reply);
     void settleClaim(decisions::ClaimState state, const StoredAnswer &answer,
                      const std::function<void()> &done);
     void respond(const net::HttpResponse &response);
-    void refuse(const absl::Status &status);
+    void refuse(const absl::Status &last);
 
     CallerTask &m_owner;
     ResolvedServiceCall m_call;
     std::shared_ptr<net::ServerExchange> m_exchange;
     std::optional<ClaimGrant> m_grant;
     core::EndpointId m_endpoint;
-    std::size_t m_attempts = 0;
+    decisions::Attempts m_attempts;
+    std::size_t m_next = 0;
+    bool m_isGivenUp = false; ///< Answered before its claim was decided.
+    net::TimerService::Subscription m_claimLimit;
 };
 
 } // namespace jackdawlead::serving
--- a/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
+++ b/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
@@ -79,3 +79,86 @@
     cr_assert_eq(countOf<RefuseRequest>(scheduler.loadFailed(adapter("a"), start)), 1);
     cr_assert_eq(countOf<RefuseRequest>(submit(scheduler, "r2", "a")), 1);
 }
+
+// Guards against an eviction in use after a restart: the end of a request that the restart cut must
+// not count as the end of a request that was dispatched after it.
+Test(endpointscheduler, useCountSurvivesRestart)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r1", "a");
+    scheduler.loaded(adapter("a"), start);
+    scheduler.reset({}, {}, start);
+    submit(scheduler, "r2", "a");
+    scheduler.loaded(adapter("a"), start);
+    scheduler.finished(core::RequestId("r1"), start);
+    cr_assert_eq(scheduler.useCount(adapter("a")), 1);
+    cr_assert_eq(countOf<EvictAdapter>(submit(scheduler, "r3", "b")), 0);
+}
+
+// Guards against a dispatch to an adapter whose eviction is still in progress when the endpoint's
+// list is read again.
+Test(endpointscheduler, resetKeepsEvictionInProgress)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    scheduler.reset({adapter("a")}, {}, start);
+    cr_assert_eq(countOf<EvictAdapter>(submit(scheduler, "r1", "b")), 1);
+    scheduler.reset({adapter("a")}, {}, start);
+    cr_assert_eq(countOf<DispatchRequest>(submit(scheduler, "r2", "a")), 0);
+}
+
+// Guards against a dispatch to an adapter whose eviction was not answered and may come later.
+Test(endpointscheduler, unansweredEvictionIsOrderedAgain)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    scheduler.reset({adapter("a")}, {}, start);
+    submit(scheduler, "r1", "b");
+    scheduler.evictionUnanswered(adapter("a"), start);
+    cr_assert_eq(countOf<DispatchRequest>(submit(scheduler, "r2", "a")), 0);
+    const auto commands = scheduler.tick(start + std::chrono::seconds(1));
+    cr_assert_eq(countOf<EvictAdapter>(commands), 1);
+    cr_assert_eq(countOf<LoadAdapter>(scheduler.evicted(adapter("a"), start)), 1);
+}
+
+// Guards against evicting an adapter while the endpoint still runs a request that was cut.
+Test(endpointscheduler, cutRequestPinsItsAdapter)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r1", "a");
+    scheduler.loaded(adapter("a"), start);
+    scheduler.cut(core::RequestId("r1"), start);
+    cr_assert_eq(countOf<EvictAdapter>(submit(scheduler, "r2", "b")), 0);
+    cr_assert_eq(countOf<EvictAdapter>(scheduler.unpinned(adapter("a"), start)), 1);
+}
+
+// Guards against dispatching for ever to an adapter that the endpoint has lost.
+Test(endpointscheduler, missingAdapterIsLoadedAgain)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    scheduler.reset({adapter("a")}, {}, start);
+    scheduler.missing(adapter("a"), start);
+    cr_assert_eq(countOf<LoadAdapter>(submit(scheduler, "r1", "a")), 1);
+}
+
+// Guards against new work for a leaving endpoint, and a refusal without a time to come back.
+Test(endpointscheduler, drainedEndpointTakesNoWork)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r1", "a");
+    const auto drained = scheduler.drain(start);
+    cr_assert_eq(countOf<RefuseRequest>(drained), 1);
+    cr_assert(std::get<RefuseRequest>(drained.front()).retryAfter.count() > 0);
+    cr_assert_eq(countOf<RefuseRequest>(submit(scheduler, "r2", "a")), 1);
+    cr_assert_eq(countOf<DispatchRequest>(scheduler.loaded(adapter("a"), start)), 0);
+    scheduler.resume();
+    cr_assert_eq(countOf<DispatchRequest>(submit(scheduler, "r3", "a")), 1);
+}
+
+// Guards against orders without end while the lease is not valid and each is refused at once.
+Test(endpointscheduler, refusedEvictionIsNotOrderedAgainAtOnce)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    scheduler.reset({adapter("a")}, {}, start);
+    submit(scheduler, "r1", "b");
+    cr_assert_eq(countOf<EvictAdapter>(scheduler.evictionFailed(adapter("a"), start)), 0);
+    cr_assert_eq(countOf<EvictAdapter>(scheduler.tick(start + std::chrono::seconds(1))), 1);
+}
