--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -2,6 +2,7 @@
 
 #include "config/catalog.h"
 #include "config/release.h"
+#include "decisions/generationgate.h"
 #include "platform/objectfollower.h"
 #include "serving/context.h"
 
@@ -36,6 +37,7 @@
     Context &m_context;
     Subscriber m_subscriber;
     CatalogPtr m_current;
+    decisions::GenerationGate m_gate;
     config::ConfigRoot m_wanted;
     std::map<std::string, config::ConfigPart> m_parts;
     int m_fetching = 0;
