Add the membership decision and the facts that daemons pass on

Cause: ownership and dispatch rely on the host list alone, which lags; a killed daemon stays in use until the list or its lease says otherwise.

Change: decisions/membership probes one daemon per period in a seeded shuffled round, once more and through two others before it suspects it, and removes it unless it refutes with a higher incarnation in log2(n) periods. decisions/factstore keeps small versioned facts and chooses which ones ride on each message, bounded in size and in repeats; urgent ones are pushed to three daemons at once. Missing answers after a pause of the own process are not held against others, and daemons that count as dead are probed now and then so that a healed partition is noticed.

--- /dev/null
+++ b/src/libs/decisions/membership.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "core/time.h"
+#include "decisions/factstore.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace jackdawlead::decisions {
+
+/// In the order in which a later state overrides an earlier one of the same incarnation.
+enum class MemberState : std::uint8_t { Alive, Suspect, Leaving, Dead };
+
+using Incarnation = core::Counter<struct IncarnationTag>;
+using ProbeNumber = core::Counter<struct ProbeNumberTag>;
+
+/// The version of a Member fact: rises with the incarnation, and within it with the state.
+FactVersion memberVersion(Incarnation incarnation, MemberState state);
+MemberState stateOfVersion(FactVersion version);
+Incarnation incarnationOfVersion(FactVersion version);
+
+struct MembershipLimits
+{
+    core::Duration probePeriod = std::chrono::seconds(1);
+    /// After this time without an answer, others are asked to probe the same daemon.
+    core::Duration directTimeout = std::chrono::milliseconds(400);
+    std::size_t indirectProbes = 2;
+    /// A suspect has this many periods times log2 of the number of daemons to refute, the time in
+    /// which a fact reaches all.
+    double suspicionFactor = 1.0;
+    /// Each nth probe goes to a listed daemon that counts as dead, so that a healed partition is
+    /// noticed on both sides.
+    std::uint64_t deadProbeInterval = 5;
+    std::size_t pushTargets = 3;
+    /// Bounds the traffic of urgent facts when many arise together.
+    core::Duration pushPeriod = std::chrono::milliseconds(500);
+};
+
+/// Probe `target`; report with probeAnswered() when it answers.
+struct SendProbe
+{
+    core::HostId target;
+    ProbeNumber number;
+};
+
+/// Ask `via` to probe `target`; report with probeAnswered() when it says that `target` answered.
+struct SendIndirectProbe
+{
+    core::HostId via;
+    core::HostId target;
+    ProbeNumber number;
+};
+
+/// Send outgoing() facts to `target` at once.
+struct PushFacts
+{
+    core::HostId target;
+};
+
+using MembershipCommand = std::variant<SendProbe, SendIndirectProbe, PushFacts>;
+using MembershipCommands = std::vector<MembershipCommand>;
+
+/// One daemon's view of the other daemons, and the facts that it passes on. The host list admits
+/// members; probes remove them early. Thread safety: one thread at a time.
+class Membership
+{
+public:
+    /// `incarnation` must be higher than that of an earlier process on the same host.
+    Membership(core::HostId self, Incarnation incarnation, MembershipLimits limits,
+               FactLimits factLimits, std::uint64_t seed);
+
+    /// The daemons of the host list; this daemon's own entry is ignored.
+    void hostsChanged(std::set<core::HostId> listed);
+    /// To be called several times in a probe period.
+    MembershipCommands tick(core::TimePoint now);
+    /// The target of the probe answered, to this daemon or to one that was asked to probe it.
+    void probeAnswered(ProbeNumber number);
+    /// Facts for a message to `peer`, this daemon's own state first.
+    std::vector<Fact> outgoing(const core::HostId &peer);
+    /// Takes the facts of a message; returns those that were new.
+    std::vector<Fact> received(const std::vector<Fact> &facts, core::TimePoint now);
+    /// Spreads a fact of this daemon; urgent facts are pushed at the next tick.
+    /// Returns whether it is newer than what is known.
+    bool announce(const Fact &fact, bool isUrgent);
+    /// Spreads that this daemon is leaving.
+    void leave();
+
+    /// Alive for listed daemons of which nothing else is known.
+    MemberState stateOf(const core::HostId &host) const;
+    /// Whether new work or ownership may go to the daemon: listed, and neither leaving nor dead.
+    bool isUsable(const core::HostId &host) const;
+    const FactStore &facts() const { return m_facts; }
+
+private:
+    struct Probe
+    {
+        ProbeNumber number;
+        core::HostId target;
+        core::TimePoint sentAt;
+        bool isRepeat = false;
+        bool isIndirect = false;
+        bool isAnswered = false;
+    };
+
+    static bool isUrgentKind(const Fact &fact);
+    Fact ownFact() const;
+    Fact memberFact(const core::HostId &host, Incarnation incarnation, MemberState state) const;
+    Incarnation incarnationOf(const core::HostId &host) const;
+    void memberChanged(const Fact &fact, core::TimePoint now);
+    void refute(FactVersion heard);
+    void toleratePause(core::TimePoint now);
+    void askOthers(MembershipCommands &commands);
+    void judgeProbe(core::TimePoint now);
+    void startProbe(MembershipCommands &commands, core::TimePoint now);
+    void expireSuspects(core::TimePoint now);
+    void push(MembershipCommands &commands, core::TimePoint now);
+    std::optional<core::HostId> nextTarget();
+    std::vector<core::HostId> randomUsable(std::size_t count, const core::HostId &except);
+    std::size_t daemonCount() const { return m_listed.size() + 1; }
+
+    core::HostId m_self;
+    Incarnation m_incarnation;
+    MemberState m_ownState = MemberState::Alive;
+    bool m_hasRefuted = false;
+    MembershipLimits m_limits;
+    FactStore m_facts;
+    std::mt19937_64 m_random;
+    std::set<core::HostId> m_listed;
+    std::vector<core::HostId> m_round; ///< Targets still to be probed in this round.
+    std::map<core::HostId, core::TimePoint> m_suspects; ///< When each counts as dead.
+    std::optional<Probe> m_probe;
+    std::optional<core::HostId> m_repeat; ///< Did not answer its last probe.
+    ProbeNumber m_lastNumber;
+    std::optional<core::TimePoint> m_lastTick;
+    core::TimePoint m_nextProbe;
+    core::TimePoint m_nextPush;
+    bool m_hasUrgent = false;
+};
+
+} // namespace jackdawlead::decisions
