Probe other daemons and fetch the configuration from them

Cause: a daemon that could not reach the object API had no configuration or an old one, and a killed daemon stayed in use until the host list named it.

Change: serving/peertask probes the other daemons, passes facts on through `POST /peer/v1/rpc` of the peer listener, and publishes the host list without the daemons that probes removed; a planned stop is announced to all. Ownership and dispatch use that view. Each message carries the sender's generation; a daemon that hears of a higher one reads the root at once, from the object API or, without an answer, from the daemon that has it, and parts likewise. A daemon without a configuration asks all reachable daemons of its region and takes the highest generation.

Conclusion: configuration and removal no longer depend on one service.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -49,12 +49,15 @@
     , m_callers(m_context, m_dispatcher, m_claims)
     , m_ownership(m_context, m_lease,
                   [this](const serving::OwnerMap &owners) { m_dispatcher.ownersChanged(owners); })
-    , m_config(m_context, [this](auto catalog) { catalogChanged(std::move(catalog)); })
+    , m_peers(m_context,
+              {.viewChanged = [this](const auto &view) { viewChanged(view); },
+               .factSeen = [](const decisions::Fact &) {},
+               .generationSeen
+               = [this](core::Generation generation,
+                        const core::HostId &host) { m_config.generationSeen(generation, host); }})
+    , m_config(m_context, m_peers, [this](auto catalog) { catalogChanged(std::move(catalog)); })
     , m_fleet(m_context,
-              [this](const serving::FleetTask::ViewPtr &view) {
-                  m_ownership.fleetChanged(view);
-                  m_dispatcher.fleetChanged(view);
-              })
+              [this](serving::FleetTask::ViewPtr view) { m_peers.fleetChanged(std::move(view)); })
     , m_callerServer(m_loop, limitsOf(m_settings),
                      [this](auto exchange) { m_callers.accept(std::move(exchange)); })
     , m_peerServer(m_loop, limitsOf(m_settings),
@@ -78,6 +81,7 @@
     m_loop.onSignal(SIGTERM, [this] { stop(); });
     m_loop.onSignal(SIGINT, [this] { stop(); });
     m_lease.start([this] { m_ownership.leaseRegained(); });
+    m_peers.start();
     m_config.start();
     m_fleet.start();
     m_ownership.start();
@@ -90,8 +94,15 @@
     m_loop.run();
 }
 
+void Daemon::viewChanged(const serving::FleetTask::ViewPtr &view)
+{
+    m_ownership.fleetChanged(view);
+    m_dispatcher.fleetChanged(view);
+}
+
 void Daemon::catalogChanged(std::shared_ptr<const config::Catalog> catalog)
 {
+    m_peers.announceGeneration(catalog->generation());
     std::set<core::PoolId> engines;
     for (const config::Pool &pool : catalog->manifest().pools)
         if (pool.kind == config::PoolKind::Engine)
@@ -107,6 +118,10 @@
         refuseCredential(*exchange);
         return;
     }
+    if (exchange->request().path == "/peer/v1/rpc") {
+        m_peers.server().serve(exchange);
+        return;
+    }
     auto request = serving::requestFromPeer(exchange->request(), m_timers.now());
     if (!request.ok()) {
         exchange->respond(serving::refusalResponse(request.status(), {}));
@@ -203,6 +218,7 @@
     observability::log({.step = "stop", .message = "planned stop"});
     m_stopLimit = m_timers.now() + m_settings.drainTimeout;
     m_callerServer.stopAccepting();
+    m_peers.announceLeaving();
     m_dispatcher.drain();
     m_ownership.releaseAll(
         [this] { m_stopTimer = m_timers.every(idleCheckPeriod, [this] { stopWhenIdle(); }); });
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -10,6 +10,7 @@
 #include "serving/fleettask.h"
 #include "serving/leasetask.h"
 #include "serving/ownershiptask.h"
+#include "serving/peertask.h"
 
 #include <absl/status/status.h>
 
@@ -30,6 +31,7 @@
 
 private:
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
+    void viewChanged(const serving::FleetTask::ViewPtr &view);
     void servePeer(const std::shared_ptr<net::ServerExchange> &exchange);
     void serveAdmin(const std::shared_ptr<net::ServerExchange> &exchange);
     net::HttpResponse status() const;
@@ -50,6 +52,7 @@
     serving::ClaimTask m_claims;
     serving::CallerTask m_callers;
     serving::OwnershipTask m_ownership;
+    serving::PeerTask m_peers;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
 
--- a/src/libs/serving/configtask.cpp
+++ b/src/libs/serving/configtask.cpp
@@ -1,8 +1,10 @@
 #include "serving/configtask.h"
 
+#include "core/error.h"
 #include "observability/log.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace jackdawlead::serving {
@@ -11,13 +13,33 @@
 
 constexpr core::Duration retryDelay = std::chrono::seconds(1);
 constexpr core::Duration watchTimeout = std::chrono::seconds(60);
+constexpr core::Duration peerTimeout = std::chrono::seconds(2);
 
 } // namespace
 
-ConfigTask::ConfigTask(Context &context, Subscriber subscriber)
+ConfigTask::ConfigTask(Context &context, PeerTask &peers, Subscriber subscriber)
     : m_context(context)
+    , m_peers(peers)
     , m_subscriber(std::move(subscriber))
-{ }
+{
+    bindMethods();
+}
+
+void ConfigTask::bindMethods()
+{
+    m_peers.server().bind(peermethods::configRoot, [this](const nlohmann::json &) {
+        return nlohmann::json {{"root", m_current ? config::toJson(m_applied) : nlohmann::json()}};
+    });
+    m_peers.server().bind(peermethods::configPart,
+                          [this](const nlohmann::json &params) -> absl::StatusOr<nlohmann::json> {
+                              const auto name = params.at("name").get<std::string>();
+                              const auto part = m_parts.find(name);
+                              if (part == m_parts.end())
+                                  return core::makeError(absl::StatusCode::kNotFound, "configPart",
+                                                         name, "part " + name + " is not held");
+                              return nlohmann::json {{"content", part->second.content}};
+                          });
+}
 
 void ConfigTask::start()
 {
@@ -30,10 +52,12 @@
         if (!result.ok()) {
             observability::logError(observability::LogLevel::Warn, result.status());
             listLater();
+            if (!m_current)
+                askAllPeers();
             return;
         }
         for (const platform::Object &object : result->items)
-            rootSeen(object);
+            rootSeen(object.spec);
         watch(result->resourceVersion);
     });
 }
@@ -49,7 +73,7 @@
         platform::kinds::configRoots, resourceVersion, watchTimeout,
         [this](const std::string &type, const platform::Object &object) {
             if (type == "ADDED" || type == "MODIFIED")
-                rootSeen(object);
+                rootSeen(object.spec);
         },
         [this](const absl::Status &status) {
             if (!status.ok())
@@ -58,9 +82,54 @@
         });
 }
 
-void ConfigTask::rootSeen(const platform::Object &object)
+void ConfigTask::generationSeen(core::Generation generation, const core::HostId &host)
+{
+    if (generation <= m_wanted.generation || generation <= m_requested)
+        return;
+    m_requested = generation;
+    m_context.objects.list(platform::kinds::configRoots,
+                           [this, generation, host](const auto &result) {
+                               if (result.ok())
+                                   for (const platform::Object &object : result->items)
+                                       rootSeen(object.spec);
+                               if (m_wanted.generation < generation)
+                                   readRootFromPeer(host);
+                           });
+}
+
+void ConfigTask::readRootFromPeer(const core::HostId &peer)
+{
+    const auto address = m_peers.addressOf(peer);
+    // A later message of any daemon with the generation starts again.
+    if (!address) {
+        m_requested = m_wanted.generation;
+        return;
+    }
+    m_peers.client().call(*address, peermethods::configRoot, nlohmann::json::object(), peerTimeout,
+                          [this, peer](const absl::StatusOr<nlohmann::json> &reply) {
+                              m_requested = m_wanted.generation;
+                              if (!reply.ok()) {
+                                  observability::logError(observability::LogLevel::Warn,
+                                                          reply.status());
+                                  return;
+                              }
+                              const auto root = reply->find("root");
+                              if (root == reply->end() || root->is_null())
+                                  return;
+                              m_source = peer;
+                              rootSeen(*root);
+                          });
+}
+
+void ConfigTask::askAllPeers()
 {
-    auto root = config::rootFromJson(object.spec);
+    for (const core::HostId &host : m_peers.usableInRegion())
+        readRootFromPeer(host);
+}
+
+void ConfigTask::rootSeen(const nlohmann::json &spec)
+{
+    auto root = config::rootFromJson(spec);
     if (!root.ok()) {
         observability::logError(observability::LogLevel::Error, root.status());
         return;
@@ -85,23 +154,59 @@
     for (const std::string &name : missing) {
         ++m_fetching;
         m_context.objects.read(platform::kinds::configParts, name, [this, name](const auto &part) {
-            --m_fetching;
             if (part.ok())
-                m_parts[name] = {name, part->spec.value("content", std::string())};
-            else
-                observability::logError(observability::LogLevel::Warn, part.status());
-            if (m_fetching > 0)
-                return;
-            const bool isComplete = std::ranges::all_of(
-                m_wanted.parts, [this](const std::string &part) { return m_parts.contains(part); });
-            if (isComplete)
-                apply();
+                partFetched(name, part->spec.value("content", std::string()));
             else
-                m_partRetry = m_context.timers.once(retryDelay, [this] { fetchMissingParts(); });
+                fetchPartFromPeer(name);
         });
     }
 }
 
+void ConfigTask::fetchPartFromPeer(const std::string &name)
+{
+    const std::vector<core::HostId> peers = m_peers.usableInRegion();
+    // The source of the root is asked first; if it is gone, the others are asked in turn.
+    core::HostId peer = std::exchange(m_source, {});
+    if (peer.isEmpty() && !peers.empty())
+        peer = peers[m_nextPeer++ % peers.size()];
+    const auto address = m_peers.addressOf(peer);
+    if (!address) {
+        partFetched(name,
+                    core::makeError(absl::StatusCode::kUnavailable, "read", name,
+                                    "neither the object API nor a daemon answers"));
+        return;
+    }
+    m_peers.client().call(*address, peermethods::configPart, {{"name", name}}, peerTimeout,
+                          [this, name](const absl::StatusOr<nlohmann::json> &reply) {
+                              if (!reply.ok())
+                                  partFetched(name, reply.status());
+                              else if (!reply->contains("content")
+                                       || !reply->at("content").is_string())
+                                  partFetched(name,
+                                              core::makeError(absl::StatusCode::kInternal, "read",
+                                                              name, "answer has no content"));
+                              else
+                                  partFetched(name, reply->at("content").get<std::string>());
+                          });
+}
+
+void ConfigTask::partFetched(const std::string &name, const absl::StatusOr<std::string> &content)
+{
+    --m_fetching;
+    if (!content.ok())
+        observability::logError(observability::LogLevel::Warn, content.status());
+    else if (config::sha256Hex(*content) == name)
+        m_parts[name] = {name, *content};
+    if (m_fetching > 0)
+        return;
+    const bool isComplete = std::ranges::all_of(
+        m_wanted.parts, [this](const std::string &part) { return m_parts.contains(part); });
+    if (isComplete)
+        apply();
+    else
+        m_partRetry = m_context.timers.once(retryDelay, [this] { fetchMissingParts(); });
+}
+
 void ConfigTask::apply()
 {
     std::vector<config::ConfigPart> parts;
@@ -117,6 +222,7 @@
     std::erase_if(m_parts, [this](const auto &entry) {
         return std::ranges::find(m_wanted.parts, entry.first) == m_wanted.parts.end();
     });
+    m_applied = m_wanted;
     m_current = std::make_shared<const config::Catalog>(m_wanted.generation, *std::move(manifest));
     m_context.metrics.setGeneration(m_wanted.generation.value());
     const std::string message
