--- a/src/libs/serving/configtask.cpp
+++ b/src/libs/serving/configtask.cpp
@@ -12,8 +12,11 @@
 namespace {
 
 constexpr core::Duration retryDelay = std::chrono::seconds(1);
-constexpr core::Duration watchTimeout = std::chrono::seconds(60);
 constexpr core::Duration peerTimeout = std::chrono::seconds(2);
+// A watch can lose an event without notice. Reading the root twice within the 16 s in which a
+// generation must be in force costs one small read for each daemon.
+constexpr core::Duration backstopPeriod = std::chrono::seconds(8);
+constexpr const char *rootName = "main";
 
 } // namespace
 
@@ -21,6 +24,20 @@
     : m_context(context)
     , m_peers(peers)
     , m_subscriber(std::move(subscriber))
+    , m_roots(context.objects, context.timers, platform::kinds::configRoots,
+              {[this](const std::vector<platform::Object> &roots) {
+                   for (const platform::Object &root : roots)
+                       rootSeen(root.spec);
+               },
+               [this](const std::string &type, const platform::Object &root) {
+                   if (type != "DELETED")
+                       rootSeen(root.spec);
+               },
+               [this](const absl::Status &status) {
+                   observability::logError(observability::LogLevel::Warn, status);
+                   if (!m_current)
+                       askAllPeers();
+               }})
 {
     bindMethods();
 }
@@ -43,55 +60,27 @@
 
 void ConfigTask::start()
 {
-    list();
+    m_roots.start();
+    m_backstop = m_context.timers.every(backstopPeriod, [this] { readRoot(); });
 }
 
-void ConfigTask::list()
+void ConfigTask::readRoot()
 {
-    m_context.objects.list(platform::kinds::configRoots, [this](const auto &result) {
-        if (!result.ok()) {
-            observability::logError(observability::LogLevel::Warn, result.status());
-            listLater();
-            if (!m_current)
-                askAllPeers();
-            return;
-        }
-        for (const platform::Object &object : result->items)
-            rootSeen(object.spec);
-        watch(result->resourceVersion);
+    m_context.objects.read(platform::kinds::configRoots, rootName, [this](const auto &root) {
+        if (root.ok())
+            rootSeen(root->spec);
     });
 }
 
-void ConfigTask::listLater()
-{
-    m_retry = m_context.timers.once(retryDelay, [this] { list(); });
-}
-
-void ConfigTask::watch(const std::string &resourceVersion)
-{
-    m_watch = m_context.objects.watch(
-        platform::kinds::configRoots, resourceVersion, watchTimeout,
-        [this](const std::string &type, const platform::Object &object) {
-            if (type == "ADDED" || type == "MODIFIED")
-                rootSeen(object.spec);
-        },
-        [this](const absl::Status &status) {
-            if (!status.ok())
-                observability::logError(observability::LogLevel::Warn, status);
-            listLater();
-        });
-}
-
 void ConfigTask::generationSeen(core::Generation generation, const core::HostId &host)
 {
     if (generation <= m_wanted.generation || generation <= m_requested)
         return;
     m_requested = generation;
-    m_context.objects.list(platform::kinds::configRoots,
-                           [this, generation, host](const auto &result) {
-                               if (result.ok())
-                                   for (const platform::Object &object : result->items)
-                                       rootSeen(object.spec);
+    m_context.objects.read(platform::kinds::configRoots, rootName,
+                           [this, generation, host](const auto &root) {
+                               if (root.ok())
+                                   rootSeen(root->spec);
                                if (m_wanted.generation < generation)
                                    readRootFromPeer(host);
                            });
--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -2,6 +2,7 @@
 
 #include "config/catalog.h"
 #include "config/release.h"
+#include "platform/objectfollower.h"
 #include "serving/context.h"
 #include "serving/peertask.h"
 
@@ -31,9 +32,7 @@
     const CatalogPtr &current() const { return m_current; }
 
 private:
-    void list();
-    void watch(const std::string &resourceVersion);
-    void listLater();
+    void readRoot();
     void rootSeen(const nlohmann::json &spec);
     void readRootFromPeer(const core::HostId &peer);
     void askAllPeers();
@@ -54,8 +53,8 @@
     core::Generation m_requested; ///< Highest generation that was asked for after an announcement.
     std::map<std::string, config::ConfigPart> m_parts;
     int m_fetching = 0;
-    net::HttpCall m_watch;
-    net::TimerService::Subscription m_retry;
+    platform::ObjectFollower m_roots;
+    net::TimerService::Subscription m_backstop;
     net::TimerService::Subscription m_partRetry;
 };
 
--- a/src/libs/serving/peerclient.cpp
+++ b/src/libs/serving/peerclient.cpp
@@ -42,7 +42,7 @@
     }
     const net::Headers headers {{"Content-Type", "application/json"},
                                 {"Authorization", "Bearer " + m_context.settings.peerCredential}};
-    m_context.http.send(
+    m_context.controlHttp.send(
         peer,
         {.method = "POST", .path = "/peer/v1/rpc", .headers = headers, .body = request.value.text},
         {timeout, timeout}, [name, handler = std::move(handler)](const auto &reply) {
--- a/src/libs/serving/peertask.h
+++ b/src/libs/serving/peertask.h
@@ -32,6 +32,8 @@
     PeerTask(Context &context, Subscribers subscribers);
 
     void start();
+    /// Ends the probes of this daemon; calls of others are still answered.
+    void stop() { m_tick.cancel(); }
     /// A new host list, as the platform gave it.
     void fleetChanged(FleetTask::ViewPtr listed);
     /// Tells the others of the generation that is in force here.
