Measure the decisions against usual policies, and add a store load budget

Cause: nothing showed whether the endpoint scheduler and the placement beat simple policies, and nothing kept loads within the store's rate.

Change: bench/decisionbench feeds a synthetic trace to the real classes and to four baselines in virtual time. decisions/loadbudget grants loads in deadline order within a rate and a concurrency, with expiring grants, a delayed start of a new holder, and fair shares for daemons that cannot reach the holder.

--- /dev/null
+++ b/bench/report.cpp
@@ -0,0 +1,214 @@
+#include "report.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <set>
+
+namespace jackdawlead::bench {
+
+namespace {
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+double mean(const std::vector<double> &values)
+{
+    return values.empty()
+        ? 0
+        : std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
+}
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    const auto index = static_cast<std::ptrdiff_t>(share * static_cast<double>(values.size() - 1));
+    std::ranges::nth_element(values, values.begin() + index);
+    return values[static_cast<std::size_t>(index)];
+}
+
+double worstToMedian(const std::vector<std::vector<double>> &byCustomer)
+{
+    std::vector<double> means;
+    for (const std::vector<double> &stalls : byCustomer)
+        if (stalls.size() >= 20)
+            means.push_back(mean(stalls));
+    const double median = quantile(means, 0.5);
+    return median > 0 ? std::ranges::max(means) / median : 0;
+}
+
+// Counts the absences of Belady's rule for one region.
+std::size_t beladyMisses(const std::vector<const TraceRequest *> &requests, std::size_t slots,
+                         TimePoint from)
+{
+    constexpr std::size_t never = std::numeric_limits<std::size_t>::max();
+    std::vector<std::size_t> next(requests.size(), never);
+    std::map<std::size_t, std::size_t> seen;
+    for (std::size_t index = requests.size(); index-- > 0;) {
+        if (const auto found = seen.find(requests[index]->adapter); found != seen.end())
+            next[index] = found->second;
+        seen[requests[index]->adapter] = index;
+    }
+    std::map<std::size_t, std::size_t> nextUse; // By adapter.
+    std::set<std::pair<std::size_t, std::size_t>> byNextUse;
+    std::size_t misses = 0;
+    for (std::size_t index = 0; index < requests.size(); ++index) {
+        const std::size_t adapter = requests[index]->adapter;
+        if (const auto held = nextUse.find(adapter); held != nextUse.end()) {
+            byNextUse.erase({held->second, adapter});
+        } else {
+            misses += requests[index]->arrival >= from ? 1 : 0;
+            if (nextUse.size() >= slots) {
+                const auto victim = std::prev(byNextUse.end());
+                nextUse.erase(victim->second);
+                byNextUse.erase(victim);
+            }
+        }
+        nextUse[adapter] = next[index];
+        byNextUse.emplace(next[index], adapter);
+    }
+    return misses;
+}
+
+} // namespace
+
+Figures summarize(const std::vector<RunResult> &results, std::size_t customers)
+{
+    std::vector<double> stalls;
+    std::vector<double> served;
+    std::vector<double> firstTokens;
+    std::vector<std::vector<double>> byCustomer(customers);
+    Figures figures;
+    double seconds = 0;
+    double refused = 0;
+    for (const RunResult &result : results) {
+        for (const RunResult::Sample &sample : result.samples) {
+            stalls.push_back(toSeconds(sample.stall));
+            byCustomer[sample.customer].push_back(stalls.back());
+            refused += sample.isRefused ? 1 : 0;
+            if (sample.isRefused)
+                continue;
+            served.push_back(stalls.back());
+            firstTokens.push_back(toSeconds(sample.firstToken));
+        }
+        seconds += result.measuredSeconds;
+        figures.batchEfficiency += result.batchEfficiency / static_cast<double>(results.size());
+        figures.loadsPerSecond += static_cast<double>(result.loads);
+        figures.evictionsPerSecond += static_cast<double>(result.evictions);
+        figures.promptKbPerSecond += result.promptLinkBytes / 1000;
+        figures.answerKbPerSecond += result.answerLinkBytes / 1000;
+        figures.weightKbPerSecond += result.weightLinkBytes / 1000;
+    }
+    for (double *perSecond :
+         {&figures.loadsPerSecond, &figures.evictionsPerSecond, &figures.promptKbPerSecond,
+          &figures.answerKbPerSecond, &figures.weightKbPerSecond})
+        *perSecond /= seconds;
+    figures.stallMean = mean(stalls);
+    figures.stallP95 = quantile(stalls, 0.95);
+    figures.stallP99 = quantile(stalls, 0.99);
+    figures.servedStallMean = mean(served);
+    figures.firstTokenP95 = quantile(firstTokens, 0.95);
+    figures.refusedShare = refused / static_cast<double>(stalls.size());
+    figures.fairness = worstToMedian(byCustomer);
+    return figures;
+}
+
+OfflineBound offlineBound(const Deployment &deployment, const std::vector<TraceRequest> &trace)
+{
+    const TimePoint from(deployment.warmUp);
+    std::size_t misses = 0;
+    for (const bool isHome : {true, false}) {
+        std::vector<const TraceRequest *> requests;
+        for (const TraceRequest &request : trace)
+            if (request.isHomeRegion == isHome)
+                requests.push_back(&request);
+        const double share = isHome ? deployment.homeRegionShare : 1 - deployment.homeRegionShare;
+        const auto slots = static_cast<std::size_t>(
+            std::lround(share * static_cast<double>(deployment.runners * deployment.slots)));
+        misses += beladyMisses(requests, slots, from);
+    }
+    const auto measured = static_cast<double>(
+        std::ranges::count_if(trace, [from](const auto &entry) { return entry.arrival >= from; }));
+    return {.loadsPerSecond
+            = static_cast<double>(misses) / toSeconds(deployment.length - deployment.warmUp),
+            .stallMean = 0.25 * static_cast<double>(misses) / measured};
+}
+
+double recoverySeconds(const std::vector<RunResult> &results, TimePoint from,
+                       const Deployment &deployment)
+{
+    constexpr Duration window = std::chrono::minutes(1);
+    const auto meanBetween = [&results](TimePoint begin, TimePoint end) {
+        std::vector<double> stalls;
+        for (const RunResult &result : results)
+            for (const RunResult::Sample &sample : result.samples)
+                if (sample.arrival >= begin && sample.arrival < end)
+                    stalls.push_back(toSeconds(sample.stall));
+        return mean(stalls);
+    };
+    const double steady = meanBetween(TimePoint(deployment.warmUp), Simulation::disturbedAt);
+    TimePoint recovered = from;
+    for (TimePoint begin = from; begin + window <= TimePoint(deployment.length);
+         begin += std::chrono::seconds(5))
+        if (meanBetween(begin, begin + window) > steady * 1.1 + 0.005)
+            recovered = begin + std::chrono::seconds(5);
+    return toSeconds(recovered - from);
+}
+
+void printDeployment(const Deployment &deployment)
+{
+    std::printf("\n%s: %zu runners (%.0f%% in the home region), %zu slots and a batch of %zu each, "
+                "%zu adapters, %zu customers\n",
+                deployment.name.c_str(), deployment.runners, deployment.homeRegionShare * 100,
+                deployment.slots, deployment.maxBatch, deployment.adapters, deployment.customers);
+    std::printf("store %.1f loads/s, %zu at once; %.0f requests/s, Zipf %.2f, %.0f requests a "
+                "session with %.0f s between, 400 prompt tokens at first and 150 more each time, "
+                "%.0f tokens of output, deadline 6 to 14 s, weight of load stalls %.2f, %.0f s "
+                "after %.0f s of warm-up\n",
+                deployment.storeLoadsPerSecond, deployment.storeConcurrentLoads,
+                deployment.requestsPerSecond, deployment.zipfExponent,
+                deployment.requestsPerSession, deployment.thinkSeconds, deployment.outputTokens,
+                deployment.stallWeight, toSeconds(deployment.length - deployment.warmUp),
+                toSeconds(deployment.warmUp));
+}
+
+void printFigures(const std::vector<std::pair<Policy, Figures>> &rows, const OfflineBound &bound)
+{
+    std::printf("%-16s %8s %7s %7s %8s %6s %7s %7s %7s %8s %8s %9s %8s %6s\n", "policy", "stall s",
+                "p95", "p99", "served s", "batch", "ttft95", "loads/s", "evict/s", "prompt",
+                "answer", "weights", "refused", "unfair");
+    Figures best = rows.front().second;
+    for (const auto &[policy, figures] : rows) {
+        std::printf("%-16s %8.3f %7.3f %7.3f %8.3f %6.3f %7.3f %7.2f %7.2f %8.2f %8.2f %9.0f "
+                    "%7.2f%% %6.2f\n",
+                    toString(policy), figures.stallMean, figures.stallP95, figures.stallP99,
+                    figures.servedStallMean, figures.batchEfficiency, figures.firstTokenP95,
+                    figures.loadsPerSecond, figures.evictionsPerSecond, figures.promptKbPerSecond,
+                    figures.answerKbPerSecond, figures.weightKbPerSecond,
+                    figures.refusedShare * 100, figures.fairness);
+        if (policy == Policy::Jackdawlead)
+            continue;
+        best.stallMean = std::min(best.stallMean, figures.stallMean);
+        best.batchEfficiency = std::max(best.batchEfficiency, figures.batchEfficiency);
+        best.firstTokenP95 = std::min(best.firstTokenP95, figures.firstTokenP95);
+        best.refusedShare = std::min(best.refusedShare, figures.refusedShare);
+        best.fairness = std::min(best.fairness, figures.fairness);
+    }
+    const Figures &own = rows.back().second;
+    std::printf("ratio to the best baseline of each column: stall %.2f, batch %.2f, ttft95 %.2f, "
+                "unfair %.2f, refused %+.2f points; ttft95 limit 0.44 s %s\n",
+                own.stallMean / best.stallMean, own.batchEfficiency / best.batchEfficiency,
+                own.firstTokenP95 / best.firstTokenP95, own.fairness / best.fairness,
+                (own.refusedShare - best.refusedShare) * 100,
+                own.firstTokenP95 <= 0.44 ? "kept" : "missed");
+    std::printf("offline bound on demand: %.2f loads/s, stall %.4f s\n", bound.loadsPerSecond,
+                bound.stallMean);
+}
+
+} // namespace jackdawlead::bench
--- /dev/null
+++ b/src/libs/decisions/loadbudget.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace jackdawlead::decisions {
+
+/// What one weight store, or one daemon's share of it, may be asked for.
+struct LoadBudgetLimits
+{
+    double loadsPerSecond = 6;       ///< Greater than zero.
+    std::size_t concurrentLoads = 2; ///< At least 1; also the greatest burst above the rate.
+    /// A grant that is not returned frees its place after this time. It must exceed the longest
+    /// time-out of an order, so that the load can no longer be in progress.
+    core::Duration grantLifetime = std::chrono::seconds(4);
+};
+
+/// One load of one owner.
+struct LoadKey
+{
+    core::HostId owner;
+    core::EndpointId endpoint;
+    core::AdapterVersion adapter;
+    auto operator<=>(const LoadKey &) const = default;
+};
+
+/// The limits that a daemon keeps to on its own while no holder of the budget is reachable.
+/// The rates of all daemons add up to the store's rate. Each daemon may run one load at least, so
+/// that the concurrency of the store can be exceeded when there are more daemons than places.
+/// Thread safety: any thread.
+LoadBudgetLimits fairShare(const LoadBudgetLimits &store, std::size_t liveDaemons);
+
+/// Grants loads from one store, the earliest deadline first, within a rate and a concurrency.
+/// Thread safety: one thread at a time. It never reads a clock.
+class LoadBudget
+{
+public:
+    /// Grants nothing before `firstGrantAt`. A holder that takes over passes the time one lease
+    /// duration later, after which no grant of its predecessor is used any more.
+    LoadBudget(LoadBudgetLimits limits, core::TimePoint firstGrantAt);
+
+    /// Asks for a load; a repeated request changes the deadline. Returns the loads granted now.
+    std::vector<LoadKey> request(const LoadKey &load, core::TimePoint deadline,
+                                 core::TimePoint now);
+    /// The load ended, whatever its result, or is no longer wanted.
+    std::vector<LoadKey> released(const LoadKey &load, core::TimePoint now);
+    /// Forgets what waits for a daemon that has gone; its grants expire.
+    std::vector<LoadKey> ownerGone(const core::HostId &owner, core::TimePoint now);
+    /// Of `liveDaemons`, `unreachable` use their fair share, which is kept free for them.
+    std::vector<LoadKey> setUnreachable(std::size_t unreachable, std::size_t liveDaemons,
+                                        core::TimePoint now);
+    /// Replaces the limits; used when the number of live daemons changes a fair share.
+    std::vector<LoadKey> setLimits(const LoadBudgetLimits &limits, core::TimePoint now);
+    std::vector<LoadKey> tick(core::TimePoint now);
+
+    /// When tick() can grant the next load; nothing if no load waits.
+    std::optional<core::TimePoint> nextGrantAt() const;
+    std::size_t waitingCount() const { return m_waiting.size(); }
+    std::size_t grantedCount() const { return m_granted.size(); }
+    /// The rate that is granted now. Unit: loads per second.
+    double loadsPerSecond() const { return m_limits.loadsPerSecond * m_share; }
+
+private:
+    struct Waiting
+    {
+        core::TimePoint deadline;
+        std::size_t sequence = 0;
+    };
+
+    core::Duration spacing() const;
+    core::TimePoint nextStartAt() const;
+    std::vector<LoadKey> grant(core::TimePoint now);
+
+    LoadBudgetLimits m_limits;
+    double m_share = 1.0; ///< The part of the store's rate that is not kept for others.
+    core::TimePoint m_firstGrantAt;
+    /// The time at which all grants so far are paid for at the rate.
+    core::TimePoint m_paidUntil;
+    std::size_t m_nextSequence = 0;
+    std::map<LoadKey, Waiting> m_waiting;
+    std::map<LoadKey, core::TimePoint> m_granted; ///< With the time at which each expires.
+};
+
+} // namespace jackdawlead::decisions
