Evict by rate and recency, refuse by predicted load wait, raise the load bound

Cause: the least recently used adapter is often one that comes back, requests that could not get their adapter in time waited until their deadline, and a home with more than 4 requests passed work on, which costs a load.

Change: AdapterRates keeps decayed request rates per adapter; the unused adapter with the least value is evicted. LoadWait predicts the time of a load; a request that would wait too long is refused at once with that time. A waiter that has waited 1 s stops new requests of one resident adapter. The bound of outstanding work starts at 32.

--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -66,16 +66,22 @@
 
 void printRecovery(const Deployment &deployment, const Options &options)
 {
-    std::printf("recovery s       shift  restart of 1/5  store at 1/4\n");
+    std::printf("recovery s / excess stall s a run: shift, restart of a fifth, store at a quarter "
+                "for 60 s\n");
     for (const Policy policy : policies) {
-        const auto recovery = [&](Disturbance disturbance, TimePoint from) {
-            return recoverySeconds(runSeeds(deployment, policy, disturbance, options), from,
-                                   deployment);
-        };
-        std::printf("%-16s %5.0f  %14.0f  %12.0f\n", toString(policy),
-                    recovery(Disturbance::PopularityShift, Simulation::disturbedAt),
-                    recovery(Disturbance::EngineRestart, Simulation::disturbedAt),
-                    recovery(Disturbance::SlowStore, Simulation::storeRecoversAt));
+        if (options.isOwnOnly && policy != Policy::Jackdawlead)
+            continue;
+        const auto usual = runSeeds(deployment, policy, Disturbance::None, options);
+        std::printf("%-16s", toString(policy));
+        for (const auto &[disturbance, from] :
+             {std::pair(Disturbance::PopularityShift, Simulation::disturbedAt),
+              std::pair(Disturbance::EngineRestart, Simulation::disturbedAt),
+              std::pair(Disturbance::SlowStore, Simulation::storeRecoversAt)}) {
+            const Recovery recovery = recoveryOf(runSeeds(deployment, policy, disturbance, options),
+                                                 usual, from, deployment);
+            std::printf(" %5.0f / %7.0f", recovery.seconds, recovery.excessStall);
+        }
+        std::printf("\n");
     }
 }
 
@@ -114,7 +120,7 @@
             continue;
         printDeployment(deployment);
         printSteady(deployment, options);
-        if (options.isRecoveryMeasured && !options.isOwnOnly)
+        if (options.isRecoveryMeasured)
             printRecovery(deployment, options);
         std::fflush(stdout);
     }
--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -140,25 +140,35 @@
             .stallMean = 0.25 * static_cast<double>(misses) / measured};
 }
 
-double recoverySeconds(const std::vector<RunResult> &results, TimePoint from,
-                       const Deployment &deployment)
+Recovery recoveryOf(const std::vector<RunResult> &disturbed,
+                    const std::vector<RunResult> &undisturbed, TimePoint from,
+                    const Deployment &deployment)
 {
-    constexpr Duration window = std::chrono::minutes(1);
-    const auto meanBetween = [&results](TimePoint begin, TimePoint end) {
-        std::vector<double> stalls;
-        for (const RunResult &result : results)
-            for (const RunResult::Sample &sample : result.samples)
-                if (sample.arrival >= begin && sample.arrival < end)
-                    stalls.push_back(toSeconds(sample.stall));
-        return mean(stalls);
-    };
-    const double steady = meanBetween(TimePoint(deployment.warmUp), Simulation::disturbedAt);
+    constexpr Duration window = std::chrono::seconds(30);
+    const auto stallsBetween
+        = [](const std::vector<RunResult> &results, TimePoint begin, TimePoint end) {
+              std::vector<double> stalls;
+              for (const RunResult &result : results)
+                  for (const RunResult::Sample &sample : result.samples)
+                      if (sample.arrival >= begin && sample.arrival < end)
+                          stalls.push_back(toSeconds(sample.stall));
+              return stalls;
+          };
+    const TimePoint end(deployment.length);
+    Recovery recovery;
     TimePoint recovered = from;
-    for (TimePoint begin = from; begin + window <= TimePoint(deployment.length);
-         begin += std::chrono::seconds(5))
-        if (meanBetween(begin, begin + window) > steady * 1.1 + 0.005)
+    for (TimePoint begin = from; begin + window <= end; begin += std::chrono::seconds(5)) {
+        const double steady = mean(stallsBetween(undisturbed, begin, begin + window));
+        if (mean(stallsBetween(disturbed, begin, begin + window)) > steady * 1.1 + 0.005)
             recovered = begin + std::chrono::seconds(5);
-    return toSeconds(recovered - from);
+    }
+    recovery.seconds = toSeconds(recovered - from);
+    const auto after = stallsBetween(disturbed, Simulation::disturbedAt, end);
+    const auto usual = stallsBetween(undisturbed, Simulation::disturbedAt, end);
+    recovery.excessStall = std::accumulate(after.begin(), after.end(), 0.0)
+        - std::accumulate(usual.begin(), usual.end(), 0.0);
+    recovery.excessStall /= static_cast<double>(disturbed.size());
+    return recovery;
 }
 
 void printDeployment(const Deployment &deployment)
--- a/bench/report.h
+++ b/bench/report.h
@@ -35,10 +35,17 @@
 
 OfflineBound offlineBound(const Deployment &deployment, const std::vector<TraceRequest> &trace);
 
-/// The time from `from` until the mean stall over one minute stays within 10% (and 5 ms) of the
-/// steady state before the disturbance.
-double recoverySeconds(const std::vector<RunResult> &results, TimePoint from,
-                       const Deployment &deployment);
+struct Recovery
+{
+    double seconds = 0;     ///< Until the stall stays near that of the undisturbed run.
+    double excessStall = 0; ///< Stall seconds of all requests above those of the undisturbed run.
+};
+
+/// Compares disturbed runs with undisturbed ones of the same seeds. A run has recovered when the
+/// mean stall over 30 s stays within 10% (and 5 ms) of the undisturbed run.
+Recovery recoveryOf(const std::vector<RunResult> &disturbed,
+                    const std::vector<RunResult> &undisturbed, TimePoint from,
+                    const Deployment &deployment);
 
 void printDeployment(const Deployment &deployment);
 void printFigures(const std::vector<std::pair<Policy, Figures>> &rows, const OfflineBound &bound);
--- a/bench/trace.cpp
+++ b/bench/trace.cpp
@@ -37,13 +37,13 @@
 
     std::size_t pick() { return m_adapterOfRank[m_ranks(m_random)]; }
 
-    void shift(double share)
+    void shift(double share, std::mt19937_64 &random)
     {
         std::uniform_int_distribution<std::size_t> any(0, m_adapterOfRank.size() - 1);
         const auto swaps = static_cast<std::size_t>(
             std::lround(share * static_cast<double>(m_adapterOfRank.size()) / 2));
         for (std::size_t swap = 0; swap < swaps; ++swap)
-            std::swap(m_adapterOfRank[any(m_random)], m_adapterOfRank[any(m_random)]);
+            std::swap(m_adapterOfRank[any(random)], m_adapterOfRank[any(random)]);
     }
 
 private:
@@ -90,6 +90,8 @@
                                     TimePoint shiftAt)
 {
     std::mt19937_64 random(seed);
+    // A generator of its own keeps the arrivals equal with and without the shift.
+    std::mt19937_64 shiftRandom(seed + 1000);
     Popularity popularity(deployment, random);
     // A burst of 5 s at three times the rate in each minute adds one sixth to the mean rate.
     const double rate = deployment.requestsPerSecond / deployment.requestsPerSession / (7.0 / 6.0);
@@ -104,11 +106,11 @@
             = at.time_since_epoch() % std::chrono::minutes(1) >= std::chrono::seconds(55);
         at += seconds(std::exponential_distribution<double>(isBurst ? rate * 3 : rate)(random));
         if (at >= nextChange) {
-            popularity.shift(adaptersChangedPerHour / 60);
+            popularity.shift(adaptersChangedPerHour / 60, random);
             nextChange += std::chrono::minutes(1);
         }
         if (at >= shiftAt && !isShifted) {
-            popularity.shift(0.5);
+            popularity.shift(0.5, shiftRandom);
             isShifted = true;
         }
         addSession(deployment, at, session++, popularity.pick(), random, trace);
--- /dev/null
+++ b/src/libs/decisions/adapterrates.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+
+#include <cstddef>
+#include <unordered_map>
+
+namespace jackdawlead::decisions {
+
+/// Estimates how often each adapter is requested, from exponentially decayed counts. It also keeps
+/// adapters that are not resident, so that a returning adapter is not taken for a new one.
+/// Thread safety: one thread at a time.
+class AdapterRates
+{
+public:
+    /// Records one request for the adapter.
+    void requested(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The worth of keeping the adapter: its rate over minutes plus its rate over seconds, which
+    /// stands for sessions in progress. Unit: requests per second.
+    double value(const core::AdapterVersion &adapter, core::TimePoint now) const;
+    /// The rate over minutes alone. Unit: requests per second.
+    double rate(const core::AdapterVersion &adapter, core::TimePoint now) const;
+
+private:
+    struct Rate
+    {
+        double slow = 0;
+        double fast = 0;
+        core::TimePoint at;
+    };
+
+    void prune(core::TimePoint now);
+
+    std::unordered_map<core::AdapterVersion, Rate> m_rates;
+};
+
+} // namespace jackdawlead::decisions
--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -19,8 +19,13 @@
     const auto backoff = m_backoffs.find(adapter);
     if (backoff != m_backoffs.end() && now < backoff->second.until && !m_slots.contains(adapter))
         return {RefuseRequest {request, "adapter failed to load", backoff->second.until - now}};
+    m_rates.requested(adapter, now);
+    const core::Duration wait
+        = m_slots.contains(adapter) ? core::Duration::zero() : predictedLoadWait(now);
+    if (wait > m_limits.maxLoadWait || now + wait > deadline)
+        return {RefuseRequest {request, "load of the adapter would take too long", wait}};
     const auto position = std::ranges::upper_bound(m_queued, deadline, {}, &Queued::deadline);
-    m_queued.insert(position, {request, adapter, deadline});
+    m_queued.insert(position, {request, adapter, deadline, now});
     return schedule(now);
 }
 
@@ -48,6 +53,8 @@
                                             core::TimePoint now)
 {
     Slot &slot = m_slots[adapter];
+    if (slot.state == SlotState::Loading && slot.orderedAt != core::TimePoint())
+        m_loadWait.measured(now - slot.orderedAt, now);
     slot.state = SlotState::Resident;
     slot.lastUsed = now;
     m_backoffs.erase(adapter);
@@ -84,6 +91,7 @@
     if (slot == m_slots.end())
         return {};
     slot->second.state = SlotState::Resident;
+    slot->second.isDraining = false;
     // Counts as a use, so that another adapter is tried first the next time.
     slot->second.lastUsed = now;
     return schedule(now);
@@ -173,6 +181,8 @@
         if (m_running.size() >= m_limits.maxRunning || !isResident(queued.adapter))
             return false;
         Slot &slot = m_slots[queued.adapter];
+        if (slot.isDraining)
+            return false;
         ++slot.uses;
         slot.lastUsed = now;
         m_running.emplace(queued.request, queued.adapter);
@@ -194,7 +204,8 @@
         if (backoff != m_backoffs.end() && now < backoff->second.until)
             continue;
         if (m_slots.size() < m_limits.slots) {
-            m_slots[queued.adapter] = {.state = SlotState::Loading, .lastUsed = now};
+            m_slots[queued.adapter]
+                = {.state = SlotState::Loading, .lastUsed = now, .orderedAt = now};
             commands.emplace_back(LoadAdapter {queued.adapter, queued.deadline});
             continue;
         }
@@ -203,8 +214,11 @@
             --freeSoon;
             continue;
         }
-        if (!evictOne(commands))
+        if (!evictOne(now, commands)) {
+            if (now >= queued.queuedAt + m_limits.maxSlotWait)
+                drainOne(now);
             return;
+        }
     }
 }
 
@@ -214,17 +228,22 @@
         m_queued, [&adapter](const Queued &queued) { return queued.adapter == adapter; });
 }
 
-bool EndpointScheduler::evictOne(SchedulerCommands &commands)
+bool EndpointScheduler::evictOne(core::TimePoint now, SchedulerCommands &commands)
 {
     auto victim = m_slots.end();
+    double least = 0;
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
         const Slot &candidate = slot->second;
         if (candidate.state != SlotState::Resident || candidate.uses > 0 || candidate.isPinned)
             continue;
-        if (isWanted(slot->first))
+        if (!candidate.isDraining && isWanted(slot->first))
             continue;
-        if (victim == m_slots.end() || candidate.lastUsed < victim->second.lastUsed)
+        const double value = candidate.isDraining ? -1 : m_rates.value(slot->first, now);
+        if (victim == m_slots.end() || value < least
+            || (value == least && candidate.lastUsed < victim->second.lastUsed)) {
             victim = slot;
+            least = value;
+        }
     }
     if (victim == m_slots.end())
         return false;
@@ -233,6 +252,34 @@
     return true;
 }
 
+void EndpointScheduler::drainOne(core::TimePoint now)
+{
+    auto victim = m_slots.end();
+    double least = 0;
+    for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
+        if (slot->second.isDraining)
+            return;
+        if (slot->second.state != SlotState::Resident || slot->second.isPinned)
+            continue;
+        const double value = m_rates.value(slot->first, now);
+        if (victim == m_slots.end() || value < least) {
+            victim = slot;
+            least = value;
+        }
+    }
+    if (victim != m_slots.end())
+        victim->second.isDraining = true;
+}
+
+core::Duration EndpointScheduler::predictedLoadWait(core::TimePoint now) const
+{
+    core::Duration wait = m_loadWait.predicted(now);
+    for (const auto &[adapter, slot] : m_slots)
+        if (slot.state == SlotState::Loading)
+            wait = std::max(wait, now - slot.orderedAt);
+    return wait;
+}
+
 void EndpointScheduler::refuseWaiters(const core::AdapterVersion &adapter,
                                       core::Duration retryAfter, SchedulerCommands &commands)
 {
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -2,6 +2,8 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/adapterrates.h"
+#include "decisions/loadwait.h"
 
 #include <cstddef>
 #include <map>
@@ -20,6 +22,11 @@
     /// Delay before a failed load of an adapter is tried again; doubles up to the greatest delay.
     core::Duration loadBackoff = std::chrono::milliseconds(500);
     core::Duration maxLoadBackoff = std::chrono::seconds(30);
+    /// A request for an absent adapter is refused at once when its load is predicted to take
+    /// longer.
+    core::Duration maxLoadWait = std::chrono::seconds(3);
+    /// A request that has waited this long for a slot stops new requests of one resident adapter.
+    core::Duration maxSlotWait = std::chrono::seconds(1);
 };
 
 /// Ask the store's load budget for a load, then order it from the endpoint.
@@ -89,13 +96,16 @@
         SlotState state = SlotState::Loading;
         std::size_t uses = 0;
         bool isPinned = false;
-        core::TimePoint lastUsed;
+        bool isDraining = false; ///< Takes no new request, because another adapter waits too long.
+        core::TimePoint lastUsed {};
+        core::TimePoint orderedAt {}; ///< Of the load.
     };
     struct Queued
     {
         core::RequestId request;
         core::AdapterVersion adapter;
         core::TimePoint deadline;
+        core::TimePoint queuedAt;
     };
     struct Backoff
     {
@@ -107,7 +117,9 @@
     void refuseExpired(core::TimePoint now, SchedulerCommands &commands);
     void dispatchReady(core::TimePoint now, SchedulerCommands &commands);
     void startLoads(core::TimePoint now, SchedulerCommands &commands);
-    bool evictOne(SchedulerCommands &commands);
+    bool evictOne(core::TimePoint now, SchedulerCommands &commands);
+    void drainOne(core::TimePoint now);
+    core::Duration predictedLoadWait(core::TimePoint now) const;
     bool isWanted(const core::AdapterVersion &adapter) const;
     void refuseWaiters(const core::AdapterVersion &adapter, core::Duration retryAfter,
                        SchedulerCommands &commands);
@@ -117,6 +129,8 @@
     std::vector<Queued> m_queued; ///< Ordered by deadline.
     std::unordered_map<core::RequestId, core::AdapterVersion> m_running;
     std::map<core::AdapterVersion, Backoff> m_backoffs;
+    AdapterRates m_rates;
+    LoadWait m_loadWait;
 };
 
 } // namespace jackdawlead::decisions
--- /dev/null
+++ b/src/libs/decisions/loadwait.cpp
@@ -0,0 +1,29 @@
+#include "decisions/loadwait.h"
+
+#include <cmath>
+
+namespace jackdawlead::decisions {
+
+namespace {
+
+constexpr double newShare = 0.5;
+constexpr core::Duration halfLife = std::chrono::seconds(2);
+
+} // namespace
+
+void LoadWait::measured(core::Duration wait, core::TimePoint now)
+{
+    const core::Duration before = predicted(now);
+    m_mean = before
+        + std::chrono::duration_cast<core::Duration>((wait - before)
+                                                     * (before > wait ? 1.0 : newShare));
+    m_measuredAt = now;
+}
+
+core::Duration LoadWait::predicted(core::TimePoint now) const
+{
+    const double halvings = std::chrono::duration<double>(now - m_measuredAt) / halfLife;
+    return std::chrono::duration_cast<core::Duration>(m_mean * std::exp2(-halvings));
+}
+
+} // namespace jackdawlead::decisions
--- a/src/libs/decisions/placement.h
+++ b/src/libs/decisions/placement.h
@@ -20,8 +20,9 @@
 {
     /// An endpoint above this multiple of the mean outstanding work passes requests on.
     double boundedLoadFactor = 1.5;
-    /// Below this number of outstanding requests an endpoint is never passed over.
-    int boundedLoadFloor = 4;
+    /// Below this number of outstanding requests an endpoint is never passed over. A pass-over
+    /// costs a load, which pays only when the batch of the home is well filled.
+    int boundedLoadFloor = 32;
 };
 
 /// Orders all candidates by weighted rendezvous hash; candidates of the home region come first.
