Let the owner of the first home move an absent adapter to a less pressed home

Cause: the hash gives some endpoints more adapters in steady use than they have slots, and others fewer.

Change: owners publish the value of the adapter that a load would displace; HomeAdvisor, asked by the owner of the first home, sends an absent adapter to the one of its first six homes that displaces the least, and keeps it there while it is in use. Requests for adapters worth less than what they displace accept a shorter wait. A load that nobody waits for any more is withdrawn.

--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -98,6 +98,8 @@
             firstTokens.push_back(toSeconds(sample.firstToken));
         }
         seconds += result.measuredSeconds;
+        for (const auto &[reason, count] : result.refusals)
+            figures.refusals[reason] += count;
         figures.batchEfficiency += result.batchEfficiency / static_cast<double>(results.size());
         figures.loadsPerSecond += static_cast<double>(result.loads);
         figures.evictionsPerSecond += static_cast<double>(result.evictions);
@@ -217,6 +219,8 @@
                 own.firstTokenP95 / best.firstTokenP95, own.fairness / best.fairness,
                 (own.refusedShare - best.refusedShare) * 100,
                 own.firstTokenP95 <= 0.44 ? "kept" : "missed");
+    for (const auto &[reason, count] : own.refusals)
+        std::printf("refused: %s: %zu\n", reason.c_str(), count);
     std::printf("offline bound on demand: %.2f loads/s, stall %.4f s\n", bound.loadsPerSecond,
                 bound.stallMean);
 }
--- a/bench/report.h
+++ b/bench/report.h
@@ -2,6 +2,8 @@
 
 #include "simulation.h"
 
+#include <map>
+#include <string>
 #include <vector>
 
 namespace jackdawlead::bench {
@@ -21,6 +23,7 @@
     double answerKbPerSecond = 0;
     double weightKbPerSecond = 0;
     double refusedShare = 0;
+    std::map<std::string, std::size_t> refusals; ///< By reason.
     double fairness = 0; ///< Mean stall of the worst customer over that of the median one.
 };
 
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -15,6 +15,7 @@
 
 constexpr Duration orderTime = std::chrono::milliseconds(10);
 constexpr Duration tickPeriod = std::chrono::milliseconds(100);
+constexpr Duration publishPeriod = std::chrono::seconds(1);
 constexpr Duration regionDelay = std::chrono::milliseconds(40);
 constexpr double bytesPerToken = 4;
 constexpr double adapterBytes = 20e6;
@@ -24,6 +25,11 @@
     return std::stoul(adapter.adapter.value().substr(1));
 }
 
+std::size_t indexOf(const core::EndpointId &endpoint)
+{
+    return std::stoul(endpoint.value().substr(1));
+}
+
 std::size_t indexOf(const core::RequestId &request)
 {
     return std::stoul(request.value());
@@ -71,7 +77,8 @@
         Engine engine {.id = core::EndpointId("e" + std::to_string(index)),
                        .isHomeRegion = index < home,
                        .scheduler = FifoScheduler(limits),
-                       .model = {}};
+                       .model = {},
+                       .advisor = {}};
         if (policy == Policy::Jackdawlead)
             engine.scheduler = EndpointScheduler(limits);
         m_engines.push_back(std::move(engine));
@@ -84,6 +91,7 @@
         at(m_trace[index].arrival, [this, index] { arrive(index); });
     at(TimePoint(m_deployment.warmUp), [this] { measureFromNow(); });
     at(TimePoint(tickPeriod), [this] { tickAll(); });
+    at(TimePoint(publishPeriod), [this] { publishPressures(); });
     at(disturbedAt, [this] { disturb(); });
     while (!m_events.empty()) {
         const Event event = m_events.top();
@@ -150,10 +158,19 @@
         candidates.push_back({.endpoint = engine.id,
                               .outstanding = engine.outstanding,
                               .isHomeRegion = engine.isHomeRegion == request.isHomeRegion});
+    const core::AdapterVersion &adapter = m_adapters[request.adapter];
+    std::vector<HomeState> homes;
+    for (const Candidate &candidate : rendezvousOrder(adapter, candidates))
+        if (candidate.isHomeRegion)
+            homes.push_back(
+                {candidate.endpoint, m_engines[indexOf(candidate.endpoint)].slotPressure});
+    Engine &first = m_engines[indexOf(homes.front().endpoint)];
+    const auto &scheduler = std::get<EndpointScheduler>(first.scheduler);
+    const core::EndpointId active = first.advisor.activeHome(
+        adapter, homes, scheduler.isResident(adapter) || scheduler.isWanted(adapter), m_now);
     std::vector<std::size_t> order;
-    for (const core::EndpointId &endpoint :
-         placementOrder(m_adapters[request.adapter], candidates, 1, {}))
-        order.push_back(std::stoul(endpoint.value().substr(1)));
+    for (const core::EndpointId &endpoint : placementOrder(adapter, candidates, active, {}))
+        order.push_back(indexOf(endpoint));
     return order;
 }
 
@@ -208,7 +225,13 @@
 void Simulation::orderGranted(const std::vector<LoadKey> &granted)
 {
     for (const LoadKey &load : granted) {
-        const std::size_t engine = std::stoul(load.endpoint.value().substr(1));
+        const std::size_t engine = indexOf(load.endpoint);
+        auto &scheduler = std::get<EndpointScheduler>(m_engines[engine].scheduler);
+        if (!scheduler.isWanted(load.adapter)) {
+            orderGranted(m_budget.released(load, m_now));
+            carryOut(engine, scheduler.loadWithdrawn(load.adapter, m_now));
+            continue;
+        }
         orderFromStore({engine, indexOf(load.adapter), m_engines[engine].epoch});
     }
     if (const auto next = m_budget.nextGrantAt(); !granted.empty() && next)
@@ -273,6 +296,7 @@
 void Simulation::carryOut(std::size_t engine, const RefuseRequest &command)
 {
     --m_engines[engine].outstanding;
+    ++m_result.refusals[command.reason];
     refused(indexOf(command.request));
 }
 
@@ -333,6 +357,15 @@
         at(m_now + tickPeriod, [this] { tickAll(); });
 }
 
+void Simulation::publishPressures()
+{
+    for (Engine &engine : m_engines)
+        if (const auto *scheduler = std::get_if<EndpointScheduler>(&engine.scheduler))
+            engine.slotPressure = scheduler->slotPressure(m_now);
+    if (m_now < TimePoint(m_deployment.length))
+        at(m_now + publishPeriod, [this] { publishPressures(); });
+}
+
 void Simulation::disturb()
 {
     const double rate = m_deployment.storeLoadsPerSecond;
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/endpointscheduler.h"
+#include "decisions/homeadvisor.h"
 #include "decisions/loadbudget.h"
 #include "enginemodel.h"
 #include "fifoscheduler.h"
@@ -11,6 +12,7 @@
 #include <map>
 #include <queue>
 #include <random>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -38,6 +40,7 @@
     std::size_t loads = 0;
     std::size_t evictions = 0;
     std::size_t cut = 0; ///< By an engine restart.
+    std::map<std::string, std::size_t> refusals; ///< By reason.
     double promptLinkBytes = 0;
     double answerLinkBytes = 0;
     double weightLinkBytes = 0;
@@ -67,6 +70,8 @@
         bool isStepping = false;
         std::variant<FifoScheduler, decisions::EndpointScheduler> scheduler;
         EngineModel model;
+        decisions::HomeAdvisor advisor {};
+        double slotPressure = 0; ///< As last published.
     };
     struct Event
     {
@@ -107,6 +112,7 @@
     void stepEnded(std::size_t engine);
     void refused(std::size_t index);
     void tickAll();
+    void publishPressures();
     void disturb();
     void restart(std::size_t engine);
     void measureFromNow();
--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -1,6 +1,7 @@
 #include "decisions/endpointscheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -21,8 +22,8 @@
         return {RefuseRequest {request, "adapter failed to load", backoff->second.until - now}};
     m_rates.requested(adapter, now);
     const core::Duration wait
-        = m_slots.contains(adapter) ? core::Duration::zero() : predictedLoadWait(now);
-    if (wait > m_limits.maxLoadWait || now + wait > deadline)
+        = m_slots.contains(adapter) ? core::Duration::zero() : predictedWait(now);
+    if (wait > acceptedWait(adapter, now) || now + wait > deadline)
         return {RefuseRequest {request, "load of the adapter would take too long", wait}};
     const auto position = std::ranges::upper_bound(m_queued, deadline, {}, &Queued::deadline);
     m_queued.insert(position, {request, adapter, deadline, now});
@@ -53,8 +54,8 @@
                                             core::TimePoint now)
 {
     Slot &slot = m_slots[adapter];
-    if (slot.state == SlotState::Loading && slot.orderedAt != core::TimePoint())
-        m_loadWait.measured(now - slot.orderedAt, now);
+    if (slot.state == SlotState::Loading && slot.wantedAt != core::TimePoint())
+        m_loadWait.measured(now - slot.wantedAt, now);
     slot.state = SlotState::Resident;
     slot.lastUsed = now;
     m_backoffs.erase(adapter);
@@ -77,6 +78,15 @@
     return commands;
 }
 
+SchedulerCommands EndpointScheduler::loadWithdrawn(const core::AdapterVersion &adapter,
+                                                   core::TimePoint now)
+{
+    const auto slot = m_slots.find(adapter);
+    if (slot != m_slots.end() && slot->second.state == SlotState::Loading)
+        m_slots.erase(slot);
+    return schedule(now);
+}
+
 SchedulerCommands EndpointScheduler::evicted(const core::AdapterVersion &adapter,
                                              core::TimePoint now)
 {
@@ -205,7 +215,7 @@
             continue;
         if (m_slots.size() < m_limits.slots) {
             m_slots[queued.adapter]
-                = {.state = SlotState::Loading, .lastUsed = now, .orderedAt = now};
+                = {.state = SlotState::Loading, .lastUsed = now, .wantedAt = queued.queuedAt};
             commands.emplace_back(LoadAdapter {queued.adapter, queued.deadline});
             continue;
         }
@@ -254,6 +264,8 @@
 
 void EndpointScheduler::drainOne(core::TimePoint now)
 {
+    if (m_slotStoppedAt != core::TimePoint() && now < m_slotStoppedAt + m_limits.slotStopPeriod)
+        return;
     auto victim = m_slots.end();
     double least = 0;
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
@@ -267,19 +279,41 @@
             least = value;
         }
     }
-    if (victim != m_slots.end())
-        victim->second.isDraining = true;
+    if (victim == m_slots.end())
+        return;
+    victim->second.isDraining = true;
+    m_slotStoppedAt = now;
 }
 
-core::Duration EndpointScheduler::predictedLoadWait(core::TimePoint now) const
+core::Duration EndpointScheduler::predictedWait(core::TimePoint now) const
 {
     core::Duration wait = m_loadWait.predicted(now);
-    for (const auto &[adapter, slot] : m_slots)
-        if (slot.state == SlotState::Loading)
-            wait = std::max(wait, now - slot.orderedAt);
+    for (const Queued &queued : m_queued)
+        if (!isResident(queued.adapter))
+            wait = std::max(wait, now - queued.queuedAt);
     return wait;
 }
 
+core::Duration EndpointScheduler::acceptedWait(const core::AdapterVersion &adapter,
+                                               core::TimePoint now) const
+{
+    // When loads are scarce, they go to adapters that are worth more than those they displace.
+    const double pressure = slotPressure(now);
+    const double worth
+        = pressure > 0 ? std::clamp(m_rates.value(adapter, now) / pressure, 0.1, 1.0) : 1.0;
+    return std::chrono::duration_cast<core::Duration>(m_limits.maxLoadWait * worth);
+}
+
+double EndpointScheduler::slotPressure(core::TimePoint now) const
+{
+    if (m_slots.size() < m_limits.slots)
+        return 0;
+    double least = std::numeric_limits<double>::max();
+    for (const auto &[adapter, slot] : m_slots)
+        least = std::min(least, m_rates.value(adapter, now));
+    return least;
+}
+
 void EndpointScheduler::refuseWaiters(const core::AdapterVersion &adapter,
                                       core::Duration retryAfter, SchedulerCommands &commands)
 {
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -24,9 +24,11 @@
     core::Duration maxLoadBackoff = std::chrono::seconds(30);
     /// A request for an absent adapter is refused at once when its load is predicted to take
     /// longer.
-    core::Duration maxLoadWait = std::chrono::seconds(3);
+    core::Duration maxLoadWait = std::chrono::seconds(4);
     /// A request that has waited this long for a slot stops new requests of one resident adapter.
     core::Duration maxSlotWait = std::chrono::seconds(1);
+    /// The least time between two such stops, so that an overload does not empty adapters in use.
+    core::Duration slotStopPeriod = std::chrono::seconds(4);
 };
 
 /// Ask the store's load budget for a load, then order it from the endpoint.
@@ -71,6 +73,8 @@
     SchedulerCommands loaded(const core::AdapterVersion &adapter, core::TimePoint now);
     SchedulerCommands loadFailed(const core::AdapterVersion &adapter, core::TimePoint now);
     SchedulerCommands evicted(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The load was not ordered, because no request waits for it any more.
+    SchedulerCommands loadWithdrawn(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The endpoint refused the eviction; the adapter is still resident.
     SchedulerCommands evictionFailed(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The endpoint was met with these adapters: after a take-over or a restart. Adapters with a
@@ -84,10 +88,15 @@
     SchedulerCommands drain(core::TimePoint now);
 
     bool isResident(const core::AdapterVersion &adapter) const;
+    /// Whether a queued request needs the adapter; to be asked when a load was granted.
+    bool isWanted(const core::AdapterVersion &adapter) const;
     std::size_t useCount(const core::AdapterVersion &adapter) const;
     std::size_t runningCount() const { return m_running.size(); }
     std::size_t queuedCount() const { return m_queued.size(); }
     std::vector<core::AdapterVersion> residentAdapters() const;
+    /// The value of the adapter that the next load would displace; zero while a slot is empty.
+    /// Owners publish it for HomeAdvisor. Unit: requests per second.
+    double slotPressure(core::TimePoint now) const;
 
 private:
     enum class SlotState { Loading, Resident, Evicting };
@@ -98,7 +107,7 @@
         bool isPinned = false;
         bool isDraining = false; ///< Takes no new request, because another adapter waits too long.
         core::TimePoint lastUsed {};
-        core::TimePoint orderedAt {}; ///< Of the load.
+        core::TimePoint wantedAt {}; ///< When the first request for the load was queued.
     };
     struct Queued
     {
@@ -119,8 +128,8 @@
     void startLoads(core::TimePoint now, SchedulerCommands &commands);
     bool evictOne(core::TimePoint now, SchedulerCommands &commands);
     void drainOne(core::TimePoint now);
-    core::Duration predictedLoadWait(core::TimePoint now) const;
-    bool isWanted(const core::AdapterVersion &adapter) const;
+    core::Duration predictedWait(core::TimePoint now) const;
+    core::Duration acceptedWait(const core::AdapterVersion &adapter, core::TimePoint now) const;
     void refuseWaiters(const core::AdapterVersion &adapter, core::Duration retryAfter,
                        SchedulerCommands &commands);
 
@@ -131,6 +140,7 @@
     std::map<core::AdapterVersion, Backoff> m_backoffs;
     AdapterRates m_rates;
     LoadWait m_loadWait;
+    core::TimePoint m_slotStoppedAt;
 };
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/placement.cpp
+++ b/src/libs/decisions/placement.cpp
@@ -45,18 +45,39 @@
     return ordered;
 }
 
+namespace {
+
+double loadBound(const std::vector<Candidate> &candidates, const PlacementLimits &limits)
+{
+    double total = 0;
+    for (const Candidate &candidate : candidates)
+        total += candidate.outstanding;
+    const double mean = candidates.empty() ? 0 : total / static_cast<double>(candidates.size());
+    return std::max(mean * limits.boundedLoadFactor, static_cast<double>(limits.boundedLoadFloor));
+}
+
+// Moves the candidates over the bound to the end and returns the endpoints.
+std::vector<core::EndpointId> withinBoundFirst(std::vector<Candidate> ordered,
+                                               const PlacementLimits &limits)
+{
+    const double bound = loadBound(ordered, limits);
+    std::stable_partition(ordered.begin(), ordered.end(), [bound](const Candidate &candidate) {
+        return candidate.outstanding <= bound;
+    });
+    std::vector<core::EndpointId> result;
+    result.reserve(ordered.size());
+    for (const Candidate &candidate : ordered)
+        result.push_back(candidate.endpoint);
+    return result;
+}
+
+} // namespace
+
 std::vector<core::EndpointId> placementOrder(const core::AdapterVersion &adapter,
                                              const std::vector<Candidate> &candidates,
                                              std::size_t activeHomes, const PlacementLimits &limits)
 {
     std::vector<Candidate> ordered = rendezvousOrder(adapter, candidates);
-    double total = 0;
-    for (const Candidate &candidate : ordered)
-        total += candidate.outstanding;
-    const double mean = ordered.empty() ? 0 : total / static_cast<double>(ordered.size());
-    const double bound
-        = std::max(mean * limits.boundedLoadFactor, static_cast<double>(limits.boundedLoadFloor));
-
     const auto homes = static_cast<std::ptrdiff_t>(std::min(activeHomes, ordered.size()));
     std::stable_sort(ordered.begin(), ordered.begin() + homes,
                      [](const Candidate &left, const Candidate &right) {
@@ -64,15 +85,19 @@
                              return left.isHomeRegion;
                          return left.outstanding < right.outstanding;
                      });
-    std::stable_partition(ordered.begin(), ordered.end(), [bound](const Candidate &candidate) {
-        return candidate.outstanding <= bound;
-    });
+    return withinBoundFirst(std::move(ordered), limits);
+}
 
-    std::vector<core::EndpointId> result;
-    result.reserve(ordered.size());
-    for (const Candidate &candidate : ordered)
-        result.push_back(candidate.endpoint);
-    return result;
+std::vector<core::EndpointId> placementOrder(const core::AdapterVersion &adapter,
+                                             const std::vector<Candidate> &candidates,
+                                             const core::EndpointId &activeHome,
+                                             const PlacementLimits &limits)
+{
+    std::vector<Candidate> ordered = rendezvousOrder(adapter, candidates);
+    std::stable_partition(
+        ordered.begin(), ordered.end(),
+        [&activeHome](const Candidate &candidate) { return candidate.endpoint == activeHome; });
+    return withinBoundFirst(std::move(ordered), limits);
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/placement.h
+++ b/src/libs/decisions/placement.h
@@ -38,6 +38,13 @@
                                              std::size_t activeHomes,
                                              const PlacementLimits &limits);
 
+/// The same with one active home, which the owner of the first home named (HomeAdvisor). It is
+/// tried first while it is within the bound. Thread safety: any thread.
+std::vector<core::EndpointId> placementOrder(const core::AdapterVersion &adapter,
+                                             const std::vector<Candidate> &candidates,
+                                             const core::EndpointId &activeHome,
+                                             const PlacementLimits &limits);
+
 /// A rendezvous score of `node` for `key`; the greatest score wins. Thread safety: any thread.
 double rendezvousScore(const std::string &key, const std::string &node, double weight);
 
