Refuse waiters that find no slot, and empty an adapter in use only for a gain

Cause: at ten times the traffic requests waited for a slot until their deadline, and adapters in steady use were emptied every 4 s for less used ones.

Change: a waiter without a slot after maxLoadWait is refused; an adapter in use is emptied for one requested 1.5 times as often, or once in 10 s.

--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -7,6 +7,14 @@
 
 namespace jackdawlead::decisions {
 
+namespace {
+
+// Emptying an adapter in use idles its slot for the length of a request; a small gain in the rate
+// does not pay for that.
+constexpr double leastGainOfStop = 1.5;
+
+} // namespace
+
 EndpointScheduler::EndpointScheduler(SchedulerLimits limits)
     : m_limits(limits)
 { }
@@ -170,6 +178,7 @@
 {
     SchedulerCommands commands;
     refuseExpired(now, commands);
+    refuseWithoutSlot(now, commands);
     dispatchReady(now, commands);
     startLoads(now, commands);
     return commands;
@@ -185,6 +194,17 @@
     m_queued.erase(m_queued.begin(), firstLive);
 }
 
+void EndpointScheduler::refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands)
+{
+    std::erase_if(m_queued, [&](const Queued &queued) {
+        if (now - queued.queuedAt <= m_limits.maxLoadWait || m_slots.contains(queued.adapter))
+            return false;
+        commands.emplace_back(RefuseRequest {queued.request, "no slot became free in time",
+                                             m_limits.maxLoadWait});
+        return true;
+    });
+}
+
 void EndpointScheduler::dispatchReady(core::TimePoint now, SchedulerCommands &commands)
 {
     std::erase_if(m_queued, [&](const Queued &queued) {
@@ -226,7 +246,7 @@
         }
         if (!evictOne(now, commands)) {
             if (now >= queued.queuedAt + m_limits.maxSlotWait)
-                drainOne(now);
+                drainOne(queued.adapter, now);
             return;
         }
     }
@@ -262,10 +282,8 @@
     return true;
 }
 
-void EndpointScheduler::drainOne(core::TimePoint now)
+void EndpointScheduler::drainOne(const core::AdapterVersion &waiter, core::TimePoint now)
 {
-    if (m_slotStoppedAt != core::TimePoint() && now < m_slotStoppedAt + m_limits.slotStopPeriod)
-        return;
     auto victim = m_slots.end();
     double least = 0;
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
@@ -281,6 +299,10 @@
     }
     if (victim == m_slots.end())
         return;
+    const bool isDue = m_slotStoppedAt == core::TimePoint()
+        || now >= m_slotStoppedAt + m_limits.slotStopPeriod;
+    if (!isDue && m_rates.value(waiter, now) <= least * leastGainOfStop)
+        return;
     victim->second.isDraining = true;
     m_slotStoppedAt = now;
 }
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -28,7 +28,7 @@
     /// A request that has waited this long for a slot stops new requests of one resident adapter.
     core::Duration maxSlotWait = std::chrono::seconds(1);
     /// The least time between two such stops, so that an overload does not empty adapters in use.
-    core::Duration slotStopPeriod = std::chrono::seconds(4);
+    core::Duration slotStopPeriod = std::chrono::seconds(10);
 };
 
 /// Ask the store's load budget for a load, then order it from the endpoint.
@@ -124,10 +124,11 @@
 
     SchedulerCommands schedule(core::TimePoint now);
     void refuseExpired(core::TimePoint now, SchedulerCommands &commands);
+    void refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands);
     void dispatchReady(core::TimePoint now, SchedulerCommands &commands);
     void startLoads(core::TimePoint now, SchedulerCommands &commands);
     bool evictOne(core::TimePoint now, SchedulerCommands &commands);
-    void drainOne(core::TimePoint now);
+    void drainOne(const core::AdapterVersion &waiter, core::TimePoint now);
     core::Duration predictedWait(core::TimePoint now) const;
     core::Duration acceptedWait(const core::AdapterVersion &adapter, core::TimePoint now) const;
     void refuseWaiters(const core::AdapterVersion &adapter, core::Duration retryAfter,
