Accept waits by worth, with the wait that the load budget tells

Cause: at ten times the traffic every endpoint kept a load waiting, so that each load waited for about 20 others; all adapters accepted the same wait.

Change: LoadBudget predicts the wait of a further load and the scheduler is told it (grantWaitTold).

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -70,7 +70,9 @@
 {
     for (std::size_t adapter = 0; adapter < deployment.adapters; ++adapter)
         m_adapters.push_back({core::AdapterId("a" + std::to_string(adapter)), "1"});
-    const SchedulerLimits limits {.slots = deployment.slots, .maxRunning = deployment.maxBatch};
+    SchedulerLimits limits = limitsFor(deployment.stallWeight);
+    limits.slots = deployment.slots;
+    limits.maxRunning = deployment.maxBatch;
     const auto home = static_cast<std::size_t>(
         std::lround(deployment.homeRegionShare * static_cast<double>(deployment.runners)));
     for (std::size_t index = 0; index < deployment.runners; ++index) {
@@ -218,6 +220,8 @@
         return;
     }
     orderGranted(m_budget.request(key(engine, adapter), command.deadline, m_now));
+    std::get<EndpointScheduler>(m_engines[engine].scheduler)
+        .grantWaitTold(m_budget.predictedWait(m_now), m_now);
     if (const auto next = m_budget.nextGrantAt())
         at(std::max(*next, m_now), [this] { orderGranted(m_budget.tick(m_now)); });
 }
@@ -360,8 +364,10 @@
 void Simulation::publishPressures()
 {
     for (Engine &engine : m_engines)
-        if (const auto *scheduler = std::get_if<EndpointScheduler>(&engine.scheduler))
+        if (auto *scheduler = std::get_if<EndpointScheduler>(&engine.scheduler)) {
             engine.slotPressure = scheduler->slotPressure(m_now);
+            scheduler->grantWaitTold(m_budget.predictedWait(m_now), m_now);
+        }
     if (m_now < TimePoint(m_deployment.length))
         at(m_now + publishPeriod, [this] { publishPressures(); });
 }
--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -1,6 +1,7 @@
 #include "decisions/endpointscheduler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <set>
 #include <utility>
@@ -15,6 +16,14 @@
 
 } // namespace
 
+SchedulerLimits limitsFor(double stallWeight)
+{
+    SchedulerLimits limits;
+    limits.maxLoadWait
+        = std::chrono::milliseconds(std::lround(2500 - 1500 * std::clamp(stallWeight, 0.0, 1.0)));
+    return limits;
+}
+
 EndpointScheduler::EndpointScheduler(SchedulerLimits limits)
     : m_limits(limits)
 { }
@@ -139,6 +148,11 @@
     return schedule(now);
 }
 
+void EndpointScheduler::grantWaitTold(core::Duration wait, core::TimePoint now)
+{
+    m_grantWait.told(wait, now);
+}
+
 SchedulerCommands EndpointScheduler::tick(core::TimePoint now)
 {
     return schedule(now);
@@ -197,10 +211,12 @@
 void EndpointScheduler::refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands)
 {
     std::erase_if(m_queued, [&](const Queued &queued) {
-        if (now - queued.queuedAt <= m_limits.maxLoadWait || m_slots.contains(queued.adapter))
+        if (m_slots.contains(queued.adapter)
+            || now - queued.queuedAt
+                <= std::max(acceptedWait(queued.adapter, now), m_limits.maxSlotWait))
             return false;
-        commands.emplace_back(RefuseRequest {queued.request, "no slot became free in time",
-                                             m_limits.maxLoadWait});
+        commands.emplace_back(
+            RefuseRequest {queued.request, "no slot became free in time", m_limits.maxLoadWait});
         return true;
     });
 }
@@ -299,8 +315,8 @@
     }
     if (victim == m_slots.end())
         return;
-    const bool isDue = m_slotStoppedAt == core::TimePoint()
-        || now >= m_slotStoppedAt + m_limits.slotStopPeriod;
+    const bool isDue
+        = m_slotStoppedAt == core::TimePoint() || now >= m_slotStoppedAt + m_limits.slotStopPeriod;
     if (!isDue && m_rates.value(waiter, now) <= least * leastGainOfStop)
         return;
     victim->second.isDraining = true;
@@ -309,7 +325,7 @@
 
 core::Duration EndpointScheduler::predictedWait(core::TimePoint now) const
 {
-    core::Duration wait = m_loadWait.predicted(now);
+    core::Duration wait = std::max(m_loadWait.predicted(now), m_grantWait.predicted(now));
     for (const Queued &queued : m_queued)
         if (!isResident(queued.adapter))
             wait = std::max(wait, now - queued.queuedAt);
@@ -323,7 +339,7 @@
     const double pressure = slotPressure(now);
     const double worth
         = pressure > 0 ? std::clamp(m_rates.value(adapter, now) / pressure, 0.1, 1.0) : 1.0;
-    return std::chrono::duration_cast<core::Duration>(m_limits.maxLoadWait * worth);
+    return std::chrono::duration_cast<core::Duration>(m_limits.maxLoadWait * worth * worth);
 }
 
 double EndpointScheduler::slotPressure(core::TimePoint now) const
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -22,15 +22,19 @@
     /// Delay before a failed load of an adapter is tried again; doubles up to the greatest delay.
     core::Duration loadBackoff = std::chrono::milliseconds(500);
     core::Duration maxLoadBackoff = std::chrono::seconds(30);
-    /// A request for an absent adapter is refused at once when its load is predicted to take
-    /// longer.
-    core::Duration maxLoadWait = std::chrono::seconds(4);
+    /// A request for an absent adapter is refused at once when its load is predicted to take longer.
+    /// An adapter that is worth less than the one that it displaces gets less than this.
+    core::Duration maxLoadWait = std::chrono::milliseconds(1750);
     /// A request that has waited this long for a slot stops new requests of one resident adapter.
     core::Duration maxSlotWait = std::chrono::seconds(1);
     /// The least time between two such stops, so that an overload does not empty adapters in use.
     core::Duration slotStopPeriod = std::chrono::seconds(10);
 };
 
+/// The limits for a pool whose weight between load stalls (1) and batch efficiency (0) is given:
+/// a pool that favours short stalls refuses sooner. Thread safety: any thread.
+SchedulerLimits limitsFor(double stallWeight);
+
 /// Ask the store's load budget for a load, then order it from the endpoint.
 struct LoadAdapter
 {
@@ -82,6 +86,8 @@
     SchedulerCommands reset(const std::vector<core::AdapterVersion> &resident,
                             const std::vector<core::AdapterVersion> &pinned, core::TimePoint now);
     SchedulerCommands unpinned(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The load budget told how long a further load would wait for its grant.
+    void grantWaitTold(core::Duration wait, core::TimePoint now);
     /// Refuses requests whose deadline has passed and retries failed loads.
     SchedulerCommands tick(core::TimePoint now);
     /// Refuses all queued requests; running ones go on. Used by a planned stop.
@@ -141,6 +147,7 @@
     std::map<core::AdapterVersion, Backoff> m_backoffs;
     AdapterRates m_rates;
     LoadWait m_loadWait;
+    LoadWait m_grantWait;
     core::TimePoint m_slotStoppedAt;
 };
 
--- a/src/libs/decisions/homeadvisor.cpp
+++ b/src/libs/decisions/homeadvisor.cpp
@@ -46,9 +46,8 @@
 
 void HomeAdvisor::prune(core::TimePoint now)
 {
-    std::erase_if(m_moved, [now](const auto &entry) {
-        return now >= entry.second.usedAt + moveLifetime;
-    });
+    std::erase_if(m_moved,
+                  [now](const auto &entry) { return now >= entry.second.usedAt + moveLifetime; });
     if (m_moved.size() >= maxMoved)
         m_moved.clear();
 }
--- a/src/libs/decisions/loadbudget.cpp
+++ b/src/libs/decisions/loadbudget.cpp
@@ -78,6 +78,14 @@
     return next;
 }
 
+core::Duration LoadBudget::predictedWait(core::TimePoint now) const
+{
+    if (m_share <= 0)
+        return m_limits.grantLifetime;
+    const auto ahead = static_cast<core::Duration::rep>(m_waiting.size());
+    return std::max(nextStartAt() - now, core::Duration::zero()) + spacing() * ahead;
+}
+
 core::Duration LoadBudget::spacing() const
 {
     return std::chrono::ceil<core::Duration>(std::chrono::duration<double>(1 / loadsPerSecond()));
--- a/src/libs/decisions/loadbudget.h
+++ b/src/libs/decisions/loadbudget.h
@@ -60,6 +60,8 @@
 
     /// When tick() can grant the next load; nothing if no load waits.
     std::optional<core::TimePoint> nextGrantAt() const;
+    /// How long a load that is asked for now would wait for its grant if it came last.
+    core::Duration predictedWait(core::TimePoint now) const;
     std::size_t waitingCount() const { return m_waiting.size(); }
     std::size_t grantedCount() const { return m_granted.size(); }
     /// The rate that is granted now. Unit: loads per second.
--- a/src/libs/decisions/loadwait.cpp
+++ b/src/libs/decisions/loadwait.cpp
@@ -20,6 +20,12 @@
     m_measuredAt = now;
 }
 
+void LoadWait::told(core::Duration wait, core::TimePoint now)
+{
+    m_mean = wait;
+    m_measuredAt = now;
+}
+
 core::Duration LoadWait::predicted(core::TimePoint now) const
 {
     const double halvings = std::chrono::duration<double>(now - m_measuredAt) / halfLife;
--- a/src/libs/decisions/loadwait.h
+++ b/src/libs/decisions/loadwait.h
@@ -11,6 +11,8 @@
 public:
     /// Records that a load took this long.
     void measured(core::Duration wait, core::TimePoint now);
+    /// Replaces the prediction.
+    void told(core::Duration wait, core::TimePoint now);
     /// The prediction. It halves for every 2 s without a measurement, so that an endpoint that
     /// refuses everything tries again.
     core::Duration predicted(core::TimePoint now) const;
