Order a load only when the daemon's share of the store's rate grants it

Cause: storeLoadsPerSecond and storeConcurrentLoads were read and not used; every endpoint ordered loads as it liked.

Change: LoadBudgetTask holds this daemon's fair share (rate over live daemons) of the store; EndpointTask asks it before each load order, returns the grant when the order has ended, and withdraws a load that no request waits for any more. The scheduler gets the predicted wait and the limits of the pool's stallWeight. LoadKey has an order number, so that a load repeated after an engine restart is a new one. The leased holder over RPC is not built.

With many daemons and no holder the share of one daemon is small (6 loads/s over 360 daemons is one load a minute).

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -209,7 +209,7 @@
 LoadKey Simulation::key(std::size_t engine, std::size_t adapter) const
 {
     const core::EndpointId &id = m_engines[engine].id;
-    return {core::HostId(id.value()), id, m_adapters[adapter]};
+    return {core::HostId(id.value()), id, m_adapters[adapter], 0};
 }
 
 void Simulation::carryOut(std::size_t engine, const LoadAdapter &command)
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -39,7 +39,7 @@
     std::vector<Sample> samples; ///< All requests after the warm-up.
     std::size_t loads = 0;
     std::size_t evictions = 0;
-    std::size_t cut = 0; ///< By an engine restart.
+    std::size_t cut = 0;                         ///< By an engine restart.
     std::map<std::string, std::size_t> refusals; ///< By reason.
     double promptLinkBytes = 0;
     double answerLinkBytes = 0;
--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -22,8 +22,8 @@
     /// Delay before a failed load of an adapter is tried again; doubles up to the greatest delay.
     core::Duration loadBackoff = std::chrono::milliseconds(500);
     core::Duration maxLoadBackoff = std::chrono::seconds(30);
-    /// A request for an absent adapter is refused at once when its load is predicted to take longer.
-    /// An adapter that is worth less than the one that it displaces gets less than this.
+    /// A request for an absent adapter is refused at once when its load is predicted to take
+    /// longer. An adapter that is worth less than the one that it displaces gets less than this.
     core::Duration maxLoadWait = std::chrono::milliseconds(1750);
     /// A request that has waited this long for a slot stops new requests of one resident adapter.
     core::Duration maxSlotWait = std::chrono::seconds(1);
--- a/src/libs/decisions/loadbudget.h
+++ b/src/libs/decisions/loadbudget.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -26,6 +27,7 @@
     core::HostId owner;
     core::EndpointId endpoint;
     core::AdapterVersion adapter;
+    std::uint64_t order = 0; ///< Tells repeated loads of one adapter by one owner apart.
     auto operator<=>(const LoadKey &) const = default;
 };
 
--- a/src/libs/serving/dispatcher.cpp
+++ b/src/libs/serving/dispatcher.cpp
@@ -24,12 +24,14 @@
 Dispatcher::Dispatcher(Context &context, LeaseTask &lease, std::function<void()> ownersStale)
     : m_context(context)
     , m_lease(lease)
+    , m_budget(context)
     , m_ownersStale(std::move(ownersStale))
 { }
 
 void Dispatcher::fleetChanged(FleetTask::ViewPtr view)
 {
     m_view = std::move(view);
+    m_budget.liveDaemonsChanged(m_view->daemons.size());
     for (const auto &[endpoint, owned] : m_owned) {
         const auto entry = m_view->endpoints.find(endpoint);
         owned.task->setLeaving(entry == m_view->endpoints.end() || entry->second.isLeaving);
@@ -77,9 +79,10 @@
         if (!pool)
             continue;
         auto task = std::make_unique<EndpointTask>(
-            m_context, m_lease,
+            m_context, m_lease, m_budget,
             EndpointTask::Target {endpoint, entry->second.address, owner.token,
-                                  static_cast<std::size_t>(pool->slots), pool->needsCredential});
+                                  static_cast<std::size_t>(pool->slots), pool->needsCredential,
+                                  pool->stallWeight});
         task->start();
         m_owned.emplace(endpoint, Owned {owner.token, std::move(task)});
     }
--- a/src/libs/serving/dispatcher.h
+++ b/src/libs/serving/dispatcher.h
@@ -46,6 +46,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    LoadBudgetTask m_budget;
     std::function<void()> m_ownersStale;
     FleetTask::ViewPtr m_view;
     std::shared_ptr<const config::Catalog> m_catalog;
--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -26,21 +26,33 @@
     return core::withOutcome(core::makeError(code, step, endpoint.value(), message), outcome);
 }
 
+decisions::SchedulerLimits schedulerLimits(const EndpointTask::Target &target,
+                                           const config::Settings &settings)
+{
+    decisions::SchedulerLimits limits = decisions::limitsFor(target.stallWeight);
+    limits.slots = target.slots;
+    limits.maxRunning = static_cast<std::size_t>(settings.maxRunningPerEndpoint);
+    limits.maxQueued = static_cast<std::size_t>(settings.maxQueuedPerEndpoint);
+    return limits;
+}
+
 } // namespace
 
-EndpointTask::EndpointTask(Context &context, LeaseTask &lease, Target target)
+EndpointTask::EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget,
+                           Target target)
     : m_context(context)
     , m_lease(lease)
+    , m_budget(budget)
     , m_target(std::move(target))
-    , m_scheduler({.slots = m_target.slots,
-                   .maxRunning = static_cast<std::size_t>(context.settings.maxRunningPerEndpoint),
-                   .maxQueued = static_cast<std::size_t>(context.settings.maxQueuedPerEndpoint)})
+    , m_scheduler(schedulerLimits(m_target, context.settings))
 { }
 
 EndpointTask::~EndpointTask()
 {
     for (const auto &[id, run] : m_runs)
         run->call.cancel();
+    for (const LoadBudgetTask::Ticket ticket : m_tickets)
+        m_budget.release(ticket);
 }
 
 void EndpointTask::start()
@@ -146,6 +158,7 @@
         return;
     }
     m_runs.emplace(id, run);
+    m_scheduler.grantWaitTold(m_budget.predictedWait(), run->queuedAt);
     carryOut(m_scheduler.submit(id, run->request.adapter, run->request.deadline, run->queuedAt));
 }
 
@@ -184,20 +197,44 @@
 
 void EndpointTask::carryOut(const decisions::LoadAdapter &command)
 {
-    const json body {{"lora_name", command.adapter.toString()},
-                     {"lora_path", weightSourceOf(command.adapter)}};
-    order("/v1/load_lora_adapter", body, [this, command](const absl::Status &status) {
+    // The grant is delivered from the loop, after the ticket is known.
+    const auto ticket = std::make_shared<LoadBudgetTask::Ticket>();
+    *ticket = m_budget.request(
+        m_target.endpoint, command.adapter, command.deadline,
+        [this, ticket, adapter = command.adapter, alive = std::weak_ptr<bool>(m_alive)] {
+            if (!alive.expired())
+                loadGranted(*ticket, adapter);
+        });
+    m_tickets.insert(*ticket);
+}
+
+void EndpointTask::loadGranted(LoadBudgetTask::Ticket ticket, const core::AdapterVersion &adapter)
+{
+    if (!m_scheduler.isWanted(adapter)) {
+        releaseTicket(ticket);
+        carryOut(m_scheduler.loadWithdrawn(adapter, m_context.timers.now()));
+        return;
+    }
+    const json body {{"lora_name", adapter.toString()}, {"lora_path", weightSourceOf(adapter)}};
+    order("/v1/load_lora_adapter", body, [this, ticket, adapter](const absl::Status &status) {
+        releaseTicket(ticket);
         m_context.metrics.loadOrdered(status.ok());
         const core::TimePoint now = m_context.timers.now();
         if (status.ok()) {
-            carryOut(m_scheduler.loaded(command.adapter, now));
+            carryOut(m_scheduler.loaded(adapter, now));
             return;
         }
         observability::logError(observability::LogLevel::Warn, status);
-        carryOut(m_scheduler.loadFailed(command.adapter, now));
+        carryOut(m_scheduler.loadFailed(adapter, now));
     });
 }
 
+void EndpointTask::releaseTicket(LoadBudgetTask::Ticket ticket)
+{
+    m_tickets.erase(ticket);
+    m_budget.release(ticket);
+}
+
 void EndpointTask::carryOut(const decisions::EvictAdapter &command)
 {
     const json body {{"lora_name", command.adapter.toString()}};
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -6,6 +6,7 @@
 #include "serving/enginereport.h"
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
+#include "serving/loadbudgettask.h"
 #include "serving/replysink.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jackdawlead::serving {
@@ -44,9 +46,10 @@
         core::FencingToken token;
         std::size_t slots = 0;
         bool needsCredential = false;
+        double stallWeight = 0.5; ///< Of the pool.
     };
 
-    EndpointTask(Context &context, LeaseTask &lease, Target target);
+    EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget, Target target);
     ~EndpointTask();
     EndpointTask(const EndpointTask &) = delete;
     EndpointTask &operator=(const EndpointTask &) = delete;
@@ -82,6 +85,8 @@
     void reported(const EngineReport &report);
     void carryOut(const decisions::SchedulerCommands &commands);
     void carryOut(const decisions::LoadAdapter &command);
+    void loadGranted(LoadBudgetTask::Ticket ticket, const core::AdapterVersion &adapter);
+    void releaseTicket(LoadBudgetTask::Ticket ticket);
     void carryOut(const decisions::EvictAdapter &command);
     void carryOut(const decisions::DispatchRequest &command);
     void carryOut(const decisions::RefuseRequest &command);
@@ -99,10 +104,12 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    LoadBudgetTask &m_budget;
     Target m_target;
     decisions::EndpointScheduler m_scheduler;
     std::map<core::RequestId, RunPtr> m_runs;
     std::map<core::AdapterVersion, core::TimePoint> m_pinned;
+    std::set<LoadBudgetTask::Ticket> m_tickets; ///< Of loads that wait or are in progress.
     std::string m_instance;
     bool m_isReady = false;
     bool m_isLeaving = false;
--- a/tests/auto/loadbudget/tst_loadbudget.cpp
+++ b/tests/auto/loadbudget/tst_loadbudget.cpp
@@ -20,7 +20,8 @@
 {
     return {core::HostId("h" + std::to_string(owner)),
             core::EndpointId("e"),
-            {core::AdapterId("a" + std::to_string(adapter)), "1"}};
+            {core::AdapterId("a" + std::to_string(adapter)), "1"},
+            0};
 }
 
 core::TimePoint after(std::int64_t ms)
