--- a/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
+++ b/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
@@ -162,3 +162,29 @@
     cr_assert_eq(countOf<EvictAdapter>(scheduler.evictionFailed(adapter("a"), start)), 0);
     cr_assert_eq(countOf<EvictAdapter>(scheduler.tick(start + std::chrono::seconds(1))), 1);
 }
+
+// Guards against a slot that stays closed after the request it was emptied for has gone.
+Test(endpointscheduler, slotTakesRequestsAgainWhenItsWaiterHasGone)
+{
+    const SchedulerLimits limits {.slots = 1};
+    EndpointScheduler scheduler(limits);
+    submit(scheduler, "r1", "a");
+    scheduler.loaded(adapter("a"), start);
+    submit(scheduler, "r2", "b");
+    const core::TimePoint later = start + limits.maxSlotWait;
+    scheduler.tick(later);
+    scheduler.cancelled(core::RequestId("r2"), later);
+    const auto commands = scheduler.submit(core::RequestId("r3"), adapter("a"),
+                                           later + std::chrono::seconds(10), later);
+    cr_assert_eq(countOf<DispatchRequest>(commands), 1);
+}
+
+// Guards against a refusal that does not say when to come back.
+Test(endpointscheduler, lateRequestIsRefusedWithRetryAfter)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    const auto commands = scheduler.submit(core::RequestId("r1"), adapter("a"), start,
+                                           start + std::chrono::milliseconds(1));
+    cr_assert_eq(countOf<RefuseRequest>(commands), 1);
+    cr_assert(std::get<RefuseRequest>(commands.front()).retryAfter.count() > 0);
+}
