Count replies until they are written, and notice callers that leave early

Cause: a planned stop ended the loop while bytes of a finished reply were unsent, kept connections brought new requests to a stopping daemon, and a caller that left before its first byte was noticed only at the next write, because libevent stops reading once it has a request.

Change: ReplyProgress follows each reply to its last byte or the end of its connection; HttpServer counts them. A stopping server closes each connection after its reply; a stopping daemon refuses new requests as not run with Retry-After. The count of peers' runs, which a refusal after the peer had gone lowered twice, is replaced by that count. A renewal under way is awaited before the lease record is removed. A stop that passes drainTimeoutMs logs how many requests it cuts.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -112,14 +112,12 @@
         exchange->respond(serving::refusalResponse(request.status(), {}));
         return;
     }
-    ++m_peerRunning;
     const core::RequestId id = request->id;
     request->sink.onHead = [exchange](int status, const net::Headers &headers) {
         exchange->startStream(status, headers);
     };
     request->sink.onData = [exchange](std::string_view data) { exchange->write(data); };
-    request->sink.onEnd = [this, exchange, id](const absl::Status &status) {
-        --m_peerRunning;
+    request->sink.onEnd = [exchange, id](const absl::Status &status) {
         exchange->onPeerGone({});
         if (status.ok())
             exchange->finishStream();
@@ -130,11 +128,7 @@
     };
     const core::EndpointId endpoint(
         exchange->request().headers.value(serving::peerprotocol::endpointHeader));
-    const auto cancel = m_dispatcher.runHere(endpoint, *std::move(request));
-    exchange->onPeerGone([this, cancel] {
-        --m_peerRunning;
-        cancel();
-    });
+    exchange->onPeerGone(m_dispatcher.runHere(endpoint, *std::move(request)));
 }
 
 void Daemon::serveAdmin(const std::shared_ptr<net::ServerExchange> &exchange)
@@ -185,13 +179,15 @@
         if (owner.holder == m_settings.host)
             owned.push_back(endpoint.value());
     const auto &catalog = m_config.current();
-    const nlohmann::json body {{"host", m_settings.host.value()},
-                               {"generation", catalog ? catalog->generation().value() : 0},
-                               {"release", catalog ? catalog->manifest().release : ""},
-                               {"ready", isReady()},
-                               {"leaseValid", m_lease.isValid()},
-                               {"ownedEndpoints", std::move(owned)},
-                               {"runningRequests", m_callers.runningCount() + m_peerRunning}};
+    const nlohmann::json body {
+        {"host", m_settings.host.value()},
+        {"generation", catalog ? catalog->generation().value() : 0},
+        {"release", catalog ? catalog->manifest().release : ""},
+        {"ready", isReady()},
+        {"leaseValid", m_lease.isValid()},
+        {"ownedEndpoints", std::move(owned)},
+        {"stopping", m_isStopping},
+        {"runningRequests", m_callers.runningCount() + m_dispatcher.runningCount()}};
     return {.status = 200, .headers = {{"Content-Type", "application/json"}}, .body = body.dump()};
 }
 
@@ -202,21 +198,34 @@
     m_isStopping = true;
     observability::log({.step = "stop", .message = "planned stop"});
     m_stopLimit = m_timers.now() + m_settings.drainTimeout;
+    m_callers.drain();
     m_callerServer.stopAccepting();
     m_dispatcher.drain();
     m_ownership.releaseAll(
         [this] { m_stopTimer = m_timers.every(idleCheckPeriod, [this] { stopWhenIdle(); }); });
 }
 
+std::size_t Daemon::unfinishedCount() const
+{
+    return m_callers.runningCount() + m_dispatcher.runningCount() + m_callerServer.openReplyCount()
+        + m_peerServer.openReplyCount() + m_adminServer.openReplyCount();
+}
+
 void Daemon::stopWhenIdle()
 {
-    const std::size_t running
-        = m_callers.runningCount() + m_peerRunning + m_dispatcher.runningCount();
-    if (running > 0 && m_timers.now() < m_stopLimit)
+    const std::size_t unfinished = unfinishedCount();
+    if (unfinished > 0 && m_timers.now() < m_stopLimit)
         return;
+    if (unfinished > 0)
+        observability::log(
+            {.level = observability::LogLevel::Error,
+             .step = "stop",
+             .message = "drainTimeoutMs has passed; requests cut: " + std::to_string(unfinished)});
     m_stopTimer.cancel();
-    observability::log({.step = "stop", .message = "stopped"});
-    m_lease.release([this] { m_loop.stop(); });
+    m_lease.release([this] {
+        observability::log({.step = "stop", .message = "stopped"});
+        m_loop.stop();
+    });
 }
 
 } // namespace jackdawlead
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -36,6 +36,8 @@
     bool isReady() const;
     void stop();
     void stopWhenIdle();
+    /// Requests that run or whose reply is not completely written.
+    std::size_t unfinishedCount() const;
 
     config::Settings m_settings;
     net::EventLoop m_loop;
@@ -56,7 +58,6 @@
     net::HttpServer m_callerServer;
     net::HttpServer m_peerServer;
     net::HttpServer m_adminServer;
-    std::size_t m_peerRunning = 0;
     bool m_isStopping = false;
     core::TimePoint m_stopLimit;
     net::TimerService::Subscription m_stopTimer;
--- a/src/libs/net/httpserver.cpp
+++ b/src/libs/net/httpserver.cpp
@@ -76,11 +76,11 @@
 } // namespace
 
 ServerExchange::ServerExchange(EventLoop &loop, evhttp_request *request,
-                               std::weak_ptr<const bool> server)
+                               std::weak_ptr<HttpServerState> server)
     : m_loop(loop)
     , m_handle(request)
     , m_server(std::move(server))
-    , m_connection(evhttp_request_get_connection(request))
+    , m_progress(ReplyProgress::start(request, m_server))
 {
     m_request.method = methodName(evhttp_request_get_command(request));
     m_request.path = evhttp_request_get_uri(request);
@@ -88,34 +88,31 @@
     for (const evkeyval *field = fields->tqh_first; field; field = field->next.tqe_next)
         m_request.headers.add(field->key, field->value);
     m_request.body = takeAll(evhttp_request_get_input_buffer(request));
-    evhttp_connection_set_closecb(m_connection, &ServerExchange::connectionClosed, this);
+    m_progress->onClosed([this] { connectionClosed(); });
 }
 
 ServerExchange::~ServerExchange()
 {
+    m_progress->onClosed({});
     if (m_server.expired())
         return;
     if (m_state == State::Open)
         respond({.status = 500, .headers = {}, .body = "{\"error\":{\"message\":\"no reply\"}}"});
     else if (m_state == State::Streaming)
         cutStream({});
-    detach();
 }
 
-void ServerExchange::detach()
+void ServerExchange::endReply()
 {
-    if (m_connection)
-        evhttp_connection_set_closecb(m_connection, nullptr, nullptr);
-    m_connection = nullptr;
+    m_state = State::Done;
+    m_progress->onClosed({});
 }
 
-void ServerExchange::connectionClosed(evhttp_connection *, void *argument)
+void ServerExchange::connectionClosed()
 {
-    auto *self = static_cast<ServerExchange *>(argument);
-    self->m_connection = nullptr;
-    self->m_peerGone = true;
-    if (self->m_onPeerGone && self->m_state != State::Done)
-        self->m_loop.post(std::exchange(self->m_onPeerGone, nullptr));
+    m_peerGone = true;
+    if (m_onPeerGone)
+        m_loop.post(std::exchange(m_onPeerGone, nullptr));
 }
 
 void ServerExchange::addHeaders(const Headers &headers)
@@ -123,17 +120,18 @@
     evkeyvalq *output = evhttp_request_get_output_headers(m_handle);
     for (const auto &[name, value] : headers.fields())
         evhttp_add_header(output, name.c_str(), value.c_str());
+    if (const auto server = m_server.lock(); server && server->isStopping)
+        evhttp_add_header(output, "Connection", "close");
 }
 
 void ServerExchange::respond(const HttpResponse &response)
 {
     if (m_state != State::Open || m_server.expired())
         return;
-    m_state = State::Done;
+    endReply();
     addHeaders(response.headers);
     evbuffer *body = evbuffer_new();
     evbuffer_add(body, response.body.data(), response.body.size());
-    detach();
     evhttp_send_reply(m_handle, response.status, reasonPhrase(response.status), body);
     evbuffer_free(body);
 }
@@ -161,8 +159,7 @@
 {
     if (m_state != State::Streaming || m_server.expired())
         return;
-    m_state = State::Done;
-    detach();
+    endReply();
     evhttp_send_reply_end(m_handle);
 }
 
@@ -174,11 +171,9 @@
         finishStream();
         return;
     }
-    m_state = State::Done;
-    evhttp_connection *connection = m_connection;
-    detach();
+    endReply();
     if (lastData.empty()) {
-        m_loop.post([connection] { evhttp_connection_free(connection); });
+        m_loop.post([progress = m_progress] { progress->closeConnection(); });
         return;
     }
     evbuffer *chunk = evbuffer_new();
@@ -198,12 +193,13 @@
     evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(limits.maxHeaderBytes));
     evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(limits.maxBodyBytes));
     evhttp_set_timeout(m_http, static_cast<int>(limits.idleTimeout.count()));
+    m_state->idleTimeout = limits.idleTimeout;
     evhttp_set_gencb(m_http, &HttpServer::handle, this);
 }
 
 HttpServer::~HttpServer()
 {
-    m_alive.reset();
+    m_state.reset();
     evhttp_free(m_http);
 }
 
@@ -235,12 +231,13 @@
     if (m_socket)
         evhttp_del_accept_socket(m_http, m_socket);
     m_socket = nullptr;
+    m_state->isStopping = true;
 }
 
 void HttpServer::handle(evhttp_request *request, void *argument)
 {
     auto *self = static_cast<HttpServer *>(argument);
-    self->m_handler(std::make_shared<ServerExchange>(self->m_loop, request, self->m_alive));
+    self->m_handler(std::make_shared<ServerExchange>(self->m_loop, request, self->m_state));
 }
 
 } // namespace jackdawlead::net
--- a/src/libs/net/httpserver.h
+++ b/src/libs/net/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "net/eventloop.h"
 #include "net/httpmessage.h"
+#include "net/replyprogress.h"
 
 #include <absl/status/status.h>
 
@@ -12,7 +13,6 @@
 
 struct evhttp;
 struct evhttp_request;
-struct evhttp_connection;
 struct evhttp_bound_socket;
 
 namespace jackdawlead::net {
@@ -31,7 +31,7 @@
 {
 public:
     /// `server` is expired once the server is destroyed; the request is then not touched any more.
-    ServerExchange(EventLoop &loop, evhttp_request *request, std::weak_ptr<const bool> server);
+    ServerExchange(EventLoop &loop, evhttp_request *request, std::weak_ptr<HttpServerState> server);
     ~ServerExchange();
     ServerExchange(const ServerExchange &) = delete;
     ServerExchange &operator=(const ServerExchange &) = delete;
@@ -55,14 +55,14 @@
 
 private:
     enum class State { Open, Streaming, Done };
-    static void connectionClosed(evhttp_connection *connection, void *argument);
+    void connectionClosed();
     void addHeaders(const Headers &headers);
-    void detach();
+    void endReply();
 
     EventLoop &m_loop;
     evhttp_request *m_handle;
-    std::weak_ptr<const bool> m_server;
-    evhttp_connection *m_connection;
+    std::weak_ptr<HttpServerState> m_server;
+    std::shared_ptr<ReplyProgress> m_progress;
     HttpRequest m_request;
     State m_state = State::Open;
     bool m_peerGone = false;
@@ -84,8 +84,11 @@
     absl::Status listen(const Address &address);
     /// The port that is listened on; chosen by the system if listen() was given port 0.
     std::uint16_t port() const;
-    /// Stops accepting connections; running exchanges go on.
+    /// Stops accepting connections; running exchanges go on. Every reply that starts from now on
+    /// closes its connection, so that its caller connects elsewhere for the next request.
     void stopAccepting();
+    /// Requests whose reply was not yet written to its last byte and whose caller is still there.
+    std::size_t openReplyCount() const { return m_state->openReplies; }
 
 private:
     static void handle(evhttp_request *request, void *argument);
@@ -93,7 +96,7 @@
     EventLoop &m_loop;
     Handler m_handler;
     evhttp *m_http;
-    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true);
+    std::shared_ptr<HttpServerState> m_state = std::make_shared<HttpServerState>();
     evhttp_bound_socket *m_socket = nullptr;
 };
 
--- a/src/libs/serving/callertask.cpp
+++ b/src/libs/serving/callertask.cpp
@@ -9,6 +9,21 @@
 
 namespace jackdawlead::serving {
 
+namespace {
+
+// Another daemon can serve the caller at once.
+constexpr core::Duration stoppingRetryDelay = std::chrono::seconds(1);
+
+absl::Status stoppingError(const core::HostId &host)
+{
+    const absl::Status status = core::makeError(absl::StatusCode::kUnavailable, "accept",
+                                                host.value(), "daemon is stopping");
+    return core::withRetryAfter(core::withOutcome(status, core::Outcome::NotRun),
+                                stoppingRetryDelay);
+}
+
+} // namespace
+
 CallerTask::CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims)
     : m_context(context)
     , m_dispatcher(dispatcher)
@@ -31,6 +46,10 @@
         m_context.metrics.requestEnded(core::Outcome::NotRun, m_context.timers.now() - now);
         exchange->respond(refusalResponse(status, id));
     };
+    if (m_isDraining) {
+        refuse(stoppingError(m_context.settings.host));
+        return;
+    }
     auto authenticated = authenticate({id, exchange->request(), now}, m_catalog,
                                       m_context.settings.defaultDeadline);
     if (!authenticated.ok()) {
--- a/src/libs/serving/callertask.h
+++ b/src/libs/serving/callertask.h
@@ -28,6 +28,8 @@
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
     /// Takes a request from the callers' listener.
     void accept(std::shared_ptr<net::ServerExchange> exchange);
+    /// Refuses requests that arrive from now on as not run; running requests go on.
+    void drain() { m_isDraining = true; }
     std::size_t runningCount() const { return m_running; }
 
 private:
@@ -43,6 +45,7 @@
     std::shared_ptr<const config::Catalog> m_catalog;
     std::map<core::EndpointId, int> m_outstanding;
     std::size_t m_running = 0;
+    bool m_isDraining = false;
 };
 
 } // namespace jackdawlead::serving
--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -29,11 +29,19 @@
 
 void LeaseTask::renew()
 {
-    if (m_isReleased)
+    if (m_released)
         return;
+    m_isRenewing = true;
     const core::TimePoint sentAt = m_context.timers.now();
     const nlohmann::json spec {{"incarnation", m_incarnation}, {"renewals", ++m_renewals}};
     const auto handler = [this, sentAt](const absl::StatusOr<platform::Object> &result) {
+        m_isRenewing = false;
+        if (m_released) {
+            if (result.ok())
+                m_resourceVersion = result->resourceVersion;
+            removeRecord();
+            return;
+        }
         renewLater();
         if (result.ok()) {
             stored(*result, sentAt);
@@ -61,7 +69,7 @@
 {
     m_context.objects.read(
         platform::kinds::hostLeases, m_context.settings.host.value(), [this](const auto &result) {
-            if (!result.ok())
+            if (!result.ok() || m_released)
                 return;
             m_resourceVersion = result->resourceVersion;
             m_timer = m_context.timers.once(core::Duration::zero(), [this] { renew(); });
@@ -79,12 +87,19 @@
 
 void LeaseTask::release(std::function<void()> done)
 {
-    m_isReleased = true;
+    m_released = std::move(done);
     m_timer.cancel();
     m_holder.released();
+    // A renewal under way changes the version of the record that is removed.
+    if (!m_isRenewing)
+        removeRecord();
+}
+
+void LeaseTask::removeRecord()
+{
     m_context.objects.remove(platform::kinds::hostLeases,
                              {m_context.settings.host.value(), m_resourceVersion, {}},
-                             [done = std::move(done)](const auto &) { done(); });
+                             [this](const auto &) { m_released(); });
 }
 
 } // namespace jackdawlead::serving
--- a/src/libs/serving/leasetask.h
+++ b/src/libs/serving/leasetask.h
@@ -28,13 +28,15 @@
     void adopt();
     void stored(const platform::Object &object, core::TimePoint sentAt);
     void renewLater();
+    void removeRecord();
 
     Context &m_context;
     decisions::LeaseHolder m_holder;
     std::string m_incarnation;
     std::string m_resourceVersion;
     std::uint64_t m_renewals = 0;
-    bool m_isReleased = false;
+    bool m_isRenewing = false;
+    std::function<void()> m_released; ///< Set once release() was called.
     std::function<void()> m_regained;
     net::TimerService::Subscription m_timer;
 };
