--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -27,6 +27,9 @@
     absl::Status start();
     /// Runs until a planned stop has finished.
     void run();
+    /// The ports in use; chosen by the system where the settings say 0. Precondition: started.
+    std::uint16_t callerPort() const { return m_callerServer.port(); }
+    std::uint16_t adminPort() const { return m_adminServer.port(); }
 
 private:
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
