--- a/src/libs/config/release.cpp
+++ b/src/libs/config/release.cpp
@@ -21,6 +21,12 @@
     return {sha256Hex(text), std::move(text)};
 }
 
+std::size_t storedBytes(const json &item)
+{
+    // The content is stored as a JSON string, in which each quotation mark takes two bytes.
+    return json(item.dump()).dump().size();
+}
+
 std::string digestOfParts(const std::vector<std::string> &names)
 {
     std::string all;
@@ -74,8 +80,8 @@
     std::size_t openBytes = 0;
     for (const char *section : sections) {
         for (const json &item : whole.at(section)) {
-            const std::size_t bytes = item.dump().size() + 1;
-            if (openBytes + bytes > maxPartBytes) {
+            const std::size_t bytes = storedBytes(item) + 1;
+            if (openBytes > 0 && openBytes + bytes > maxPartBytes) {
                 parts.push_back(makePart(open));
                 open = json::object();
                 openBytes = 0;
--- a/src/libs/config/release.h
+++ b/src/libs/config/release.h
@@ -12,7 +12,7 @@
 
 namespace jackdawlead::config {
 
-/// The greatest size of one part; the object API holds values up to a megabyte.
+/// The greatest size of one part as it is stored; the object API holds values up to a megabyte.
 constexpr std::size_t maxPartBytes = 900 * 1024;
 
 /// One immutable piece of a manifest; its name is the digest of its content.
--- a/src/tools/applycommand.cpp
+++ b/src/tools/applycommand.cpp
@@ -8,30 +8,59 @@
 
 constexpr const char *rootName = "main";
 
-absl::Status storeParts(SyncPlatform &platform, const std::vector<config::ConfigPart> &parts)
+// Bounds the time until a lost answer is given up.
+constexpr int maxAttempts = 3;
+
+absl::Status storePart(SyncPlatform &platform, const config::ConfigPart &part)
 {
-    for (const config::ConfigPart &part : parts) {
-        const auto stored
-            = platform.create(platform::kinds::configParts, part.name, {{"content", part.content}});
-        // A part is named by its content, so one that exists already is the same.
-        if (!stored.ok() && stored.status().code() != absl::StatusCode::kAlreadyExists)
-            return stored.status();
+    absl::Status status;
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        status
+            = platform.create(platform::kinds::configParts, part.name, {{"content", part.content}})
+                  .status();
+        // A part is named by its content, so one that exists already is the same, and a repeat
+        // after a lost answer is harmless.
+        if (status.ok() || status.code() == absl::StatusCode::kAlreadyExists)
+            return absl::OkStatus();
+        if (core::outcomeOf(status) == core::Outcome::NotRun)
+            break;
+        if (platform.read(platform::kinds::configParts, part.name).ok())
+            return absl::OkStatus();
     }
-    return absl::OkStatus();
+    return core::makeError(status.code(), "store part", core::peerOf(status),
+                           std::string(status.message())
+                               + "; the configuration in force was not changed");
 }
 
-absl::Status conflict(SyncPlatform &platform, const config::Manifest &manifest,
-                      core::Generation base)
+absl::StatusOr<ApplyResult> conflict(SyncPlatform &platform, const config::Manifest &manifest,
+                                     core::Generation expected)
 {
     const auto winner = readStored(platform);
     if (!winner.ok())
-        return winner.status();
-    std::string message = "generation " + std::to_string(base.value())
-        + " was expected, generation " + std::to_string(winner->root.generation.value())
-        + " is in force; fields that differ:";
-    for (const std::string &line : config::differences(winner->manifest, manifest))
-        message += "\n  " + line;
-    return core::makeError(absl::StatusCode::kAborted, "commit", "object API", message);
+        return core::makeError(absl::StatusCode::kAborted, "commit", "object API",
+                               "generation " + std::to_string(expected.value())
+                                   + " is no longer in force; nothing was changed, and what is in "
+                                     "force cannot be read: "
+                                   + std::string(winner.status().message()));
+    ApplyResult result;
+    result.kind = ApplyResult::Kind::Conflict;
+    result.expected = expected;
+    result.generation = winner->root.generation;
+    result.changes = config::differences(winner->manifest, manifest);
+    return result;
+}
+
+absl::Status outcomeUnknown(const config::ConfigRoot &root, const absl::Status &cause)
+{
+    return core::makeError(
+        absl::StatusCode::kUnavailable, "settle", core::peerOf(cause),
+        "outcome unknown: the answer to the write of generation "
+            + std::to_string(root.generation.value())
+            + " was lost and the object API cannot be read (" + std::string(cause.message())
+            + "). To check, run `jackdawctl get` once it answers: the manifest was accepted if "
+              "generation "
+            + std::to_string(root.generation.value()) + " has digest " + root.digest
+            + "; applying it again is safe.");
 }
 
 absl::StatusOr<platform::Object> writeRoot(SyncPlatform &platform, const StoredConfig &stored,
@@ -72,6 +101,42 @@
     return stored;
 }
 
+namespace {
+
+absl::StatusOr<ApplyResult> commit(SyncPlatform &platform, const config::Manifest &manifest,
+                                   const StoredConfig &stored, const config::ConfigRoot &root,
+                                   ApplyResult result)
+{
+    for (int attempt = 0;; ++attempt) {
+        const auto written = writeRoot(platform, stored, root);
+        if (written.ok())
+            return result;
+        const absl::StatusCode code = written.status().code();
+        const bool isLostRace
+            = code == absl::StatusCode::kAborted || code == absl::StatusCode::kAlreadyExists;
+        if (isLostRace && attempt == 0)
+            return conflict(platform, manifest, result.expected);
+        if (!isLostRace && attempt == 0
+            && core::outcomeOf(written.status()) == core::Outcome::NotRun)
+            return written.status();
+        // This write, or the one before it, may have taken effect although its answer was lost.
+        const auto now = readStored(platform);
+        if (!now.ok())
+            return outcomeUnknown(root, now.status());
+        if (now->root.generation == root.generation && now->root.digest == root.digest) {
+            result.kind = ApplyResult::Kind::SettledByReadingBack;
+            return result;
+        }
+        if (now->root.generation != result.expected)
+            return conflict(platform, manifest, result.expected);
+        // The update is conditional, so that a repeat cannot take effect twice.
+        if (attempt + 1 == maxAttempts)
+            return outcomeUnknown(root, written.status());
+    }
+}
+
+} // namespace
+
 absl::StatusOr<ApplyResult> apply(SyncPlatform &platform, const config::Manifest &manifest,
                                   std::optional<core::Generation> expected)
 {
@@ -81,33 +146,24 @@
     const core::Generation base = stored->root.generation;
     if (expected && *expected != base)
         return conflict(platform, manifest, *expected);
-    ApplyResult result {base, false, false, config::differences(stored->manifest, manifest)};
+    ApplyResult result;
+    result.expected = base;
+    result.generation = base;
+    result.changes = config::differences(stored->manifest, manifest);
     if (result.changes.empty() && stored->object) {
-        result.isUnchanged = true;
+        result.kind = ApplyResult::Kind::Unchanged;
         return result;
     }
     const auto parts = config::splitIntoParts(manifest);
-    if (const absl::Status status = storeParts(platform, parts); !status.ok())
-        return status;
+    for (const config::ConfigPart &part : parts) {
+        if (const absl::Status status = storePart(platform, part); !status.ok())
+            return status;
+        result.bytes += part.content.size();
+    }
+    result.parts = parts.size();
     const config::ConfigRoot root = config::makeRoot(base.next(), manifest.release, parts);
-    const auto written = writeRoot(platform, *stored, root);
     result.generation = root.generation;
-    if (written.ok())
-        return result;
-    const absl::StatusCode code = written.status().code();
-    if (code == absl::StatusCode::kAborted || code == absl::StatusCode::kAlreadyExists)
-        return conflict(platform, manifest, base);
-    if (core::outcomeOf(written.status()) == core::Outcome::NotRun)
-        return written.status();
-    // The write may have taken effect although its answer was lost.
-    const auto now = readStored(platform);
-    if (!now.ok())
-        return now.status();
-    if (now->root.generation == root.generation && now->root.digest == root.digest) {
-        result.isSettledByReadingBack = true;
-        return result;
-    }
-    return conflict(platform, manifest, base);
+    return commit(platform, manifest, *stored, root, result);
 }
 
 } // namespace jackdawlead::tools
