Report service-level burn over 5 minutes and an hour

Cause: operators could not see how fast the error budget is used up.

Change: observability/burn keeps samples of the histograms for an hour (about 400 samples of 56 bytes); the limit of each objective is a bucket limit of its histogram, so that counts are exact; the daemon serves `/admin/v1/burn` and `jackdawctl report burn` adds up the counts of several daemons. Limits and shares are settings (`objectives`).

Conclusion: the report covers daemons that are reachable; their counts start again at 0 with a restart.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -42,6 +42,7 @@
     , m_timers(m_loop)
     , m_http(m_loop, m_timers)
     , m_objects(m_http, {m_settings.objectApiIp, m_settings.objectApiPort})
+    , m_metrics(serving::objectivesOf(m_settings))
     , m_context {m_settings, m_loop, m_timers, m_http, m_objects, m_metrics}
     , m_lease(m_context)
     , m_dispatcher(m_context, m_lease)
@@ -55,6 +56,7 @@
                   m_ownership.fleetChanged(view);
                   m_dispatcher.fleetChanged(view);
               })
+    , m_burn(m_context)
     , m_callerServer(m_loop, limitsOf(m_settings),
                      [this](auto exchange) { m_callers.accept(std::move(exchange)); })
     , m_peerServer(m_loop, limitsOf(m_settings),
@@ -80,6 +82,7 @@
     m_lease.start([this] { m_ownership.leaseRegained(); });
     m_config.start();
     m_fleet.start();
+    m_burn.start();
     m_ownership.start();
     observability::log({.step = "start", .message = "daemon started"});
     return absl::OkStatus();
@@ -159,6 +162,12 @@
         exchange->respond(status());
         return;
     }
+    if (path == "/admin/v1/burn") {
+        exchange->respond({.status = 200,
+                           .headers = {{"Content-Type", "application/json"}},
+                           .body = m_burn.report().dump()});
+        return;
+    }
     if (path == "/admin/v1/drain" && exchange->request().method == "POST") {
         exchange->respond({.status = 200, .headers = {}, .body = "{\"draining\":true}"});
         stop();
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "net/httpserver.h"
+#include "serving/burntask.h"
 #include "serving/callertask.h"
 #include "serving/claimtask.h"
 #include "serving/configtask.h"
@@ -57,6 +58,7 @@
     serving::OwnershipTask m_ownership;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
+    serving::BurnTask m_burn;
 
     net::HttpServer m_callerServer;
     net::HttpServer m_peerServer;
--- a/src/libs/config/settings.cpp
+++ b/src/libs/config/settings.cpp
@@ -111,6 +111,26 @@
               "must be TRACE, DEBUG, INFO, WARN, ERROR or OFF, got '" + settings.logLevel + "'");
 }
 
+void readObjectives(const YamlReader &root, Settings &settings)
+{
+    constexpr double leastShare = 0.01;
+    constexpr double mostShare = 0.9999;
+    const YamlReader objectives = root.section("objectives");
+    objectives.allowKeys({"firstTokenMs", "answerMs", "loadStallMs", "firstTokenShare",
+                          "answerShare", "loadStallShare"});
+    settings.firstTokenObjective
+        = milliseconds(objectives, "firstTokenMs", settings.firstTokenObjective);
+    settings.answerObjective = milliseconds(objectives, "answerMs", settings.answerObjective);
+    settings.loadStallObjective
+        = milliseconds(objectives, "loadStallMs", settings.loadStallObjective);
+    const auto share = [&](const char *key, double &value) {
+        value = objectives.number(key, leastShare, mostShare, value);
+    };
+    share("firstTokenShare", settings.firstTokenShare);
+    share("answerShare", settings.answerShare);
+    share("loadStallShare", settings.loadStallShare);
+}
+
 } // namespace
 
 absl::StatusOr<Settings> parseSettings(const std::string &yaml, const std::string &source)
@@ -125,7 +145,7 @@
     Settings settings;
     const YamlReader root(*node, "settings", faults);
     root.allowKeys({"host", "region", "failureDomain", "listen", "credentials", "platform", "lease",
-                    "limits", "log"});
+                    "limits", "log", "objectives"});
     settings.host = core::HostId(root.text("host"));
     settings.region = core::RegionId(root.text("region"));
     settings.failureDomain = core::FailureDomainId(root.text("failureDomain"));
@@ -134,6 +154,7 @@
     readLease(root, settings);
     readLimits(root, settings);
     readLog(root, settings);
+    readObjectives(root, settings);
     if (!faults.isEmpty())
         return refused(faults.toString());
     return settings;
--- a/src/libs/config/settings.h
+++ b/src/libs/config/settings.h
@@ -48,6 +48,13 @@
     std::int64_t storeConcurrentLoads = 2;
 
     std::string logLevel = "INFO";
+
+    core::Duration firstTokenObjective = std::chrono::milliseconds(440);
+    core::Duration answerObjective = std::chrono::milliseconds(5000);
+    core::Duration loadStallObjective = std::chrono::milliseconds(440);
+    double firstTokenShare = 0.95; ///< Share of requests that must be within the objective.
+    double answerShare = 0.95;
+    double loadStallShare = 0.95;
 };
 
 /// Reads daemon settings and checks them as a whole. Errors: kInvalidArgument with step `settings`;
--- /dev/null
+++ b/src/libs/observability/burn.cpp
@@ -0,0 +1,72 @@
+#include "observability/burn.h"
+
+#include <algorithm>
+
+namespace jackdawlead::observability {
+
+namespace {
+
+constexpr core::Duration longestWindow = std::chrono::hours(1);
+// About 400 samples cover the longest window; a sample takes 56 bytes.
+constexpr core::Duration leastDistance = std::chrono::seconds(10);
+
+} // namespace
+
+Objectives defaultObjectives()
+{
+    constexpr double share = 0.95;
+    return {Objective {std::chrono::milliseconds(440), share},
+            Objective {std::chrono::milliseconds(5000), share},
+            Objective {std::chrono::milliseconds(440), share}};
+}
+
+const char *toString(Indicator indicator)
+{
+    switch (indicator) {
+    case Indicator::FirstToken:
+        return "firstToken";
+    case Indicator::Answer:
+        return "answer";
+    case Indicator::LoadStall:
+        break;
+    }
+    return "loadStall";
+}
+
+double burnRate(const BurnCounts &counts, double share)
+{
+    if (counts.total == 0 || share >= 1.0)
+        return 0;
+    const auto bad = static_cast<double>(counts.total - counts.good);
+    return bad / static_cast<double>(counts.total) / (1.0 - share);
+}
+
+void BurnHistory::add(core::TimePoint now, const BurnSample &sample)
+{
+    // The newest entry moves on until it is far enough from the one before it.
+    if (m_samples.size() > 1 && now - m_samples[m_samples.size() - 2].at < leastDistance)
+        m_samples.back() = {now, sample};
+    else
+        m_samples.push_back({now, sample});
+    // The last sample before the window's start is kept, so that the window is covered in full.
+    while (m_samples.size() > 2 && m_samples[1].at <= now - longestWindow)
+        m_samples.pop_front();
+}
+
+BurnWindow BurnHistory::window(core::Duration length) const
+{
+    if (m_samples.empty())
+        return {};
+    const Entry &newest = m_samples.back();
+    const auto inside = std::ranges::find_if(
+        m_samples, [&](const Entry &entry) { return entry.at > newest.at - length; });
+    const Entry &oldest = inside == m_samples.begin() ? *inside : *std::prev(inside);
+    BurnWindow result;
+    result.covered = newest.at - oldest.at;
+    for (std::size_t index = 0; index < indicatorCount; ++index)
+        result.counts[index] = {newest.sample[index].total - oldest.sample[index].total,
+                                newest.sample[index].good - oldest.sample[index].good};
+    return result;
+}
+
+} // namespace jackdawlead::observability
--- a/src/libs/observability/metrics.cpp
+++ b/src/libs/observability/metrics.cpp
@@ -2,11 +2,12 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace jackdawlead::observability {
 
 namespace {
 
-// 0.44 s is the target for the first token and is therefore a bucket limit.
 const prometheus::Histogram::BucketBoundaries secondsBuckets {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.44, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0};
 
@@ -15,10 +16,26 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help)
+prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help,
+                                 const Objective &objective)
+{
+    prometheus::Histogram::BucketBoundaries buckets = secondsBuckets;
+    const double limit = seconds(objective.limit);
+    const auto place = std::ranges::lower_bound(buckets, limit);
+    if (place == buckets.end() || *place != limit)
+        buckets.insert(place, limit);
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, buckets);
+}
+
+BurnCounts countsOf(const prometheus::Histogram &histogram, const Objective &objective)
 {
-    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
-        {}, secondsBuckets);
+    const prometheus::ClientMetric metric = histogram.Collect();
+    BurnCounts counts;
+    counts.total = metric.histogram.sample_count;
+    for (const prometheus::ClientMetric::Bucket &bucket : metric.histogram.bucket)
+        if (bucket.upper_bound <= seconds(objective.limit))
+            counts.good = bucket.cumulative_count;
+    return counts;
 }
 
 prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
@@ -28,8 +45,9 @@
 
 } // namespace
 
-Metrics::Metrics()
-    : m_registry(std::make_shared<prometheus::Registry>())
+Metrics::Metrics(const Objectives &objectives)
+    : m_objectives(objectives)
+    , m_registry(std::make_shared<prometheus::Registry>())
     , m_requests(prometheus::BuildCounter()
                      .Name("jackdawlead_requests_total")
                      .Help("Requests of callers by outcome")
@@ -39,11 +57,14 @@
                    .Help("Orders to engines by kind and result")
                    .Register(*m_registry))
     , m_answerSeconds(histogram(*m_registry, "jackdawlead_answer_seconds",
-                                "Time from accepting a request to its last byte"))
+                                "Time from accepting a request to its last byte",
+                                objectives[static_cast<std::size_t>(Indicator::Answer)]))
     , m_firstTokenSeconds(histogram(*m_registry, "jackdawlead_first_token_seconds",
-                                    "Time from accepting a request to its first byte"))
+                                    "Time from accepting a request to its first byte",
+                                    objectives[static_cast<std::size_t>(Indicator::FirstToken)]))
     , m_loadStallSeconds(histogram(*m_registry, "jackdawlead_load_stall_seconds",
-                                   "Time a request waited for its adapter"))
+                                   "Time a request waited for its adapter",
+                                   objectives[static_cast<std::size_t>(Indicator::LoadStall)]))
     , m_generation(
           gauge(*m_registry, "jackdawlead_config_generation", "Configuration generation in force"))
     , m_ownedEndpoints(
@@ -94,6 +115,19 @@
     m_objectApiCalls.Set(static_cast<double>(count));
 }
 
+BurnSample Metrics::burnSample() const
+{
+    BurnSample sample;
+    const auto fill = [&](Indicator indicator, const prometheus::Histogram &histogram) {
+        const auto index = static_cast<std::size_t>(indicator);
+        sample[index] = countsOf(histogram, m_objectives[index]);
+    };
+    fill(Indicator::FirstToken, m_firstTokenSeconds);
+    fill(Indicator::Answer, m_answerSeconds);
+    fill(Indicator::LoadStall, m_loadStallSeconds);
+    return sample;
+}
+
 std::string Metrics::render() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/src/libs/observability/metrics.h
+++ b/src/libs/observability/metrics.h
@@ -2,6 +2,7 @@
 
 #include "core/outcome.h"
 #include "core/time.h"
+#include "observability/burn.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -18,7 +19,8 @@
 class Metrics
 {
 public:
-    Metrics();
+    /// The limit of each objective becomes a bucket limit of its histogram.
+    explicit Metrics(const Objectives &objectives = defaultObjectives());
 
     void requestEnded(core::Outcome outcome, core::Duration total);
     void firstTokenAfter(core::Duration delay);
@@ -29,10 +31,13 @@
     void setOwnedEndpoints(std::size_t count);
     void setObjectApiCalls(std::uint64_t count);
 
+    /// What the histograms hold now, against the objectives.
+    BurnSample burnSample() const;
     /// All metrics in the Prometheus text format.
     std::string render() const;
 
 private:
+    Objectives m_objectives;
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Counter> &m_orders;
--- a/src/tools/burnreport.cpp
+++ b/src/tools/burnreport.cpp
@@ -66,15 +66,15 @@
 std::string burnTable(const json &merged)
 {
     std::ostringstream text;
-    text << "daemons: " << merged.at("daemons") << "\n"
+    text << "daemons: " << merged.at("daemons").dump() << "\n"
          << "indicator    window s  covered s  limit ms  objective      total       good    burn\n";
     for (const json &row : merged.at("indicators"))
         text << std::left << std::setw(12) << row.at("name").get<std::string>() << std::right
-             << std::setw(9) << row.at("windowSeconds") << std::setw(11) << std::fixed
+             << std::setw(9) << row.at("windowSeconds").dump() << std::setw(11) << std::fixed
              << std::setprecision(0) << row.at("coveredSeconds").get<double>() << std::setw(10)
-             << row.at("limitMs") << std::setw(11) << std::setprecision(3)
-             << row.at("objective").get<double>() << std::setw(11) << row.at("total")
-             << std::setw(11) << row.at("good") << std::setw(8) << std::setprecision(2)
+             << row.at("limitMs").dump() << std::setw(11) << std::setprecision(3)
+             << row.at("objective").get<double>() << std::setw(11) << row.at("total").dump()
+             << std::setw(11) << row.at("good").dump() << std::setw(8) << std::setprecision(2)
              << row.at("burn").get<double>() << "\n";
     text << "A burn of 1 uses up the error budget exactly; above 1 the objective is missed.\n";
     return text.str();
