--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -11,6 +11,7 @@
 #include "serving/fleettask.h"
 #include "serving/leasetask.h"
 #include "serving/ownershiptask.h"
+#include "serving/peertask.h"
 
 #include <absl/status/status.h>
 
@@ -34,6 +35,7 @@
 
 private:
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
+    void viewChanged(const serving::FleetTask::ViewPtr &view);
     void servePeer(const std::shared_ptr<net::ServerExchange> &exchange);
     void serveAdmin(const std::shared_ptr<net::ServerExchange> &exchange);
     net::HttpResponse status() const;
@@ -47,6 +49,7 @@
     net::EventLoop m_loop;
     net::TimerService m_timers;
     net::HttpClient m_http;
+    net::HttpClient m_controlHttp;
     platform::ObjectClient m_objects;
     observability::Metrics m_metrics;
     serving::Context m_context;
@@ -56,6 +59,7 @@
     serving::ClaimTask m_claims;
     serving::CallerTask m_callers;
     serving::OwnershipTask m_ownership;
+    serving::PeerTask m_peers;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
     serving::BurnTask m_burn;
