--- a/src/libs/config/manifestparser.cpp
+++ b/src/libs/config/manifestparser.cpp
@@ -3,7 +3,9 @@
 #include "config/yamlreader.h"
 #include "core/error.h"
 
+#include <algorithm>
 #include <set>
+#include <unordered_map>
 
 namespace jackdawlead::config {
 
@@ -22,7 +24,8 @@
         reader.allowKeys(
             {"apiVersion", "release", "models", "pools", "customers", "adapters", "services"});
         if (reader.text("apiVersion") != "jackdawlead/v1")
-            reader.fault("apiVersion", "must be jackdawlead/v1");
+            reader.fault("apiVersion",
+                         "must be jackdawlead/v1, got '" + reader.text("apiVersion", "") + "'");
         m_manifest.release = reader.text("release");
         for (const YamlReader &item : reader.items("models"))
             parseModel(item);
@@ -52,7 +55,34 @@
                     const std::set<std::string> &names)
     {
         if (!name.empty() && !names.contains(name))
-            item.fault(key, "unknown reference '" + name + "'");
+            item.fault(key, "unknown reference '" + name + "'; must be the name of another entry");
+    }
+
+    // Engines serve a request only through an adapter of their model; plain services have none.
+    void checkAdapters(const YamlReader &item, const Service &service)
+    {
+        const auto pool = std::ranges::find(m_manifest.pools, service.pool, &Pool::name);
+        if (pool == m_manifest.pools.end())
+            return;
+        if (pool->kind == PoolKind::Plain) {
+            if (!service.adapters.empty())
+                item.fault("adapters",
+                           "must be empty, since pool '" + pool->name.value() + "' is plain; got "
+                               + std::to_string(service.adapters.size()) + " adapters");
+            return;
+        }
+        if (service.adapters.empty())
+            item.fault("adapters",
+                       "must list at least one adapter, since pool '" + pool->name.value()
+                           + "' is of kind engine");
+        for (const core::AdapterId &name : service.adapters) {
+            const auto model = m_modelOfAdapter.find(name);
+            if (model != m_modelOfAdapter.end() && model->second != pool->model)
+                item.fault("adapters",
+                           "adapter '" + name.value() + "' is of model '" + model->second.value()
+                               + "', but pool '" + pool->name.value() + "' serves model '"
+                               + pool->model.value() + "'");
+        }
     }
 
     void parseModel(const YamlReader &item)
@@ -91,7 +121,9 @@
         for (const std::string &digest : customer.tokenDigests) {
             const bool isHex = digest.find_first_not_of("0123456789abcdef") == std::string::npos;
             if (digest.size() != 64 || !isHex)
-                item.fault("tokenDigests", "must be 64 lower-case hexadecimal digits");
+                item.fault("tokenDigests",
+                           "must be 64 lower-case hexadecimal digits, got "
+                               + std::to_string(digest.size()) + " characters");
             if (!m_digests.insert(digest).second)
                 item.fault("tokenDigests", "digest is used by another customer");
         }
@@ -115,6 +147,7 @@
         }
         if (adapter.versions.empty())
             item.fault("versions", "must list at least one version");
+        m_modelOfAdapter.emplace(adapter.name, adapter.model);
         m_manifest.adapters.push_back(std::move(adapter));
     }
 
@@ -134,6 +167,7 @@
             service.callers.emplace_back(name);
         }
         service.isRepeatable = item.boolean("repeatable", true);
+        checkAdapters(item, service);
         m_manifest.services.push_back(std::move(service));
     }
 
@@ -145,6 +179,7 @@
     std::set<std::string> m_digests;
     std::set<std::string> m_adapters;
     std::set<std::string> m_services;
+    std::unordered_map<core::AdapterId, core::ModelId> m_modelOfAdapter;
 };
 
 } // namespace
--- a/src/libs/config/yamlreader.cpp
+++ b/src/libs/config/yamlreader.cpp
@@ -46,10 +46,14 @@
     if (!m_node.IsMap())
         return;
     std::vector<std::string> seen;
+    std::string allowed;
+    for (const std::string_view key : keys)
+        allowed.append(allowed.empty() ? "" : ", ").append(key);
     for (const auto &entry : m_node) {
         const auto key = entry.first.Scalar();
         if (std::ranges::find(keys, key) == keys.end())
-            m_faults->add(entry.first.Mark().line + 1, fieldPath(key.c_str()), "unknown key");
+            m_faults->add(entry.first.Mark().line + 1, fieldPath(key.c_str()),
+                          "unknown key; allowed are " + allowed);
         if (std::ranges::find(seen, key) != seen.end())
             m_faults->add(entry.first.Mark().line + 1, fieldPath(key.c_str()), "duplicate key");
         seen.push_back(key);
