--- a/tests/fakes/fakeengine.cpp
+++ b/tests/fakes/fakeengine.cpp
@@ -96,8 +96,10 @@
     {
         const std::string text = request.headers.value("X-Fencing-Token");
         const std::uint64_t token = text.empty() ? 0 : std::stoull(text);
-        if (m_options.checksFencing && token < m_highestToken)
-            return true;
+        if (token < m_highestToken) {
+            ++(m_options.checksFencing ? m_staleOrdersRefused : m_staleOrdersAccepted);
+            return m_options.checksFencing;
+        }
         m_highestToken = std::max(m_highestToken, token);
         return false;
     }
@@ -167,6 +169,9 @@
             text
                 += "engine_requests_running{lora=\"" + name + "\"} " + std::to_string(count) + "\n";
         text += "engine_loads_total " + std::to_string(m_loads) + "\n";
+        text += "engine_stale_orders_refused_total " + std::to_string(m_staleOrdersRefused) + "\n";
+        text
+            += "engine_stale_orders_accepted_total " + std::to_string(m_staleOrdersAccepted) + "\n";
         text += "engine_evictions_in_use_total " + std::to_string(m_evictionsInUse) + "\n";
         exchange->respond(
             {.status = 200, .headers = {{"Content-Type", "text/plain"}}, .body = text});
@@ -263,6 +268,8 @@
     std::size_t m_loading = 0;
     std::uint64_t m_highestToken = 0;
     int m_loads = 0;
+    int m_staleOrdersRefused = 0;
+    int m_staleOrdersAccepted = 0;
     int m_evictionsInUse = 0;
     json m_record = json::object();
     json m_fault {{"loads", "ok"}, {"crashOn", ""}, {"silentOn", ""}, {"wrongModel", ""}};
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -2,6 +2,7 @@
 // Faults are switched by POST /fake/fault with a JSON object:
 //   objectApi: "ok", "out" (refuses), "silent" (never answers), "lose-answers" (writes take effect,
 //              the connection is closed instead of an answer)
+//   dropEvents: whether watches stay open but lose every event
 //   delayMs: added to every answer of the object API
 //   store: "ok" or "out"; storeDelayFactor: multiplies the time of a load
 //   hostList: "ok" or "out"
@@ -214,7 +215,7 @@
         if (m_events.size() > keptEvents)
             m_events.pop_front();
         for (Watch &watch : m_watches)
-            if (watch.kind == kind)
+            if (watch.kind == kind && !m_fault["dropEvents"].get<bool>())
                 watch.exchange->write(m_events.back().body.dump() + "\n");
     }
 
@@ -280,11 +281,8 @@
     int m_loadsInFlight = 0;
     json m_hosts {{"items", json::array()}};
     json m_counts {{"GET", 0}, {"POST", 0}, {"PUT", 0}, {"DELETE", 0}, {"loads", 0}};
-    json m_fault {{"objectApi", "ok"},
-                  {"delayMs", 0},
-                  {"store", "ok"},
-                  {"storeDelayFactor", 1.0},
-                  {"hostList", "ok"}};
+    json m_fault {{"objectApi", "ok"}, {"dropEvents", false},     {"delayMs", 0},
+                  {"store", "ok"},     {"storeDelayFactor", 1.0}, {"hostList", "ok"}};
 };
 
 } // namespace
--- a/tests/support/runtests.py
+++ b/tests/support/runtests.py
@@ -19,11 +19,16 @@
     return {line.split(" | ")[0].strip() for line in lines if " | " in line and not line.startswith("Tests that may fail")}
 
 
+def is_serial(program):
+    """Tests with real processes run one after the other, so that each has the machine to itself."""
+    return program.parent.name == "e2e"
+
+
 def run(program):
     """Returns the passed and failed test names of one Criterion program and its output."""
     report = program.with_suffix(".xml")
     report.unlink(missing_ok=True)
-    command = [str(program), f"--xml={report}", "--jobs", "2"]
+    command = [str(program), f"--xml={report}", "--jobs", "1" if is_serial(program) else "2"]
     try:
         done = subprocess.run(command, capture_output=True, text=True, timeout=TIMEOUT_SECONDS)
         output = done.stdout + done.stderr
@@ -44,9 +49,8 @@
     build, red_file = pathlib.Path(sys.argv[1]), pathlib.Path(sys.argv[2])
     programs = sorted(path for path in (build / "tests").rglob("tst_*")
                       if path.is_file() and path.suffix == "")
-    # Tests with real processes use fixed ports and run one after the other.
-    parallel = [path for path in programs if "e2e" not in path.parts]
-    serial = [path for path in programs if "e2e" in path.parts]
+    parallel = [path for path in programs if not is_serial(path)]
+    serial = [path for path in programs if is_serial(path)]
     with concurrent.futures.ThreadPoolExecutor(max_workers=4) as pool:
         results = list(zip(parallel, pool.map(run, parallel)))
     results += [(path, run(path)) for path in serial]
