--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -44,8 +44,10 @@
             adopt();
         else if (code == absl::StatusCode::kNotFound)
             m_resourceVersion.clear();
-        else
+        else {
             observability::logError(observability::LogLevel::Warn, result.status());
+            readBack(sentAt);
+        }
     };
     const std::string &name = m_context.settings.host.value();
     if (m_resourceVersion.empty())
@@ -68,6 +70,21 @@
         });
 }
 
+// The write may have taken effect although its answer was lost. The incarnation and the number of
+// the renewal tell whether the record is the one that was sent.
+void LeaseTask::readBack(core::TimePoint sentAt)
+{
+    m_context.objects.read(platform::kinds::hostLeases, m_context.settings.host.value(),
+                           [this, sentAt, renewal = m_renewals](const auto &result) {
+                               if (!result.ok() || m_isReleased || renewal != m_renewals)
+                                   return;
+                               m_resourceVersion = result->resourceVersion;
+                               if (result->spec.value("incarnation", std::string()) == m_incarnation
+                                   && result->spec.value("renewals", std::uint64_t {0}) == renewal)
+                                   stored(*result, sentAt);
+                           });
+}
+
 void LeaseTask::stored(const platform::Object &object, core::TimePoint sentAt)
 {
     m_resourceVersion = object.resourceVersion;
--- a/src/libs/serving/leasetask.h
+++ b/src/libs/serving/leasetask.h
@@ -26,6 +26,7 @@
 private:
     void renew();
     void adopt();
+    void readBack(core::TimePoint sentAt);
     void stored(const platform::Object &object, core::TimePoint sentAt);
     void renewLater();
 
--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -1,5 +1,6 @@
 #include "serving/ownershiptask.h"
 
+#include "core/error.h"
 #include "decisions/placement.h"
 #include "observability/log.h"
 
@@ -203,18 +204,14 @@
     const core::FencingToken token
         = previous ? previous->ownership.token.next() : core::FencingToken(1);
     const Ownership ownership {m_context.settings.host, token};
-    const auto handler = [this, endpoint](const absl::StatusOr<platform::Object> &result) {
-        m_pending.erase(endpoint);
-        if (!result.ok()) {
-            observability::logError(observability::LogLevel::Info, result.status());
-            return;
-        }
-        observability::log(
-            {.step = "acquire", .message = "endpoint acquired", .peer = endpoint.value()});
-        m_claimed.insert(endpoint);
-        recordSeen(*result);
-        publish();
-    };
+    const auto handler
+        = [this, endpoint, ownership](const absl::StatusOr<platform::Object> &result) {
+              if (result.ok() || core::outcomeOf(result.status()) == core::Outcome::NotRun) {
+                  claimEnded(endpoint, result);
+                  return;
+              }
+              readBack(endpoint, ownership);
+          };
     if (previous)
         m_context.objects.update(platform::kinds::endpointOwners,
                                  {endpoint.value(), previous->resourceVersion, specOf(ownership)},
@@ -224,6 +221,37 @@
                                  specOf(ownership), handler);
 }
 
+// The write may have taken effect although its answer was lost. No other daemon writes this holder,
+// and this process uses each token once, so the record tells.
+void OwnershipTask::readBack(const core::EndpointId &endpoint, const Ownership &ownership)
+{
+    m_context.objects.read(
+        platform::kinds::endpointOwners, endpoint.value(),
+        [this, endpoint, ownership](const absl::StatusOr<platform::Object> &result) {
+            if (result.ok() && result->spec != specOf(ownership))
+                claimEnded(endpoint,
+                           core::makeError(absl::StatusCode::kAborted, "acquire", endpoint.value(),
+                                           "the record was not written"));
+            else
+                claimEnded(endpoint, result);
+        });
+}
+
+void OwnershipTask::claimEnded(const core::EndpointId &endpoint,
+                               const absl::StatusOr<platform::Object> &result)
+{
+    m_pending.erase(endpoint);
+    if (!result.ok()) {
+        observability::logError(observability::LogLevel::Info, result.status());
+        return;
+    }
+    observability::log(
+        {.step = "acquire", .message = "endpoint acquired", .peer = endpoint.value()});
+    m_claimed.insert(endpoint);
+    recordSeen(*result);
+    publish();
+}
+
 void OwnershipTask::leaseRegained()
 {
     m_claimed.clear();
--- a/src/libs/serving/ownershiptask.h
+++ b/src/libs/serving/ownershiptask.h
@@ -55,6 +55,9 @@
     void reconcileEndpoint(const core::EndpointId &endpoint);
     std::vector<core::HostId> preferredOwners(const core::EndpointId &endpoint) const;
     void claim(const core::EndpointId &endpoint, const Record *previous);
+    void readBack(const core::EndpointId &endpoint, const Ownership &ownership);
+    void claimEnded(const core::EndpointId &endpoint,
+                    const absl::StatusOr<platform::Object> &result);
     void observeLease(const core::HostId &holder);
     void publish();
 
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -71,7 +71,10 @@
         entry.relayPort = ports.take();
         entry.controlPort = ports.take();
     }
+    m_awayPlatformPort = ports.take();
     for (DaemonEntry &entry : m_daemons) {
+        entry.relayPort = ports.take();
+        entry.controlPort = ports.take();
         entry.caller = ports.take();
         entry.peer = ports.take();
         entry.admin = ports.take();
@@ -96,7 +99,12 @@
                          "--control-port", text(control)});
 }
 
-json Fleet::hostEntries() const
+bool Fleet::isRelayed(bool isAwayTarget, bool isSeenFromAway) const
+{
+    return m_options.isLinkRelayed && isAwayTarget != isSeenFromAway;
+}
+
+json Fleet::hostEntries(bool isSeenFromAway) const
 {
     json items = json::array();
     const auto add = [&items](const std::string &name, const char *role, std::uint16_t port,
@@ -110,12 +118,19 @@
                          {"failureDomain", isAway ? "away-1" : "home-1"},
                          {"state", "live"}});
     };
-    for (std::size_t index = 0; index < m_daemons.size(); ++index)
-        add(daemonName(index), "daemon", m_daemons[index].peer, "", isAwayDaemon(index));
-    for (std::size_t index = 0; index < m_engines.size(); ++index)
-        add(engineName(index), "endpoint",
-            m_options.areEnginesRelayed ? m_engines[index].relayPort : m_engines[index].port,
-            "assistants", index + m_options.awayEngines >= m_options.engines);
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        const DaemonEntry &entry = m_daemons[index];
+        const bool isAway = isAwayDaemon(index);
+        add(daemonName(index), "daemon",
+            isRelayed(isAway, isSeenFromAway) ? entry.relayPort : entry.peer, "", isAway);
+    }
+    for (std::size_t index = 0; index < m_engines.size(); ++index) {
+        const EngineEntry &entry = m_engines[index];
+        const bool isAway = index + m_options.awayEngines >= m_options.engines;
+        const bool hasRelay = m_options.areEnginesRelayed || isRelayed(isAway, isSeenFromAway);
+        add(engineName(index), "endpoint", hasRelay ? entry.relayPort : entry.port, "assistants",
+            isAway);
+    }
     add("orders-0", "endpoint", m_servicePort, "orders", false);
     return {{"items", items}};
 }
@@ -139,7 +154,9 @@
     const DaemonEntry &entry = m_daemons[index];
     const bool isAway = isAwayDaemon(index);
     const std::uint16_t platform
-        = isAway && m_options.isAwayPlatformRelayed ? m_awayRelayPort : m_platformPort;
+        = isAway && m_options.isLinkRelayed ? m_awayRelayPort : m_platformPort;
+    const std::uint16_t hostList
+        = isAway && m_options.isLinkRelayed ? m_awayPlatformPort : m_platformPort;
     std::ofstream file(m_folder / (daemonName(index) + ".yaml"));
     file << "host: " << daemonName(index) << "\nregion: " << (isAway ? "away" : "home")
          << "\nfailureDomain: " << (isAway ? "away-1" : "home-1")
@@ -147,7 +164,7 @@
          << ", peerPort: " << entry.peer << ", adminPort: " << entry.admin << " }\n"
          << "credentials: { peer: peer-secret, admin: admin-secret }\n"
          << "platform: { objectApiIp: 127.0.0.1, objectApiPort: " << platform
-         << ", hostListIp: 127.0.0.1, hostListPort: " << platform << " }\n";
+         << ", hostListIp: 127.0.0.1, hostListPort: " << hostList << " }\n";
     if (m_options.hasShortLeases)
         file << "lease: { durationMs: 3000, renewPeriodMs: 1000, guardMs: 300 }\n";
     if (!m_options.limits.empty())
@@ -206,24 +223,38 @@
         readyLimit);
 }
 
+void Fleet::startLinkRelays()
+{
+    m_awayPlatform
+        = startProgram("away-platform", {FAKEPLATFORM, "--port", text(m_awayPlatformPort)});
+    m_awayRelay = startRelay("relay", m_awayRelayPort, m_platformPort, m_awayControlPort);
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        DaemonEntry &entry = m_daemons[index];
+        entry.relay = startRelay("relay-" + daemonName(index), entry.relayPort, entry.peer,
+                                 entry.controlPort);
+    }
+    waitForStatus(m_awayPlatformPort, "/v1/hosts");
+    m_caller.write(m_awayPlatformPort, "PUT", "/v1/hosts", hostEntries(true));
+}
+
 void Fleet::startAll()
 {
     m_platform = startProgram("platform", {FAKEPLATFORM, "--port", text(m_platformPort)});
     m_service = startProgram("service", {FAKESERVICE, "--port", text(m_servicePort)});
-    if (m_options.isAwayPlatformRelayed)
-        m_awayRelay = startRelay("relay", m_awayRelayPort, m_platformPort, m_awayControlPort);
     if (!waitForStatus(m_platformPort, "/v1/hosts") || !waitForStatus(m_servicePort, "/fake/runs"))
         return;
     for (std::size_t index = 0; index < m_engines.size(); ++index) {
         EngineEntry &entry = m_engines[index];
         startEngine(index);
-        if (!m_options.areEnginesRelayed)
+        if (!m_options.areEnginesRelayed && !m_options.isLinkRelayed)
             continue;
         entry.relay = startRelay("relay-" + engineName(index), entry.relayPort, entry.port,
                                  entry.controlPort);
         waitForStatus(entry.relayPort, "/v1/models");
     }
-    m_hosts = hostEntries();
+    if (m_options.isLinkRelayed)
+        startLinkRelays();
+    m_hosts = hostEntries(false);
     m_caller.write(m_platformPort, "PUT", "/v1/hosts", m_hosts);
     if (control({"apply", writeManifest("release-1", m_options.adapters)}) != 0)
         return;
@@ -252,9 +283,14 @@
     return m_caller.write(m_engines.at(index).controlPort, "POST", "/fake/fault", mode);
 }
 
-bool Fleet::setAwayRelay(const json &mode)
+bool Fleet::setLink(const json &mode)
 {
-    return m_caller.write(m_awayControlPort, "POST", "/fake/fault", mode);
+    bool isSet = m_caller.write(m_awayControlPort, "POST", "/fake/fault", mode);
+    for (const DaemonEntry &entry : m_daemons)
+        isSet = m_caller.write(entry.controlPort, "POST", "/fake/fault", mode) && isSet;
+    for (const EngineEntry &entry : m_engines)
+        isSet = m_caller.write(entry.controlPort, "POST", "/fake/fault", mode) && isSet;
+    return isSet;
 }
 
 AnswerPtr Fleet::chat(std::size_t daemon, const std::string &model, const std::string &prompt,
@@ -362,24 +398,34 @@
 
 bool Fleet::waitForModel(std::size_t daemon, const std::string &model, core::Duration limit)
 {
-    return m_caller.waitUntil(
-        [&] {
-            const AnswerPtr answer = chat(daemon, model, "ready", false);
-            return m_caller.waitForAll({answer}, limit) && answer->isComplete();
-        },
-        limit);
+    return waitForModels(daemon, std::vector<std::string> {model}, limit);
 }
 
 bool Fleet::waitForModels(std::size_t daemon, int count, core::Duration limit)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    for (int number = 1; number <= count; ++number) {
-        const auto left = end - std::chrono::steady_clock::now();
-        if (!waitForModel(daemon, modelName(number),
-                          std::chrono::duration_cast<core::Duration>(left)))
-            return false;
-    }
-    return true;
+    std::vector<std::string> models;
+    for (int number = 1; number <= count; ++number)
+        models.push_back(modelName(number));
+    return waitForModels(daemon, std::move(models), limit);
+}
+
+bool Fleet::waitForModels(std::size_t daemon, std::vector<std::string> models, core::Duration limit)
+{
+    return m_caller.waitUntil(
+        [&] {
+            std::vector<AnswerPtr> answers;
+            for (const std::string &model : models)
+                answers.push_back(chat(daemon, model, "ready", true));
+            m_caller.waitForAll(answers, limit);
+            std::vector<std::string> missing;
+            for (std::size_t index = 0; index < models.size(); ++index)
+                if (!answers[index]->isComplete()
+                    || !answers[index]->body.ends_with("data: [DONE]\n\n"))
+                    missing.push_back(models[index]);
+            models = std::move(missing);
+            return models.empty();
+        },
+        limit);
 }
 
 std::string Fleet::daemonLog(std::size_t index) const
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -29,8 +29,8 @@
     std::vector<std::string> limits {};
     /// Whether connections to engines pass a relay.
     bool areEnginesRelayed = false;
-    /// Whether connections of the second region's daemons to the platform pass a relay.
-    bool isAwayPlatformRelayed = false;
+    /// Whether every connection between the regions passes a relay; the object API is in the first.
+    bool isLinkRelayed = false;
 };
 
 /// How one run of jackdawctl ended.
@@ -71,7 +71,8 @@
     bool setEngineFault(std::size_t index, const nlohmann::json &fault);
     /// Sets what the relay of an engine does; see tests/fakes/fakerelay.cpp.
     bool setEngineRelay(std::size_t index, const nlohmann::json &mode);
-    bool setAwayRelay(const nlohmann::json &mode);
+    /// Sets what the relays between the regions do.
+    bool setLink(const nlohmann::json &mode);
 
     /// Starts a chat request to an adapter, such as "adapter-1@1".
     AnswerPtr chat(std::size_t daemon, const std::string &model, const std::string &prompt,
@@ -115,7 +116,10 @@
         std::uint16_t caller = 0;
         std::uint16_t peer = 0;
         std::uint16_t admin = 0;
+        std::uint16_t relayPort = 0;
+        std::uint16_t controlPort = 0;
         Process process;
+        Process relay;
     };
     struct EngineEntry
     {
@@ -127,12 +131,15 @@
     };
 
     bool isAwayDaemon(std::size_t index) const;
+    bool waitForModels(std::size_t daemon, std::vector<std::string> models, core::Duration limit);
     void choosePorts();
     void writeSettings(std::size_t index);
     Process startProgram(const std::string &name, std::vector<std::string> command) const;
     Process startRelay(const std::string &name, std::uint16_t port, std::uint16_t target,
                        std::uint16_t control) const;
-    nlohmann::json hostEntries() const;
+    bool isRelayed(bool isAwayTarget, bool isSeenFromAway) const;
+    nlohmann::json hostEntries(bool isSeenFromAway) const;
+    void startLinkRelays();
     bool waitForStatus(std::uint16_t port, const std::string &path);
     void startAll();
 
@@ -141,10 +148,12 @@
     Caller m_caller;
     std::uint16_t m_platformPort = 0;
     std::uint16_t m_servicePort = 0;
+    std::uint16_t m_awayPlatformPort = 0;
     std::uint16_t m_awayRelayPort = 0;
     std::uint16_t m_awayControlPort = 0;
     Process m_platform;
     Process m_service;
+    Process m_awayPlatform;
     Process m_awayRelay;
     std::vector<EngineEntry> m_engines;
     std::vector<DaemonEntry> m_daemons;
