Add the decision about requests that crash their endpoint

Cause: a request that crashes every endpoint that runs it, and that its caller sends again, takes down one endpoint after the other.

Change: decisions/quarantine keeps, for a fingerprint of customer, adapter version and body, the endpoint deaths it was in flight at: after one it runs only alone, after two not at all for 10 minutes. Each death has an id, so that it counts once when it comes back as a fact of another daemon. At most 4,096 fingerprints and two deaths each are kept.

--- /dev/null
+++ b/src/libs/decisions/quarantine.cpp
@@ -0,0 +1,118 @@
+#include "decisions/quarantine.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace jackdawlead::decisions {
+
+namespace {
+
+constexpr std::size_t deathsForQuarantine = 2;
+constexpr char separator = '/';
+
+} // namespace
+
+Fingerprint fingerprintOf(const core::CustomerId &customer, const core::AdapterVersion &adapter,
+                          std::string_view body)
+{
+    const std::string owner = customer.value() + "\n" + adapter.toString() + "\n";
+    const XXH64_hash_t ownerHash = XXH3_64bits(owner.data(), owner.size());
+    const XXH128_hash_t hash = XXH3_128bits_withSeed(body.data(), body.size(), ownerHash);
+    std::array<char, 33> text {};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(hash.high64),
+                  static_cast<unsigned long long>(hash.low64));
+    return Fingerprint(text.data());
+}
+
+const Quarantine::Entry *Quarantine::find(const Fingerprint &fingerprint, core::TimePoint now) const
+{
+    const auto entry = m_entries.find(fingerprint);
+    return entry == m_entries.end() || now >= entry->second.expiresAt ? nullptr : &entry->second;
+}
+
+bool Quarantine::died(const Fingerprint &fingerprint, const DeathId &death, core::TimePoint now)
+{
+    while (!m_ages.empty() && now >= m_entries.at(m_ages.front()).expiresAt) {
+        m_entries.erase(m_ages.front());
+        m_ages.pop_front();
+    }
+    const auto known = m_entries.find(fingerprint);
+    if (known == m_entries.end()) {
+        if (m_entries.size() >= m_limits.maxEntries) {
+            m_entries.erase(m_ages.front());
+            m_ages.pop_front();
+        }
+        m_entries.emplace(
+            fingerprint,
+            Entry {{death}, now + m_limits.duration, m_ages.insert(m_ages.end(), fingerprint)});
+        return true;
+    }
+    Entry &entry = known->second;
+    if (entry.deaths.contains(death))
+        return false;
+    // The latest two are kept, so that the size is bounded and a repeated message stays known.
+    if (entry.deaths.size() >= deathsForQuarantine)
+        entry.deaths.erase(entry.deaths.begin());
+    entry.deaths.insert(death);
+    entry.expiresAt = now + m_limits.duration;
+    m_ages.splice(m_ages.end(), m_ages, entry.age);
+    return true;
+}
+
+Standing Quarantine::standing(const Fingerprint &fingerprint, core::TimePoint now) const
+{
+    const Entry *entry = find(fingerprint, now);
+    if (!entry)
+        return Standing::Clear;
+    return entry->deaths.size() >= deathsForQuarantine ? Standing::Quarantined : Standing::Suspect;
+}
+
+core::Duration Quarantine::remaining(const Fingerprint &fingerprint, core::TimePoint now) const
+{
+    const Entry *entry = find(fingerprint, now);
+    return entry ? entry->expiresAt - now : core::Duration::zero();
+}
+
+bool Quarantine::mayStart(const Fingerprint &fingerprint, core::TimePoint now) const
+{
+    switch (standing(fingerprint, now)) {
+    case Standing::Clear:
+        return true;
+    case Standing::Suspect:
+        return !m_running.contains(fingerprint);
+    case Standing::Quarantined:
+        break;
+    }
+    return false;
+}
+
+void Quarantine::ended(const Fingerprint &fingerprint)
+{
+    const auto running = m_running.find(fingerprint);
+    if (running != m_running.end() && --running->second <= 0)
+        m_running.erase(running);
+}
+
+Fact Quarantine::factOf(const Fingerprint &fingerprint, const DeathId &death)
+{
+    return {FactKind::Quarantine,
+            FactSubject(fingerprint.value() + separator + death.value()),
+            FactVersion(1),
+            {}};
+}
+
+bool Quarantine::factSeen(const Fact &fact, core::TimePoint now)
+{
+    const std::string &subject = fact.subject.value();
+    const std::size_t end = subject.find(separator);
+    if (fact.kind != FactKind::Quarantine || end == std::string::npos || end == 0
+        || end + 1 == subject.size())
+        return false;
+    return died(Fingerprint(subject.substr(0, end)), DeathId(subject.substr(end + 1)), now);
+}
+
+} // namespace jackdawlead::decisions
