Add outage mode, and exclude it from take-overs in every order of events

Cause: a lapsed holder may go on serving resident adapters while a majority reports the object API as unreachable, and another daemon may take over after a majority reported it reachable.

Change: decisions/outagemode counts the reports. A report also says since when it holds without a gap; a taker needs a majority whose reachability covers its whole observation, which is longer by the age of a report (19 s). OutagePermit ends a holder's outage mode at its first gap, also at a gap of 1 s between evaluations, until its lease is renewed.

Conclusion: the design's argument holds with the two additions; a take-over after a crash takes 3 s longer.

--- /dev/null
+++ b/src/libs/decisions/outagemode.cpp
@@ -0,0 +1,65 @@
+#include "decisions/outagemode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawlead::decisions {
+
+namespace {
+
+// A longer gap, as by a pause of the process, could hide that outage mode had ended.
+constexpr core::Duration maxEvaluationGap = std::chrono::seconds(1);
+
+} // namespace
+
+void OutageMode::daemonsChanged(std::set<core::HostId> daemons)
+{
+    m_daemons = std::move(daemons);
+    std::erase_if(m_states, [this](const auto &entry) { return !m_daemons.contains(entry.first); });
+}
+
+void OutageMode::reported(const core::HostId &host, const ApiState &state)
+{
+    if (!m_daemons.contains(host))
+        return;
+    const auto [known, isNew] = m_states.try_emplace(host, state);
+    if (!isNew && state.madeAt > known->second.madeAt)
+        known->second = state;
+}
+
+bool OutageMode::isOutage(core::TimePoint now) const
+{
+    return isMajority(
+        static_cast<std::size_t>(std::ranges::count_if(m_states, [&](const auto &entry) {
+            return entry.second.report == ApiReport::Unreachable
+                && now - entry.second.madeAt <= m_limits.maxReportAge;
+        })));
+}
+
+bool OutageMode::isReachableSince(core::TimePoint begin, core::TimePoint now) const
+{
+    return isMajority(
+        static_cast<std::size_t>(std::ranges::count_if(m_states, [&](const auto &entry) {
+            return entry.second.report == ApiReport::Reachable && entry.second.since <= begin
+                && now - entry.second.madeAt <= m_limits.maxReportAge;
+        })));
+}
+
+std::map<core::HostId, ApiState> OutageMode::current(core::TimePoint now) const
+{
+    std::map<core::HostId, ApiState> states;
+    for (const auto &[host, state] : m_states)
+        if (now - state.madeAt <= m_limits.maxReportAge)
+            states.emplace(host, state);
+    return states;
+}
+
+bool OutagePermit::evaluate(bool isLeaseValid, bool isOutage, core::TimePoint now)
+{
+    const bool hasGap = now - m_evaluatedAt > maxEvaluationGap;
+    m_evaluatedAt = now;
+    m_isOpen = isLeaseValid || (m_isOpen && isOutage && !hasGap);
+    return m_isOpen;
+}
+
+} // namespace jackdawlead::decisions
--- /dev/null
+++ b/tests/auto/outagemode/tst_outagemode.cpp
@@ -0,0 +1,183 @@
+#include "decisions/lease.h"
+#include "decisions/outagemode.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace jackdawlead;
+using namespace std::chrono_literals;
+using decisions::ApiReport;
+using decisions::OutageMode;
+
+namespace {
+
+constexpr core::TimePoint start(1h);
+
+core::HostId host(std::size_t index)
+{
+    return core::HostId("daemon-" + std::to_string(index));
+}
+
+std::set<core::HostId> hosts(std::size_t count)
+{
+    std::set<core::HostId> all;
+    for (std::size_t index = 0; index < count; ++index)
+        all.insert(host(index));
+    return all;
+}
+
+decisions::ApiState state(ApiReport report, core::TimePoint madeAt)
+{
+    return {report, madeAt, madeAt};
+}
+
+/// Daemons that exchange reports at random. Each one sees the object API or not, as its link is.
+struct Region
+{
+    Region(std::size_t count, unsigned seed)
+        : random(seed)
+        , modes(count, OutageMode({}))
+        , isUp(count, true)
+        , since(count, start)
+    {
+        for (OutageMode &mode : modes)
+            mode.daemonsChanged(hosts(count));
+    }
+
+    void setUp(std::size_t index, bool value, core::TimePoint now)
+    {
+        if (isUp[index] != value)
+            since[index] = now;
+        isUp[index] = value;
+    }
+
+    void exchange(core::TimePoint now)
+    {
+        for (std::size_t index = 0; index < modes.size(); ++index)
+            modes[index].reported(
+                host(index),
+                {isUp[index] ? ApiReport::Reachable : ApiReport::Unreachable, now, since[index]});
+        for (std::size_t index = 0; index < modes.size(); ++index)
+            for (const auto &[from, known] : modes[random() % modes.size()].current(now))
+                if (random() % 10 != 0)
+                    modes[index].reported(from, known);
+    }
+
+    std::mt19937 random;
+    std::vector<OutageMode> modes;
+    std::vector<bool> isUp;
+    std::vector<core::TimePoint> since;
+};
+
+struct Steps
+{
+    std::size_t outage = 0;
+    std::size_t takeOver = 0;
+};
+
+/// One random run with one endpoint held by daemon 0. Daemons take over as OwnershipTask does.
+void checkExclusion(std::mt19937 &random, unsigned run, Steps &steps)
+{
+    constexpr decisions::LeaseLimits takerLimits {15s, 1s + 3s};
+    constexpr core::Duration observation = takerLimits.duration + takerLimits.guard;
+    const std::size_t count = 2 + random() % 7;
+    Region region(count, random());
+    std::vector<decisions::LeaseObserver> observers(count, decisions::LeaseObserver(takerLimits));
+    decisions::LeaseHolder holder({});
+    decisions::OutagePermit permit;
+    std::uint64_t renewals = 0;
+    for (core::TimePoint now = start; now < start + 120s; now += 250ms) {
+        if (random() % 40 == 0) {
+            const bool isWhole = random() % 2 == 0;
+            for (std::size_t index = 0; index < count; ++index)
+                region.setUp(index, random() % (isWhole ? 10 : 2) != 0, now);
+        }
+        region.exchange(now);
+        if (region.isUp[0] && (now - start) % 5s == 0s) {
+            ++renewals;
+            holder.renewed(now);
+        }
+        bool isTaken = false;
+        for (std::size_t index = 1; index < count; ++index) {
+            const bool isAnswering
+                = region.isUp[index] && region.modes[index].isReachableSince(now, now);
+            if (isAnswering)
+                observers[index].observed(std::to_string(renewals), now);
+            else
+                observers[index].interrupted();
+            isTaken = isTaken
+                || (observers[index].hasLapsed(now)
+                    && region.modes[index].isReachableSince(now - observation, now));
+        }
+        const bool isOutage = region.modes[0].isOutage(now);
+        const bool mayDispatch = permit.evaluate(holder.isValid(now), isOutage, now);
+        steps.outage += mayDispatch && !holder.isValid(now);
+        steps.takeOver += isTaken;
+        cr_assert_not(mayDispatch && isTaken, "run %u", run);
+        if (isTaken)
+            return;
+    }
+}
+
+} // namespace
+
+// Guards against outage mode with a minority, with old reports, or of unknown daemons.
+Test(outagemode, needsRecentMajority)
+{
+    OutageMode mode({});
+    cr_expect_not(mode.isOutage(start));
+    cr_expect_not(mode.isReachableSince(start, start));
+    mode.daemonsChanged(hosts(4));
+    mode.reported(host(0), state(ApiReport::Unreachable, start));
+    mode.reported(host(1), state(ApiReport::Unreachable, start + 1s));
+    mode.reported(core::HostId("other"), state(ApiReport::Unreachable, start + 1s));
+    cr_expect_not(mode.isOutage(start + 1s), "two of four are no majority");
+    mode.reported(host(2), state(ApiReport::Unreachable, start + 2s));
+    cr_expect(mode.isOutage(start + 3s));
+    cr_expect_not(mode.isOutage(start + 3s + 1us), "the first report is too old");
+    mode.reported(host(0), state(ApiReport::Reachable, start + 4s));
+    mode.reported(host(0), state(ApiReport::Unreachable, start + 3s));
+    cr_expect_not(mode.isOutage(start + 4s), "a late message does not bring back an old report");
+}
+
+// Guards against a lone daemon of a region that never serves in an outage.
+Test(outagemode, loneDaemonIsItsOwnMajority)
+{
+    OutageMode mode({});
+    mode.daemonsChanged(hosts(1));
+    mode.reported(host(0), state(ApiReport::Unreachable, start));
+    cr_expect(mode.isOutage(start));
+}
+
+// Guards against a holder that dispatches after outage mode had ended for a while, in which
+// another daemon may have taken over.
+Test(outagemode, permitEndsAtFirstGap)
+{
+    decisions::OutagePermit permit;
+    cr_expect_not(permit.evaluate(false, true, start), "never held a lease");
+    cr_expect(permit.evaluate(true, false, start));
+    cr_expect(permit.evaluate(false, true, start + 500ms));
+    cr_expect_not(permit.evaluate(false, false, start + 1s));
+    cr_expect_not(permit.evaluate(false, true, start + 1s + 500ms));
+    cr_expect(permit.evaluate(true, true, start + 2s));
+    cr_expect_not(permit.evaluate(false, true, start + 4s), "paused for two seconds");
+}
+
+// Guards against two daemons that serve one endpoint: whatever links fail, a holder never
+// dispatches in outage mode once another daemon may take over.
+Test(outagemode, excludesTakeOver)
+{
+    constexpr unsigned seed = 11;
+    std::printf("seed %u\n", seed);
+    std::mt19937 random(seed);
+    Steps steps;
+    for (unsigned run = 0; run < 3000; ++run)
+        checkExclusion(random, run, steps);
+    std::printf("%zu steps in outage mode, %zu take-overs\n", steps.outage, steps.takeOver);
+    cr_expect_gt(steps.outage, 1000UL);
+    cr_expect_gt(steps.takeOver, 100UL);
+}
