--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -2,6 +2,7 @@
 
 #include "config/catalog.h"
 #include "config/release.h"
+#include "decisions/generationgate.h"
 #include "platform/objectfollower.h"
 #include "serving/context.h"
 #include "serving/peertask.h"
@@ -46,6 +47,7 @@
     PeerTask &m_peers;
     Subscriber m_subscriber;
     CatalogPtr m_current;
+    decisions::GenerationGate m_gate;
     config::ConfigRoot m_wanted;
     config::ConfigRoot m_applied;
     core::HostId m_source; ///< The daemon that last announced the wanted generation.
