Quarantine requests that crash their endpoint

Cause: the daemon repeated a request whose connection broke, also when the request itself had crashed the endpoint.

Change: serving/crashwatch probes an endpoint on a new connection after a connection broke; it died if the probe fails or another instance answers. The owner then records all requests in flight, tells all daemons at once, and answers the entry daemon with the step `quarantine`, after which it makes no further attempt. A suspect starts only when the owner runs no other copy of it; a quarantined request is refused at its entry daemon as not run with the time to come back. A cut request without answer bytes is answered after the probe (limit: the connect time-out), since its repetition depends on it.

Not covered: copies of a suspect at two owners at the same time.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -45,14 +45,15 @@
     , m_objects(m_controlHttp, {m_settings.objectApiIp, m_settings.objectApiPort})
     , m_context {m_settings, m_loop, m_timers, m_http, m_controlHttp, m_objects, m_metrics}
     , m_lease(m_context)
-    , m_dispatcher(m_context, m_lease, [this] { m_ownership.resync(); })
+    , m_quarantine(m_context, [this](const decisions::Fact &fact) { m_peers.announce(fact, true); })
+    , m_dispatcher(m_context, m_lease, m_quarantine, [this] { m_ownership.resync(); })
     , m_claims(m_context)
-    , m_callers(m_context, m_dispatcher, m_claims)
+    , m_callers(m_context, m_dispatcher, m_claims, m_quarantine)
     , m_ownership(m_context, m_lease,
                   [this](const serving::OwnerMap &owners) { m_dispatcher.ownersChanged(owners); })
     , m_peers(m_context,
               {.viewChanged = [this](const auto &view) { viewChanged(view); },
-               .factSeen = [](const decisions::Fact &) {},
+               .factSeen = [this](const decisions::Fact &fact) { m_quarantine.factSeen(fact); },
                .generationSeen
                = [this](core::Generation generation,
                         const core::HostId &host) { m_config.generationSeen(generation, host); }})
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -11,6 +11,7 @@
 #include "serving/leasetask.h"
 #include "serving/ownershiptask.h"
 #include "serving/peertask.h"
+#include "serving/quarantinetask.h"
 
 #include <absl/status/status.h>
 
@@ -49,6 +50,7 @@
     serving::Context m_context;
 
     serving::LeaseTask m_lease;
+    serving::QuarantineTask m_quarantine;
     serving::Dispatcher m_dispatcher;
     serving::ClaimTask m_claims;
     serving::CallerTask m_callers;
--- a/src/libs/decisions/attempts.cpp
+++ b/src/libs/decisions/attempts.cpp
@@ -7,7 +7,8 @@
     ++m_ended;
     if (end.outcome != core::Outcome::NotRun)
         ++m_unknown;
-    if (end.isAnswerStarted || end.isBadInput || now >= deadline || m_ended >= m_limits.maxAttempts)
+    if (end.isAnswerStarted || end.isBadInput || end.isSuspect || now >= deadline
+        || m_ended >= m_limits.maxAttempts)
         return false;
     if (end.outcome == core::Outcome::NotRun)
         return true;
--- a/src/libs/decisions/attempts.h
+++ b/src/libs/decisions/attempts.h
@@ -21,6 +21,7 @@
     core::Outcome outcome = core::Outcome::Unknown;
     bool isAnswerStarted = false; ///< The caller already has bytes of this answer.
     bool isBadInput = false;      ///< The endpoint refused the request for its content.
+    bool isSuspect = false;       ///< The request was in flight when an endpoint died.
 };
 
 /// Decides whether a request that failed at one endpoint is sent to the next, and what its caller
--- a/src/libs/serving/adaptercall.cpp
+++ b/src/libs/serving/adaptercall.cpp
@@ -36,6 +36,12 @@
 
 void AdapterCall::place()
 {
+    m_fingerprint = decisions::fingerprintOf(m_call.call.customer, m_call.adapter,
+                                             m_call.call.call.request.body);
+    if (m_owner.m_quarantine.isQuarantined(m_fingerprint)) {
+        refuse(m_owner.m_quarantine.checkStart(m_fingerprint));
+        return;
+    }
     m_order = decisions::placementOrder(m_call.adapter, m_owner.candidates(m_call.pool), 1, {});
     if (!m_order.empty()) {
         sendNext();
@@ -54,6 +60,7 @@
     ++m_owner.m_outstanding[m_endpoint];
     EndpointRequest request;
     request.id = m_call.call.call.id;
+    request.customer = m_call.call.customer;
     request.adapter = m_call.adapter;
     request.weightSource = m_call.weightSource;
     request.path = m_call.call.call.request.path;
@@ -105,7 +112,9 @@
     const decisions::AttemptEnd end {.outcome = core::outcomeOf(status),
                                      .isAnswerStarted = m_exchange->isReplied(),
                                      .isBadInput
-                                     = status.code() == absl::StatusCode::kInvalidArgument};
+                                     = status.code() == absl::StatusCode::kInvalidArgument,
+                                     .isSuspect = core::stepOf(status) == quarantineStep
+                                         || !m_owner.m_quarantine.isClear(m_fingerprint)};
     return m_attempts.mayRepeatAfter(end, m_call.call.deadline, m_owner.m_context.timers.now())
         && m_next < m_order.size();
 }
--- a/src/libs/serving/adaptercall.h
+++ b/src/libs/serving/adaptercall.h
@@ -41,6 +41,7 @@
     std::vector<core::EndpointId> m_order;
     std::size_t m_next = 0;
     decisions::Attempts m_attempts {{}, true};
+    decisions::Fingerprint m_fingerprint;
     core::EndpointId m_endpoint;
     Dispatcher::Cancel m_cancel;
     std::shared_ptr<AdapterCall> m_keepAlive;
--- a/src/libs/serving/callertask.cpp
+++ b/src/libs/serving/callertask.cpp
@@ -9,10 +9,12 @@
 
 namespace jackdawlead::serving {
 
-CallerTask::CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims)
+CallerTask::CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims,
+                       QuarantineTask &quarantine)
     : m_context(context)
     , m_dispatcher(dispatcher)
     , m_claims(claims)
+    , m_quarantine(quarantine)
 { }
 
 CallerTask::~CallerTask() = default;
--- a/src/libs/serving/callertask.h
+++ b/src/libs/serving/callertask.h
@@ -5,6 +5,7 @@
 #include "serving/claimtask.h"
 #include "serving/dispatcher.h"
 #include "serving/filters.h"
+#include "serving/quarantinetask.h"
 
 #include <map>
 #include <memory>
@@ -20,7 +21,8 @@
 class CallerTask
 {
 public:
-    CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims);
+    CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims,
+               QuarantineTask &quarantine);
     ~CallerTask();
     CallerTask(const CallerTask &) = delete;
     CallerTask &operator=(const CallerTask &) = delete;
@@ -40,6 +42,7 @@
     Context &m_context;
     Dispatcher &m_dispatcher;
     ClaimTask &m_claims;
+    QuarantineTask &m_quarantine;
     std::shared_ptr<const config::Catalog> m_catalog;
     std::map<core::EndpointId, int> m_outstanding;
     std::size_t m_running = 0;
--- a/src/libs/serving/dispatcher.cpp
+++ b/src/libs/serving/dispatcher.cpp
@@ -21,9 +21,11 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(Context &context, LeaseTask &lease, std::function<void()> ownersStale)
+Dispatcher::Dispatcher(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
+                       std::function<void()> ownersStale)
     : m_context(context)
     , m_lease(lease)
+    , m_quarantine(quarantine)
     , m_ownersStale(std::move(ownersStale))
 { }
 
@@ -77,7 +79,7 @@
         if (!pool)
             continue;
         auto task = std::make_unique<EndpointTask>(
-            m_context, m_lease,
+            m_context, m_lease, m_quarantine,
             EndpointTask::Target {endpoint, entry->second.address, owner.token,
                                   static_cast<std::size_t>(pool->slots), pool->needsCredential});
         task->start();
--- a/src/libs/serving/dispatcher.h
+++ b/src/libs/serving/dispatcher.h
@@ -21,7 +21,8 @@
 
     /// `ownersStale` is called when another daemon refuses a request because it does not own the
     /// endpoint, which shows that the known owners are out of date.
-    Dispatcher(Context &context, LeaseTask &lease, std::function<void()> ownersStale);
+    Dispatcher(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
+               std::function<void()> ownersStale);
 
     void fleetChanged(FleetTask::ViewPtr view);
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
@@ -46,6 +47,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    QuarantineTask &m_quarantine;
     std::function<void()> m_ownersStale;
     FleetTask::ViewPtr m_view;
     std::shared_ptr<const config::Catalog> m_catalog;
--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -28,10 +28,13 @@
 
 } // namespace
 
-EndpointTask::EndpointTask(Context &context, LeaseTask &lease, Target target)
+EndpointTask::EndpointTask(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
+                           Target target)
     : m_context(context)
     , m_lease(lease)
+    , m_quarantine(quarantine)
     , m_target(std::move(target))
+    , m_crashes(context, quarantine, m_target.endpoint, m_target.address)
     , m_scheduler({.slots = m_target.slots,
                    .maxRunning = static_cast<std::size_t>(context.settings.maxRunningPerEndpoint),
                    .maxQueued = static_cast<std::size_t>(context.settings.maxQueuedPerEndpoint)})
@@ -112,6 +115,7 @@
 
 void EndpointTask::reported(const EngineReport &report)
 {
+    m_crashes.instanceSeen(report.instance, inFlight());
     if (!m_instance.empty() && report.instance != m_instance) {
         observability::log({.level = observability::LogLevel::Warn,
                             .step = "load",
@@ -145,6 +149,12 @@
                m_context.settings.orderTimeout);
         return;
     }
+    run->fingerprint
+        = decisions::fingerprintOf(run->request.customer, run->request.adapter, run->request.body);
+    if (const absl::Status status = m_quarantine.checkStart(run->fingerprint); !status.ok()) {
+        m_context.loop.post([run, status] { run->request.sink.onEnd(status); });
+        return;
+    }
     m_runs.emplace(id, run);
     carryOut(m_scheduler.submit(id, run->request.adapter, run->request.deadline, run->queuedAt));
 }
@@ -157,6 +167,7 @@
     const RunPtr run = found->second;
     m_runs.erase(found);
     run->call.cancel();
+    run->inFlight.reset();
     carryOut(m_scheduler.cancelled(id, m_context.timers.now()));
     cutRun(id, run->request.adapter);
 }
@@ -293,16 +304,23 @@
         return;
     const RunPtr run = found->second;
     m_context.metrics.loadStall(m_context.timers.now() - run->queuedAt);
-    if (!m_lease.isValid()) {
-        const absl::Status status
-            = endpointError(absl::StatusCode::kUnavailable, "dispatch", m_target.endpoint,
-                            "host lease is not valid", core::Outcome::NotRun);
+    // Asked again, since another run of the request may have started or crashed since its submit.
+    absl::Status status = m_quarantine.checkStart(run->fingerprint);
+    if (!m_lease.isValid())
+        status = endpointError(absl::StatusCode::kUnavailable, "dispatch", m_target.endpoint,
+                               "host lease is not valid", core::Outcome::NotRun);
+    if (!status.ok()) {
         m_context.loop.post([this, run, status, alive = std::weak_ptr<bool>(m_alive)] {
             if (!alive.expired())
                 fail(run, status);
         });
         return;
     }
+    m_quarantine.started(run->fingerprint);
+    run->inFlight = std::shared_ptr<void>(
+        nullptr, [&quarantine = m_quarantine, fingerprint = run->fingerprint](void *) {
+            quarantine.ended(fingerprint);
+        });
     run->check.emplace(run->request.adapter, run->request.isStream);
     net::Headers headers = orderHeaders();
     headers.add("X-Request-Id", run->request.id.value());
@@ -357,9 +375,9 @@
 void EndpointTask::ended(const RunPtr &run, const absl::Status &status)
 {
     if (!status.ok()) {
-        fail(run,
-             endpointError(status.code(), "dispatch", m_target.endpoint,
-                           std::string(status.message()), core::outcomeOf(status)));
+        connectionLost(run,
+                       endpointError(status.code(), "dispatch", m_target.endpoint,
+                                     std::string(status.message()), core::outcomeOf(status)));
         return;
     }
     if (run->status != 200) {
@@ -387,9 +405,45 @@
     run->request.sink.onEnd(absl::OkStatus());
 }
 
+std::vector<decisions::Fingerprint> EndpointTask::inFlight() const
+{
+    std::vector<decisions::Fingerprint> fingerprints;
+    for (const auto &[id, run] : m_runs)
+        if (run->inFlight)
+            fingerprints.push_back(run->fingerprint);
+    return fingerprints;
+}
+
+void EndpointTask::connectionLost(const RunPtr &run, const absl::Status &status)
+{
+    if (core::outcomeOf(status) == core::Outcome::NotRun) {
+        fail(run, status);
+        return;
+    }
+    const std::vector<decisions::Fingerprint> affected = inFlight();
+    if (run->isHeadSent) {
+        fail(run, status);
+        m_crashes.connectionLost(affected, [] {});
+        return;
+    }
+    // The entry daemon may repeat the request only if it did not crash the endpoint, so it is told
+    // after the probe.
+    m_crashes.connectionLost(affected, [this, run, status] {
+        if (!m_runs.contains(run->request.id))
+            return;
+        if (m_quarantine.isClear(run->fingerprint))
+            fail(run, status);
+        else
+            fail(run,
+                 endpointError(status.code(), quarantineStep, m_target.endpoint,
+                               std::string(status.message()), core::Outcome::Unknown));
+    });
+}
+
 void EndpointTask::fail(const RunPtr &run, const absl::Status &status)
 {
     run->call.cancel();
+    run->inFlight.reset();
     if (core::outcomeOf(status) == core::Outcome::NotRun)
         release(run);
     else if (m_runs.erase(run->request.id) > 0)
@@ -399,6 +453,7 @@
 
 void EndpointTask::release(const RunPtr &run)
 {
+    run->inFlight.reset();
     if (m_runs.erase(run->request.id) > 0)
         carryOut(m_scheduler.finished(run->request.id, m_context.timers.now()));
 }
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -3,6 +3,7 @@
 #include "decisions/endpointscheduler.h"
 #include "serving/answercheck.h"
 #include "serving/context.h"
+#include "serving/crashwatch.h"
 #include "serving/enginereport.h"
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace jackdawlead::serving {
 
@@ -22,6 +24,7 @@
 struct EndpointRequest
 {
     core::RequestId id;
+    core::CustomerId customer;
     core::AdapterVersion adapter;
     std::string weightSource;
     std::string path;
@@ -46,7 +49,7 @@
         bool needsCredential = false;
     };
 
-    EndpointTask(Context &context, LeaseTask &lease, Target target);
+    EndpointTask(Context &context, LeaseTask &lease, QuarantineTask &quarantine, Target target);
     ~EndpointTask();
     EndpointTask(const EndpointTask &) = delete;
     EndpointTask &operator=(const EndpointTask &) = delete;
@@ -69,6 +72,8 @@
     {
         EndpointRequest request;
         core::TimePoint queuedAt;
+        decisions::Fingerprint fingerprint;
+        std::shared_ptr<void> inFlight; ///< Counts the run in the quarantine while it is held.
         std::optional<AnswerCheck> check;
         int status = 0;
         net::Headers headers;
@@ -93,6 +98,8 @@
     void dataReceived(const RunPtr &run, std::string_view data);
     void ended(const RunPtr &run, const absl::Status &status);
     void sendHead(const RunPtr &run);
+    void connectionLost(const RunPtr &run, const absl::Status &status);
+    std::vector<decisions::Fingerprint> inFlight() const;
     void fail(const RunPtr &run, const absl::Status &status);
     void release(const RunPtr &run);
     void cutRun(const core::RequestId &id, const core::AdapterVersion &adapter);
@@ -101,7 +108,9 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    QuarantineTask &m_quarantine;
     Target m_target;
+    CrashWatch m_crashes;
     decisions::EndpointScheduler m_scheduler;
     std::map<core::RequestId, RunPtr> m_runs;
     std::map<core::AdapterVersion, core::TimePoint> m_pinned;
--- a/src/libs/serving/peerforward.cpp
+++ b/src/libs/serving/peerforward.cpp
@@ -31,6 +31,7 @@
             {peerprotocol::enginePathHeader, request.path},
             {peerprotocol::streamHeader, request.isStream ? "true" : "false"},
             {peerprotocol::deadlineHeader, std::to_string(left.count())},
+            {peerprotocol::customerHeader, request.customer.value()},
             {peerprotocol::requestHeader, request.id.value()}};
 }
 
@@ -105,6 +106,7 @@
         = std::from_chars(deadline.data(), deadline.data() + deadline.size(), ms);
     if (error != std::errc() || end != deadline.data() + deadline.size())
         return invalid(peerprotocol::deadlineHeader);
+    result.customer = core::CustomerId(request.headers.value(peerprotocol::customerHeader));
     result.deadline = now + std::chrono::milliseconds(ms);
     result.weightSource = request.headers.value(peerprotocol::sourceHeader);
     result.path = request.headers.value(peerprotocol::enginePathHeader);
--- a/src/libs/serving/peerforward.h
+++ b/src/libs/serving/peerforward.h
@@ -14,6 +14,7 @@
 inline constexpr const char *enginePathHeader = "X-Engine-Path";
 inline constexpr const char *streamHeader = "X-Stream";
 inline constexpr const char *deadlineHeader = "X-Request-Deadline-Ms";
+inline constexpr const char *customerHeader = "X-Customer";
 inline constexpr const char *requestHeader = "X-Request-Id";
 /// The step of a refusal by a daemon that does not own the endpoint.
 inline constexpr const char *ownershipStep = "find-owner";
--- a/tests/auto/outagemode/tst_outagemode.cpp
+++ b/tests/auto/outagemode/tst_outagemode.cpp
@@ -82,7 +82,7 @@
 /// One random run with one endpoint held by daemon 0. Daemons take over as OwnershipTask does.
 void checkExclusion(std::mt19937 &random, unsigned run, Steps &steps)
 {
-    constexpr decisions::LeaseLimits takerLimits {15s, 1s + 3s};
+    constexpr decisions::LeaseLimits takerLimits {.duration = 15s, .guard = 1s + 3s};
     constexpr core::Duration observation = takerLimits.duration + takerLimits.guard;
     const std::size_t count = 2 + random() % 7;
     Region region(count, random());
@@ -106,7 +106,7 @@
             const bool isAnswering
                 = region.isUp[index] && region.modes[index].isReachableSince(now, now);
             if (isAnswering)
-                observers[index].observed(std::to_string(renewals), now);
+                observers[index].observed(std::to_string(renewals), now, now);
             else
                 observers[index].interrupted();
             isTaken = isTaken
