--- a/src/libs/serving/callertask.cpp
+++ b/src/libs/serving/callertask.cpp
@@ -24,10 +24,12 @@
 
 } // namespace
 
-CallerTask::CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims)
+CallerTask::CallerTask(Context &context, Dispatcher &dispatcher, ClaimTask &claims,
+                       QuarantineTask &quarantine)
     : m_context(context)
     , m_dispatcher(dispatcher)
     , m_claims(claims)
+    , m_quarantine(quarantine)
 { }
 
 CallerTask::~CallerTask() = default;
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -3,6 +3,7 @@
 #include "decisions/endpointscheduler.h"
 #include "serving/answercheck.h"
 #include "serving/context.h"
+#include "serving/crashwatch.h"
 #include "serving/enginereport.h"
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace jackdawlead::serving {
 
@@ -24,6 +26,7 @@
 struct EndpointRequest
 {
     core::RequestId id;
+    core::CustomerId customer;
     core::AdapterVersion adapter;
     std::string weightSource;
     std::string path;
@@ -49,7 +52,8 @@
         double stallWeight = 0.5; ///< Of the pool.
     };
 
-    EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget, Target target);
+    EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget,
+                 QuarantineTask &quarantine, Target target);
     ~EndpointTask();
     EndpointTask(const EndpointTask &) = delete;
     EndpointTask &operator=(const EndpointTask &) = delete;
@@ -72,6 +76,8 @@
     {
         EndpointRequest request;
         core::TimePoint queuedAt;
+        decisions::Fingerprint fingerprint;
+        std::shared_ptr<void> inFlight; ///< Counts the run in the quarantine while it is held.
         std::optional<AnswerCheck> check;
         int status = 0;
         net::Headers headers;
@@ -98,6 +104,8 @@
     void dataReceived(const RunPtr &run, std::string_view data);
     void ended(const RunPtr &run, const absl::Status &status);
     void sendHead(const RunPtr &run);
+    void connectionLost(const RunPtr &run, const absl::Status &status);
+    std::vector<decisions::Fingerprint> inFlight() const;
     void fail(const RunPtr &run, const absl::Status &status);
     void release(const RunPtr &run);
     void cutRun(const core::RequestId &id, const core::AdapterVersion &adapter);
@@ -107,7 +115,9 @@
     Context &m_context;
     LeaseTask &m_lease;
     LoadBudgetTask &m_budget;
+    QuarantineTask &m_quarantine;
     Target m_target;
+    CrashWatch m_crashes;
     decisions::EndpointScheduler m_scheduler;
     std::map<core::RequestId, RunPtr> m_runs;
     std::map<core::AdapterVersion, core::TimePoint> m_pinned;
