Start a test fleet again when a port was taken between choice and use

Cause: with six test programs at once, one daemon of regions could not listen on its port, and the fleet was not ready after 60 s. Change: a fleet whose process ended during the start is started again with other ports, at most three times; the wait ends when a process has ended. Conclusion: the race is bounded; it needs no fixed ports.

--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr core::Duration readyLimit = std::chrono::seconds(60);
+constexpr int maxStarts = 3;
 constexpr std::chrono::seconds controlLimit {60};
 constexpr const char *callerSecret = "caller-secret";
 // SHA-256 of callerSecret.
@@ -44,11 +45,18 @@
 Fleet::Fleet(FleetOptions options)
     : m_options(std::move(options))
     , m_folder(makeFolder())
-    , m_engines(m_options.engines)
-    , m_daemons(m_options.daemons)
 {
-    choosePorts();
-    startAll();
+    // Another process can take a port between its choice and its use.
+    for (int attempt = 0; attempt < maxStarts && !m_isReady; ++attempt) {
+        m_engines = std::vector<EngineEntry>(m_options.engines);
+        m_daemons = std::vector<DaemonEntry>(m_options.daemons);
+        m_awayPlatform = {};
+        m_awayRelay = {};
+        choosePorts();
+        startAll();
+        if (!hasEndedProcess())
+            break;
+    }
 }
 
 Fleet::~Fleet()
@@ -214,13 +222,26 @@
     waitForStatus(entry.port, "/v1/models");
 }
 
+bool Fleet::hasEndedProcess()
+{
+    const auto isEnded = [](auto &entry) {
+        return entry.process.exitCode().has_value() || entry.relay.exitCode().has_value();
+    };
+    return m_platform.exitCode() || m_service.exitCode() || m_awayPlatform.exitCode()
+        || m_awayRelay.exitCode() || std::ranges::any_of(m_engines, isEnded)
+        || std::ranges::any_of(m_daemons, isEnded);
+}
+
 bool Fleet::waitForStatus(std::uint16_t port, const std::string &path)
 {
-    return m_caller.waitUntil(
+    bool isAnswered = false;
+    m_caller.waitUntil(
         [&] {
-            return m_caller.call(port, {"GET", path, {}, {}}).isComplete();
+            isAnswered = m_caller.call(port, {"GET", path, {}, {}}).isComplete();
+            return isAnswered || hasEndedProcess();
         },
         readyLimit);
+    return isAnswered;
 }
 
 void Fleet::startLinkRelays()
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -140,6 +140,7 @@
     bool isRelayed(bool isAwayTarget, bool isSeenFromAway) const;
     nlohmann::json hostEntries(bool isSeenFromAway) const;
     void startLinkRelays();
+    bool hasEndedProcess();
     bool waitForStatus(std::uint16_t port, const std::string &path);
     void startAll();
 
