--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "net/httpserver.h"
+#include "serving/burntask.h"
 #include "serving/callertask.h"
 #include "serving/claimtask.h"
 #include "serving/configtask.h"
@@ -28,6 +29,9 @@
     absl::Status start();
     /// Runs until a planned stop has finished.
     void run();
+    /// The ports in use; chosen by the system where the settings say 0. Precondition: started.
+    std::uint16_t callerPort() const { return m_callerServer.port(); }
+    std::uint16_t adminPort() const { return m_adminServer.port(); }
 
 private:
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
@@ -38,6 +42,8 @@
     bool isReady() const;
     void stop();
     void stopWhenIdle();
+    /// Requests that run or whose reply is not completely written.
+    std::size_t unfinishedCount() const;
 
     config::Settings m_settings;
     net::EventLoop m_loop;
@@ -56,11 +62,11 @@
     serving::PeerTask m_peers;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
+    serving::BurnTask m_burn;
 
     net::HttpServer m_callerServer;
     net::HttpServer m_peerServer;
     net::HttpServer m_adminServer;
-    std::size_t m_peerRunning = 0;
     bool m_isStopping = false;
     core::TimePoint m_stopLimit;
     net::TimerService::Subscription m_stopTimer;
