--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -222,7 +222,7 @@
 }
 
 // The write may have taken effect although its answer was lost. No other daemon writes this holder,
-// and this process uses each token once, so the record tells.
+// so a record with the token that was sent is the one that was sent.
 void OwnershipTask::readBack(const core::EndpointId &endpoint, const Ownership &ownership)
 {
     m_context.objects.read(
