Refuse a manifest entry that no configuration part can hold

Cause: an entry over the part limit passed validate and was refused by the object API in the middle of apply. Change: the parser measures entries with long lists as they are stored. Conclusion: validate finds every part over the limit, except adapters with very many versions.

--- a/src/libs/config/manifestparser.cpp
+++ b/src/libs/config/manifestparser.cpp
@@ -1,5 +1,6 @@
 #include "config/manifest.h"
 
+#include "config/release.h"
 #include "config/yamlreader.h"
 #include "core/error.h"
 
@@ -58,6 +59,21 @@
             item.fault(key, "unknown reference '" + name + "'; must be the name of another entry");
     }
 
+    // An entry is not divided between parts. Short lists are far below the limit and not measured.
+    static void checkPartSize(const YamlReader &item, const char *key, std::size_t elements,
+                              const Manifest &entry, const char *section)
+    {
+        constexpr std::size_t shortList = 1000;
+        if (elements <= shortList)
+            return;
+        const std::size_t bytes = storedBytes(toJson(entry).at(section).front());
+        if (bytes > maxPartBytes)
+            item.fault(key,
+                       "the entry takes " + std::to_string(bytes)
+                           + " bytes when stored; a part holds at most "
+                           + std::to_string(maxPartBytes) + "; divide the entry");
+    }
+
     // Engines serve a request only through an adapter of their model; plain services have none.
     void checkAdapters(const YamlReader &item, const Service &service)
     {
@@ -127,6 +143,9 @@
             if (!m_digests.insert(digest).second)
                 item.fault("tokenDigests", "digest is used by another customer");
         }
+        Manifest entry;
+        entry.customers = {customer};
+        checkPartSize(item, "tokenDigests", customer.tokenDigests.size(), entry, "customers");
         m_manifest.customers.push_back(std::move(customer));
     }
 
@@ -168,6 +187,10 @@
         }
         service.isRepeatable = item.boolean("repeatable", true);
         checkAdapters(item, service);
+        Manifest entry;
+        entry.services = {service};
+        checkPartSize(item, "adapters", service.adapters.size() + service.callers.size(), entry,
+                      "services");
         m_manifest.services.push_back(std::move(service));
     }
 
--- a/src/libs/config/release.cpp
+++ b/src/libs/config/release.cpp
@@ -21,12 +21,6 @@
     return {sha256Hex(text), std::move(text)};
 }
 
-std::size_t storedBytes(const json &item)
-{
-    // The content is stored as a JSON string, in which each quotation mark takes two bytes.
-    return json(item.dump()).dump().size();
-}
-
 std::string digestOfParts(const std::vector<std::string> &names)
 {
     std::string all;
@@ -72,6 +66,12 @@
     return text;
 }
 
+std::size_t storedBytes(const json &item)
+{
+    // The content is stored as a JSON string, in which each quotation mark takes two bytes.
+    return json(item.dump()).dump().size();
+}
+
 std::vector<ConfigPart> splitIntoParts(const Manifest &manifest)
 {
     const json whole = toJson(manifest);
--- a/src/libs/config/release.h
+++ b/src/libs/config/release.h
@@ -34,6 +34,9 @@
 /// Lower-case hexadecimal SHA-256. Thread safety: any thread.
 std::string sha256Hex(std::string_view data);
 
+/// The bytes that one entry of a manifest takes in a stored part.
+std::size_t storedBytes(const nlohmann::json &item);
+
 /// Splits a manifest into parts of at most maxPartBytes; equal manifests give equal parts.
 std::vector<ConfigPart> splitIntoParts(const Manifest &manifest);
 /// The root that names `parts` as `generation`.
--- a/tests/auto/config/tst_config.cpp
+++ b/tests/auto/config/tst_config.cpp
@@ -134,6 +134,25 @@
                   std::string::npos);
 }
 
+// Guards against an entry that no part can hold, which the object API would refuse after a part of
+// the manifest was stored.
+Test(config, entryOverThePartLimitIsRefused)
+{
+    std::string customers;
+    constexpr int tooMany = 15'000; // Of 68 bytes each.
+    for (int index = 0; index < tooMany; ++index) {
+        const std::string number = std::to_string(index);
+        customers += std::string(index == 0 ? "" : ", ") + "'"
+            + std::string(64 - number.size(), '0') + number + "'";
+    }
+    const std::string faults
+        = faultsOf("apiVersion: jackdawlead/v1\nrelease: r1\ncustomers:\n  - name: shop\n"
+                   "    tokenDigests: ["
+                   + customers + "]\n");
+    cr_assert_neq(faults.find("m.yaml:5: manifest.customers[0].tokenDigests: the entry takes"),
+                  std::string::npos, "%.300s", faults.c_str());
+}
+
 // Guards against a manifest that changes when it is split, at sizes around one and several parts.
 Test(config, splitAndAssembledManifestIsTheSame)
 {
