Read the endpoint's adapters again after a load without an answer

Cause: a load order that took effect after its time-out left an adapter on the engine that the scheduler did not count. The engine was full one slot early, and refused loads until it restarted.

Change: the endpoint task reads the engine's list one order time-out after an unanswered load; reset() takes the late adapter in and keeps orders in progress. The fake engine of the fault matrix has a limited number of slots now.

Conclusion: late loads no longer cost a slot for longer than the two time-outs.

--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -212,6 +212,10 @@
         }
         observability::logError(observability::LogLevel::Warn, status);
         carryOut(m_scheduler.loadFailed(command.adapter, now));
+        // The order may still take effect; the endpoint's own list shows whether it did.
+        if (core::outcomeOf(status) != core::Outcome::NotRun)
+            m_settle = m_context.timers.once(m_context.settings.orderTimeout,
+                                             [this] { readAdapters(); });
     });
 }
 
--- a/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
+++ b/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
@@ -162,3 +162,16 @@
     cr_assert_eq(countOf<EvictAdapter>(scheduler.evictionFailed(adapter("a"), start)), 0);
     cr_assert_eq(countOf<EvictAdapter>(scheduler.tick(start + std::chrono::seconds(1))), 1);
 }
+
+// Guards against a slot that is lost to an adapter whose load was answered too late.
+Test(endpointscheduler, resetFindsLateLoadAndKeepsLoadInProgress)
+{
+    EndpointScheduler scheduler({.slots = 2});
+    submit(scheduler, "r1", "a");
+    scheduler.loadFailed(adapter("a"), start);
+    submit(scheduler, "r2", "b");
+    scheduler.reset({adapter("a")}, {}, start);
+    cr_assert(scheduler.isResident(adapter("a")));
+    cr_assert_eq(countOf<LoadAdapter>(submit(scheduler, "r3", "b")), 0);
+    cr_assert_eq(countOf<EvictAdapter>(submit(scheduler, "r4", "c")), 1);
+}
--- a/tests/faults/simcalls.cpp
+++ b/tests/faults/simcalls.cpp
@@ -82,11 +82,7 @@
 {
     const auto owned = m_owned.find(endpoint);
     if (owned == m_owned.end() || m_isStopping) {
-        work.done({.outcome = core::Outcome::NotRun,
-                   .forRequest = {},
-                   .servedBy = {},
-                   .retryAfter = 1s,
-                   .step = "forward"});
+        work.done({.outcome = core::Outcome::NotRun, .retryAfter = 1s, .step = "forward"});
         return;
     }
     owned->second->submit(std::move(work));
@@ -100,11 +96,7 @@
         if (!std::exchange(*isDone, true))
             done(end);
     };
-    const WorkEnd notRun {.outcome = core::Outcome::NotRun,
-                          .forRequest = {},
-                          .servedBy = {},
-                          .retryAfter = 1s,
-                          .step = "forward"};
+    const WorkEnd notRun {.outcome = core::Outcome::NotRun, .retryAfter = 1s, .step = "forward"};
     const WorkEnd unknown {
         .outcome = core::Outcome::Unknown, .forRequest = {}, .servedBy = {}, .step = "forward"};
     const auto peer = m_cluster.daemons.find(owner);
--- a/tests/faults/simendpoint.cpp
+++ b/tests/faults/simendpoint.cpp
@@ -20,7 +20,7 @@
     : m_process(std::move(process))
     , m_engine(engine)
     , m_token(token)
-    , m_scheduler({.slots = 2, .maxRunning = 4, .maxQueued = 16})
+    , m_scheduler({.slots = SimEngine::slots, .maxRunning = 4, .maxQueued = 16})
 { }
 
 void SimEndpoint::later(core::Duration delay, std::function<void()> event)
@@ -50,7 +50,15 @@
     const bool ignoresPins = m_process.mutation == Mutation::PinsIgnored;
     carryOut(m_scheduler.reset(resident,
                                ignoresPins ? std::vector<core::AdapterVersion>() : resident, now));
-    later(pollPeriod, [this] { poll(); });
+    pollLater();
+}
+
+void SimEndpoint::pollLater()
+{
+    later(pollPeriod, [this, poll = ++m_polls] {
+        if (poll == m_polls)
+            this->poll();
+    });
 }
 
 void SimEndpoint::poll()
@@ -60,7 +68,7 @@
         readAdapters();
         return;
     }
-    later(pollPeriod, [this] { poll(); });
+    pollLater();
     const core::TimePoint now = m_process.time.now();
     std::erase_if(m_pinned, [&](const auto &entry) {
         if (report.running.contains(entry.first) || now < entry.second)
@@ -74,8 +82,6 @@
 {
     if (!m_isReady || m_isDraining) {
         work.done({.outcome = core::Outcome::NotRun,
-                   .forRequest = {},
-                   .servedBy = {},
                    .retryAfter = settleTime,
                    .step = "wait-for-adapter"});
         return;
@@ -139,6 +145,9 @@
     const core::TimePoint now = m_process.time.now();
     carryOut(end == OrderEnd::Done ? m_scheduler.loaded(adapter, now)
                                    : m_scheduler.loadFailed(adapter, now));
+    // The order may still take effect; the engine's own list shows whether it did.
+    if (end == OrderEnd::Unanswered)
+        later(settleTime, [this] { readAdapters(); });
 }
 
 void SimEndpoint::carryOut(const decisions::EvictAdapter &command)
@@ -202,8 +211,6 @@
     const bool hasNoTime = m_process.mutation == Mutation::NoRetryTime;
     settle(run,
            {.outcome = core::Outcome::NotRun,
-            .forRequest = {},
-            .servedBy = {},
             .retryAfter = hasNoTime ? core::Duration::zero() : command.retryAfter,
             .step = "wait-for-adapter"});
 }
@@ -227,12 +234,8 @@
     if (!m_runs.contains(run->work.request))
         return;
     const core::TimePoint now = m_process.time.now();
-    WorkEnd end {.outcome = outcome,
-                 .forRequest = {},
-                 .servedBy = {},
-                 .retryAfter = 1s,
-                 .step = "dispatch",
-                 .isStarted = run->isStarted};
+    WorkEnd end {
+        .outcome = outcome, .retryAfter = 1s, .step = "dispatch", .isStarted = run->isStarted};
     if (isMissing)
         carryOut(m_scheduler.missing(run->work.adapter, now));
     if (outcome == core::Outcome::Completed) {
--- a/tests/faults/simendpoint.h
+++ b/tests/faults/simendpoint.h
@@ -18,8 +18,8 @@
 struct WorkEnd
 {
     core::Outcome outcome = core::Outcome::Unknown;
-    core::RequestId forRequest;
-    core::AdapterVersion servedBy;
+    core::RequestId forRequest {};
+    core::AdapterVersion servedBy {};
     core::Duration retryAfter {};
     std::string step;
     bool isStarted = false; ///< The caller has bytes of the answer.
@@ -75,6 +75,7 @@
 
     void readAdapters();
     void poll();
+    void pollLater();
     void later(core::Duration delay, std::function<void()> event);
     void carryOut(const decisions::SchedulerCommands &commands);
     void carryOut(const decisions::LoadAdapter &command);
@@ -94,6 +95,7 @@
     std::map<core::RequestId, RunPtr> m_runs;
     std::map<core::AdapterVersion, core::TimePoint> m_pinned;
     std::uint64_t m_instance = 0;
+    int m_polls = 0;
     bool m_isReady = false;
     bool m_isDraining = false;
     bool m_isLeaving = false;
--- a/tests/faults/simengine.cpp
+++ b/tests/faults/simengine.cpp
@@ -77,8 +77,10 @@
     m_time.after(loadTime, [this, adapter, answered, instance = m_instance] {
         if (instance != m_instance)
             return;
-        m_resident.insert(adapter);
-        answered(OrderEnd::Done);
+        const bool isFull = m_resident.size() >= slots && !m_resident.contains(adapter);
+        if (!isFull)
+            m_resident.insert(adapter);
+        answered(isFull ? OrderEnd::Refused : OrderEnd::Done);
     });
 }
 
--- a/tests/faults/simengine.h
+++ b/tests/faults/simengine.h
@@ -50,6 +50,7 @@
     std::uint64_t instance() const { return m_instance; }
     const core::EndpointId &id() const { return m_id; }
 
+    static constexpr std::size_t slots = 2;
     bool ignoresTokens = false;
     core::TimePoint loadsFailUntil;
     core::TimePoint storeSlowUntil;
