Guard the answers of orders in the fault harness against a gone endpoint

Cause: an order answered after its endpoint task had retired was handled on freed memory.

Change: the handlers hold the endpoint weakly, as the daemon's task does. The mutation test tries up to 1000 schedules, and dead daemons stay away longer, so that a fault at a take-over always strikes.

Conclusion: the harness frees no endpoint in use; the decision classes were not at fault.

--- a/tests/faults/simendpoint.cpp
+++ b/tests/faults/simendpoint.cpp
@@ -135,9 +135,11 @@
         later(0s, [this, command] { loadEnded(command.adapter, OrderEnd::Refused); });
         return;
     }
-    m_engine.order(true, command.adapter, m_token, [this, command](OrderEnd end) {
-        later(0s, [this, command, end] { loadEnded(command.adapter, end); });
-    });
+    m_engine.order(true, command.adapter, m_token,
+                   [this, command, weak = weak_from_this()](OrderEnd end) {
+                       if (const auto self = weak.lock())
+                           later(0s, [this, command, end] { loadEnded(command.adapter, end); });
+                   });
 }
 
 void SimEndpoint::loadEnded(const core::AdapterVersion &adapter, OrderEnd end)
@@ -157,9 +159,11 @@
         later(0s, [this, command] { evictionEnded(command.adapter, OrderEnd::Refused); });
         return;
     }
-    m_engine.order(false, command.adapter, m_token, [this, command](OrderEnd end) {
-        later(0s, [this, command, end] { evictionEnded(command.adapter, end); });
-    });
+    m_engine.order(false, command.adapter, m_token,
+                   [this, command, weak = weak_from_this()](OrderEnd end) {
+                       if (const auto self = weak.lock())
+                           later(0s, [this, command, end] { evictionEnded(command.adapter, end); });
+                   });
 }
 
 void SimEndpoint::evictionEnded(const core::AdapterVersion &adapter, OrderEnd end)
--- a/tests/faults/tst_faults.cpp
+++ b/tests/faults/tst_faults.cpp
@@ -223,7 +223,7 @@
 // promise.
 Test(faults, checkerCatchesEachMutation)
 {
-    constexpr int tries = 300;
+    constexpr int tries = 1000;
     for (const MutationCase &mutation : mutationCases) {
         std::string caught;
         for (int schedule = 0; schedule < tries && caught.empty(); ++schedule) {
--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -117,7 +117,7 @@
         return;
     daemon->kill();
     // Mostly longer than a lease, so that its endpoints are taken over.
-    const core::Duration down = m_cluster.time.chance(70) ? m_cluster.time.between(22s, 30s)
+    const core::Duration down = m_cluster.time.chance(85) ? m_cluster.time.between(22s, 30s)
                                                           : m_cluster.time.between(2s, 15s);
     m_cluster.time.after(down, [this, id] { startDaemon(id); });
 }
