--- a/src/libs/decisions/endpointscheduler.h
+++ b/src/libs/decisions/endpointscheduler.h
@@ -2,6 +2,8 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/adapterrates.h"
+#include "decisions/loadwait.h"
 
 #include <cstddef>
 #include <map>
@@ -21,8 +23,19 @@
     /// Delay before a failed load of an adapter is tried again; doubles up to the greatest delay.
     core::Duration loadBackoff = std::chrono::milliseconds(500);
     core::Duration maxLoadBackoff = std::chrono::seconds(30);
+    /// A request for an absent adapter is refused at once when its load is predicted to take
+    /// longer. An adapter that is worth less than the one that it displaces gets less than this.
+    core::Duration maxLoadWait = std::chrono::milliseconds(1750);
+    /// A request that has waited this long for a slot stops new requests of one resident adapter.
+    core::Duration maxSlotWait = std::chrono::seconds(1);
+    /// The least time between two such stops, so that an overload does not empty adapters in use.
+    core::Duration slotStopPeriod = std::chrono::seconds(10);
 };
 
+/// The limits for a pool whose weight between load stalls (1) and batch efficiency (0) is given:
+/// a pool that favours short stalls refuses sooner. Thread safety: any thread.
+SchedulerLimits limitsFor(double stallWeight);
+
 /// Ask the store's load budget for a load, then order it from the endpoint.
 struct LoadAdapter
 {
@@ -68,6 +81,8 @@
     SchedulerCommands loaded(const core::AdapterVersion &adapter, core::TimePoint now);
     SchedulerCommands loadFailed(const core::AdapterVersion &adapter, core::TimePoint now);
     SchedulerCommands evicted(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The load was not ordered, because no request waits for it any more.
+    SchedulerCommands loadWithdrawn(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The endpoint refused the eviction; the adapter is still resident.
     SchedulerCommands evictionFailed(const core::AdapterVersion &adapter, core::TimePoint now);
     /// The eviction may take effect at any later time; it is ordered again until it is answered.
@@ -80,6 +95,8 @@
     SchedulerCommands reset(const std::vector<core::AdapterVersion> &resident,
                             const std::vector<core::AdapterVersion> &pinned, core::TimePoint now);
     SchedulerCommands unpinned(const core::AdapterVersion &adapter, core::TimePoint now);
+    /// The load budget told how long a further load would wait for its grant.
+    void grantWaitTold(core::Duration wait, core::TimePoint now);
     /// Refuses requests whose deadline has passed and retries failed loads.
     SchedulerCommands tick(core::TimePoint now);
     /// Refuses all queued and all further requests; running ones go on. Used by a planned stop and
@@ -89,10 +106,15 @@
     void resume() { m_isDraining = false; }
 
     bool isResident(const core::AdapterVersion &adapter) const;
+    /// Whether a queued request needs the adapter; to be asked when a load was granted.
+    bool isWanted(const core::AdapterVersion &adapter) const;
     std::size_t useCount(const core::AdapterVersion &adapter) const;
     std::size_t runningCount() const { return m_running.size(); }
     std::size_t queuedCount() const { return m_queued.size(); }
     std::vector<core::AdapterVersion> residentAdapters() const;
+    /// The value of the adapter that the next load would displace; zero while a slot is empty.
+    /// Owners publish it for HomeAdvisor. Unit: requests per second.
+    double slotPressure(core::TimePoint now) const;
 
 private:
     enum class SlotState { Loading, Resident, Evicting };
@@ -100,7 +122,10 @@
     {
         SlotState state = SlotState::Loading;
         bool isPinned = false;
-        core::TimePoint lastUsed;
+        /// Takes no new request, because another adapter waits too long.
+        bool isDraining = false;
+        core::TimePoint lastUsed {};
+        core::TimePoint wantedAt {}; ///< When the first request for the load was queued.
         /// When an eviction without an answer is ordered again.
         std::optional<core::TimePoint> evictAgainAt = std::nullopt;
     };
@@ -109,6 +134,7 @@
         core::RequestId request;
         core::AdapterVersion adapter;
         core::TimePoint deadline;
+        core::TimePoint queuedAt;
     };
     struct Backoff
     {
@@ -118,12 +144,16 @@
 
     SchedulerCommands schedule(core::TimePoint now);
     void refuseExpired(core::TimePoint now, SchedulerCommands &commands);
+    void refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands);
     void dispatchReady(core::TimePoint now, SchedulerCommands &commands);
     void startLoads(core::TimePoint now, SchedulerCommands &commands);
     void repeatEvictions(core::TimePoint now, SchedulerCommands &commands);
     bool evictOne(core::TimePoint now, SchedulerCommands &commands);
     Slot *slotIn(SlotState state, const core::AdapterVersion &adapter);
-    bool isWanted(const core::AdapterVersion &adapter) const;
+    void resumeSlots();
+    void drainOne(const core::AdapterVersion &waiter, core::TimePoint now);
+    core::Duration predictedWait(core::TimePoint now) const;
+    core::Duration acceptedWait(const core::AdapterVersion &adapter, core::TimePoint now) const;
     void refuseWaiters(const core::AdapterVersion &adapter, core::Duration retryAfter,
                        SchedulerCommands &commands);
 
@@ -139,6 +169,10 @@
     /// once, and ordered again without end.
     core::TimePoint m_evictNotBefore;
     bool m_isDraining = false;
+    AdapterRates m_rates;
+    LoadWait m_loadWait;
+    LoadWait m_grantWait;
+    core::TimePoint m_slotStoppedAt;
 };
 
 } // namespace jackdawlead::decisions
