--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -253,6 +253,10 @@
         }
         observability::logError(observability::LogLevel::Warn, status);
         carryOut(m_scheduler.loadFailed(adapter, now));
+        // The order may still take effect; the endpoint's own list shows whether it did.
+        if (core::outcomeOf(status) != core::Outcome::NotRun)
+            m_settle = m_context.timers.once(m_context.settings.orderTimeout,
+                                             [this] { readAdapters(); });
     });
 }
 
--- a/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
+++ b/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
@@ -188,3 +188,16 @@
     cr_assert_eq(countOf<RefuseRequest>(commands), 1);
     cr_assert(std::get<RefuseRequest>(commands.front()).retryAfter.count() > 0);
 }
+
+// Guards against a slot that is lost to an adapter whose load was answered too late.
+Test(endpointscheduler, resetFindsLateLoadAndKeepsLoadInProgress)
+{
+    EndpointScheduler scheduler({.slots = 2});
+    submit(scheduler, "r1", "a");
+    scheduler.loadFailed(adapter("a"), start);
+    submit(scheduler, "r2", "b");
+    scheduler.reset({adapter("a")}, {}, start);
+    cr_assert(scheduler.isResident(adapter("a")));
+    cr_assert_eq(countOf<LoadAdapter>(submit(scheduler, "r3", "b")), 0);
+    cr_assert_eq(countOf<EvictAdapter>(submit(scheduler, "r4", "c")), 1);
+}
