Give a waiter the time that emptying a slot takes

Cause: the new test steadyUseDoesNotStarveWaiters failed: a waiter was refused at 1 s, the moment at which an adapter in use was stopped for it.

Change: a waiter without a slot is given up after three times maxSlotWait. Tests for refusal by predicted wait, starvation, withdrawn loads and moved homes.

--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -13,6 +13,8 @@
 // Emptying an adapter in use idles its slot for the length of a request; a small gain in the rate
 // does not pay for that.
 constexpr double leastGainOfStop = 1.5;
+// After a resident adapter was stopped for a waiter, its running requests still have to end.
+constexpr int slotWaitsToGiveUp = 3;
 
 } // namespace
 
@@ -211,9 +213,9 @@
 void EndpointScheduler::refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands)
 {
     std::erase_if(m_queued, [&](const Queued &queued) {
-        if (m_slots.contains(queued.adapter)
-            || now - queued.queuedAt
-                <= std::max(acceptedWait(queued.adapter, now), m_limits.maxSlotWait))
+        const core::Duration limit
+            = std::max(acceptedWait(queued.adapter, now), m_limits.maxSlotWait * slotWaitsToGiveUp);
+        if (now - queued.queuedAt <= limit || m_slots.contains(queued.adapter))
             return false;
         commands.emplace_back(
             RefuseRequest {queued.request, "no slot became free in time", m_limits.maxLoadWait});
--- a/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
+++ b/tests/auto/endpointscheduler/tst_endpointscheduler.cpp
@@ -1,8 +1,10 @@
 #include "decisions/endpointscheduler.h"
+#include "decisions/homeadvisor.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <string>
 
 using namespace jackdawlead;
 using namespace jackdawlead::decisions;
@@ -79,3 +81,73 @@
     cr_assert_eq(countOf<RefuseRequest>(scheduler.loadFailed(adapter("a"), start)), 1);
     cr_assert_eq(countOf<RefuseRequest>(submit(scheduler, "r2", "a")), 1);
 }
+
+// Guards against queueing a request whose adapter cannot arrive before its deadline.
+Test(endpointscheduler, longLoadWaitRefusesAtOnceWithThatWait)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    scheduler.grantWaitTold(std::chrono::seconds(20), start);
+    const auto commands = submit(scheduler, "r1", "a");
+    cr_assert_eq(countOf<RefuseRequest>(commands), 1);
+    cr_assert(std::get<RefuseRequest>(commands.front()).retryAfter == std::chrono::seconds(20));
+    cr_assert_eq(scheduler.queuedCount(), 0);
+}
+
+// Guards against an adapter in steady use that starves the waiters for every other adapter.
+Test(endpointscheduler, steadyUseDoesNotStarveWaiters)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r0", "a");
+    scheduler.loaded(adapter("a"), start);
+    submit(scheduler, "waiter", "b");
+    core::TimePoint now = start;
+    bool isEvicted = false;
+    // A new request for the resident adapter arrives before each one ends.
+    for (int index = 1; index < 10 && !isEvicted; ++index) {
+        now += std::chrono::milliseconds(400);
+        scheduler.tick(now);
+        scheduler.submit(core::RequestId("r" + std::to_string(index)), adapter("a"),
+                         now + std::chrono::seconds(10), now);
+        const auto commands
+            = scheduler.finished(core::RequestId("r" + std::to_string(index - 1)), now);
+        isEvicted = countOf<EvictAdapter>(commands) == 1;
+        cr_assert(!isEvicted || scheduler.useCount(adapter("a")) == 0);
+    }
+    cr_assert(isEvicted);
+    cr_assert_eq(countOf<LoadAdapter>(scheduler.evicted(adapter("a"), now)), 1);
+}
+
+// Guards against a request that waits for a slot that never becomes free until its deadline.
+Test(endpointscheduler, waiterWithoutSlotIsRefusedBeforeItsDeadline)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r1", "a");
+    scheduler.loaded(adapter("a"), start);
+    submit(scheduler, "r2", "b");
+    const auto commands = scheduler.tick(start + std::chrono::seconds(5));
+    cr_assert_eq(countOf<RefuseRequest>(commands), 1);
+    cr_assert(std::get<RefuseRequest>(commands.front()).request == core::RequestId("r2"));
+}
+
+// Guards against a slot that stays taken by a load that was never ordered.
+Test(endpointscheduler, withdrawnLoadFreesItsSlot)
+{
+    EndpointScheduler scheduler({.slots = 1});
+    submit(scheduler, "r1", "a");
+    scheduler.cancelled(core::RequestId("r1"), start);
+    cr_assert_not(scheduler.isWanted(adapter("a")));
+    scheduler.loadWithdrawn(adapter("a"), start);
+    cr_assert_eq(countOf<LoadAdapter>(submit(scheduler, "r2", "b")), 1);
+}
+
+// Guards against loads for the same adapter on a new endpoint for each request.
+Test(endpointscheduler, movedAdapterKeepsItsHome)
+{
+    HomeAdvisor advisor;
+    const core::EndpointId first("e1");
+    const core::EndpointId second("e2");
+    cr_assert(advisor.activeHome(adapter("a"), {{first, 2}, {second, 1}}, false, start) == second);
+    cr_assert(advisor.activeHome(adapter("a"), {{first, 1}, {second, 3}}, false, start) == second);
+    cr_assert(advisor.activeHome(adapter("b"), {{first, 2}, {second, 1}}, true, start) == first);
+    cr_assert(advisor.activeHome(adapter("a"), {{first, 1}}, false, start) == first);
+}
