--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -264,7 +264,8 @@
     if (!engine.isHomeRegion)
         m_result.weightLinkBytes += adapterBytes;
     serveStore();
-    if (load.epoch != engine.epoch)
+    // The own scheduler keeps orders that are not answered over a restart.
+    if (m_policy != Policy::Jackdawlead && load.epoch != engine.epoch)
         return;
     if (m_policy == Policy::Jackdawlead)
         orderGranted(m_budget.released(key(load.engine, load.adapter), m_now));
@@ -279,7 +280,7 @@
     ++m_result.evictions;
     at(m_now + orderTime,
        [this, engine, adapter = command.adapter, epoch = m_engines[engine].epoch] {
-           if (epoch != m_engines[engine].epoch)
+           if (m_policy != Policy::Jackdawlead && epoch != m_engines[engine].epoch)
                return;
            carryOut(engine,
                     std::visit([&](auto &scheduler) { return scheduler.evicted(adapter, m_now); },
@@ -401,8 +402,6 @@
         carryOut(engine, fifo->restarted(m_now));
         return;
     }
-    for (std::size_t adapter = 0; adapter < m_adapters.size(); ++adapter)
-        orderGranted(m_budget.released(key(engine, adapter), m_now));
     auto &scheduler = std::get<EndpointScheduler>(owner.scheduler);
     carryOut(engine, scheduler.reset({}, {}, m_now));
     for (const std::size_t index : cut)
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -2,6 +2,7 @@
 
 #include "config/settings.h"
 #include "net/httpserver.h"
+#include "serving/burntask.h"
 #include "serving/callertask.h"
 #include "serving/claimtask.h"
 #include "serving/configtask.h"
@@ -10,6 +11,7 @@
 #include "serving/fleettask.h"
 #include "serving/leasetask.h"
 #include "serving/ownershiptask.h"
+#include "serving/peertask.h"
 
 #include <absl/status/status.h>
 
@@ -27,15 +29,21 @@
     absl::Status start();
     /// Runs until a planned stop has finished.
     void run();
+    /// The ports in use; chosen by the system where the settings say 0. Precondition: started.
+    std::uint16_t callerPort() const { return m_callerServer.port(); }
+    std::uint16_t adminPort() const { return m_adminServer.port(); }
 
 private:
     void catalogChanged(std::shared_ptr<const config::Catalog> catalog);
+    void viewChanged(const serving::FleetTask::ViewPtr &view);
     void servePeer(const std::shared_ptr<net::ServerExchange> &exchange);
     void serveAdmin(const std::shared_ptr<net::ServerExchange> &exchange);
     net::HttpResponse status() const;
     bool isReady() const;
     void stop();
     void stopWhenIdle();
+    /// Requests that run or whose reply is not completely written.
+    std::size_t unfinishedCount() const;
 
     config::Settings m_settings;
     net::EventLoop m_loop;
@@ -51,13 +59,14 @@
     serving::ClaimTask m_claims;
     serving::CallerTask m_callers;
     serving::OwnershipTask m_ownership;
+    serving::PeerTask m_peers;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
+    serving::BurnTask m_burn;
 
     net::HttpServer m_callerServer;
     net::HttpServer m_peerServer;
     net::HttpServer m_adminServer;
-    std::size_t m_peerRunning = 0;
     bool m_isStopping = false;
     core::TimePoint m_stopLimit;
     net::TimerService::Subscription m_stopTimer;
--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+constexpr core::Duration drainRetryAfter = std::chrono::seconds(1);
+constexpr core::Duration evictAgainDelay = std::chrono::seconds(1);
+// A request that arrives after its deadline is refused although no wait is predicted.
+constexpr core::Duration leastRetryAfter = std::chrono::milliseconds(100);
 // Emptying an adapter in use idles its slot for the length of a request; a small gain in the rate
 // does not pay for that.
 constexpr double leastGainOfStop = 1.5;
@@ -34,6 +38,8 @@
                                             const core::AdapterVersion &adapter,
                                             core::TimePoint deadline, core::TimePoint now)
 {
+    if (m_isDraining)
+        return {RefuseRequest {request, "endpoint takes no new work", drainRetryAfter}};
     if (m_queued.size() >= m_limits.maxQueued)
         return {RefuseRequest {request, "queue of the endpoint is full", std::chrono::seconds(1)}};
     const auto backoff = m_backoffs.find(adapter);
@@ -43,7 +49,8 @@
     const core::Duration wait
         = m_slots.contains(adapter) ? core::Duration::zero() : predictedWait(now);
     if (wait > acceptedWait(adapter, now) || now + wait > deadline)
-        return {RefuseRequest {request, "load of the adapter would take too long", wait}};
+        return {RefuseRequest {request, "load of the adapter would take too long",
+                               std::max(wait, leastRetryAfter)}};
     const auto position = std::ranges::upper_bound(m_queued, deadline, {}, &Queued::deadline);
     m_queued.insert(position, {request, adapter, deadline, now});
     return schedule(now);
@@ -54,15 +61,24 @@
     const auto running = m_running.find(request);
     if (running == m_running.end())
         return {};
-    const auto slot = m_slots.find(running->second);
-    if (slot != m_slots.end() && slot->second.uses > 0) {
-        --slot->second.uses;
+    if (const auto slot = m_slots.find(running->second); slot != m_slots.end())
         slot->second.lastUsed = now;
-    }
+    if (const auto uses = m_uses.find(running->second); --uses->second == 0)
+        m_uses.erase(uses);
     m_running.erase(running);
     return schedule(now);
 }
 
+SchedulerCommands EndpointScheduler::cut(const core::RequestId &request, core::TimePoint now)
+{
+    const auto running = m_running.find(request);
+    if (running == m_running.end())
+        return {};
+    if (const auto slot = m_slots.find(running->second); slot != m_slots.end())
+        slot->second.isPinned = true;
+    return finished(request, now);
+}
+
 SchedulerCommands EndpointScheduler::cancelled(const core::RequestId &request, core::TimePoint now)
 {
     std::erase_if(m_queued, [&](const Queued &queued) { return queued.request == request; });
@@ -72,11 +88,13 @@
 SchedulerCommands EndpointScheduler::loaded(const core::AdapterVersion &adapter,
                                             core::TimePoint now)
 {
-    Slot &slot = m_slots[adapter];
-    if (slot.state == SlotState::Loading && slot.wantedAt != core::TimePoint())
-        m_loadWait.measured(now - slot.wantedAt, now);
-    slot.state = SlotState::Resident;
-    slot.lastUsed = now;
+    Slot *slot = slotIn(SlotState::Loading, adapter);
+    if (!slot)
+        return {};
+    if (slot->wantedAt != core::TimePoint())
+        m_loadWait.measured(now - slot->wantedAt, now);
+    slot->state = SlotState::Resident;
+    slot->lastUsed = now;
     m_backoffs.erase(adapter);
     return schedule(now);
 }
@@ -84,6 +102,8 @@
 SchedulerCommands EndpointScheduler::loadFailed(const core::AdapterVersion &adapter,
                                                 core::TimePoint now)
 {
+    if (!slotIn(SlotState::Loading, adapter))
+        return {};
     m_slots.erase(adapter);
     Backoff &backoff = m_backoffs[adapter];
     backoff.delay = backoff.delay.count() == 0
@@ -109,6 +129,8 @@
 SchedulerCommands EndpointScheduler::evicted(const core::AdapterVersion &adapter,
                                              core::TimePoint now)
 {
+    if (!slotIn(SlotState::Evicting, adapter))
+        return {};
     m_slots.erase(adapter);
     return schedule(now);
 }
@@ -116,13 +138,33 @@
 SchedulerCommands EndpointScheduler::evictionFailed(const core::AdapterVersion &adapter,
                                                     core::TimePoint now)
 {
-    const auto slot = m_slots.find(adapter);
-    if (slot == m_slots.end())
+    Slot *slot = slotIn(SlotState::Evicting, adapter);
+    if (!slot)
         return {};
-    slot->second.state = SlotState::Resident;
-    slot->second.isDraining = false;
+    // An earlier order without an answer can still take effect.
+    if (slot->evictAgainAt)
+        return evictionUnanswered(adapter, now);
+    slot->state = SlotState::Resident;
+    slot->isDraining = false;
     // Counts as a use, so that another adapter is tried first the next time.
-    slot->second.lastUsed = now;
+    slot->lastUsed = now;
+    m_evictNotBefore = now + evictAgainDelay;
+    return schedule(now);
+}
+
+SchedulerCommands EndpointScheduler::evictionUnanswered(const core::AdapterVersion &adapter,
+                                                        core::TimePoint now)
+{
+    if (Slot *slot = slotIn(SlotState::Evicting, adapter))
+        slot->evictAgainAt = now + evictAgainDelay;
+    return schedule(now);
+}
+
+SchedulerCommands EndpointScheduler::missing(const core::AdapterVersion &adapter,
+                                             core::TimePoint now)
+{
+    if (slotIn(SlotState::Resident, adapter))
+        m_slots.erase(adapter);
     return schedule(now);
 }
 
@@ -130,15 +172,13 @@
                                            const std::vector<core::AdapterVersion> &pinned,
                                            core::TimePoint now)
 {
-    m_slots.clear();
+    std::erase_if(m_slots,
+                  [](const auto &entry) { return entry.second.state == SlotState::Resident; });
     for (const core::AdapterVersion &adapter : resident)
-        m_slots[adapter] = {.state = SlotState::Resident, .lastUsed = now};
+        m_slots.try_emplace(adapter, Slot {.state = SlotState::Resident, .lastUsed = now});
     for (const core::AdapterVersion &adapter : pinned)
         if (const auto slot = m_slots.find(adapter); slot != m_slots.end())
             slot->second.isPinned = true;
-    for (const auto &[request, adapter] : m_running)
-        if (const auto slot = m_slots.find(adapter); slot != m_slots.end())
-            ++slot->second.uses;
     return schedule(now);
 }
 
@@ -162,10 +202,11 @@
 
 SchedulerCommands EndpointScheduler::drain(core::TimePoint)
 {
+    m_isDraining = true;
     SchedulerCommands commands;
     for (const Queued &queued : std::exchange(m_queued, {}))
         commands.emplace_back(
-            RefuseRequest {queued.request, "daemon is stopping", core::Duration::zero()});
+            RefuseRequest {queued.request, "endpoint takes no new work", drainRetryAfter});
     return commands;
 }
 
@@ -177,8 +218,8 @@
 
 std::size_t EndpointScheduler::useCount(const core::AdapterVersion &adapter) const
 {
-    const auto slot = m_slots.find(adapter);
-    return slot == m_slots.end() ? 0 : slot->second.uses;
+    const auto uses = m_uses.find(adapter);
+    return uses == m_uses.end() ? 0 : uses->second;
 }
 
 std::vector<core::AdapterVersion> EndpointScheduler::residentAdapters() const
@@ -195,7 +236,9 @@
     SchedulerCommands commands;
     refuseExpired(now, commands);
     refuseWithoutSlot(now, commands);
+    resumeSlots();
     dispatchReady(now, commands);
+    repeatEvictions(now, commands);
     startLoads(now, commands);
     return commands;
 }
@@ -231,7 +274,7 @@
         Slot &slot = m_slots[queued.adapter];
         if (slot.isDraining)
             return false;
-        ++slot.uses;
+        ++m_uses[queued.adapter];
         slot.lastUsed = now;
         m_running.emplace(queued.request, queued.adapter);
         commands.emplace_back(DispatchRequest {queued.request});
@@ -270,6 +313,24 @@
     }
 }
 
+void EndpointScheduler::repeatEvictions(core::TimePoint now, SchedulerCommands &commands)
+{
+    for (auto &[adapter, slot] : m_slots) {
+        if (slot.state != SlotState::Evicting || !slot.evictAgainAt || now < *slot.evictAgainAt)
+            continue;
+        // Far enough for this order to be answered first; its own answer sets the time again.
+        slot.evictAgainAt = core::TimePoint::max();
+        commands.emplace_back(EvictAdapter {adapter});
+    }
+}
+
+EndpointScheduler::Slot *EndpointScheduler::slotIn(SlotState state,
+                                                   const core::AdapterVersion &adapter)
+{
+    const auto slot = m_slots.find(adapter);
+    return slot != m_slots.end() && slot->second.state == state ? &slot->second : nullptr;
+}
+
 bool EndpointScheduler::isWanted(const core::AdapterVersion &adapter) const
 {
     return std::ranges::any_of(
@@ -278,11 +339,15 @@
 
 bool EndpointScheduler::evictOne(core::TimePoint now, SchedulerCommands &commands)
 {
+    if (now < m_evictNotBefore)
+        return false;
     auto victim = m_slots.end();
     double least = 0;
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
         const Slot &candidate = slot->second;
-        if (candidate.state != SlotState::Resident || candidate.uses > 0 || candidate.isPinned)
+        if (candidate.state != SlotState::Resident || candidate.isPinned)
+            continue;
+        if (m_uses.contains(slot->first))
             continue;
         if (!candidate.isDraining && isWanted(slot->first))
             continue;
@@ -325,6 +390,17 @@
     m_slotStoppedAt = now;
 }
 
+// The request for which a slot was emptied can be refused or cancelled before the slot is free.
+void EndpointScheduler::resumeSlots()
+{
+    const bool isSlotNeeded = std::ranges::any_of(
+        m_queued, [this](const Queued &queued) { return !m_slots.contains(queued.adapter); });
+    if (isSlotNeeded)
+        return;
+    for (auto &[adapter, slot] : m_slots)
+        slot.isDraining = false;
+}
+
 core::Duration EndpointScheduler::predictedWait(core::TimePoint now) const
 {
     core::Duration wait = std::max(m_loadWait.predicted(now), m_grantWait.predicted(now));
--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -7,7 +7,7 @@
 
 LeaseTask::LeaseTask(Context &context)
     : m_context(context)
-    , m_holder({context.settings.leaseDuration, context.settings.leaseGuard})
+    , m_holder({.duration = context.settings.leaseDuration, .guard = context.settings.leaseGuard})
     , m_incarnation(randomId())
 { }
 
@@ -29,11 +29,19 @@
 
 void LeaseTask::renew()
 {
-    if (m_isReleased)
+    if (m_released)
         return;
+    m_isRenewing = true;
     const core::TimePoint sentAt = m_context.timers.now();
     const nlohmann::json spec {{"incarnation", m_incarnation}, {"renewals", ++m_renewals}};
     const auto handler = [this, sentAt](const absl::StatusOr<platform::Object> &result) {
+        m_isRenewing = false;
+        if (m_released) {
+            if (result.ok())
+                m_resourceVersion = result->resourceVersion;
+            removeRecord();
+            return;
+        }
         renewLater();
         if (result.ok()) {
             stored(*result, sentAt);
@@ -44,8 +52,10 @@
             adopt();
         else if (code == absl::StatusCode::kNotFound)
             m_resourceVersion.clear();
-        else
+        else {
             observability::logError(observability::LogLevel::Warn, result.status());
+            readBack(sentAt);
+        }
     };
     const std::string &name = m_context.settings.host.value();
     if (m_resourceVersion.empty())
@@ -61,13 +71,28 @@
 {
     m_context.objects.read(
         platform::kinds::hostLeases, m_context.settings.host.value(), [this](const auto &result) {
-            if (!result.ok())
+            if (!result.ok() || m_released)
                 return;
             m_resourceVersion = result->resourceVersion;
             m_timer = m_context.timers.once(core::Duration::zero(), [this] { renew(); });
         });
 }
 
+// The write may have taken effect although its answer was lost. The incarnation and the number of
+// the renewal tell whether the record is the one that was sent.
+void LeaseTask::readBack(core::TimePoint sentAt)
+{
+    m_context.objects.read(platform::kinds::hostLeases, m_context.settings.host.value(),
+                           [this, sentAt, renewal = m_renewals](const auto &result) {
+                               if (!result.ok() || m_isReleased || renewal != m_renewals)
+                                   return;
+                               m_resourceVersion = result->resourceVersion;
+                               if (result->spec.value("incarnation", std::string()) == m_incarnation
+                                   && result->spec.value("renewals", std::uint64_t {0}) == renewal)
+                                   stored(*result, sentAt);
+                           });
+}
+
 void LeaseTask::stored(const platform::Object &object, core::TimePoint sentAt)
 {
     m_resourceVersion = object.resourceVersion;
@@ -79,12 +104,19 @@
 
 void LeaseTask::release(std::function<void()> done)
 {
-    m_isReleased = true;
+    m_released = std::move(done);
     m_timer.cancel();
     m_holder.released();
+    // A renewal under way changes the version of the record that is removed.
+    if (!m_isRenewing)
+        removeRecord();
+}
+
+void LeaseTask::removeRecord()
+{
     m_context.objects.remove(platform::kinds::hostLeases,
                              {m_context.settings.host.value(), m_resourceVersion, {}},
-                             [done = std::move(done)](const auto &) { done(); });
+                             [this](const auto &) { m_released(); });
 }
 
 } // namespace jackdawlead::serving
