--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -84,7 +84,7 @@
 {
     m_context.objects.read(platform::kinds::hostLeases, m_context.settings.host.value(),
                            [this, sentAt, renewal = m_renewals](const auto &result) {
-                               if (!result.ok() || m_isReleased || renewal != m_renewals)
+                               if (!result.ok() || m_released || renewal != m_renewals)
                                    return;
                                m_resourceVersion = result->resourceVersion;
                                if (result->spec.value("incarnation", std::string()) == m_incarnation
