Go on serving in an outage of the object API, and take over only without one

Cause: a holder whose lease lapsed refused all requests, so that an outage of the object API stopped all serving after 14 s; a daemon that took over relied on its own connection to the object API alone.

Change: serving/outagetask shares with the region whether the object API answers. A lapsed holder dispatches to resident adapters under the rule of decisions/outagemode, and never loads or evicts. A take-over needs at least half of the region's listed daemons to have seen the API answer during the whole observation; half shares a daemon with every majority, and lets one of two daemons replace the other. States are pulled, since only a reply has a bounded age, and only while someone needs them.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -45,21 +45,25 @@
     , m_objects(m_controlHttp, {m_settings.objectApiIp, m_settings.objectApiPort})
     , m_context {m_settings, m_loop, m_timers, m_http, m_controlHttp, m_objects, m_metrics}
     , m_lease(m_context)
-    , m_quarantine(m_context, [this](const decisions::Fact &fact) { m_peers.announce(fact, true); })
-    , m_dispatcher(m_context, m_lease, m_quarantine, [this] { m_ownership.resync(); })
-    , m_claims(m_context)
-    , m_callers(m_context, m_dispatcher, m_claims, m_quarantine)
-    , m_ownership(m_context, m_lease,
-                  [this](const serving::OwnerMap &owners) { m_dispatcher.ownersChanged(owners); })
     , m_peers(m_context,
               {.viewChanged = [this](const auto &view) { viewChanged(view); },
                .factSeen = [this](const decisions::Fact &fact) { m_quarantine.factSeen(fact); },
                .generationSeen
                = [this](core::Generation generation,
                         const core::HostId &host) { m_config.generationSeen(generation, host); }})
+    , m_outage(m_context, m_peers, m_lease)
+    , m_quarantine(m_context, [this](const decisions::Fact &fact) { m_peers.announce(fact, true); })
+    , m_dispatcher(m_context, m_lease, m_outage, m_quarantine, [this] { m_ownership.resync(); })
+    , m_claims(m_context)
+    , m_callers(m_context, m_dispatcher, m_claims, m_quarantine)
+    , m_ownership(m_context, m_lease, m_outage,
+                  [this](const serving::OwnerMap &owners) { m_dispatcher.ownersChanged(owners); })
     , m_config(m_context, m_peers, [this](auto catalog) { catalogChanged(std::move(catalog)); })
     , m_fleet(m_context,
-              [this](serving::FleetTask::ViewPtr view) { m_peers.fleetChanged(std::move(view)); })
+              [this](const serving::FleetTask::ViewPtr &view) {
+                  m_outage.fleetChanged(*view);
+                  m_peers.fleetChanged(view);
+              })
     , m_callerServer(m_loop, limitsOf(m_settings),
                      [this](auto exchange) { m_callers.accept(std::move(exchange)); })
     , m_peerServer(m_loop, limitsOf(m_settings),
@@ -82,8 +86,12 @@
         return status;
     m_loop.onSignal(SIGTERM, [this] { stop(); });
     m_loop.onSignal(SIGINT, [this] { stop(); });
+    m_lease.onAnswer([this](const absl::Status &status, core::TimePoint sentAt) {
+        m_outage.apiAnswered(status, sentAt);
+    });
     m_lease.start([this] { m_ownership.leaseRegained(); });
     m_peers.start();
+    m_outage.start();
     m_config.start();
     m_fleet.start();
     m_ownership.start();
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -9,6 +9,7 @@
 #include "serving/dispatcher.h"
 #include "serving/fleettask.h"
 #include "serving/leasetask.h"
+#include "serving/outagetask.h"
 #include "serving/ownershiptask.h"
 #include "serving/peertask.h"
 #include "serving/quarantinetask.h"
@@ -50,12 +51,13 @@
     serving::Context m_context;
 
     serving::LeaseTask m_lease;
+    serving::PeerTask m_peers;
+    serving::OutageTask m_outage;
     serving::QuarantineTask m_quarantine;
     serving::Dispatcher m_dispatcher;
     serving::ClaimTask m_claims;
     serving::CallerTask m_callers;
     serving::OwnershipTask m_ownership;
-    serving::PeerTask m_peers;
     serving::ConfigTask m_config;
     serving::FleetTask m_fleet;
 
--- a/src/libs/decisions/outagemode.cpp
+++ b/src/libs/decisions/outagemode.cpp
@@ -29,20 +29,20 @@
 
 bool OutageMode::isOutage(core::TimePoint now) const
 {
-    return isMajority(
-        static_cast<std::size_t>(std::ranges::count_if(m_states, [&](const auto &entry) {
-            return entry.second.report == ApiReport::Unreachable
-                && now - entry.second.madeAt <= m_limits.maxReportAge;
-        })));
+    const auto count = std::ranges::count_if(m_states, [&](const auto &entry) {
+        return entry.second.report == ApiReport::Unreachable
+            && now - entry.second.madeAt <= m_limits.maxReportAge;
+    });
+    return 2 * static_cast<std::size_t>(count) > m_daemons.size();
 }
 
 bool OutageMode::isReachableSince(core::TimePoint begin, core::TimePoint now) const
 {
-    return isMajority(
-        static_cast<std::size_t>(std::ranges::count_if(m_states, [&](const auto &entry) {
-            return entry.second.report == ApiReport::Reachable && entry.second.since <= begin
-                && now - entry.second.madeAt <= m_limits.maxReportAge;
-        })));
+    const auto count = std::ranges::count_if(m_states, [&](const auto &entry) {
+        return entry.second.report == ApiReport::Reachable && entry.second.since <= begin
+            && now - entry.second.madeAt <= m_limits.maxReportAge;
+    });
+    return !m_daemons.empty() && 2 * static_cast<std::size_t>(count) >= m_daemons.size();
 }
 
 std::map<core::HostId, ApiState> OutageMode::current(core::TimePoint now) const
--- a/src/libs/decisions/outagemode.h
+++ b/src/libs/decisions/outagemode.h
@@ -44,14 +44,14 @@
     void reported(const core::HostId &host, const ApiState &state);
     /// Whether a majority reports the object API as unreachable.
     bool isOutage(core::TimePoint now) const;
-    /// Whether a majority reports the object API as reachable without a gap since `begin`.
+    /// Whether at least half report the object API as reachable without a gap since `begin`. Half
+    /// is enough to share a daemon with every majority, and lets one of two daemons replace the
+    /// other.
     bool isReachableSince(core::TimePoint begin, core::TimePoint now) const;
     /// The states of known daemons that are not too old.
     std::map<core::HostId, ApiState> current(core::TimePoint now) const;
 
 private:
-    bool isMajority(std::size_t count) const { return 2 * count > m_daemons.size(); }
-
     OutageLimits m_limits;
     std::set<core::HostId> m_daemons;
     std::map<core::HostId, ApiState> m_states;
--- a/src/libs/serving/dispatcher.cpp
+++ b/src/libs/serving/dispatcher.cpp
@@ -21,10 +21,11 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
-                       std::function<void()> ownersStale)
+Dispatcher::Dispatcher(Context &context, LeaseTask &lease, OutageTask &outage,
+                       QuarantineTask &quarantine, std::function<void()> ownersStale)
     : m_context(context)
     , m_lease(lease)
+    , m_outage(outage)
     , m_quarantine(quarantine)
     , m_ownersStale(std::move(ownersStale))
 { }
@@ -79,7 +80,7 @@
         if (!pool)
             continue;
         auto task = std::make_unique<EndpointTask>(
-            m_context, m_lease, m_quarantine,
+            m_context, m_lease, m_outage, m_quarantine,
             EndpointTask::Target {endpoint, entry->second.address, owner.token,
                                   static_cast<std::size_t>(pool->slots), pool->needsCredential});
         task->start();
--- a/src/libs/serving/dispatcher.h
+++ b/src/libs/serving/dispatcher.h
@@ -21,7 +21,7 @@
 
     /// `ownersStale` is called when another daemon refuses a request because it does not own the
     /// endpoint, which shows that the known owners are out of date.
-    Dispatcher(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
+    Dispatcher(Context &context, LeaseTask &lease, OutageTask &outage, QuarantineTask &quarantine,
                std::function<void()> ownersStale);
 
     void fleetChanged(FleetTask::ViewPtr view);
@@ -47,6 +47,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    OutageTask &m_outage;
     QuarantineTask &m_quarantine;
     std::function<void()> m_ownersStale;
     FleetTask::ViewPtr m_view;
--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -28,10 +28,11 @@
 
 } // namespace
 
-EndpointTask::EndpointTask(Context &context, LeaseTask &lease, QuarantineTask &quarantine,
-                           Target target)
+EndpointTask::EndpointTask(Context &context, LeaseTask &lease, OutageTask &outage,
+                           QuarantineTask &quarantine, Target target)
     : m_context(context)
     , m_lease(lease)
+    , m_outage(outage)
     , m_quarantine(quarantine)
     , m_target(std::move(target))
     , m_crashes(context, quarantine, m_target.endpoint, m_target.address)
@@ -306,7 +307,7 @@
     m_context.metrics.loadStall(m_context.timers.now() - run->queuedAt);
     // Asked again, since another run of the request may have started or crashed since its submit.
     absl::Status status = m_quarantine.checkStart(run->fingerprint);
-    if (!m_lease.isValid())
+    if (!m_outage.mayDispatch())
         status = endpointError(absl::StatusCode::kUnavailable, "dispatch", m_target.endpoint,
                                "host lease is not valid", core::Outcome::NotRun);
     if (!status.ok()) {
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -7,6 +7,7 @@
 #include "serving/enginereport.h"
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
+#include "serving/outagetask.h"
 #include "serving/replysink.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -49,7 +50,8 @@
         bool needsCredential = false;
     };
 
-    EndpointTask(Context &context, LeaseTask &lease, QuarantineTask &quarantine, Target target);
+    EndpointTask(Context &context, LeaseTask &lease, OutageTask &outage, QuarantineTask &quarantine,
+                 Target target);
     ~EndpointTask();
     EndpointTask(const EndpointTask &) = delete;
     EndpointTask &operator=(const EndpointTask &) = delete;
@@ -108,6 +110,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    OutageTask &m_outage;
     QuarantineTask &m_quarantine;
     Target m_target;
     CrashWatch m_crashes;
--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -35,6 +35,8 @@
     const nlohmann::json spec {{"incarnation", m_incarnation}, {"renewals", ++m_renewals}};
     const auto handler = [this, sentAt](const absl::StatusOr<platform::Object> &result) {
         renewLater();
+        if (m_answered)
+            m_answered(result.status(), sentAt);
         if (result.ok()) {
             stored(*result, sentAt);
             return;
--- a/src/libs/serving/leasetask.h
+++ b/src/libs/serving/leasetask.h
@@ -18,6 +18,11 @@
     /// `regained` is called when the lease becomes valid again after a lapse, before any other task
     /// can use it.
     void start(std::function<void()> regained);
+    /// `answered` is called with the end of each renewal and the time at which it was sent.
+    void onAnswer(std::function<void(const absl::Status &, core::TimePoint)> answered)
+    {
+        m_answered = std::move(answered);
+    }
     /// Deletes the lease so that others can take over at once; `done` is called in any case.
     void release(std::function<void()> done);
     /// Whether exclusive rights hold now; to be asked directly before each use of them.
@@ -36,6 +41,7 @@
     std::uint64_t m_renewals = 0;
     bool m_isReleased = false;
     std::function<void()> m_regained;
+    std::function<void(const absl::Status &, core::TimePoint)> m_answered;
     net::TimerService::Subscription m_timer;
 };
 
--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -20,9 +20,11 @@
 
 } // namespace
 
-OwnershipTask::OwnershipTask(Context &context, LeaseTask &lease, Subscriber subscriber)
+OwnershipTask::OwnershipTask(Context &context, LeaseTask &lease, OutageTask &outage,
+                             Subscriber subscriber)
     : m_context(context)
     , m_lease(lease)
+    , m_outage(outage)
     , m_subscriber(std::move(subscriber))
     , m_follower(context.objects, context.timers, platform::kinds::endpointOwners,
                  {[this](const auto &objects) { listed(objects); },
@@ -176,20 +178,21 @@
         return false;
     observeLease(holder);
     const auto observer = m_observers.find(holder);
-    return m_gone.contains(holder) || observer->second.hasLapsed(m_context.timers.now());
+    return m_gone.contains(holder)
+        || (observer->second.hasLapsed(m_context.timers.now()) && m_outage.mayTakeOver());
 }
 
 void OwnershipTask::observeLease(const core::HostId &holder)
 {
-    const decisions::LeaseLimits limits {.duration = m_context.settings.leaseDuration,
-                                         .guard = m_context.settings.leaseGuard};
-    m_observers.try_emplace(holder, limits);
+    m_observers.try_emplace(holder, m_outage.takerLimits());
     m_context.objects.read(
         platform::kinds::hostLeases, holder.value(),
         [this, holder, sentAt = m_context.timers.now()](const auto &result) {
             decisions::LeaseObserver &observer = m_observers.at(holder);
             m_gone.erase(holder);
-            if (result.ok())
+            m_outage.apiAnswered(result.status(), sentAt);
+            const bool mayObserve = m_outage.mayObserve();
+            if (result.ok() && mayObserve)
                 observer.observed(result->resourceVersion, sentAt, m_context.timers.now());
             else if (result.status().code() == absl::StatusCode::kNotFound)
                 m_gone.insert(holder); // A lease is deleted only by its holder's planned stop.
--- a/src/libs/serving/ownershiptask.h
+++ b/src/libs/serving/ownershiptask.h
@@ -6,6 +6,7 @@
 #include "serving/fleettask.h"
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
+#include "serving/outagetask.h"
 
 #include <functional>
 #include <map>
@@ -22,7 +23,7 @@
 public:
     using Subscriber = std::function<void(const OwnerMap &)>;
 
-    OwnershipTask(Context &context, LeaseTask &lease, Subscriber subscriber);
+    OwnershipTask(Context &context, LeaseTask &lease, OutageTask &outage, Subscriber subscriber);
 
     void start();
     void fleetChanged(FleetTask::ViewPtr view);
@@ -61,6 +62,7 @@
 
     Context &m_context;
     LeaseTask &m_lease;
+    OutageTask &m_outage;
     Subscriber m_subscriber;
     FleetTask::ViewPtr m_view;
     std::set<core::PoolId> m_enginePools;
--- a/src/libs/serving/peerclient.h
+++ b/src/libs/serving/peerclient.h
@@ -23,6 +23,8 @@
 inline const rpc::MethodName configRoot {"configRoot"};
 /// {name} -> {content}
 inline const rpc::MethodName configPart {"configPart"};
+/// {} -> {states}: a list of [host, is reachable, age in ms, lasted ms] about the object API.
+inline const rpc::MethodName apiStates {"apiStates"};
 } // namespace peermethods
 
 /// Calls methods of other daemons. Errors carry step `peer-call` and the peer; kUnavailable and
