--- a/src/libs/decisions/endpointscheduler.cpp
+++ b/src/libs/decisions/endpointscheduler.cpp
@@ -1,6 +1,8 @@
 #include "decisions/endpointscheduler.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -10,9 +12,22 @@
 
 constexpr core::Duration drainRetryAfter = std::chrono::seconds(1);
 constexpr core::Duration evictAgainDelay = std::chrono::seconds(1);
+// A request that arrives after its deadline is refused although no wait is predicted.
+constexpr core::Duration leastRetryAfter = std::chrono::milliseconds(100);
+// Emptying an adapter in use idles its slot for the length of a request; a small gain in the rate
+// does not pay for that.
+constexpr double leastGainOfStop = 1.5;
 
 } // namespace
 
+SchedulerLimits limitsFor(double stallWeight)
+{
+    SchedulerLimits limits;
+    limits.maxLoadWait
+        = std::chrono::milliseconds(std::lround(2500 - 1500 * std::clamp(stallWeight, 0.0, 1.0)));
+    return limits;
+}
+
 EndpointScheduler::EndpointScheduler(SchedulerLimits limits)
     : m_limits(limits)
 { }
@@ -28,8 +43,14 @@
     const auto backoff = m_backoffs.find(adapter);
     if (backoff != m_backoffs.end() && now < backoff->second.until && !m_slots.contains(adapter))
         return {RefuseRequest {request, "adapter failed to load", backoff->second.until - now}};
+    m_rates.requested(adapter, now);
+    const core::Duration wait
+        = m_slots.contains(adapter) ? core::Duration::zero() : predictedWait(now);
+    if (wait > acceptedWait(adapter, now) || now + wait > deadline)
+        return {RefuseRequest {request, "load of the adapter would take too long",
+                               std::max(wait, leastRetryAfter)}};
     const auto position = std::ranges::upper_bound(m_queued, deadline, {}, &Queued::deadline);
-    m_queued.insert(position, {request, adapter, deadline});
+    m_queued.insert(position, {request, adapter, deadline, now});
     return schedule(now);
 }
 
@@ -68,6 +89,8 @@
     Slot *slot = slotIn(SlotState::Loading, adapter);
     if (!slot)
         return {};
+    if (slot->wantedAt != core::TimePoint())
+        m_loadWait.measured(now - slot->wantedAt, now);
     slot->state = SlotState::Resident;
     slot->lastUsed = now;
     m_backoffs.erase(adapter);
@@ -92,6 +115,15 @@
     return commands;
 }
 
+SchedulerCommands EndpointScheduler::loadWithdrawn(const core::AdapterVersion &adapter,
+                                                   core::TimePoint now)
+{
+    const auto slot = m_slots.find(adapter);
+    if (slot != m_slots.end() && slot->second.state == SlotState::Loading)
+        m_slots.erase(slot);
+    return schedule(now);
+}
+
 SchedulerCommands EndpointScheduler::evicted(const core::AdapterVersion &adapter,
                                              core::TimePoint now)
 {
@@ -111,6 +143,7 @@
     if (slot->evictAgainAt)
         return evictionUnanswered(adapter, now);
     slot->state = SlotState::Resident;
+    slot->isDraining = false;
     // Counts as a use, so that another adapter is tried first the next time.
     slot->lastUsed = now;
     m_evictNotBefore = now + evictAgainDelay;
@@ -155,6 +188,11 @@
     return schedule(now);
 }
 
+void EndpointScheduler::grantWaitTold(core::Duration wait, core::TimePoint now)
+{
+    m_grantWait.told(wait, now);
+}
+
 SchedulerCommands EndpointScheduler::tick(core::TimePoint now)
 {
     return schedule(now);
@@ -195,6 +233,8 @@
 {
     SchedulerCommands commands;
     refuseExpired(now, commands);
+    refuseWithoutSlot(now, commands);
+    resumeSlots();
     dispatchReady(now, commands);
     repeatEvictions(now, commands);
     startLoads(now, commands);
@@ -211,13 +251,29 @@
     m_queued.erase(m_queued.begin(), firstLive);
 }
 
+void EndpointScheduler::refuseWithoutSlot(core::TimePoint now, SchedulerCommands &commands)
+{
+    std::erase_if(m_queued, [&](const Queued &queued) {
+        if (m_slots.contains(queued.adapter)
+            || now - queued.queuedAt
+                <= std::max(acceptedWait(queued.adapter, now), m_limits.maxSlotWait))
+            return false;
+        commands.emplace_back(
+            RefuseRequest {queued.request, "no slot became free in time", m_limits.maxLoadWait});
+        return true;
+    });
+}
+
 void EndpointScheduler::dispatchReady(core::TimePoint now, SchedulerCommands &commands)
 {
     std::erase_if(m_queued, [&](const Queued &queued) {
         if (m_running.size() >= m_limits.maxRunning || !isResident(queued.adapter))
             return false;
+        Slot &slot = m_slots[queued.adapter];
+        if (slot.isDraining)
+            return false;
         ++m_uses[queued.adapter];
-        m_slots[queued.adapter].lastUsed = now;
+        slot.lastUsed = now;
         m_running.emplace(queued.request, queued.adapter);
         commands.emplace_back(DispatchRequest {queued.request});
         return true;
@@ -237,7 +293,8 @@
         if (backoff != m_backoffs.end() && now < backoff->second.until)
             continue;
         if (m_slots.size() < m_limits.slots) {
-            m_slots[queued.adapter] = {.state = SlotState::Loading, .lastUsed = now};
+            m_slots[queued.adapter]
+                = {.state = SlotState::Loading, .lastUsed = now, .wantedAt = queued.queuedAt};
             commands.emplace_back(LoadAdapter {queued.adapter, queued.deadline});
             continue;
         }
@@ -246,8 +303,11 @@
             --freeSoon;
             continue;
         }
-        if (!evictOne(now, commands))
+        if (!evictOne(now, commands)) {
+            if (now >= queued.queuedAt + m_limits.maxSlotWait)
+                drainOne(queued.adapter, now);
             return;
+        }
     }
 }
 
@@ -280,14 +340,21 @@
     if (now < m_evictNotBefore)
         return false;
     auto victim = m_slots.end();
+    double least = 0;
     for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
         const Slot &candidate = slot->second;
         if (candidate.state != SlotState::Resident || candidate.isPinned)
             continue;
-        if (m_uses.contains(slot->first) || isWanted(slot->first))
+        if (m_uses.contains(slot->first))
             continue;
-        if (victim == m_slots.end() || candidate.lastUsed < victim->second.lastUsed)
+        if (!candidate.isDraining && isWanted(slot->first))
+            continue;
+        const double value = candidate.isDraining ? -1 : m_rates.value(slot->first, now);
+        if (victim == m_slots.end() || value < least
+            || (value == least && candidate.lastUsed < victim->second.lastUsed)) {
             victim = slot;
+            least = value;
+        }
     }
     if (victim == m_slots.end())
         return false;
@@ -296,6 +363,71 @@
     return true;
 }
 
+void EndpointScheduler::drainOne(const core::AdapterVersion &waiter, core::TimePoint now)
+{
+    auto victim = m_slots.end();
+    double least = 0;
+    for (auto slot = m_slots.begin(); slot != m_slots.end(); ++slot) {
+        if (slot->second.isDraining)
+            return;
+        if (slot->second.state != SlotState::Resident || slot->second.isPinned)
+            continue;
+        const double value = m_rates.value(slot->first, now);
+        if (victim == m_slots.end() || value < least) {
+            victim = slot;
+            least = value;
+        }
+    }
+    if (victim == m_slots.end())
+        return;
+    const bool isDue
+        = m_slotStoppedAt == core::TimePoint() || now >= m_slotStoppedAt + m_limits.slotStopPeriod;
+    if (!isDue && m_rates.value(waiter, now) <= least * leastGainOfStop)
+        return;
+    victim->second.isDraining = true;
+    m_slotStoppedAt = now;
+}
+
+// The request for which a slot was emptied can be refused or cancelled before the slot is free.
+void EndpointScheduler::resumeSlots()
+{
+    const bool isSlotNeeded = std::ranges::any_of(
+        m_queued, [this](const Queued &queued) { return !m_slots.contains(queued.adapter); });
+    if (isSlotNeeded)
+        return;
+    for (auto &[adapter, slot] : m_slots)
+        slot.isDraining = false;
+}
+
+core::Duration EndpointScheduler::predictedWait(core::TimePoint now) const
+{
+    core::Duration wait = std::max(m_loadWait.predicted(now), m_grantWait.predicted(now));
+    for (const Queued &queued : m_queued)
+        if (!isResident(queued.adapter))
+            wait = std::max(wait, now - queued.queuedAt);
+    return wait;
+}
+
+core::Duration EndpointScheduler::acceptedWait(const core::AdapterVersion &adapter,
+                                               core::TimePoint now) const
+{
+    // When loads are scarce, they go to adapters that are worth more than those they displace.
+    const double pressure = slotPressure(now);
+    const double worth
+        = pressure > 0 ? std::clamp(m_rates.value(adapter, now) / pressure, 0.1, 1.0) : 1.0;
+    return std::chrono::duration_cast<core::Duration>(m_limits.maxLoadWait * worth * worth);
+}
+
+double EndpointScheduler::slotPressure(core::TimePoint now) const
+{
+    if (m_slots.size() < m_limits.slots)
+        return 0;
+    double least = std::numeric_limits<double>::max();
+    for (const auto &[adapter, slot] : m_slots)
+        least = std::min(least, m_rates.value(adapter, now));
+    return least;
+}
+
 void EndpointScheduler::refuseWaiters(const core::AdapterVersion &adapter,
                                       core::Duration retryAfter, SchedulerCommands &commands)
 {
--- a/src/libs/decisions/placement.h
+++ b/src/libs/decisions/placement.h
@@ -20,8 +20,9 @@
 {
     /// An endpoint above this multiple of the mean outstanding work passes requests on.
     double boundedLoadFactor = 1.5;
-    /// Below this number of outstanding requests an endpoint is never passed over.
-    int boundedLoadFloor = 4;
+    /// Below this number of outstanding requests an endpoint is never passed over. A pass-over
+    /// costs a load, which pays only when the batch of the home is well filled.
+    int boundedLoadFloor = 32;
 };
 
 /// Orders all candidates by weighted rendezvous hash; candidates of the home region come first.
@@ -37,6 +38,13 @@
                                              std::size_t activeHomes,
                                              const PlacementLimits &limits);
 
+/// The same with one active home, which the owner of the first home named (HomeAdvisor). It is
+/// tried first while it is within the bound. Thread safety: any thread.
+std::vector<core::EndpointId> placementOrder(const core::AdapterVersion &adapter,
+                                             const std::vector<Candidate> &candidates,
+                                             const core::EndpointId &activeHome,
+                                             const PlacementLimits &limits);
+
 /// A rendezvous score of `node` for `key`; the greatest score wins. Thread safety: any thread.
 double rendezvousScore(const std::string &key, const std::string &node, double weight);
 
--- a/src/libs/serving/dispatcher.cpp
+++ b/src/libs/serving/dispatcher.cpp
@@ -27,12 +27,14 @@
     , m_lease(lease)
     , m_outage(outage)
     , m_quarantine(quarantine)
+    , m_budget(context)
     , m_ownersStale(std::move(ownersStale))
 { }
 
 void Dispatcher::fleetChanged(FleetTask::ViewPtr view)
 {
     m_view = std::move(view);
+    m_budget.liveDaemonsChanged(m_view->daemons.size());
     for (const auto &[endpoint, owned] : m_owned) {
         const auto entry = m_view->endpoints.find(endpoint);
         owned.task->setLeaving(entry == m_view->endpoints.end() || entry->second.isLeaving);
@@ -80,9 +82,10 @@
         if (!pool)
             continue;
         auto task = std::make_unique<EndpointTask>(
-            m_context, m_lease, m_outage, m_quarantine,
+            m_context, m_lease, m_outage, m_quarantine, m_budget,
             EndpointTask::Target {endpoint, entry->second.address, owner.token,
-                                  static_cast<std::size_t>(pool->slots), pool->needsCredential});
+                                  static_cast<std::size_t>(pool->slots), pool->needsCredential,
+                                  pool->stallWeight});
         task->start();
         m_owned.emplace(endpoint, Owned {owner.token, std::move(task)});
     }
--- a/src/libs/serving/dispatcher.h
+++ b/src/libs/serving/dispatcher.h
@@ -49,6 +49,7 @@
     LeaseTask &m_lease;
     OutageTask &m_outage;
     QuarantineTask &m_quarantine;
+    LoadBudgetTask m_budget;
     std::function<void()> m_ownersStale;
     FleetTask::ViewPtr m_view;
     std::shared_ptr<const config::Catalog> m_catalog;
