--- a/src/libs/serving/endpointtask.cpp
+++ b/src/libs/serving/endpointtask.cpp
@@ -38,12 +38,13 @@
 
 } // namespace
 
-EndpointTask::EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget,
-                           QuarantineTask &quarantine, Target target)
+EndpointTask::EndpointTask(Context &context, LeaseTask &lease, OutageTask &outage,
+                           QuarantineTask &quarantine, LoadBudgetTask &budget, Target target)
     : m_context(context)
     , m_lease(lease)
-    , m_budget(budget)
+    , m_outage(outage)
     , m_quarantine(quarantine)
+    , m_budget(budget)
     , m_target(std::move(target))
     , m_crashes(context, quarantine, m_target.endpoint, m_target.address)
     , m_scheduler(schedulerLimits(m_target, context.settings))
@@ -346,7 +347,7 @@
     m_context.metrics.loadStall(m_context.timers.now() - run->queuedAt);
     // Asked again, since another run of the request may have started or crashed since its submit.
     absl::Status status = m_quarantine.checkStart(run->fingerprint);
-    if (!m_lease.isValid())
+    if (!m_outage.mayDispatch())
         status = endpointError(absl::StatusCode::kUnavailable, "dispatch", m_target.endpoint,
                                "host lease is not valid", core::Outcome::NotRun);
     if (!status.ok()) {
--- a/src/libs/serving/endpointtask.h
+++ b/src/libs/serving/endpointtask.h
@@ -8,6 +8,7 @@
 #include "serving/fleetview.h"
 #include "serving/leasetask.h"
 #include "serving/loadbudgettask.h"
+#include "serving/outagetask.h"
 #include "serving/replysink.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -52,8 +53,8 @@
         double stallWeight = 0.5; ///< Of the pool.
     };
 
-    EndpointTask(Context &context, LeaseTask &lease, LoadBudgetTask &budget,
-                 QuarantineTask &quarantine, Target target);
+    EndpointTask(Context &context, LeaseTask &lease, OutageTask &outage, QuarantineTask &quarantine,
+                 LoadBudgetTask &budget, Target target);
     ~EndpointTask();
     EndpointTask(const EndpointTask &) = delete;
     EndpointTask &operator=(const EndpointTask &) = delete;
@@ -114,8 +115,9 @@
 
     Context &m_context;
     LeaseTask &m_lease;
-    LoadBudgetTask &m_budget;
+    OutageTask &m_outage;
     QuarantineTask &m_quarantine;
+    LoadBudgetTask &m_budget;
     Target m_target;
     CrashWatch m_crashes;
     decisions::EndpointScheduler m_scheduler;
--- a/src/libs/serving/leasetask.cpp
+++ b/src/libs/serving/leasetask.cpp
@@ -43,6 +43,8 @@
             return;
         }
         renewLater();
+        if (m_answered)
+            m_answered(result.status(), sentAt);
         if (result.ok()) {
             stored(*result, sentAt);
             return;
