--- a/bench/daemon/controlbench.py
+++ b/bench/daemon/controlbench.py
@@ -90,6 +90,8 @@
         for name in rows[0][1]:
             offset, slope = fit([(size, result[name]) for size, result in rows])
             print(f"  {name}: {offset:.3f} + {slope * 1000:.4f} per 1000 {varied}")
+    result = measure(build, seconds, **{name: sizes[-1] for name, sizes in SIZES.items()})
+    print("design size    " + "  ".join(f"{k} {v:8.3f}" for k, v in result.items()))
 
 
 main()
--- a/src/libs/serving/ownershiptask.cpp
+++ b/src/libs/serving/ownershiptask.cpp
@@ -185,10 +185,14 @@
 
 void OwnershipTask::observeLease(const core::HostId &holder)
 {
+    // One read serves all endpoints of a holder.
+    if (!m_observing.insert(holder).second)
+        return;
     m_observers.try_emplace(holder, m_outage.takerLimits());
     m_context.objects.read(
         platform::kinds::hostLeases, holder.value(),
         [this, holder, sentAt = m_context.timers.now()](const auto &result) {
+            m_observing.erase(holder);
             decisions::LeaseObserver &observer = m_observers.at(holder);
             m_gone.erase(holder);
             m_outage.apiAnswered(result.status(), sentAt);
--- a/src/libs/serving/ownershiptask.h
+++ b/src/libs/serving/ownershiptask.h
@@ -72,7 +72,8 @@
     std::map<core::EndpointId, Record> m_records;
     OwnerMap m_owners;
     std::map<core::HostId, decisions::LeaseObserver> m_observers;
-    std::set<core::HostId> m_gone; ///< Holders whose lease record does not exist.
+    std::set<core::HostId> m_observing; ///< Holders whose lease is being read.
+    std::set<core::HostId> m_gone;      ///< Holders whose lease record does not exist.
     std::set<core::EndpointId> m_pending;
     std::set<core::EndpointId> m_claimed; ///< Claimed by this process under its present lease.
     bool m_isListed = false;
--- a/tests/e2e/tst_enginefaults.cpp
+++ b/tests/e2e/tst_enginefaults.cpp
@@ -23,6 +23,7 @@
     cr_assert(fleet.isReady());
     cr_expect(fleet.waitForModels(0, 4, limit));
     std::vector<AnswerPtr> answers;
+    answers.reserve(24);
     for (int index = 0; index < 24; ++index)
         answers.push_back(fleet.chat(static_cast<std::size_t>(index) % 2,
                                      Fleet::modelName(1 + index % 12), "restart", index % 2 == 0));
--- a/tests/e2e/tst_objectapi.cpp
+++ b/tests/e2e/tst_objectapi.cpp
@@ -103,6 +103,7 @@
     cr_expect(fleet.waitForModels(0, warmAdapters, limit));
     cr_expect(fleet.setPlatformFault({{"delayMs", 300}}));
     std::vector<AnswerPtr> answers;
+    answers.reserve(10);
     for (int index = 0; index < 10; ++index)
         answers.push_back(fleet.order(0, "order-" + std::to_string(index), "chart"));
     for (int round = 0; round < 4; ++round) {
@@ -126,6 +127,7 @@
     cr_assert(fleet.isReady());
     cr_expect(fleet.setPlatformFault({{"objectApi", "lose-answers"}}));
     std::vector<AnswerPtr> answers;
+    answers.reserve(10);
     for (int index = 0; index < 10; ++index)
         answers.push_back(fleet.order(0, "order-" + std::to_string(index), "chart"));
     cr_expect(fleet.caller().waitForAll(answers, limit));
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -94,7 +94,7 @@
     return index + m_options.awayDaemons >= m_options.daemons;
 }
 
-Process Fleet::startProgram(const std::string &name, std::vector<std::string> command) const
+Process Fleet::startProgram(const std::string &name, const std::vector<std::string> &command) const
 {
     return {command, (m_folder / (name + ".out")).string()};
 }
@@ -435,6 +435,7 @@
     return m_caller.waitUntil(
         [&] {
             std::vector<AnswerPtr> answers;
+            answers.reserve(models.size());
             for (const std::string &model : models)
                 answers.push_back(chat(daemon, model, "ready", true));
             m_caller.waitForAll(answers, limit);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -134,7 +134,7 @@
     bool waitForModels(std::size_t daemon, std::vector<std::string> models, core::Duration limit);
     void choosePorts();
     void writeSettings(std::size_t index);
-    Process startProgram(const std::string &name, std::vector<std::string> command) const;
+    Process startProgram(const std::string &name, const std::vector<std::string> &command) const;
     Process startRelay(const std::string &name, std::uint16_t port, std::uint16_t target,
                        std::uint16_t control) const;
     bool isRelayed(bool isAwayTarget, bool isSeenFromAway) const;
