Count planned loads as copies and prefer endpoints that held an adapter

Cause: an order that was under way did not count as a copy, so that each report planned the same load at another endpoint; 1365 adapters came from the store for 2300 requests.

--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace jackdawlead::decisions {
@@ -184,6 +185,21 @@
     return order;
 }
 
+PlannedOrder AdapterPlanner::loadOf(EndpointState &state, const fleet::AdapterKey &key,
+                                    core::TimePoint now)
+{
+    PlannedOrder order;
+    order.model = key.model;
+    order.adapter = key.adapter;
+    if (const auto newest = m_newest.find(key); newest != m_newest.end())
+        order.version = newest->second;
+    // Counts as a copy from now on, so that no other endpoint is given the same load.
+    PlacedAdapter &placed = state.adapters[key];
+    placed.version = order.version.value_or(1);
+    placed.usableAt = placed.loadedAt = now + m_limits.reportAge;
+    return begin(state, order, now);
+}
+
 bool AdapterPlanner::modelLoadAllowed(const EndpointState &state, core::TimePoint now)
 {
     while (!m_modelLoads.empty() && now - m_modelLoads.front() > m_limits.modelLoadWindow)
@@ -235,22 +251,29 @@
         if (newest == m_newest.end() || placed.version >= newest->second || placed.isLeaving
             || placed.usableAt > now)
             continue;
-        PlannedOrder order;
-        order.model = key.model;
-        order.adapter = key.adapter;
-        order.version = newest->second;
-        return begin(state, order, now);
+        return loadOf(state, fleet::AdapterKey(key), now);
     }
     return std::nullopt;
 }
 
+// A place that was made for an adapter is filled before anything else is decided.
+std::optional<PlannedOrder> AdapterPlanner::planReserved(EndpointState &state, core::TimePoint now)
+{
+    if (!state.reserved)
+        return std::nullopt;
+    const fleet::AdapterKey key = *std::exchange(state.reserved, std::nullopt);
+    if (state.adapters.contains(key) || !hasRoom(state, key.model))
+        return std::nullopt;
+    return loadOf(state, key, now);
+}
+
 int AdapterPlanner::copies(const fleet::AdapterKey &key, const core::RegionId &region) const
 {
     int count = 0;
     for (const auto &[id, state] : m_endpoints) {
         const auto placed = state.adapters.find(key);
-        const bool isCopy = placed != state.adapters.end() && !placed->second.isLeaving
-            && !state.endpoint.isLeaving;
+        const bool isPlaced = placed != state.adapters.end() && !placed->second.isLeaving;
+        const bool isCopy = (isPlaced || state.reserved == key) && !state.endpoint.isLeaving;
         if (isCopy && (region.isEmpty() || state.region == region))
             ++count;
     }
@@ -277,12 +300,12 @@
                 = std::ceil(rate * seconds(m_limits.requestTime) / (slots * m_limits.fillPerCopy));
             if (held >= static_cast<int>(needed))
                 continue;
-            constexpr double noCopyUrgency = 1000; // Requests wait for the first copy.
-            wishes.push_back(
-                {key, region, rate / (held + 1) + (everywhere == 0 ? noCopyUrgency : 0)});
+            wishes.push_back({key, region, rate / (held + 1), everywhere == 0});
         }
     }
-    std::ranges::sort(wishes, std::ranges::greater(), &Wish::urgency);
+    std::ranges::sort(wishes, [](const Wish &left, const Wish &right) {
+        return std::tie(right.isFirstCopy, right.rate) < std::tie(left.isFirstCopy, left.rate);
+    });
     return wishes;
 }
 
@@ -310,47 +333,54 @@
     return chosen;
 }
 
+std::optional<AdapterPlanner::Place> AdapterPlanner::placeAt(EndpointState &state, const Wish &wish,
+                                                             core::TimePoint now) const
+{
+    if (!canTakeOrder(state) || state.reserved || state.adapters.contains(wish.key)
+        || inTransit(state, now) >= m_limits.adaptersInTransitPerEndpoint)
+        return std::nullopt;
+    const auto model = state.models.find(wish.key.model);
+    if (model == state.models.end() || model->second > now)
+        return std::nullopt;
+    Place place {&state, nullptr, state.load};
+    if (!state.heldBefore.contains(wish.key))
+        place.cost += m_limits.coldCost;
+    if (state.region != wish.region)
+        place.cost += m_limits.otherRegionCost;
+    if (hasRoom(state, wish.key.model))
+        return place;
+    place.victim = victim(state, now);
+    if (place.victim == nullptr)
+        return std::nullopt;
+    const double loss = valueOf(state, *place.victim, now);
+    // A further copy must be worth more than what it displaces.
+    if (!wish.isFirstCopy && loss >= wish.rate)
+        return std::nullopt;
+    place.cost += loss;
+    return place;
+}
+
 std::optional<PlannedOrder> AdapterPlanner::fulfil(const Wish &wish, core::TimePoint now)
 {
-    EndpointState *best = nullptr;
-    const fleet::AdapterKey *bestVictim = nullptr;
-    double bestScore = 0;
-    const double gain = m_demand.rate(wish.key, wish.region, now);
+    // Another region's wish may have been fulfilled since the wishes were listed.
+    if (wish.isFirstCopy && copies(wish.key, {}) > 0)
+        return std::nullopt;
+    std::optional<Place> best;
     for (auto &[id, state] : m_endpoints) {
-        if (!canTakeOrder(state) || state.adapters.contains(wish.key)
-            || inTransit(state, now) >= m_limits.adaptersInTransitPerEndpoint)
-            continue;
-        const auto model = state.models.find(wish.key.model);
-        if (model == state.models.end() || model->second > now)
-            continue;
-        const fleet::AdapterKey *evicted = nullptr;
-        double score = state.load + (state.region == wish.region ? 0 : 2.0);
-        if (!hasRoom(state, wish.key.model)) {
-            evicted = victim(state, now);
-            if (evicted == nullptr)
-                continue;
-            const double loss = valueOf(state, *evicted, now);
-            // A further copy must be worth more than what it displaces.
-            if (wish.urgency < 1000 && loss >= gain)
-                continue;
-            score += loss;
-        }
-        if (best == nullptr || score < bestScore) {
-            best = &state;
-            bestVictim = evicted;
-            bestScore = score;
-        }
+        const auto place = placeAt(state, wish, now);
+        if (place && (!best || place->cost < best->cost))
+            best = place;
     }
-    if (best == nullptr)
+    if (!best)
         return std::nullopt;
+    if (best->victim == nullptr)
+        return loadOf(*best->state, wish.key, now);
+    best->state->reserved = wish.key;
     PlannedOrder order;
-    order.isLoad = bestVictim == nullptr;
-    const fleet::AdapterKey key = bestVictim == nullptr ? wish.key : *bestVictim;
-    order.model = key.model;
-    order.adapter = key.adapter;
-    if (const auto newest = m_newest.find(key); order.isLoad && newest != m_newest.end())
-        order.version = newest->second;
-    return begin(*best, order, now);
+    order.isLoad = false;
+    order.model = best->victim->model;
+    order.adapter = best->victim->adapter;
+    return begin(*best->state, order, now);
 }
 
 std::vector<PlannedOrder> AdapterPlanner::plan(core::TimePoint now)
@@ -363,6 +393,14 @@
             orders.push_back(*std::move(order));
     }
     int room = m_limits.adaptersInTransit - adaptersInTransit(now);
+    for (auto &[id, state] : m_endpoints) {
+        if (!canTakeOrder(state))
+            continue;
+        if (auto order = planReserved(state, now)) {
+            orders.push_back(*std::move(order));
+            --room;
+        }
+    }
     for (auto &[id, state] : m_endpoints) {
         if (room <= 0 || !canTakeOrder(state))
             continue;
@@ -390,9 +428,13 @@
     EndpointState &state = found->second;
     state.hasOrder = false;
     state.lastOrder = now;
+    const fleet::AdapterKey key {order.model, order.adapter};
     const bool isDone = end == OrderEnd::Accepted || end == OrderEnd::Holds;
     if (!isDone) {
         state.needsReport = true;
+        state.reserved.reset();
+        if (order.isLoad)
+            state.adapters.erase(key);
         return;
     }
     // Whether an order that holds already counts is not stated; unloads that are done at once do.
@@ -400,26 +442,30 @@
         state.needsReport = true;
     else
         ++state.orderRevision;
+    changed(order.endpoint);
     if (order.adapter.isEmpty()) {
         const fleet::ModelSpec *spec = findModel(*state.engine, order.model);
         state.models[order.model] = now + (spec != nullptr ? spec->loadTime : core::Duration {});
-        changed(order.endpoint);
         return;
     }
-    const fleet::AdapterKey key {order.model, order.adapter};
     if (order.isLoad) {
-        const double crowd = std::max(
-            1.0, adaptersInTransit(now) / static_cast<double>(m_limits.adaptersInTransit));
-        const auto time = std::chrono::duration_cast<core::Duration>(m_limits.adapterLoad * crowd);
-        const int version = order.version.value_or(1);
-        state.adapters[key] = {version, now + time, now + time, false};
+        loadBegan(state, key, now);
     } else if (end == OrderEnd::Holds) {
         state.adapters.erase(key);
     } else {
         state.adapters[key].isLeaving = true;
+        state.reserved.reset();
         state.needsReport = true;
     }
-    changed(order.endpoint);
+}
+
+void AdapterPlanner::loadBegan(EndpointState &state, const fleet::AdapterKey &key,
+                               core::TimePoint now)
+{
+    const bool isWarm = !state.heldBefore.insert(key).second;
+    const core::Duration load = isWarm ? m_limits.warmAdapterLoad : m_limits.adapterLoad;
+    PlacedAdapter &placed = state.adapters[key];
+    placed.usableAt = placed.loadedAt = now + load;
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/adapterplanner.h
+++ b/src/libs/decisions/adapterplanner.h
@@ -24,6 +24,7 @@
     int adaptersInTransit = 14;
     int adaptersInTransitPerEndpoint = 4; ///< The endpoints' own limit.
     core::Duration adapterLoad = std::chrono::milliseconds(250);
+    core::Duration warmAdapterLoad = std::chrono::milliseconds(30);
     int modelLoadsInTransit = 4; ///< More at once make each of them slower.
     /// The part of the ceiling on model loads that is used; lost answers may hide some loads.
     double modelLoadPart = 0.9;
@@ -31,9 +32,15 @@
     /// How long one request occupies a slot, from the streams of both deployments.
     core::Duration requestTime = std::chrono::milliseconds(2200);
     /// The part of an endpoint's slots that one adapter should fill before it gets another copy.
-    double fillPerCopy = 0.35;
-    /// Below this rate a region uses another region's copy instead of loading its own.
-    double regionalRate = 0.3;
+    double fillPerCopy = 0.5;
+    /// Below this rate a region uses another region's copy instead of loading its own: a load costs
+    /// about as much as ten requests across the regions' link, and adapters stay for some 10 s.
+    double regionalRate = 1.0;
+    /// What a load costs in the choice of an endpoint if it never held the adapter, and what it
+    /// costs to use another region. An adapter that was held before loads ten times as fast and
+    /// does not burden the store.
+    double coldCost = 1.0;
+    double otherRegionCost = 0.6;
     /// An adapter that was loaded this recently is not evicted.
     core::Duration settling = std::chrono::milliseconds(1500);
     /// The values of a report are some hundred milliseconds old.
@@ -82,6 +89,9 @@
         core::TimePoint lastReport;
         std::map<core::ModelId, core::TimePoint> models; ///< With the time of their end of load.
         std::unordered_map<fleet::AdapterKey, PlacedAdapter> adapters;
+        std::set<fleet::AdapterKey> heldBefore;
+        /// The adapter for which a place is being made.
+        std::optional<fleet::AdapterKey> reserved;
         double load = 0; ///< Requests in progress per slot.
     };
 
@@ -116,7 +126,15 @@
     {
         fleet::AdapterKey key;
         core::RegionId region;
-        double urgency = 0;
+        double rate = 0;
+        bool isFirstCopy = false; ///< Requests wait for it.
+    };
+    /// An endpoint that could take an adapter, and what would have to go.
+    struct Place
+    {
+        EndpointState *state = nullptr;
+        const fleet::AdapterKey *victim = nullptr;
+        double cost = 0;
     };
 
     void changed(const core::EndpointId &id) { m_changes[id] = ++m_revision; }
@@ -127,12 +145,16 @@
     std::optional<PlannedOrder> planModel(EndpointState &state, core::TimePoint now);
     std::optional<PlannedOrder> planUpgrade(EndpointState &state, core::TimePoint now);
     std::vector<Wish> wishes(core::TimePoint now) const;
+    std::optional<PlannedOrder> planReserved(EndpointState &state, core::TimePoint now);
+    std::optional<Place> placeAt(EndpointState &state, const Wish &wish, core::TimePoint now) const;
     std::optional<PlannedOrder> fulfil(const Wish &wish, core::TimePoint now);
+    PlannedOrder loadOf(EndpointState &state, const fleet::AdapterKey &key, core::TimePoint now);
     const fleet::AdapterKey *victim(const EndpointState &state, core::TimePoint now) const;
     double valueOf(const EndpointState &state, const fleet::AdapterKey &key,
                    core::TimePoint now) const;
     int copies(const fleet::AdapterKey &key, const core::RegionId &region) const;
     bool modelLoadAllowed(const EndpointState &state, core::TimePoint now);
+    void loadBegan(EndpointState &state, const fleet::AdapterKey &key, core::TimePoint now);
     PlannedOrder begin(EndpointState &state, PlannedOrder order, core::TimePoint now);
 
     AdapterPlannerLimits m_limits;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -14,6 +14,8 @@
 // A store that has gone silent is noticed after the wait and the call's own limit, before bounds of
 // 3 s and more on draining and configuration have passed.
 constexpr core::Duration watchWait = std::chrono::milliseconds(2500);
+// Joins changes that come together: each call is priced, and endpoints' entries change often.
+constexpr core::Duration eventPause = std::chrono::milliseconds(300);
 constexpr core::Duration firstRetry = std::chrono::milliseconds(100);
 constexpr core::Duration longestRetry = std::chrono::milliseconds(1000);
 
@@ -81,7 +83,10 @@
         m_revision = events->revision;
         for (const platform::ObjectEvent &event : events->events)
             m_handlers.onEvent(event);
-        watchNext();
+        if (events->events.empty())
+            watchNext();
+        else
+            m_retry = m_timers.once(eventPause, [this] { watchNext(); });
     });
 }
 
