Load the first copy of a new version beside the old one, and take nothing long while stopping

Cause: an in-place replacement of an adapter waits for its runs and refuses new ones meanwhile, so its only endpoint answered 503 to four sends in a row (210 refused arrivals).

--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -108,7 +108,7 @@
             const auto [adapter, version] = parseHeldAdapter(text);
             const fleet::AdapterKey key {held.model, adapter};
             const auto before = believed.find(key);
-            PlacedAdapter placed {version, sentAt, sentAt, false};
+            PlacedAdapter placed {version, sentAt, sentAt};
             if (before != believed.end())
                 placed.loadedAt = before->second.loadedAt;
             state.adapters[key] = placed;
@@ -120,8 +120,7 @@
             continue;
         const auto [adapter, version] = parseHeldAdapter(text.substr(slash + 1));
         const auto end = sentAt + m_limits.adapterLoad;
-        state.adapters[{core::ModelId(text.substr(0, slash)), adapter}]
-            = {version, end, end, false};
+        state.adapters[{core::ModelId(text.substr(0, slash)), adapter}] = {version, end, end};
     }
     // A model load that is still under way is not in the list of models yet.
     if (report.isBusy) {
@@ -194,7 +193,9 @@
     if (const auto newest = m_newest.find(key); newest != m_newest.end())
         order.version = newest->second;
     // Counts as a copy from now on, so that no other endpoint is given the same load.
+    const bool isReplacement = state.adapters.contains(key);
     PlacedAdapter &placed = state.adapters[key];
+    placed.isReplacement = isReplacement;
     placed.version = order.version.value_or(1);
     placed.usableAt = placed.loadedAt = now + m_limits.reportAge;
     return begin(state, order, now);
@@ -242,16 +243,35 @@
     return begin(state, order, now);
 }
 
+bool AdapterPlanner::isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const
+{
+    const auto newest = m_newest.find(key);
+    return newest != m_newest.end() && placed.version < newest->second;
+}
+
+bool AdapterPlanner::hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key,
+                                        core::TimePoint now) const
+{
+    return std::ranges::any_of(m_endpoints, [&](const auto &entry) {
+        const auto placed = entry.second.adapters.find(key);
+        return entry.first != state.endpoint.id && placed != entry.second.adapters.end()
+            && !isOutdated(key, placed->second) && placed->second.usableAt <= now
+            && !entry.second.endpoint.isLeaving;
+    });
+}
+
+// A replacement blocks the adapter there until its runs have ended. While it is in demand, the
+// first copy of a new version is therefore loaded at another endpoint.
 std::optional<PlannedOrder> AdapterPlanner::planUpgrade(EndpointState &state, core::TimePoint now)
 {
     if (inTransit(state, now) >= m_limits.adaptersInTransitPerEndpoint)
         return std::nullopt;
     for (const auto &[key, placed] : state.adapters) {
-        const auto newest = m_newest.find(key);
-        if (newest == m_newest.end() || placed.version >= newest->second || placed.isLeaving
-            || placed.usableAt > now)
+        if (!isOutdated(key, placed) || placed.isLeaving || placed.usableAt > now)
             continue;
-        return loadOf(state, fleet::AdapterKey(key), now);
+        const bool isIdle = m_demand.totalRate(key, now) < m_limits.idleRate;
+        if (isIdle || hasNewestElsewhere(state, key, now))
+            return loadOf(state, fleet::AdapterKey(key), now);
     }
     return std::nullopt;
 }
@@ -272,7 +292,8 @@
     int count = 0;
     for (const auto &[id, state] : m_endpoints) {
         const auto placed = state.adapters.find(key);
-        const bool isPlaced = placed != state.adapters.end() && !placed->second.isLeaving;
+        const bool isPlaced = placed != state.adapters.end() && !placed->second.isLeaving
+            && !isOutdated(key, placed->second);
         const bool isCopy = (isPlaced || state.reserved == key) && !state.endpoint.isLeaving;
         if (isCopy && (region.isEmpty() || state.region == region))
             ++count;
@@ -462,9 +483,12 @@
 void AdapterPlanner::loadBegan(EndpointState &state, const fleet::AdapterKey &key,
                                core::TimePoint now)
 {
-    const bool isWarm = !state.heldBefore.insert(key).second;
-    const core::Duration load = isWarm ? m_limits.warmAdapterLoad : m_limits.adapterLoad;
     PlacedAdapter &placed = state.adapters[key];
+    const bool isWarm = !state.heldBefore.insert(key).second;
+    core::Duration load = isWarm ? m_limits.warmAdapterLoad : m_limits.adapterLoad;
+    if (placed.isReplacement)
+        load = m_limits.replacement;
+    placed.isReplacement = false;
     placed.usableAt = placed.loadedAt = now + load;
 }
 
--- a/src/libs/decisions/adapterplanner.h
+++ b/src/libs/decisions/adapterplanner.h
@@ -24,6 +24,8 @@
     int adaptersInTransit = 14;
     int adaptersInTransitPerEndpoint = 4; ///< The endpoints' own limit.
     core::Duration adapterLoad = std::chrono::milliseconds(250);
+    /// A replacement in place waits for the runs of the older version, which are streams.
+    core::Duration replacement = std::chrono::milliseconds(2000);
     core::Duration warmAdapterLoad = std::chrono::milliseconds(30);
     int modelLoadsInTransit = 4; ///< More at once make each of them slower.
     /// The part of the ceiling on model loads that is used; lost answers may hide some loads.
@@ -41,6 +43,8 @@
     /// does not burden the store.
     double coldCost = 1.0;
     double otherRegionCost = 0.6;
+    /// Under this rate no request is expected while an adapter is replaced.
+    double idleRate = 0.05;
     /// An adapter that was loaded this recently is not evicted.
     core::Duration settling = std::chrono::milliseconds(1500);
     /// The values of a report are some hundred milliseconds old.
@@ -68,7 +72,8 @@
     int version = 1;
     core::TimePoint usableAt;
     core::TimePoint loadedAt;
-    bool isLeaving = false; ///< An unload waits for its runs.
+    bool isLeaving = false;     ///< An unload waits for its runs.
+    bool isReplacement = false; ///< The load under way replaces an older version.
 };
 
 /// Decides which endpoint holds which models and adapters, for the one daemon that gives orders.
@@ -152,6 +157,9 @@
     const fleet::AdapterKey *victim(const EndpointState &state, core::TimePoint now) const;
     double valueOf(const EndpointState &state, const fleet::AdapterKey &key,
                    core::TimePoint now) const;
+    bool isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const;
+    bool hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key,
+                            core::TimePoint now) const;
     int copies(const fleet::AdapterKey &key, const core::RegionId &region) const;
     bool modelLoadAllowed(const EndpointState &state, core::TimePoint now);
     void loadBegan(EndpointState &state, const fleet::AdapterKey &key, core::TimePoint now);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -47,7 +47,8 @@
                  .contradictions = {},
                  .isLoadingPossible = [this] { return m_peers.isGiverHeard(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
-                 .random = std::mt19937_64(std::random_device()())}
+                 .random = std::mt19937_64(std::random_device()()),
+                 .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
               leaseLimits(m_settings), [this] { return m_peers.isGiverHeard(); })
     , m_peers(m_context, m_caller, m_lease, [this] { wakeWaiting(); })
@@ -115,7 +116,7 @@
         exchange.respond(404, {}, {});
         return;
     }
-    const bool isReady = m_watch.isComplete() && !m_isStopping;
+    const bool isReady = m_watch.isComplete() && !m_context.stopBegan;
     exchange.respond(isReady ? 200 : 503, {}, {});
 }
 
@@ -167,10 +168,9 @@
 
 void Gateway::stop()
 {
-    if (m_isStopping)
+    if (m_context.stopBegan)
         return;
-    m_isStopping = true;
-    m_stopBegan = m_timers.now();
+    m_context.stopBegan = m_timers.now();
     observability::log({.step = "stop", .message = "SIGTERM received"});
     m_callers.startClosing();
     m_lease.release();
@@ -179,7 +179,7 @@
 
 void Gateway::checkStopped()
 {
-    const core::Duration spent = m_timers.now() - m_stopBegan;
+    const core::Duration spent = m_timers.now() - *m_context.stopBegan;
     if (spent < leaveRotation)
         return;
     m_callers.closeIdle();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -58,8 +58,6 @@
     std::unordered_set<std::shared_ptr<RequestTask>> m_requests;
     net::TimerService::Subscription m_wake;
     net::TimerService::Subscription m_stopTimer;
-    bool m_isStopping = false;
-    core::TimePoint m_stopBegan;
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -35,6 +36,8 @@
     /// Tells the giver of orders at once about new demand.
     std::function<void()> onDemand;
     std::mt19937_64 random;
+    /// When SIGTERM came, if it came.
+    std::optional<core::TimePoint> stopBegan;
 
     double draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
 };
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -27,6 +27,8 @@
 // An answer of more bytes is passed on only as a whole, so this bounds what a daemon holds for it.
 constexpr std::size_t maxBufferedAnswer = 4 * 1024 * 1024;
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
+// An endpoint that refused while it replaces an adapter refuses again until its runs have ended.
+constexpr core::Duration refusedPause = std::chrono::milliseconds(150);
 constexpr core::Duration busyRetryAfter = std::chrono::milliseconds(400);
 constexpr core::Duration loadRetryAfter = std::chrono::milliseconds(900);
 constexpr core::Duration startRetryAfter = std::chrono::milliseconds(500);
@@ -36,6 +38,10 @@
 // At-most-once work whose caller is gone runs on; the endpoint ends it at its deadline, which is
 // 4 s for such work on both deployments.
 constexpr core::Duration unattendedTime = std::chrono::seconds(10);
+// What a stream and a whole answer may take when a daemon stops; the longest streams of both
+// deployments take five seconds.
+constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
+constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
 constexpr double spreadOfRetryAfter = 0.5;
 
 } // namespace
@@ -67,6 +73,10 @@
         fail(404, "no route");
         return;
     }
+    if (!canEndBeforeStop()) {
+        refuse("the daemon is stopping", busyRetryAfter);
+        return;
+    }
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.draw());
     m_context.budgets[m_service].requestCame(now());
     if (!m_fields.adapter.isEmpty())
@@ -76,6 +86,16 @@
     choose();
 }
 
+// A stopping daemon takes nothing that it would have to cut off; callers find another one.
+bool RequestTask::canEndBeforeStop() const
+{
+    if (!m_context.stopBegan)
+        return true;
+    const core::Duration left
+        = *m_context.stopBegan + m_context.settings.bounds.grace - m_exchange->receivedAt;
+    return left > (m_route->isStream ? timeForStream : timeForAnswer);
+}
+
 core::TimePoint RequestTask::deadline() const
 {
     const core::Duration patience = m_fields.deadline.value_or(m_route->timeout);
@@ -115,6 +135,8 @@
 {
     if (endpoint.service != m_service || endpoint.isLeaving || !holdsWanted(endpoint))
         return std::nullopt;
+    if (m_tried.contains(endpoint.id) && now() < m_triedAgainAt)
+        return std::nullopt;
     decisions::EndpointOption option;
     option.endpoint = endpoint.id;
     option.slots = endpoint.slots;
@@ -322,6 +344,7 @@
 
 void RequestTask::notRun()
 {
+    m_triedAgainAt = now() + refusedPause;
     if (m_traits.isOtherInstance) {
         const fleet::AdapterKey key {m_fields.model, m_fields.adapter};
         m_context.placement.contradicted(m_endpoint, key);
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -36,6 +36,7 @@
         MayHaveRun,
     };
 
+    bool canEndBeforeStop() const;
     void choose();
     std::vector<decisions::EndpointOption> options() const;
     std::optional<decisions::EndpointOption> optionFor(const fleet::Endpoint &endpoint) const;
@@ -75,6 +76,7 @@
     std::unique_ptr<http::ClientConnection> m_connection;
     core::EndpointId m_endpoint;
     std::set<core::EndpointId> m_tried;
+    core::TimePoint m_triedAgainAt; ///< Until then no endpoint is asked twice.
     int m_sends = 0;
     int m_runs = 0; ///< Sends that may have run.
     bool m_isWaiting = false;
