--- a/src/libs/decisions/adapterdemand.cpp
+++ b/src/libs/decisions/adapterdemand.cpp
@@ -15,24 +15,32 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-double weightAt(const AdapterDemand::Decayed &decayed, core::TimePoint now)
+double remaining(core::TimePoint since, core::TimePoint now, core::Duration memory)
 {
-    const core::Duration age = std::max(core::Duration::zero(), now - decayed.at);
-    return decayed.weight * std::exp(-seconds(age) / seconds(AdapterDemand::memory));
+    const core::Duration age = std::max(core::Duration::zero(), now - since);
+    return std::exp(-seconds(age) / seconds(memory));
 }
 
 } // namespace
 
 double AdapterDemand::rateOf(const Decayed &decayed, core::TimePoint now)
 {
-    return weightAt(decayed, now) / seconds(memory);
+    return decayed.weight * remaining(decayed.at, now, memory) / seconds(memory);
+}
+
+double AdapterDemand::peakRateOf(const Decayed &decayed, core::TimePoint now)
+{
+    const double shortRate
+        = decayed.shortWeight * remaining(decayed.at, now, shortMemory) / seconds(shortMemory);
+    return std::max(rateOf(decayed, now), shortRate);
 }
 
 void AdapterDemand::add(const fleet::AdapterKey &key, const core::RegionId &region, double count,
                         core::TimePoint now)
 {
     Decayed &decayed = m_adapters[key][region];
-    decayed.weight = weightAt(decayed, now) + count;
+    decayed.weight = decayed.weight * remaining(decayed.at, now, memory) + count;
+    decayed.shortWeight = decayed.shortWeight * remaining(decayed.at, now, shortMemory) + count;
     decayed.at = now;
 }
 
--- a/src/libs/decisions/adapterdemand.h
+++ b/src/libs/decisions/adapterdemand.h
@@ -17,6 +17,8 @@
     /// Popularity shifts within a few seconds; half of this time would forget rare adapters
     /// between two of their requests.
     static constexpr core::Duration memory = std::chrono::seconds(4);
+    /// A jump of demand shows in this time; used only to decide on further copies.
+    static constexpr core::Duration shortMemory = std::chrono::seconds(1);
 
     void add(const fleet::AdapterKey &key, const core::RegionId &region, double count,
              core::TimePoint now);
@@ -29,11 +31,14 @@
     struct Decayed
     {
         double weight = 0;
+        double shortWeight = 0;
         core::TimePoint at;
     };
     using ByRegion = std::map<core::RegionId, Decayed>;
     const std::unordered_map<fleet::AdapterKey, ByRegion> &adapters() const { return m_adapters; }
     static double rateOf(const Decayed &decayed, core::TimePoint now);
+    /// The higher one of the rates over the long and the short memory.
+    static double peakRateOf(const Decayed &decayed, core::TimePoint now);
 
 private:
     std::unordered_map<fleet::AdapterKey, ByRegion> m_adapters;
--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -1,20 +1,15 @@
 #include "decisions/adapterplanner.h"
 
+#include "decisions/planningpass.h"
+
 #include <algorithm>
 #include <charconv>
-#include <cmath>
-#include <tuple>
 #include <utility>
 
 namespace jackdawlead::decisions {
 
 namespace {
 
-double seconds(core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 const fleet::ModelSpec *findModel(const fleet::EngineSpec &engine, const core::ModelId &model)
 {
     const auto found = std::ranges::find(engine.models, model, &fleet::ModelSpec::model);
@@ -108,7 +103,7 @@
             const auto [adapter, version] = parseHeldAdapter(text);
             const fleet::AdapterKey key {held.model, adapter};
             const auto before = believed.find(key);
-            PlacedAdapter placed {version, sentAt, sentAt};
+            PlacedAdapter placed {version, sentAt, sentAt, sentAt};
             if (before != believed.end())
                 placed.loadedAt = before->second.loadedAt;
             state.adapters[key] = placed;
@@ -120,7 +115,7 @@
             continue;
         const auto [adapter, version] = parseHeldAdapter(text.substr(slash + 1));
         const auto end = sentAt + m_limits.adapterLoad;
-        state.adapters[{core::ModelId(text.substr(0, slash)), adapter}] = {version, end, end};
+        state.adapters[{core::ModelId(text.substr(0, slash)), adapter}] = {version, end, end, end};
     }
     // A model load that is still under way is not in the list of models yet.
     if (report.isBusy) {
@@ -131,314 +126,40 @@
     changed(id);
 }
 
-void AdapterPlanner::contradicted(const core::EndpointId &id)
-{
-    if (const auto found = m_endpoints.find(id); found != m_endpoints.end())
-        found->second.needsReport = true;
-}
-
-bool AdapterPlanner::canTakeOrder(const EndpointState &state) const
-{
-    return !state.needsReport && !state.hasOrder && !state.endpoint.isLeaving;
-}
-
-int AdapterPlanner::inTransit(const EndpointState &state, core::TimePoint now) const
-{
-    return static_cast<int>(std::ranges::count_if(
-        state.adapters, [now](const auto &entry) { return entry.second.usableAt > now; }));
-}
-
-int AdapterPlanner::adaptersInTransit(core::TimePoint now) const
-{
-    int count = 0;
-    for (const auto &[id, state] : m_endpoints)
-        count += inTransit(state, now);
-    return count;
-}
-
-bool AdapterPlanner::hasRoom(const EndpointState &state, const core::ModelId &model) const
-{
-    const fleet::EngineSpec &engine = *state.engine;
-    const int held = static_cast<int>(state.adapters.size());
-    if (engine.adapterSlots > 0 && held >= engine.adapterSlots)
-        return false;
-    double megabytes = 0;
-    for (const auto &[id, end] : state.models) {
-        const fleet::ModelSpec *spec = findModel(engine, id);
-        megabytes += spec != nullptr ? spec->weightsMegabytes : 0;
-    }
-    for (const auto &[key, placed] : state.adapters) {
-        const fleet::ModelSpec *spec = findModel(engine, key.model);
-        megabytes += spec != nullptr ? spec->adapterMegabytes : 0;
-    }
-    const fleet::ModelSpec *wanted = findModel(engine, model);
-    return wanted != nullptr && megabytes + wanted->adapterMegabytes <= engine.weightsMegabytes;
-}
-
-PlannedOrder AdapterPlanner::begin(EndpointState &state, PlannedOrder order, core::TimePoint now)
-{
-    order.endpoint = state.endpoint.id;
-    order.orderRevision = state.orderRevision;
-    state.hasOrder = true;
-    state.lastOrder = now;
-    return order;
-}
-
-PlannedOrder AdapterPlanner::loadOf(EndpointState &state, const fleet::AdapterKey &key,
-                                    core::TimePoint now)
-{
-    PlannedOrder order;
-    order.model = key.model;
-    order.adapter = key.adapter;
-    if (const auto newest = m_newest.find(key); newest != m_newest.end())
-        order.version = newest->second;
-    // Counts as a copy from now on, so that no other endpoint is given the same load.
-    const bool isReplacement = state.adapters.contains(key);
-    PlacedAdapter &placed = state.adapters[key];
-    placed.isReplacement = isReplacement;
-    placed.version = order.version.value_or(1);
-    placed.usableAt = placed.loadedAt = now + m_limits.reportAge;
-    return begin(state, order, now);
-}
-
-bool AdapterPlanner::modelLoadAllowed(const EndpointState &state, core::TimePoint now)
-{
-    while (!m_modelLoads.empty() && now - m_modelLoads.front() > m_limits.modelLoadWindow)
-        m_modelLoads.pop_front();
-    const double ceiling
-        = state.engine->loadsPerSecond * seconds(m_limits.modelLoadWindow) * m_limits.modelLoadPart;
-    int loading = 0;
-    for (const auto &[id, other] : m_endpoints) {
-        loading += static_cast<int>(std::ranges::count_if(
-            other.models, [now](const auto &model) { return model.second > now; }));
-    }
-    return static_cast<double>(m_modelLoads.size()) + 1 <= ceiling
-        && loading < m_limits.modelLoadsInTransit;
-}
-
-std::optional<PlannedOrder> AdapterPlanner::planModel(EndpointState &state, core::TimePoint now)
-{
-    if (!state.models.empty() || state.engine->models.empty() || !modelLoadAllowed(state, now))
-        return std::nullopt;
-    // The model with the fewest endpoints first, in the order of the configuration.
-    const fleet::ModelSpec *chosen = nullptr;
-    std::size_t fewest = 0;
-    for (const fleet::ModelSpec &model : state.engine->models) {
-        if (model.weightsMegabytes > state.engine->weightsMegabytes)
-            continue;
-        const auto holders
-            = static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [&](const auto &entry) {
-                  return entry.second.models.contains(model.model);
-              }));
-        if (chosen == nullptr || holders < fewest) {
-            chosen = &model;
-            fewest = holders;
-        }
-    }
-    if (chosen == nullptr)
-        return std::nullopt;
-    m_modelLoads.push_back(now);
-    PlannedOrder order;
-    order.model = chosen->model;
-    return begin(state, order, now);
-}
-
-bool AdapterPlanner::isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const
-{
-    const auto newest = m_newest.find(key);
-    return newest != m_newest.end() && placed.version < newest->second;
-}
-
-bool AdapterPlanner::hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key,
-                                        core::TimePoint now) const
-{
-    return std::ranges::any_of(m_endpoints, [&](const auto &entry) {
-        const auto placed = entry.second.adapters.find(key);
-        return entry.first != state.endpoint.id && placed != entry.second.adapters.end()
-            && !isOutdated(key, placed->second) && placed->second.usableAt <= now
-            && !entry.second.endpoint.isLeaving;
-    });
-}
-
-// A replacement blocks the adapter there until its runs have ended. While it is in demand, the
-// first copy of a new version is therefore loaded at another endpoint.
-std::optional<PlannedOrder> AdapterPlanner::planUpgrade(EndpointState &state, core::TimePoint now)
-{
-    if (inTransit(state, now) >= m_limits.adaptersInTransitPerEndpoint)
-        return std::nullopt;
-    for (const auto &[key, placed] : state.adapters) {
-        if (!isOutdated(key, placed) || placed.isLeaving || placed.usableAt > now)
-            continue;
-        const bool isIdle = m_demand.totalRate(key, now) < m_limits.idleRate;
-        if (isIdle || hasNewestElsewhere(state, key, now))
-            return loadOf(state, fleet::AdapterKey(key), now);
-    }
-    return std::nullopt;
-}
-
-// A place that was made for an adapter is filled before anything else is decided.
-std::optional<PlannedOrder> AdapterPlanner::planReserved(EndpointState &state, core::TimePoint now)
+void AdapterPlanner::contradicted(const core::EndpointId &id, const fleet::AdapterKey &key,
+                                  core::TimePoint now)
 {
-    if (!state.reserved)
-        return std::nullopt;
-    const fleet::AdapterKey key = *std::exchange(state.reserved, std::nullopt);
-    if (state.adapters.contains(key) || !hasRoom(state, key.model))
-        return std::nullopt;
-    return loadOf(state, key, now);
-}
-
-int AdapterPlanner::copies(const fleet::AdapterKey &key, const core::RegionId &region) const
-{
-    int count = 0;
-    for (const auto &[id, state] : m_endpoints) {
-        const auto placed = state.adapters.find(key);
-        const bool isPlaced = placed != state.adapters.end() && !placed->second.isLeaving
-            && !isOutdated(key, placed->second);
-        const bool isCopy = (isPlaced || state.reserved == key) && !state.endpoint.isLeaving;
-        if (isCopy && (region.isEmpty() || state.region == region))
-            ++count;
-    }
-    return count;
-}
-
-std::vector<AdapterPlanner::Wish> AdapterPlanner::wishes(core::TimePoint now) const
-{
-    std::vector<Wish> wishes;
-    int slots = 1;
-    if (!m_endpoints.empty())
-        slots = std::max(1, m_endpoints.begin()->second.endpoint.slots);
-    for (const auto &[key, regions] : m_demand.adapters()) {
-        const int everywhere = copies(key, {});
-        for (const auto &[region, decayed] : regions) {
-            const double rate = AdapterDemand::rateOf(decayed, now);
-            // A single request counts 1 / memory at its arrival; half of that is an old one.
-            if (rate < 0.5 / seconds(AdapterDemand::memory))
-                continue;
-            if (everywhere > 0 && rate < m_limits.regionalRate)
-                continue;
-            const int held = copies(key, region);
-            const double needed
-                = std::ceil(rate * seconds(m_limits.requestTime) / (slots * m_limits.fillPerCopy));
-            if (held >= static_cast<int>(needed))
-                continue;
-            wishes.push_back({key, region, rate / (held + 1), everywhere == 0});
-        }
-    }
-    std::ranges::sort(wishes, [](const Wish &left, const Wish &right) {
-        return std::tie(right.isFirstCopy, right.rate) < std::tie(left.isFirstCopy, left.rate);
-    });
-    return wishes;
-}
-
-double AdapterPlanner::valueOf(const EndpointState &state, const fleet::AdapterKey &key,
-                               core::TimePoint now) const
-{
-    return m_demand.totalRate(key, now) / std::max(1, copies(key, {}))
-        + m_demand.rate(key, state.region, now) / std::max(1, copies(key, state.region));
-}
-
-const fleet::AdapterKey *AdapterPlanner::victim(const EndpointState &state,
-                                                core::TimePoint now) const
-{
-    const fleet::AdapterKey *chosen = nullptr;
-    double least = 0;
-    for (const auto &[key, placed] : state.adapters) {
-        if (placed.isLeaving || placed.usableAt > now || now - placed.loadedAt < m_limits.settling)
-            continue;
-        const double value = valueOf(state, key, now);
-        if (chosen == nullptr || value < least) {
-            chosen = &key;
-            least = value;
-        }
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    EndpointState &state = found->second;
+    const auto placed = state.adapters.find(key);
+    const bool isLate
+        = placed != state.adapters.end() && now - placed->second.loadedAt < m_limits.lateLoadWindow;
+    if (!isLate) {
+        state.needsReport = true;
+        return;
     }
-    return chosen;
+    placed->second.usableAt = std::max(placed->second.usableAt, now + m_limits.lateLoad);
+    changed(id);
 }
 
-std::optional<AdapterPlanner::Place> AdapterPlanner::placeAt(EndpointState &state, const Wish &wish,
-                                                             core::TimePoint now) const
+void AdapterPlanner::distrust(const core::EndpointId &id)
 {
-    if (!canTakeOrder(state) || state.reserved || state.adapters.contains(wish.key)
-        || inTransit(state, now) >= m_limits.adaptersInTransitPerEndpoint)
-        return std::nullopt;
-    const auto model = state.models.find(wish.key.model);
-    if (model == state.models.end() || model->second > now)
-        return std::nullopt;
-    Place place {&state, nullptr, state.load};
-    if (!state.heldBefore.contains(wish.key))
-        place.cost += m_limits.coldCost;
-    if (state.region != wish.region)
-        place.cost += m_limits.otherRegionCost;
-    if (hasRoom(state, wish.key.model))
-        return place;
-    place.victim = victim(state, now);
-    if (place.victim == nullptr)
-        return std::nullopt;
-    const double loss = valueOf(state, *place.victim, now);
-    // A further copy must be worth more than what it displaces.
-    if (!wish.isFirstCopy && loss >= wish.rate)
-        return std::nullopt;
-    place.cost += loss;
-    return place;
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end())
+        found->second.needsReport = true;
 }
 
-std::optional<PlannedOrder> AdapterPlanner::fulfil(const Wish &wish, core::TimePoint now)
+void AdapterPlanner::unreachable(const core::EndpointId &id, core::TimePoint now)
 {
-    // Another region's wish may have been fulfilled since the wishes were listed.
-    if (wish.isFirstCopy && copies(wish.key, {}) > 0)
-        return std::nullopt;
-    std::optional<Place> best;
-    for (auto &[id, state] : m_endpoints) {
-        const auto place = placeAt(state, wish, now);
-        if (place && (!best || place->cost < best->cost))
-            best = place;
-    }
-    if (!best)
-        return std::nullopt;
-    if (best->victim == nullptr)
-        return loadOf(*best->state, wish.key, now);
-    best->state->reserved = wish.key;
-    PlannedOrder order;
-    order.isLoad = false;
-    order.model = best->victim->model;
-    order.adapter = best->victim->adapter;
-    return begin(*best->state, order, now);
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end())
+        found->second.unreachableUntil = now + m_limits.unreachable;
 }
 
 std::vector<PlannedOrder> AdapterPlanner::plan(core::TimePoint now)
 {
-    std::vector<PlannedOrder> orders;
-    for (auto &[id, state] : m_endpoints) {
-        if (!canTakeOrder(state))
-            continue;
-        if (auto order = planModel(state, now))
-            orders.push_back(*std::move(order));
-    }
-    int room = m_limits.adaptersInTransit - adaptersInTransit(now);
-    for (auto &[id, state] : m_endpoints) {
-        if (!canTakeOrder(state))
-            continue;
-        if (auto order = planReserved(state, now)) {
-            orders.push_back(*std::move(order));
-            --room;
-        }
-    }
-    for (auto &[id, state] : m_endpoints) {
-        if (room <= 0 || !canTakeOrder(state))
-            continue;
-        if (auto order = planUpgrade(state, now)) {
-            orders.push_back(*std::move(order));
-            --room;
-        }
-    }
-    for (const Wish &wish : wishes(now)) {
-        if (room <= 0)
-            break;
-        if (auto order = fulfil(wish, now)) {
-            orders.push_back(*std::move(order));
-            --room;
-        }
-    }
-    return orders;
+    PlanningPass pass(m_limits, m_demand, m_newest, m_modelLoads, m_endpoints, now);
+    return pass.run();
 }
 
 void AdapterPlanner::orderEnded(const PlannedOrder &order, OrderEnd end, core::TimePoint now)
@@ -448,7 +169,6 @@
         return;
     EndpointState &state = found->second;
     state.hasOrder = false;
-    state.lastOrder = now;
     const fleet::AdapterKey key {order.model, order.adapter};
     const bool isDone = end == OrderEnd::Accepted || end == OrderEnd::Holds;
     if (!isDone) {
@@ -489,6 +209,7 @@
     if (placed.isReplacement)
         load = m_limits.replacement;
     placed.isReplacement = false;
+    placed.inTransitUntil = isWarm ? now : now + m_limits.adapterLoad;
     placed.usableAt = placed.loadedAt = now + load;
 }
 
--- a/src/libs/decisions/endpointhealth.cpp
+++ b/src/libs/decisions/endpointhealth.cpp
@@ -7,11 +7,13 @@
 void EndpointHealth::succeeded()
 {
     m_failuresInRow = 0;
+    m_breaksInRow = 0;
     m_failureShare *= 1.0 - m_limits.smoothing;
 }
 
 void EndpointHealth::answeredFailure(core::TimePoint now)
 {
+    m_breaksInRow = 0;
     m_failureShare += m_limits.smoothing * (1.0 - m_failureShare);
     if (m_failureShare < m_limits.failureShare)
         return;
@@ -22,6 +24,7 @@
 
 void EndpointHealth::broke(core::TimePoint now)
 {
+    ++m_breaksInRow;
     m_failureShare += m_limits.smoothing * (1.0 - m_failureShare);
     pause(now);
 }
--- a/src/libs/decisions/endpointhealth.h
+++ b/src/libs/decisions/endpointhealth.h
@@ -12,7 +12,8 @@
     core::Duration longestPause = std::chrono::seconds(4);
     /// The share of failures, over about ten answers, above which an endpoint is passed over.
     double failureShare = 0.3;
-    double smoothing = 0.1; ///< Weight of the newest answer in the share.
+    int breaksOfUnreachable = 2; ///< One may be a connection that was closed while idle.
+    double smoothing = 0.1;      ///< Weight of the newest answer in the share.
 };
 
 /// What one daemon believes about an endpoint from its answers. Thread safety: one thread at a
@@ -30,6 +31,11 @@
     /// The endpoint could not be reached or broke the connection.
     void broke(core::TimePoint now);
     bool isPassedOver(core::TimePoint now) const { return now < m_passedOverUntil; }
+    /// Whether it broke several connections in a row, without an answer in between.
+    bool isUnreachable(core::TimePoint now) const
+    {
+        return isPassedOver(now) && m_breaksInRow >= m_limits.breaksOfUnreachable;
+    }
 
 private:
     void pause(core::TimePoint now);
@@ -37,6 +43,7 @@
     EndpointHealthLimits m_limits;
     double m_failureShare = 0;
     int m_failuresInRow = 0;
+    int m_breaksInRow = 0;
     core::TimePoint m_passedOverUntil;
 };
 
--- /dev/null
+++ b/src/libs/decisions/planningpass.cpp
@@ -0,0 +1,354 @@
+#include "decisions/planningpass.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace jackdawlead::decisions {
+
+namespace {
+
+double seconds(core::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+const fleet::ModelSpec *findModel(const fleet::EngineSpec &engine, const core::ModelId &model)
+{
+    const auto found = std::ranges::find(engine.models, model, &fleet::ModelSpec::model);
+    return found == engine.models.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+PlanningPass::PlanningPass(const AdapterPlannerLimits &limits, const AdapterDemand &demand,
+                           const std::unordered_map<fleet::AdapterKey, int> &newest,
+                           std::deque<core::TimePoint> &modelLoads, EndpointStates &endpoints,
+                           core::TimePoint now)
+    : m_limits(limits)
+    , m_demand(demand)
+    , m_newest(newest)
+    , m_modelLoads(modelLoads)
+    , m_endpoints(endpoints)
+    , m_now(now)
+{
+    indexCopies();
+}
+
+void PlanningPass::indexCopies()
+{
+    int transit = 0;
+    for (const auto &[id, state] : m_endpoints) {
+        transit += inTransit(state);
+        m_slots = std::max(m_slots, state.endpoint.slots);
+        if (state.endpoint.isLeaving || m_now < state.unreachableUntil)
+            continue;
+        for (const auto &[key, placed] : state.adapters) {
+            if (!placed.isLeaving && !isOutdated(key, placed))
+                m_copies[key].push_back(&state);
+        }
+        if (state.reserved && !state.adapters.contains(*state.reserved))
+            m_copies[*state.reserved].push_back(&state);
+    }
+    m_transitRoom = m_limits.adaptersInTransit - transit;
+}
+
+std::vector<PlannedOrder> PlanningPass::run()
+{
+    std::vector<PlannedOrder> orders;
+    const auto planEach = [&](auto plan, bool needsTransit) {
+        for (auto &[id, state] : m_endpoints) {
+            if (!canTakeOrder(state) || (needsTransit && m_transitRoom <= 0))
+                continue;
+            if (auto order = (this->*plan)(state))
+                orders.push_back(*std::move(order));
+        }
+    };
+    planEach(&PlanningPass::planModel, false);
+    planEach(&PlanningPass::planReserved, false);
+    planEach(&PlanningPass::planUpgrade, true);
+    for (const Wish &wish : wishes()) {
+        if (m_transitRoom <= 0)
+            break;
+        if (auto order = fulfil(wish))
+            orders.push_back(*std::move(order));
+    }
+    return orders;
+}
+
+bool PlanningPass::canTakeOrder(const EndpointState &state) const
+{
+    return !state.needsReport && !state.hasOrder && !state.endpoint.isLeaving
+        && m_now >= state.unreachableUntil;
+}
+
+int PlanningPass::inTransit(const EndpointState &state) const
+{
+    return static_cast<int>(std::ranges::count_if(
+        state.adapters, [this](const auto &entry) { return entry.second.inTransitUntil > m_now; }));
+}
+
+bool PlanningPass::hasRoom(const EndpointState &state, const core::ModelId &model) const
+{
+    const fleet::EngineSpec &engine = *state.engine;
+    const int held = static_cast<int>(state.adapters.size());
+    if (engine.adapterSlots > 0 && held >= engine.adapterSlots)
+        return false;
+    double megabytes = 0;
+    for (const auto &[id, end] : state.models) {
+        const fleet::ModelSpec *spec = findModel(engine, id);
+        megabytes += spec != nullptr ? spec->weightsMegabytes : 0;
+    }
+    for (const auto &[key, placed] : state.adapters) {
+        const fleet::ModelSpec *spec = findModel(engine, key.model);
+        megabytes += spec != nullptr ? spec->adapterMegabytes : 0;
+    }
+    const fleet::ModelSpec *wanted = findModel(engine, model);
+    return wanted != nullptr && megabytes + wanted->adapterMegabytes <= engine.weightsMegabytes;
+}
+
+PlannedOrder PlanningPass::begin(EndpointState &state, PlannedOrder order) const
+{
+    order.endpoint = state.endpoint.id;
+    order.orderRevision = state.orderRevision;
+    state.hasOrder = true;
+    state.lastOrder = m_now;
+    return order;
+}
+
+PlannedOrder PlanningPass::loadOf(EndpointState &state, const fleet::AdapterKey &key)
+{
+    PlannedOrder order;
+    order.model = key.model;
+    order.adapter = key.adapter;
+    if (const auto newest = m_newest.find(key); newest != m_newest.end())
+        order.version = newest->second;
+    // Counts as a copy from now on, so that no other endpoint is given the same load.
+    const bool isReplacement = state.adapters.contains(key);
+    PlacedAdapter &placed = state.adapters[key];
+    placed.isReplacement = isReplacement;
+    placed.version = order.version.value_or(1);
+    placed.usableAt = placed.loadedAt = placed.inTransitUntil = m_now + m_limits.reportAge;
+    m_copies[key].push_back(&state);
+    --m_transitRoom;
+    return begin(state, order);
+}
+
+bool PlanningPass::isModelLoadAllowed(const EndpointState &state)
+{
+    while (!m_modelLoads.empty() && m_now - m_modelLoads.front() > m_limits.modelLoadWindow)
+        m_modelLoads.pop_front();
+    const double ceiling
+        = state.engine->loadsPerSecond * seconds(m_limits.modelLoadWindow) * m_limits.modelLoadPart;
+    int loading = 0;
+    for (const auto &[id, other] : m_endpoints) {
+        loading += static_cast<int>(std::ranges::count_if(
+            other.models, [this](const auto &model) { return model.second > m_now; }));
+    }
+    return static_cast<double>(m_modelLoads.size()) + 1 <= ceiling
+        && loading < m_limits.modelLoadsInTransit;
+}
+
+std::optional<PlannedOrder> PlanningPass::planModel(EndpointState &state)
+{
+    if (!state.models.empty() || state.engine->models.empty() || !isModelLoadAllowed(state))
+        return std::nullopt;
+    // The model with the fewest endpoints first, in the order of the configuration.
+    const fleet::ModelSpec *chosen = nullptr;
+    std::size_t fewest = 0;
+    for (const fleet::ModelSpec &model : state.engine->models) {
+        if (model.weightsMegabytes > state.engine->weightsMegabytes)
+            continue;
+        const auto holders
+            = static_cast<std::size_t>(std::ranges::count_if(m_endpoints, [&](const auto &entry) {
+                  return entry.second.models.contains(model.model);
+              }));
+        if (chosen == nullptr || holders < fewest) {
+            chosen = &model;
+            fewest = holders;
+        }
+    }
+    if (chosen == nullptr)
+        return std::nullopt;
+    m_modelLoads.push_back(m_now);
+    PlannedOrder order;
+    order.model = chosen->model;
+    return begin(state, order);
+}
+
+bool PlanningPass::isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const
+{
+    const auto newest = m_newest.find(key);
+    return newest != m_newest.end() && placed.version < newest->second;
+}
+
+bool PlanningPass::hasNewestElsewhere(const EndpointState &state,
+                                      const fleet::AdapterKey &key) const
+{
+    return std::ranges::any_of(copiesOf(key), [&](const EndpointState *copy) {
+        const auto placed = copy->adapters.find(key);
+        return copy != &state && placed != copy->adapters.end() && placed->second.usableAt <= m_now;
+    });
+}
+
+// A replacement blocks the adapter there until its runs have ended. While it is in demand, the
+// first copy of a new version is therefore loaded at another endpoint.
+std::optional<PlannedOrder> PlanningPass::planUpgrade(EndpointState &state)
+{
+    if (m_newest.empty() || inTransit(state) >= m_limits.adaptersInTransitPerEndpoint)
+        return std::nullopt;
+    for (const auto &[key, placed] : state.adapters) {
+        if (!isOutdated(key, placed) || placed.isLeaving || placed.usableAt > m_now)
+            continue;
+        const bool isIdle = m_demand.totalRate(key, m_now) < m_limits.idleRate;
+        if (isIdle || hasNewestElsewhere(state, key))
+            return loadOf(state, fleet::AdapterKey(key));
+    }
+    return std::nullopt;
+}
+
+// A place that was made for an adapter is filled before anything else is decided.
+std::optional<PlannedOrder> PlanningPass::planReserved(EndpointState &state)
+{
+    if (!state.reserved)
+        return std::nullopt;
+    const fleet::AdapterKey key = *std::exchange(state.reserved, std::nullopt);
+    if (state.adapters.contains(key) || !hasRoom(state, key.model))
+        return std::nullopt;
+    return loadOf(state, key);
+}
+
+const PlanningPass::Copies &PlanningPass::copiesOf(const fleet::AdapterKey &key) const
+{
+    static const Copies none;
+    const auto found = m_copies.find(key);
+    return found == m_copies.end() ? none : found->second;
+}
+
+int PlanningPass::countIn(const Copies &copies, const core::RegionId &region)
+{
+    return static_cast<int>(std::ranges::count_if(
+        copies, [&region](const EndpointState *copy) { return copy->region == region; }));
+}
+
+int PlanningPass::neededCopies(const Copies &copies, const core::RegionId &region,
+                               const AdapterDemand::Decayed &demand) const
+{
+    const double perCopy = m_slots * m_limits.fillPerCopy;
+    const double rate = AdapterDemand::peakRateOf(demand, m_now);
+    int needed = static_cast<int>(std::ceil(rate * seconds(m_limits.requestTime) / perCopy));
+    if (AdapterDemand::rateOf(demand, m_now) >= m_limits.sparedRate)
+        needed = std::max(needed, 2);
+    int held = 0;
+    double leastFill = 0;
+    for (const EndpointState *copy : copies) {
+        if (copy->region != region)
+            continue;
+        leastFill = held == 0 ? copy->load : std::min(leastFill, copy->load);
+        ++held;
+    }
+    if (held > 0 && leastFill > m_limits.crowdedFill)
+        needed = std::max(needed, held + 1);
+    return needed;
+}
+
+std::vector<PlanningPass::Wish> PlanningPass::wishes() const
+{
+    // A single request counts 1 / memory at its arrival; half of that is an old one.
+    const double oldRate = 0.5 / seconds(AdapterDemand::memory);
+    std::vector<Wish> wishes;
+    for (const auto &[key, regions] : m_demand.adapters()) {
+        const Copies &copies = copiesOf(key);
+        for (const auto &[region, decayed] : regions) {
+            const double rate = AdapterDemand::rateOf(decayed, m_now);
+            if (rate < oldRate || (!copies.empty() && rate < m_limits.regionalRate))
+                continue;
+            const int held = countIn(copies, region);
+            if (held < neededCopies(copies, region, decayed))
+                wishes.push_back({key, region, rate / (held + 1), copies.empty()});
+        }
+    }
+    std::ranges::sort(wishes, [](const Wish &left, const Wish &right) {
+        return std::tie(right.isFirstCopy, right.rate) < std::tie(left.isFirstCopy, left.rate);
+    });
+    return wishes;
+}
+
+double PlanningPass::valueOf(const EndpointState &state, const fleet::AdapterKey &key) const
+{
+    const Copies &copies = copiesOf(key);
+    const auto everywhere = std::max<std::size_t>(1, copies.size());
+    return m_demand.totalRate(key, m_now) / static_cast<double>(everywhere)
+        + m_demand.rate(key, state.region, m_now) / std::max(1, countIn(copies, state.region));
+}
+
+const PlanningPass::Victim &PlanningPass::victimOf(const EndpointState &state)
+{
+    const auto known = m_victims.find(&state);
+    if (known != m_victims.end())
+        return known->second;
+    Victim victim;
+    for (const auto &[key, placed] : state.adapters) {
+        if (placed.isLeaving || placed.usableAt > m_now
+            || m_now - placed.loadedAt < m_limits.settling)
+            continue;
+        const double value = valueOf(state, key);
+        if (victim.key == nullptr || value < victim.value)
+            victim = {&key, value};
+    }
+    return m_victims.emplace(&state, victim).first->second;
+}
+
+std::optional<PlanningPass::Place> PlanningPass::placeAt(EndpointState &state, const Wish &wish)
+{
+    if (!canTakeOrder(state) || state.reserved || state.adapters.contains(wish.key)
+        || inTransit(state) >= m_limits.adaptersInTransitPerEndpoint)
+        return std::nullopt;
+    const auto model = state.models.find(wish.key.model);
+    if (model == state.models.end() || model->second > m_now)
+        return std::nullopt;
+    Place place {&state, nullptr, state.load};
+    if (!state.heldBefore.contains(wish.key))
+        place.cost += m_limits.coldCost;
+    if (state.region != wish.region)
+        place.cost += m_limits.otherRegionCost;
+    if (hasRoom(state, wish.key.model))
+        return place;
+    const Victim &victim = victimOf(state);
+    if (victim.key == nullptr)
+        return std::nullopt;
+    // A further copy must be worth more than what it displaces.
+    if (!wish.isFirstCopy && victim.value >= wish.rate)
+        return std::nullopt;
+    place.victim = victim.key;
+    place.cost += victim.value;
+    return place;
+}
+
+std::optional<PlannedOrder> PlanningPass::fulfil(const Wish &wish)
+{
+    // Another region's wish may have been fulfilled since the wishes were listed.
+    if (wish.isFirstCopy && !copiesOf(wish.key).empty())
+        return std::nullopt;
+    std::optional<Place> best;
+    for (auto &[id, state] : m_endpoints) {
+        const auto place = placeAt(state, wish);
+        if (place && (!best || place->cost < best->cost))
+            best = place;
+    }
+    if (!best)
+        return std::nullopt;
+    if (best->victim == nullptr)
+        return loadOf(*best->state, wish.key);
+    best->state->reserved = wish.key;
+    m_copies[wish.key].push_back(best->state);
+    --m_transitRoom;
+    PlannedOrder order;
+    order.isLoad = false;
+    order.model = best->victim->model;
+    order.adapter = best->victim->adapter;
+    return begin(*best->state, order);
+}
+
+} // namespace jackdawlead::decisions
--- /dev/null
+++ b/src/libs/decisions/planningpass.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "decisions/adapterdemand.h"
+#include "decisions/planningtypes.h"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace jackdawlead::decisions {
+
+/// One pass of the planner over all endpoints. Where each adapter is held, and what each endpoint
+/// would give up first, is worked out once a pass: a pass over 18 endpoints that counted copies for
+/// each comparison used up the daemon's processor share. Thread safety: one thread at a time.
+class PlanningPass
+{
+public:
+    PlanningPass(const AdapterPlannerLimits &limits, const AdapterDemand &demand,
+                 const std::unordered_map<fleet::AdapterKey, int> &newest,
+                 std::deque<core::TimePoint> &modelLoads, EndpointStates &endpoints,
+                 core::TimePoint now);
+
+    /// The orders to give now; each is marked as being given.
+    std::vector<PlannedOrder> run();
+
+private:
+    struct Wish
+    {
+        fleet::AdapterKey key;
+        core::RegionId region;
+        double rate = 0;
+        bool isFirstCopy = false; ///< Requests wait for it.
+    };
+    struct Victim
+    {
+        const fleet::AdapterKey *key = nullptr; ///< nullptr if nothing may go.
+        double value = 0;
+    };
+    /// An endpoint that could take an adapter, and what would have to go.
+    struct Place
+    {
+        EndpointState *state = nullptr;
+        const fleet::AdapterKey *victim = nullptr;
+        double cost = 0;
+    };
+    using Copies = std::vector<const EndpointState *>;
+
+    void indexCopies();
+    int inTransit(const EndpointState &state) const;
+    bool canTakeOrder(const EndpointState &state) const;
+    bool hasRoom(const EndpointState &state, const core::ModelId &model) const;
+    bool isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const;
+    bool hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key) const;
+    const Copies &copiesOf(const fleet::AdapterKey &key) const;
+    static int countIn(const Copies &copies, const core::RegionId &region);
+    int neededCopies(const Copies &copies, const core::RegionId &region,
+                     const AdapterDemand::Decayed &demand) const;
+
+    bool isModelLoadAllowed(const EndpointState &state);
+    std::optional<PlannedOrder> planModel(EndpointState &state);
+    std::optional<PlannedOrder> planReserved(EndpointState &state);
+    std::optional<PlannedOrder> planUpgrade(EndpointState &state);
+    std::vector<Wish> wishes() const;
+    double valueOf(const EndpointState &state, const fleet::AdapterKey &key) const;
+    const Victim &victimOf(const EndpointState &state);
+    std::optional<Place> placeAt(EndpointState &state, const Wish &wish);
+    std::optional<PlannedOrder> fulfil(const Wish &wish);
+    PlannedOrder loadOf(EndpointState &state, const fleet::AdapterKey &key);
+    PlannedOrder begin(EndpointState &state, PlannedOrder order) const;
+
+    const AdapterPlannerLimits &m_limits;
+    const AdapterDemand &m_demand;
+    const std::unordered_map<fleet::AdapterKey, int> &m_newest;
+    std::deque<core::TimePoint> &m_modelLoads;
+    EndpointStates &m_endpoints;
+    core::TimePoint m_now;
+    std::unordered_map<fleet::AdapterKey, Copies> m_copies;
+    std::unordered_map<const EndpointState *, Victim> m_victims;
+    int m_transitRoom = 0;
+    int m_slots = 1; ///< Of the largest endpoint.
+};
+
+} // namespace jackdawlead::decisions
--- /dev/null
+++ b/src/libs/decisions/planningtypes.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "fleet/adapterkey.h"
+#include "fleet/configuration.h"
+#include "fleet/endpoint.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace jackdawlead::decisions {
+
+struct AdapterPlannerLimits
+{
+    /// Adapters on their way over all endpoints. The store slows down beyond 16; two are left for
+    /// loads whose end is not known yet.
+    int adaptersInTransit = 14;
+    int adaptersInTransitPerEndpoint = 4; ///< The endpoints' own limit.
+    core::Duration adapterLoad = std::chrono::milliseconds(250);
+    /// A replacement in place waits for the runs of the older version, which are streams.
+    core::Duration replacement = std::chrono::milliseconds(2000);
+    core::Duration warmAdapterLoad = std::chrono::milliseconds(30);
+    int modelLoadsInTransit = 4; ///< More at once make each of them slower.
+    /// The part of the ceiling on model loads that is used; lost answers may hide some loads.
+    double modelLoadPart = 0.9;
+    core::Duration modelLoadWindow = std::chrono::seconds(5);
+    /// How long one request occupies a slot, from the streams of both deployments.
+    core::Duration requestTime = std::chrono::milliseconds(2200);
+    /// The part of an endpoint's slots that one adapter should fill before it gets another copy.
+    double fillPerCopy = 0.5;
+    /// Below this rate a region uses another region's copy instead of loading its own: a load costs
+    /// about as much as ten requests across the regions' link, and adapters stay for some 10 s.
+    double regionalRate = 1.0;
+    /// What a load costs in the choice of an endpoint if it never held the adapter, and what it
+    /// costs to use another region. An adapter that was held before loads ten times as fast and
+    /// does not burden the store.
+    double coldCost = 1.0;
+    double otherRegionCost = 0.6;
+    /// Under this rate no request is expected while an adapter is replaced.
+    double idleRate = 0.05;
+    /// An adapter that was loaded this recently is not evicted.
+    core::Duration settling = std::chrono::milliseconds(1500);
+    /// A report that is asked for this long after an order was sent tells of it: its values are
+    /// some hundred milliseconds old, and an order takes 60 ms to another region and back.
+    core::Duration reportAge = std::chrono::milliseconds(600);
+    /// How long what a daemon tells of an endpoint that it cannot reach counts.
+    core::Duration unreachable = std::chrono::milliseconds(800);
+    /// Fill of the emptiest copy above which a further one is made, whatever the rate says.
+    double crowdedFill = 0.8;
+    /// From this rate on an adapter has two copies in a region, so that the loss of one endpoint
+    /// does not stop it.
+    double sparedRate = 2.0;
+    /// A load that ends later than predicted is given this much more time.
+    core::Duration lateLoad = std::chrono::milliseconds(150);
+    core::Duration lateLoadWindow = std::chrono::milliseconds(1000);
+    core::Duration resync = std::chrono::seconds(4);
+};
+
+/// An order that the planner wants to be given now.
+struct PlannedOrder
+{
+    core::EndpointId endpoint;
+    bool isLoad = true;
+    core::ModelId model;
+    core::AdapterId adapter; ///< Empty for the base model.
+    std::optional<int> version;
+    std::uint64_t orderRevision = 0;
+};
+
+/// How an order ended, as far as its giver can know.
+enum class OrderEnd { Accepted, Holds, Conflict, Refused, Unknown };
+
+/// What an endpoint holds and can be used for, as the planner believes.
+struct PlacedAdapter
+{
+    int version = 1;
+    core::TimePoint usableAt;
+    core::TimePoint loadedAt;
+    core::TimePoint inTransitUntil; ///< While it is brought from the store.
+    bool isLeaving = false;         ///< An unload waits for its runs.
+    bool isReplacement = false;     ///< The load under way replaces an older version.
+};
+
+/// What the planner believes of one life of an endpoint.
+struct EndpointState
+{
+    fleet::Endpoint endpoint;
+    core::RegionId region;
+    std::optional<fleet::EngineSpec> engine;
+    bool needsReport = true;
+    bool hasOrder = false;
+    std::uint64_t orderRevision = 0;
+    core::TimePoint lastOrder;
+    core::TimePoint lastReport;
+    std::map<core::ModelId, core::TimePoint> models; ///< With the time of their end of load.
+    std::unordered_map<fleet::AdapterKey, PlacedAdapter> adapters;
+    std::set<fleet::AdapterKey> heldBefore;
+    /// The adapter for which a place is being made.
+    std::optional<fleet::AdapterKey> reserved;
+    double load = 0; ///< Requests in progress per slot.
+    core::TimePoint unreachableUntil;
+};
+
+using EndpointStates = std::map<core::EndpointId, EndpointState>;
+
+} // namespace jackdawlead::decisions
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -12,10 +12,16 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+// Joins what asks for a plan at nearly the same time: a pass over all endpoints costs some tenths
+// of a millisecond.
+constexpr core::Duration planDelay = std::chrono::milliseconds(5);
 // A daemon reports four times a second; one that was not heard of for this long has gone.
 constexpr core::Duration daemonTimeout = std::chrono::milliseconds(1500);
-// An order that is answered later than this counts as unknown; endpoints answer in milliseconds.
-constexpr core::Duration orderTimeout = std::chrono::milliseconds(600);
+// Endpoints answer within milliseconds, from another region after 60 ms.
+constexpr core::Duration orderTimeout = std::chrono::milliseconds(200);
+// An order without an answer is sent again with the same expected revision, so that only one of the
+// two is carried out.
+constexpr int maxOrderSends = 3;
 constexpr core::Duration reportTimeout = std::chrono::milliseconds(600);
 // A request that comes before its adapter gets refused, so that it is held back a little longer.
 constexpr core::Duration loadMargin = std::chrono::milliseconds(30);
@@ -102,7 +108,7 @@
     for (const auto &[id, endpoint] : m_watch.endpoints())
         endpointChanged(endpoint);
     for (const auto &[id, state] : m_planner.endpoints())
-        m_planner.contradicted(id);
+        m_planner.distrust(id);
 }
 
 void Coordinator::configurationChanged()
@@ -170,10 +176,12 @@
         daemon.wants.insert(key);
     }
     for (const auto &[id, key] : report.contradictions)
-        m_planner.contradicted(id);
+        m_planner.contradicted(id, key, now);
+    for (const core::EndpointId &id : report.unreachable)
+        m_planner.unreachable(id, now);
     sumLoads();
-    if (m_lease.mayOrder() && !report.demand.empty())
-        giveOrders();
+    if (!report.demand.empty())
+        planSoon();
     daemon.knownRevision = report.token == m_token ? report.knownRevision : 0;
     PeerView view = viewSince(daemon.knownRevision);
     daemon.knownRevision = view.revision;
@@ -199,7 +207,7 @@
 
 decisions::EndpointContents Coordinator::contentsOf(const core::EndpointId &id) const
 {
-    const decisions::AdapterPlanner::EndpointState &state = m_planner.endpoints().at(id);
+    const decisions::EndpointState &state = m_planner.endpoints().at(id);
     decisions::EndpointContents contents;
     contents.born = state.endpoint.born;
     contents.models = state.models;
@@ -231,20 +239,26 @@
                               return;
                           }
                           m_planner.reportSeen(id, *report, sentAt);
-                          giveOrders();
+                          planSoon();
                       });
     }
 }
 
+void Coordinator::planSoon()
+{
+    if (!m_soon.isActive())
+        m_soon = m_timers.once(planDelay, [this] { giveOrders(); });
+}
+
 void Coordinator::giveOrders()
 {
     if (!m_lease.mayOrder())
         return;
     for (const decisions::PlannedOrder &planned : m_planner.plan(m_timers.now()))
-        give(planned);
+        give(planned, 0);
 }
 
-void Coordinator::give(const decisions::PlannedOrder &planned)
+void Coordinator::give(const decisions::PlannedOrder &planned, int sends)
 {
     const fleet::Endpoint *endpoint = m_watch.endpoint(planned.endpoint);
     if (endpoint == nullptr || !m_lease.mayOrder()) {
@@ -261,24 +275,35 @@
     order.orderRevision = planned.orderRevision;
     order.holder = m_settings.host;
     order.token = m_lease.lease().record()->token;
-    m_caller.call(
-        endpoint->address, platform::writeOrder(order), orderTimeout,
-        [this, alive = m_isAlive, planned](auto answer) {
-            if (!*alive)
-                return;
-            const auto result = answer.ok() ? platform::readOrderResult(answer->status)
-                                            : platform::OrderResult::Unknown;
-            const decisions::OrderEnd end = endOf(result);
-            observability::log(
-                {.step = planned.isLoad ? "order load" : "order unload",
-                 .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(), " ",
-                                         nameOf(end), ", revision ", planned.orderRevision),
-                 .peer = planned.endpoint.value()});
-            m_planner.orderEnded(planned, end, m_timers.now());
-            if (planned.isLoad && end == decisions::OrderEnd::Accepted)
-                tellLoad(planned);
-            giveOrders();
-        });
+    m_caller.call(endpoint->address, platform::writeOrder(order), orderTimeout,
+                  [this, alive = m_isAlive, planned, sends](auto answer) {
+                      if (!*alive)
+                          return;
+                      const auto result = answer.ok() ? platform::readOrderResult(answer->status)
+                                                      : platform::OrderResult::Unknown;
+                      orderAnswered(planned, endOf(result), sends + 1);
+                  });
+}
+
+void Coordinator::orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end,
+                                int sends)
+{
+    observability::log({.step = planned.isLoad ? "order load" : "order unload",
+                        .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(),
+                                                " ", nameOf(end), ", revision ",
+                                                planned.orderRevision, ", sends ", sends),
+                        .peer = planned.endpoint.value()});
+    if (end == decisions::OrderEnd::Unknown && sends < maxOrderSends) {
+        give(planned, sends);
+        return;
+    }
+    // The endpoint has moved on from the revision because it carried out the unanswered order.
+    if (end == decisions::OrderEnd::Conflict && sends > 1)
+        end = decisions::OrderEnd::Accepted;
+    m_planner.orderEnded(planned, end, m_timers.now());
+    if (planned.isLoad && end == decisions::OrderEnd::Accepted)
+        tellLoad(planned);
+    planSoon();
 }
 
 // Daemons with requests that wait for the adapter are told at once, the others with their reports.
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -52,8 +52,10 @@
     void tick();
     void becomeHolder();
     void sumLoads();
+    void planSoon();
     void giveOrders();
-    void give(const decisions::PlannedOrder &planned);
+    void give(const decisions::PlannedOrder &planned, int sends);
+    void orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end, int sends);
     void askReports();
     void tellLoad(const decisions::PlannedOrder &planned);
     PeerView viewSince(std::uint64_t revision) const;
@@ -72,6 +74,7 @@
     bool m_wasHolder = false;
     core::FencingToken m_token;
     net::TimerService::Subscription m_timer;
+    net::TimerService::Subscription m_soon;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -126,6 +126,17 @@
     return found == m_endpoints.end() ? 0 : found->second.others;
 }
 
+std::vector<core::EndpointId> EndpointPool::unreachable() const
+{
+    std::vector<core::EndpointId> ids;
+    const core::TimePoint now = m_timers.now();
+    for (const auto &[id, entry] : m_endpoints) {
+        if (entry.health.isUnreachable(now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
 std::map<core::EndpointId, int> EndpointPool::allInProgress() const
 {
     std::map<core::EndpointId, int> counts;
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -38,6 +38,8 @@
     int others(const core::EndpointId &id) const;
     decisions::EndpointHealth &health(const core::EndpointId &id) { return m_endpoints[id].health; }
 
+    /// Endpoints that broke several connections in a row and are passed over now.
+    std::vector<core::EndpointId> unreachable() const;
     /// What this daemon has in progress, for the endpoints where that is not zero.
     std::map<core::EndpointId, int> allInProgress() const;
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -122,13 +122,14 @@
 
 void Gateway::serve(std::shared_ptr<http::ServerExchange> exchange)
 {
+    const std::uint64_t number = m_nextRequest++;
     const auto task = std::make_shared<RequestTask>(
-        m_context, std::move(exchange), [this](const std::shared_ptr<RequestTask> &done) {
+        m_context, std::move(exchange), [this, number](const std::shared_ptr<RequestTask> &done) {
             // The task is on the stack, so it is destroyed from the loop.
-            m_requests.erase(done);
+            m_requests.erase(number);
             m_loop.post([done] {});
         });
-    m_requests.insert(task);
+    m_requests[number] = task;
     task->start();
 }
 
@@ -158,7 +159,7 @@
 void Gateway::wakeWaiting()
 {
     std::vector<std::shared_ptr<RequestTask>> waiting;
-    for (const auto &task : m_requests) {
+    for (const auto &[number, task] : m_requests) {
         if (task->isWaiting())
             waiting.push_back(task);
     }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -16,8 +16,9 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
+#include <map>
 #include <memory>
-#include <unordered_set>
 
 namespace jackdawlead::gateway {
 
@@ -55,7 +56,8 @@
     Coordinator m_coordinator;
     http::Server m_callers;
     http::Server m_readiness;
-    std::unordered_set<std::shared_ptr<RequestTask>> m_requests;
+    std::map<std::uint64_t, std::shared_ptr<RequestTask>> m_requests; ///< In order of arrival.
+    std::uint64_t m_nextRequest = 0;
     net::TimerService::Subscription m_wake;
     net::TimerService::Subscription m_stopTimer;
 };
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -112,6 +112,7 @@
     report.inProgress = m_context.pool.allInProgress();
     report.demand = std::exchange(m_context.demand, {});
     report.contradictions = std::exchange(m_context.contradictions, {});
+    report.unreachable = m_context.pool.unreachable();
     report.knownRevision = m_knownRevision;
     report.token = m_giverToken;
     if (record->holder == m_context.settings.host) {
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -76,12 +76,16 @@
     json contradictions = json::object();
     for (const auto &[id, key] : report.contradictions)
         contradictions[id.value()] = key.toString();
+    json unreachable = json::array();
+    for (const core::EndpointId &id : report.unreachable)
+        unreachable.push_back(id.value());
     return {{"host", report.host.value()},
             {"region", report.region.value()},
             {"address", report.peerAddress},
             {"inProgress", encodeCounts(report.inProgress)},
             {"demand", demand},
             {"contradictions", contradictions},
+            {"unreachable", unreachable},
             {"revision", report.knownRevision},
             {"token", report.token.value()}};
 }
@@ -113,6 +117,8 @@
         for (const auto &[id, key] : value.at("contradictions").items())
             report.contradictions[core::EndpointId(id)]
                 = fleet::adapterKeyFrom(key.get<std::string>());
+        for (const json &id : value.at("unreachable"))
+            report.unreachable.push_back(core::EndpointId(id.get<std::string>()));
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
         return report;
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace jackdawlead::gateway {
 
@@ -25,6 +26,7 @@
     std::map<core::EndpointId, int> inProgress;
     std::unordered_map<fleet::AdapterKey, int> demand;
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
+    std::vector<core::EndpointId> unreachable;
     std::uint64_t knownRevision = 0; ///< Of the contents that it was told last.
     core::FencingToken token;        ///< Of the giver who told them.
 };
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -17,8 +17,9 @@
 // A send with less time left than this cannot be answered: half of the shortest work of 20 ms is
 // reading, and a region away costs 60 ms.
 constexpr core::Duration leastTimeLeft = std::chrono::milliseconds(80);
-// An adapter takes 250 ms to load; the rest is room for an order in front of it and an eviction.
-constexpr core::Duration loadWait = std::chrono::milliseconds(1200);
+// An adapter takes 250 ms to load; the rest is room for orders in front of it. A caller that is
+// sent away comes back once, after the target latency, so that waiting longer serves it better.
+constexpr core::Duration loadWait = std::chrono::milliseconds(2500);
 // Part of the target latency that a request may wait for a free slot and still be on time.
 constexpr double capacityWaitPart = 0.6;
 constexpr double deadlineWaitPart = 0.4;
@@ -171,7 +172,13 @@
         refuse("no time is left", busyRetryAfter);
         return;
     }
-    const auto choice = decisions::chooseEndpoint(options(), m_context.draw());
+    std::vector<decisions::EndpointOption> candidates = options();
+    // What only unreachable endpoints hold is loaded elsewhere, which takes less time than they do.
+    if (!m_fields.adapter.isEmpty() && m_context.isLoadingPossible())
+        std::erase_if(candidates, [this](const decisions::EndpointOption &option) {
+            return m_context.pool.health(option.endpoint).isUnreachable(now());
+        });
+    const auto choice = decisions::chooseEndpoint(candidates, m_context.draw());
     if (!choice.endpoint) {
         waitFor(choice.reason);
         return;
@@ -300,7 +307,7 @@
     }
     m_context.pool.health(m_endpoint).broke(now());
     if (end == http::ExchangeEnd::ConnectFailed)
-        sendFailed(Failure::NotRun, "cannot connect");
+        sendFailed(Failure::NotSent, "cannot connect");
     else
         sendFailed(Failure::MayHaveRun, "connection broke before the answer was complete");
 }
@@ -316,7 +323,7 @@
     }
     m_isBrokenStream = false;
     m_context.pool.health(m_endpoint).broke(now());
-    sendFailed(end == http::ExchangeEnd::ConnectFailed ? Failure::NotRun : Failure::MayHaveRun,
+    sendFailed(end == http::ExchangeEnd::ConnectFailed ? Failure::NotSent : Failure::MayHaveRun,
                "stream broke");
 }
 
@@ -431,10 +438,16 @@
         fail(502, cause);
         return;
     }
-    observability::log({.level = observability::LogLevel::Info,
-                        .step = "refuse",
-                        .message = cause,
-                        .request = m_fields.id.value()});
+    const auto held
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_exchange->receivedAt);
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "refuse",
+         .message = absl::StrCat(absl::string_view(cause.data(), cause.size()), ", model ",
+                                 m_fields.model.value(), "/", m_fields.adapter.value(), ", held ",
+                                 held.count(), " ms, sends ", m_sends),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
     const auto delay = std::chrono::duration_cast<core::Duration>(
         retryAfter * (1.0 + spreadOfRetryAfter * m_context.draw()));
     m_exchange->respond(503, platform::retryAfterFields(delay), {});
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -32,7 +32,8 @@
 private:
     /// How the exchange with an endpoint ended, with what that says about the request.
     enum class Failure {
-        NotRun, ///< Certain.
+        NotSent, ///< Certain: nothing arrived at the endpoint.
+        NotRun,  ///< Certain: the endpoint refused.
         MayHaveRun,
     };
 
