Test the platform path with a stand-in of store and endpoints, and weigh prompts in the choice of endpoints

Change: unread prompt tokens of this daemon and the prompts of the last second count in the choice; an endpoint with 1,500 unread tokens takes no further prompt of this daemon.

--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -28,10 +28,11 @@
         const EndpointOption &option = options[(index + offset) % options.size()];
         if (isPicky && (option.isPassedOver || option.wasTried))
             continue;
-        const double fill = static_cast<double>(option.inProgress) / option.slots;
-        if (fill >= limits.fullAt)
+        const double fill = option.load / option.slots;
+        if (fill >= limits.fullAt || option.readingTokens >= limits.mostReadingTokens)
             continue;
-        const double cost = fill + distanceCost(option.distance, limits);
+        const double cost = fill + distanceCost(option.distance, limits)
+            + option.readingTokens * limits.perReadingToken;
         if (chosen == nullptr || cost < least) {
             chosen = &option;
             least = cost;
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -15,7 +15,8 @@
 {
     core::EndpointId endpoint;
     int slots = 1;
-    int inProgress = 0; ///< Requests of all daemons, as far as known.
+    double load = 0;       ///< Slots that all daemons' requests occupy, as far as known.
+    int readingTokens = 0; ///< Prompt tokens of this daemon that it has not read yet.
     Distance distance = Distance::SameDomain;
     bool isPassedOver = false; ///< Failed lately.
     bool wasTried = false;     ///< For this request.
@@ -25,9 +26,15 @@
 {
     /// Fill beyond which an endpoint takes nothing more: some queue in front of its slots keeps the
     /// batch full, more than this only waits.
-    double fullAt = 1.25;
+    double fullAt = 1.6;
+    /// What unread prompt tokens cost, in fill per token. Prompts that come together are read one
+    /// after the other, and all streams of the endpoint pause meanwhile.
+    double perReadingToken = 1.0 / 8000;
+    /// An endpoint that has this many to read takes no further prompt: 8,000 tokens together make a
+    /// pause of 250 ms, and up to three daemons send to one endpoint at the same time.
+    int mostReadingTokens = 1500;
     /// What a caller in another domain costs, in fill: bytes between domains are priced.
-    double otherDomain = 0.05;
+    double otherDomain = 0.1;
     /// A region away costs 60 ms and four times the price of a byte between domains.
     double otherRegion = 0.5;
 };
--- a/src/libs/decisions/planningtypes.h
+++ b/src/libs/decisions/planningtypes.h
@@ -50,7 +50,7 @@
     /// How long what a daemon tells of an endpoint that it cannot reach counts.
     core::Duration unreachable = std::chrono::milliseconds(800);
     /// Fill of the emptiest copy above which a further one is made, whatever the rate says.
-    double crowdedFill = 0.8;
+    double crowdedFill = 1.2;
     /// From this rate on an adapter has two copies in a region, so that the loss of one endpoint
     /// does not stop it.
     double sparedRate = 2.0;
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -34,9 +34,10 @@
     bool isResumable = false;
     std::vector<RouteTarget> targets;
     core::Duration timeout {};
-    core::Duration targetLatency {};
-    int priority = 0;    ///< 0 is the most urgent.
-    int maxAttempts = 1; ///< Endpoints on which one attempt of a caller may run.
+    core::Duration targetLatency {}; ///< Until the whole answer, or the first event of a stream.
+    core::Duration targetGap {};     ///< Longest pause between events; zero if not stated.
+    int priority = 0;                ///< 0 is the most urgent.
+    int maxAttempts = 1;             ///< Endpoints on which one attempt of a caller may run.
 
     /// Whether a second run, or a run that goes on where the first one broke off, is allowed.
     bool mayRunAgain() const { return repeatability == Repeatability::Repeatable; }
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -145,14 +145,14 @@
     const core::TimePoint now = m_timers.now();
     std::erase_if(m_daemons,
                   [now](const auto &entry) { return now - entry.second.heardAt > daemonTimeout; });
-    m_inProgress.clear();
+    m_load.clear();
     for (const auto &[host, daemon] : m_daemons) {
-        for (const auto &[id, count] : daemon.inProgress)
-            m_inProgress[id] += count;
+        for (const auto &[id, load] : daemon.load)
+            m_load[id] += load;
     }
     for (const auto &[id, state] : m_planner.endpoints()) {
-        const auto count = m_inProgress.find(id);
-        const double sum = count == m_inProgress.end() ? 0 : count->second;
+        const auto load = m_load.find(id);
+        const double sum = load == m_load.end() ? 0 : load->second;
         m_planner.setLoad(id, sum / state.endpoint.slots);
     }
 }
@@ -169,7 +169,7 @@
         daemon.address = *std::move(address);
     daemon.region = report.region;
     daemon.heardAt = now;
-    daemon.inProgress = report.inProgress;
+    daemon.load = report.load;
     daemon.wants.clear();
     for (const auto &[key, count] : report.demand) {
         m_planner.demand().add(key, report.region, count, now);
@@ -194,7 +194,7 @@
     view.isGiver = true;
     view.token = m_token;
     view.revision = m_planner.revision();
-    view.inProgress = m_inProgress;
+    view.load = m_load;
     view.daemons = static_cast<int>(m_daemons.size());
     for (const auto &[id, state] : m_planner.endpoints()) {
         // Until the first report the daemons use the endpoint's own record.
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -44,7 +44,7 @@
         net::Address address;
         core::RegionId region;
         core::TimePoint heardAt;
-        std::map<core::EndpointId, int> inProgress;
+        std::map<core::EndpointId, double> load; ///< What it occupies there, in slots.
         std::set<fleet::AdapterKey> wants; ///< Asked for lately; their loads are told at once.
         std::uint64_t knownRevision = 0;
     };
@@ -69,7 +69,7 @@
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
-    std::map<core::EndpointId, int> m_inProgress;
+    std::map<core::EndpointId, double> m_load;
     std::set<core::EndpointId> m_reportsAsked;
     bool m_wasHolder = false;
     core::FencingToken m_token;
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -1,6 +1,7 @@
 #include "gateway/endpointpool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -15,6 +16,9 @@
 constexpr core::Duration unstatedCautiousIdle = std::chrono::milliseconds(300);
 // Left of the stated idle time, for a request that is on its way as the endpoint closes.
 constexpr core::Duration idleMargin = std::chrono::milliseconds(600);
+// The prompt speed of both deployments' engines; it only weighs prompts against slots.
+constexpr double readTokensPerSecond = 38'400;
+constexpr core::Duration recentMemory = std::chrono::seconds(1);
 constexpr core::Duration sweepPeriod = std::chrono::milliseconds(500);
 
 core::Duration usableIdle(const http::ClientConnection &connection, bool isCautious)
@@ -114,13 +118,49 @@
         --found->second.inProgress;
 }
 
+double EndpointPool::recentTokens(const Entry &entry) const
+{
+    const std::chrono::duration<double> age = m_timers.now() - entry.recentAt;
+    return entry.recentTokens * std::exp(-age / recentMemory);
+}
+
+void EndpointPool::readingBegan(const core::EndpointId &id, int tokens)
+{
+    Entry &entry = m_endpoints[id];
+    entry.reading += tokens;
+    entry.recentTokens = recentTokens(entry) + tokens;
+    entry.recentAt = m_timers.now();
+}
+
+double EndpointPool::load(const core::EndpointId &id, int slots) const
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return 0;
+    const double tokensPerSecond
+        = recentTokens(found->second) / std::chrono::duration<double>(recentMemory).count();
+    return found->second.inProgress + slots * tokensPerSecond / readTokensPerSecond;
+}
+
+void EndpointPool::readingEnded(const core::EndpointId &id, int tokens)
+{
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end())
+        found->second.reading -= tokens;
+}
+
+int EndpointPool::reading(const core::EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? 0 : found->second.reading;
+}
+
 int EndpointPool::inProgress(const core::EndpointId &id) const
 {
     const auto found = m_endpoints.find(id);
     return found == m_endpoints.end() ? 0 : found->second.inProgress;
 }
 
-int EndpointPool::others(const core::EndpointId &id) const
+double EndpointPool::others(const core::EndpointId &id) const
 {
     const auto found = m_endpoints.find(id);
     return found == m_endpoints.end() ? 0 : found->second.others;
@@ -137,14 +177,4 @@
     return ids;
 }
 
-std::map<core::EndpointId, int> EndpointPool::allInProgress() const
-{
-    std::map<core::EndpointId, int> counts;
-    for (const auto &[id, entry] : m_endpoints) {
-        if (entry.inProgress > 0)
-            counts[id] = entry.inProgress;
-    }
-    return counts;
-}
-
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -31,17 +31,23 @@
     void forget(const core::EndpointId &id);
 
     void began(const core::EndpointId &id) { ++m_endpoints[id].inProgress; }
+    /// A prompt of `tokens` was sent, and its first event has not come yet.
+    void readingBegan(const core::EndpointId &id, int tokens);
+    void readingEnded(const core::EndpointId &id, int tokens);
+    /// Prompt tokens of this daemon that the endpoint has not read yet.
+    int reading(const core::EndpointId &id) const;
+    /// What this daemon's requests occupy there, in slots: those in progress, and the time that
+    /// reading the prompts of the last second takes from all slots together.
+    double load(const core::EndpointId &id, int slots) const;
     void ended(const core::EndpointId &id);
     int inProgress(const core::EndpointId &id) const;
-    /// Requests that other daemons have in progress there, as last told.
-    void setOthers(const core::EndpointId &id, int count) { m_endpoints[id].others = count; }
-    int others(const core::EndpointId &id) const;
+    /// What other daemons' requests occupy there, in slots, as last told.
+    void setOthers(const core::EndpointId &id, double slots) { m_endpoints[id].others = slots; }
+    double others(const core::EndpointId &id) const;
     decisions::EndpointHealth &health(const core::EndpointId &id) { return m_endpoints[id].health; }
 
     /// Endpoints that broke several connections in a row and are passed over now.
     std::vector<core::EndpointId> unreachable() const;
-    /// What this daemon has in progress, for the endpoints where that is not zero.
-    std::map<core::EndpointId, int> allInProgress() const;
 
 private:
     struct Idle
@@ -53,10 +59,14 @@
     {
         std::vector<Idle> idle; ///< The last one was used last.
         int inProgress = 0;
-        int others = 0;
+        double others = 0;
+        int reading = 0;
+        double recentTokens = 0; ///< Sent lately; decays.
+        core::TimePoint recentAt;
         decisions::EndpointHealth health;
     };
 
+    double recentTokens(const Entry &entry) const;
     void closeLater(std::unique_ptr<http::ClientConnection> connection);
 
     net::EventLoop &m_loop;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -109,7 +109,11 @@
     report.host = m_context.settings.host;
     report.region = m_context.settings.region;
     report.peerAddress = addressOf(m_context.settings).toString();
-    report.inProgress = m_context.pool.allInProgress();
+    for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
+        const double load = m_context.pool.load(id, endpoint.slots);
+        if (load > 0)
+            report.load[id] = load;
+    }
     report.demand = std::exchange(m_context.demand, {});
     report.contradictions = std::exchange(m_context.contradictions, {});
     report.unreachable = m_context.pool.unreachable();
@@ -150,9 +154,9 @@
     for (const auto &[id, contents] : view.contents)
         m_context.placement.told(id, contents);
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
-        const auto total = view.inProgress.find(id);
-        const int all = total == view.inProgress.end() ? 0 : total->second;
-        m_context.pool.setOthers(id, std::max(0, all - m_context.pool.inProgress(id)));
+        const auto total = view.load.find(id);
+        const double all = total == view.load.end() ? 0 : total->second;
+        m_context.pool.setOthers(id, std::max(0.0, all - m_context.pool.load(id, endpoint.slots)));
     }
     for (auto &[service, budget] : m_context.budgets)
         budget.setSharers(view.daemons);
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jackdawlead::gateway {
 
@@ -21,20 +22,21 @@
     return now + std::chrono::milliseconds(value.get<long long>());
 }
 
-json encodeCounts(const std::map<core::EndpointId, int> &counts)
+json encodeLoads(const std::map<core::EndpointId, double> &loads)
 {
     json value = json::object();
-    for (const auto &[id, count] : counts)
-        value[id.value()] = count;
+    // Tenths of a slot are enough, and shorter to write.
+    for (const auto &[id, load] : loads)
+        value[id.value()] = std::lround(load * 10);
     return value;
 }
 
-std::map<core::EndpointId, int> decodeCounts(const json &value)
+std::map<core::EndpointId, double> decodeLoads(const json &value)
 {
-    std::map<core::EndpointId, int> counts;
-    for (const auto &[id, count] : value.items())
-        counts[core::EndpointId(id)] = count.get<int>();
-    return counts;
+    std::map<core::EndpointId, double> loads;
+    for (const auto &[id, tenths] : value.items())
+        loads[core::EndpointId(id)] = tenths.get<double>() / 10;
+    return loads;
 }
 
 json encodeContents(const decisions::EndpointContents &contents, core::TimePoint now)
@@ -82,7 +84,7 @@
     return {{"host", report.host.value()},
             {"region", report.region.value()},
             {"address", report.peerAddress},
-            {"inProgress", encodeCounts(report.inProgress)},
+            {"load", encodeLoads(report.load)},
             {"demand", demand},
             {"contradictions", contradictions},
             {"unreachable", unreachable},
@@ -95,12 +97,9 @@
     json contents = json::object();
     for (const auto &[id, entry] : view.contents)
         contents[id.value()] = encodeContents(entry, now);
-    return {{"isGiver", view.isGiver},
-            {"token", view.token.value()},
-            {"revision", view.revision},
-            {"contents", contents},
-            {"inProgress", encodeCounts(view.inProgress)},
-            {"daemons", view.daemons}};
+    return {{"isGiver", view.isGiver},        {"token", view.token.value()},
+            {"revision", view.revision},      {"contents", contents},
+            {"load", encodeLoads(view.load)}, {"daemons", view.daemons}};
 }
 
 absl::StatusOr<PeerReport> decodePeerReport(const std::string &text)
@@ -111,7 +110,7 @@
         report.host = core::HostId(value.at("host").get<std::string>());
         report.region = core::RegionId(value.at("region").get<std::string>());
         report.peerAddress = value.at("address").get<std::string>();
-        report.inProgress = decodeCounts(value.at("inProgress"));
+        report.load = decodeLoads(value.at("load"));
         for (const auto &[key, count] : value.at("demand").items())
             report.demand[fleet::adapterKeyFrom(key)] = count.get<int>();
         for (const auto &[id, key] : value.at("contradictions").items())
@@ -137,7 +136,7 @@
         view.revision = value.at("revision").get<std::uint64_t>();
         for (const auto &[id, contents] : value.at("contents").items())
             view.contents[core::EndpointId(id)] = decodeContents(contents, now);
-        view.inProgress = decodeCounts(value.at("inProgress"));
+        view.load = decodeLoads(value.at("load"));
         view.daemons = value.at("daemons").get<int>();
         return view;
     } catch (const json::exception &error) {
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -22,8 +22,8 @@
 {
     core::HostId host;
     core::RegionId region;
-    std::string peerAddress; ///< Where the daemon takes views.
-    std::map<core::EndpointId, int> inProgress;
+    std::string peerAddress;                 ///< Where the daemon takes views.
+    std::map<core::EndpointId, double> load; ///< What it occupies there, in slots.
     std::unordered_map<fleet::AdapterKey, int> demand;
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     std::vector<core::EndpointId> unreachable;
@@ -38,7 +38,7 @@
     core::FencingToken token;
     std::uint64_t revision = 0;
     std::map<core::EndpointId, decisions::EndpointContents> contents;
-    std::map<core::EndpointId, int> inProgress; ///< Of all daemons together.
+    std::map<core::EndpointId, double> load; ///< Of all daemons together, in slots.
     int daemons = 0;
 };
 
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/string_view.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -141,7 +142,9 @@
     decisions::EndpointOption option;
     option.endpoint = endpoint.id;
     option.slots = endpoint.slots;
-    option.inProgress = m_context.pool.inProgress(endpoint.id) + m_context.pool.others(endpoint.id);
+    option.load
+        = m_context.pool.load(endpoint.id, endpoint.slots) + m_context.pool.others(endpoint.id);
+    option.readingTokens = m_context.pool.reading(endpoint.id);
     option.isPassedOver = m_context.pool.health(endpoint.id).isPassedOver(now());
     option.wasTried = m_tried.contains(endpoint.id);
     const fleet::HostSettings &settings = m_context.settings;
@@ -225,8 +228,13 @@
     m_endpoint = endpoint.id;
     m_tried.insert(endpoint.id);
     m_isSent = true;
+    m_sentAt = now();
     m_answerBody.clear();
+    m_startLoad
+        = m_context.pool.load(endpoint.id, endpoint.slots) + m_context.pool.others(endpoint.id);
     m_context.pool.began(endpoint.id);
+    m_readingTokens = m_fields.promptTokens;
+    m_context.pool.readingBegan(endpoint.id, m_readingTokens);
     platform::ForwardFields forward;
     forward.endpoint = endpoint.id;
     forward.deadline = deadline() - now();
@@ -273,10 +281,50 @@
         return;
     std::string events;
     m_isBrokenStream = m_events.take(bytes, events) == EventFilter::Verdict::Broken;
+    if (!events.empty())
+        noteEvents();
     m_exchange->writeChunk(events);
     slowDown();
 }
 
+void RequestTask::readingEnded()
+{
+    m_context.pool.readingEnded(m_endpoint, std::exchange(m_readingTokens, 0));
+}
+
+void RequestTask::noteEvents()
+{
+    readingEnded();
+    const core::TimePoint arrival = now();
+    if (m_firstEventAt == core::TimePoint())
+        m_firstEventAt = arrival;
+    else
+        m_longestGap = std::max(m_longestGap, arrival - m_lastEventAt);
+    m_lastEventAt = arrival;
+}
+
+void RequestTask::logIfLate() const
+{
+    const core::Duration first = m_firstEventAt - m_exchange->receivedAt;
+    const bool isFirstLate = first > m_route->targetLatency;
+    const bool isGapLate
+        = m_route->targetGap > core::Duration::zero() && m_longestGap > m_route->targetGap;
+    if (!isFirstLate && !isGapLate)
+        return;
+    const auto inMilliseconds = [](core::Duration duration) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    };
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "late",
+         .message = absl::StrCat("first event after ", inMilliseconds(first), " ms, sent after ",
+                                 inMilliseconds(m_sentAt - m_exchange->receivedAt),
+                                 " ms, longest pause ", inMilliseconds(m_longestGap),
+                                 " ms, in progress there ", std::lround(m_startLoad)),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
+}
+
 void RequestTask::slowDown()
 {
     if (m_connection && m_isSent)
@@ -286,6 +334,7 @@
 void RequestTask::exchangeEnded(http::ExchangeEnd end)
 {
     m_isSent = false;
+    readingEnded();
     m_context.pool.ended(m_endpoint);
     m_context.pool.giveBack(m_endpoint, std::move(m_connection));
     if (m_isDone) {
@@ -316,6 +365,7 @@
 {
     if (end == http::ExchangeEnd::Complete && m_answer.status == 200 && !m_isBrokenStream) {
         m_context.pool.health(m_endpoint).succeeded();
+        logIfLate();
         m_exchange->writeChunk(m_events.rest());
         m_exchange->finishChunked();
         finish();
@@ -470,8 +520,10 @@
 {
     if (!m_connection)
         return;
-    if (m_isSent)
+    if (m_isSent) {
+        readingEnded();
         m_context.pool.ended(m_endpoint);
+    }
     m_isSent = false;
     m_connection->abandon();
     m_context.pool.giveBack(m_endpoint, std::move(m_connection));
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -63,6 +63,9 @@
     void finish();
     void dropConnection();
     void slowDown();
+    void readingEnded();
+    void noteEvents();
+    void logIfLate() const;
     core::TimePoint deadline() const;
     core::TimePoint now() const { return m_context.timers.now(); }
 
@@ -90,6 +93,12 @@
     bool m_isRelaying = false; ///< The answer is a stream and is passed on as it arrives.
     bool m_isBrokenStream = false;
     EventFilter m_events;
+    core::TimePoint m_sentAt;
+    core::TimePoint m_firstEventAt;
+    core::TimePoint m_lastEventAt;
+    core::Duration m_longestGap {};
+    double m_startLoad = 0;  ///< Slots occupied at the endpoint when the request was sent.
+    int m_readingTokens = 0; ///< Of the present send, until its first event.
     net::TimerService::Subscription m_deadlineTimer;
 };
 
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -49,6 +49,7 @@
     }
     route.timeout = milliseconds(value.at("timeout_ms"));
     route.targetLatency = milliseconds(value.value("target_latency_ms", json(0)));
+    route.targetGap = milliseconds(value.value("gap_target_ms", json(0)));
     route.priority = value.value("priority", 0);
     route.maxAttempts = value.value("max_attempts", 1);
     return route;
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -38,7 +38,7 @@
     EndpointOption option;
     option.endpoint = core::EndpointId(id);
     option.slots = 10;
-    option.inProgress = inProgress;
+    option.load = inProgress;
     option.distance = distance;
     return option;
 }
--- /dev/null
+++ b/tests/e2e/tst_platform.cpp
@@ -0,0 +1,487 @@
+#include "http/clientconnection.h"
+#include "support/platformstandin.h"
+#include "support/ports.h"
+#include "support/process.h"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr core::Duration limit = std::chrono::seconds(20);
+constexpr milliseconds exitLimit = std::chrono::seconds(15);
+
+/// An answer as far as a caller has it.
+struct Answer
+{
+    http::MessageHead head;
+    std::string body;
+    bool isEnded = false;
+    bool isWhole = false;
+    std::unique_ptr<http::ClientConnection> connection;
+};
+using AnswerPtr = std::shared_ptr<Answer>;
+
+json route(const std::string &prefix, const std::string &service, const std::string &kind,
+           bool isResumable = false, int timeoutMilliseconds = 4000)
+{
+    return {{"name", prefix},
+            {"host", "a.example"},
+            {"path_prefix", prefix},
+            {"kind", kind},
+            {"service", service},
+            {"timeout_ms", timeoutMilliseconds},
+            {"target_latency_ms", 800},
+            {"max_attempts", 2},
+            {"priority", 1},
+            {"resumable", isResumable},
+            {"gap_target_ms", 250}};
+}
+
+json configuration(int version, const json &routes)
+{
+    const json engine {
+        {"slots", 8},
+        {"adapter_slots", 4},
+        {"weights_mb", 1000},
+        {"loads_per_s", 5},
+        {"models", {{{"name", "base"}, {"weights_mb", 500}, {"load_s", 1}, {"adapter_mb", 10}}}}};
+    return {{"version", version},
+            {"routes", routes},
+            {"services",
+             {{{"name", "plain"}, {"max_conns", 100}},
+              {{"name", "other"}, {"max_conns", 100}},
+              {{"name", "model"}, {"max_conns", 100}, {"engine", engine}}}},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 100000},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 15000}}}};
+}
+
+json usualRoutes()
+{
+    return {route("/get/", "plain", "idempotent"), route("/order/", "plain", "non_idempotent"),
+            route("/short/", "plain", "idempotent", false, 700),
+            route("/stream/", "model", "stream", true), route("/once/", "model", "stream", false)};
+}
+
+std::vector<std::uint16_t> freePorts()
+{
+    constexpr int count = 6;
+    PortPicker picker;
+    std::vector<std::uint16_t> ports;
+    for (int number = 0; number < count; ++number)
+        ports.push_back(picker.take());
+    return ports;
+}
+
+/// The store and endpoints on this test's loop, and daemons as processes.
+struct Fixture
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    std::vector<std::uint16_t> ports = freePorts();
+    std::uint16_t storePort = ports[0];
+    StoreStandIn store {loop, timers, storePort};
+    EndpointStandIn first {loop, timers, "e-first", ports[1]};
+    EndpointStandIn second {loop, timers, "e-second", ports[2]};
+    std::uint16_t callerPort = ports[3];
+    std::uint16_t readyPort = ports[4];
+    std::uint16_t peerPort = ports[5];
+    std::string folder;
+    Process daemon;
+
+    explicit Fixture(const char *service = "plain", bool isStarted = true)
+    {
+        char pattern[] = "/tmp/jackdawlead-XXXXXX";
+        folder = mkdtemp(pattern);
+        store.put("servers", first.id, first.record(service));
+        store.put("servers", second.id, second.record(service));
+        startDaemon();
+        if (!isStarted)
+            return;
+        store.put("config", "main", configuration(1, usualRoutes()));
+        cr_assert(waitUntil([this] { return readiness() == 200; }));
+    }
+    ~Fixture()
+    {
+        daemon.kill();
+        std::filesystem::remove_all(folder);
+    }
+
+    void startDaemon()
+    {
+        const std::string path = folder + "/settings.conf";
+        const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
+        std::ofstream(path) << "node=h1\nzone=z1\nregion=r1\nzones.z1=r1\nlisten.front="
+                            << address(callerPort) << "\nlisten.ready=" << address(readyPort)
+                            << "\ninternal_ports=" << peerPort << "," << peerPort
+                            << "\nplatform.address=" << address(storePort)
+                            << "\nbounds.stable_window_ms=4000\nbounds.drain_ms=3000\n"
+                               "bounds.grace_s=8\nbounds.config_ms=3000\nbounds.version_ms=5000\n"
+                               "bounds.lease_ms=3000\nbounds.budget_window_s=10\n"
+                               "bounds.budget_ratio=0.2\nbounds.budget_slack=400\n";
+        setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
+        daemon = Process({JACKDAWLEADD, "--platform"}, folder + "/output");
+    }
+
+    bool waitUntil(const std::function<bool()> &condition, core::Duration most = limit)
+    {
+        const core::TimePoint end = loop.now() + most;
+        bool holds = false;
+        const auto check = timers.every(milliseconds(5), [&] {
+            holds = condition();
+            if (holds || loop.now() > end)
+                loop.stop();
+        });
+        loop.run();
+        return holds;
+    }
+
+    AnswerPtr send(std::uint16_t port, const std::string &bytes, const std::string &id = {})
+    {
+        auto answer = std::make_shared<Answer>();
+        answer->connection = std::make_unique<http::ClientConnection>(
+            loop, net::Address {"127.0.0.1", port}, std::chrono::seconds(2));
+        http::ExchangeObserver observer;
+        observer.onHead = [raw = answer.get()](http::MessageHead &head) { raw->head = head; };
+        observer.onBody = [raw = answer.get()](const std::string &body) { raw->body += body; };
+        observer.onEnd = [raw = answer.get()](http::ExchangeEnd end) {
+            raw->isEnded = true;
+            raw->isWhole = end == http::ExchangeEnd::Complete;
+        };
+        answer->connection->send({bytes, false, id.empty() ? "" : "Request-Id", id},
+                                 std::move(observer));
+        return answer;
+    }
+
+    AnswerPtr start(const std::string &path, const std::string &id, const std::string &model = {})
+    {
+        std::string bytes = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+            + "\r\nDeadline-Ms: 4000\r\nContent-Length: 4\r\n";
+        if (!model.empty())
+            bytes += "Model: " + model + "\r\nToken-Count: 10,10\r\n";
+        return send(callerPort, bytes + "\r\nbody");
+    }
+
+    AnswerPtr call(const std::string &path, const std::string &id, const std::string &model = {})
+    {
+        auto answer = start(path, id, model);
+        cr_assert(waitUntil([&answer] { return answer->isEnded; }), "no answer to %s", id.c_str());
+        return answer;
+    }
+
+    /// Lets the daemon go on by itself.
+    void pass(core::Duration time)
+    {
+        waitUntil([] { return false; }, time);
+    }
+
+    /// Asks again and again until the path is served.
+    bool isServedSoon(const std::string &path)
+    {
+        int number = 0;
+        AnswerPtr probe;
+        return waitUntil([&] {
+            if (probe && !probe->isEnded)
+                return false;
+            if (probe && probe->head.status == 200)
+                return true;
+            probe = start(path, "probe" + std::to_string(number++));
+            return false;
+        });
+    }
+
+    int readiness()
+    {
+        // The check itself runs inside waitUntil(), so it starts a question and uses the last one.
+        if (m_question && !m_question->isEnded)
+            return m_readiness;
+        if (m_question)
+            m_readiness = m_question->isWhole ? m_question->head.status : 0;
+        m_question = send(readyPort, "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+        return m_readiness;
+    }
+
+private:
+    AnswerPtr m_question;
+    int m_readiness = 0;
+};
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: text\n\n";
+}
+
+std::string events(int from, int to)
+{
+    std::string text;
+    for (int id = from; id <= to; ++id)
+        text += event(id);
+    return text;
+}
+
+/// Streams events from the one behind Last-Event-Id up to `last`; ends whole or torn.
+void stream(const EndpointStandIn::Exchange &exchange, int last, bool isTorn)
+{
+    const std::string after = exchange->head.headers.value("Last-Event-Id");
+    const int from = after.empty() ? 1 : std::stoi(after) + 1;
+    exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+    exchange->writeChunk(events(from, last));
+    if (isTorn) {
+        exchange->writeChunk("id: " + std::to_string(last + 1) + "\nda");
+        exchange->abort();
+    } else {
+        exchange->finishChunked();
+    }
+}
+
+} // namespace
+
+// Guards against an answer that is changed on its way, and against fields that are not passed on.
+Test(platform, answersAreThoseOfTheEndpoint, .timeout = 60)
+{
+    Fixture fixture;
+    const auto answer = fixture.call("/get/a?b=c", "r1");
+    cr_assert(answer->isWhole);
+    cr_assert_eq(answer->head.status, 200);
+    cr_assert_eq(answer->body, "whole answer");
+    cr_assert_eq(answer->head.headers.value("Response-Stamp"), "stamp");
+    cr_assert_eq(answer->head.headers.value("Request-Id"), "r1");
+    auto &heads = fixture.first.heads.empty() ? fixture.second.heads : fixture.first.heads;
+    cr_assert_eq(heads[0].target, "/get/a?b=c");
+    cr_assert_leq(std::stoi(heads[0].headers.value("Deadline-Ms")), 4000);
+}
+
+// Guards against a daemon that answers 404 or is ready before it knows a configuration.
+Test(platform, nothingIsServedBeforeAConfigurationIsKnown, .timeout = 60)
+{
+    Fixture fixture("plain", false);
+    cr_assert(fixture.waitUntil([&] { return fixture.readiness() == 503; }));
+    const auto answer = fixture.call("/get/a", "r1");
+    cr_assert_eq(answer->head.status, 503);
+    cr_assert(answer->head.headers.contains("Retry-After"));
+    cr_assert(fixture.first.runs.empty() && fixture.second.runs.empty());
+    fixture.store.put("config", "main", configuration(1, usualRoutes()));
+    cr_assert(fixture.waitUntil([&] { return fixture.readiness() == 200; }));
+    cr_assert_eq(fixture.call("/none/a", "r2")->head.status, 404);
+}
+
+// Guards against a second run of work that must not repeat, and against 'not run' for work whose
+// outcome is unknown.
+Test(platform, brokenOrderIsNotRepeated, .timeout = 60)
+{
+    Fixture fixture;
+    const auto breakOff = [](const EndpointStandIn::Exchange &exchange) { exchange->abort(); };
+    fixture.first.run = fixture.second.run = breakOff;
+    const auto answer = fixture.call("/order/a", "r1");
+    cr_assert_eq(answer->head.status, 502);
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 1U);
+}
+
+// Guards against a failure that reaches the caller although the work may be repeated.
+Test(platform, brokenRepeatableRequestRunsElsewhere, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.first.run = [](const EndpointStandIn::Exchange &exchange) { exchange->abort(); };
+    for (int number = 0; number < 6; ++number) {
+        const auto answer = fixture.call("/get/a", "r" + std::to_string(number));
+        cr_assert_eq(answer->head.status, 200);
+        cr_assert_eq(answer->body, "whole answer");
+    }
+}
+
+// Guards against an order that is lost although an endpoint said for certain that it did not run,
+// and against a refusal that hides that nothing ran.
+Test(platform, certainRefusalsAreTriedElsewhere, .timeout = 60)
+{
+    Fixture fixture;
+    const auto refuse = [](const EndpointStandIn::Exchange &exchange) {
+        exchange->respond(503, {{"Not-Executed", "1"}}, {});
+    };
+    fixture.first.run = refuse;
+    for (int number = 0; number < 4; ++number)
+        cr_assert_eq(fixture.call("/order/a", "r" + std::to_string(number))->head.status, 200);
+    fixture.second.run = refuse;
+    const auto answer = fixture.call("/order/a", "last");
+    cr_assert_eq(answer->head.status, 503);
+    cr_assert(answer->head.headers.contains("Retry-After"));
+}
+
+// Guards against an endpoint's own failure being replaced by one of ours.
+Test(platform, ownFailureOfAnOrderIsPassedOn, .timeout = 60)
+{
+    Fixture fixture;
+    const auto failing = [](const EndpointStandIn::Exchange &exchange) {
+        exchange->respond(500, EndpointStandIn::stamped(exchange), "failed");
+    };
+    fixture.first.run = fixture.second.run = failing;
+    const auto answer = fixture.call("/order/a", "r1");
+    cr_assert_eq(answer->head.status, 500);
+    cr_assert_eq(answer->body, "failed");
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 1U);
+}
+
+// Guards against a torn, doubled or missing event when a stream breaks off in the middle of one.
+Test(platform, resumableStreamGoesOnElsewhere, .timeout = 60)
+{
+    Fixture fixture("model");
+    const auto run = [&fixture](const EndpointStandIn::Exchange &exchange) {
+        const bool isFirstRun = fixture.first.runs.size() + fixture.second.runs.size() == 1;
+        stream(exchange, isFirstRun ? 3 : 6, isFirstRun);
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole);
+    cr_assert_eq(answer->body, events(1, 6));
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 2U);
+}
+
+// Guards against a stream that may not be resumed and runs twice, or looks complete.
+Test(platform, otherStreamEndsIncomplete, .timeout = 60)
+{
+    Fixture fixture("model");
+    const auto run = [](const EndpointStandIn::Exchange &exchange) { stream(exchange, 3, true); };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.call("/once/a", "r1", "base");
+    cr_assert_not(answer->isWhole);
+    cr_assert_eq(answer->body, events(1, 3));
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 1U);
+}
+
+// Guards against a caller that waits past its route's time on a silent endpoint.
+Test(platform, silentEndpointEndsAtTheRoutesTimeout, .timeout = 60)
+{
+    Fixture fixture;
+    std::vector<EndpointStandIn::Exchange> held;
+    const auto hold
+        = [&held](const EndpointStandIn::Exchange &exchange) { held.push_back(exchange); };
+    fixture.first.run = fixture.second.run = hold;
+    const core::TimePoint begin = fixture.loop.now();
+    const auto answer = fixture.call("/short/a", "r1");
+    cr_assert_eq(answer->head.status, 504);
+    cr_assert_geq(fixture.loop.now() - begin, milliseconds(700));
+}
+
+// Guards against work that goes on at an endpoint after its caller has left, and against an order
+// that is cut off because its caller has.
+Test(platform, workOfCallersWhoLeftIsGivenUp, .timeout = 60)
+{
+    Fixture fixture;
+    std::vector<EndpointStandIn::Exchange> held;
+    int cutOff = 0;
+    const auto hold = [&](const EndpointStandIn::Exchange &exchange) {
+        exchange->setGoneHandler([&cutOff] { ++cutOff; });
+        held.push_back(exchange);
+    };
+    fixture.first.run = fixture.second.run = hold;
+    auto repeatable = fixture.start("/get/a", "r1");
+    auto order = fixture.start("/order/a", "r2");
+    cr_assert(fixture.waitUntil([&held] { return held.size() == 2; }));
+    repeatable->connection.reset();
+    order->connection.reset();
+    cr_assert(fixture.waitUntil([&cutOff] { return cutOff == 1; }));
+    cr_assert_not(fixture.waitUntil([&cutOff] { return cutOff == 2; }, std::chrono::seconds(1)));
+}
+
+// Guards against new work at an endpoint that is leaving or gone, forged entries that are used, and
+// a configuration that is not followed.
+Test(platform, storeIsFollowed, .timeout = 60)
+{
+    Fixture fixture;
+    json forged = fixture.first.record("plain");
+    forged["address"] = 7;
+    fixture.store.put("servers", "e-forged", forged);
+    fixture.store.put("servers", fixture.first.id, fixture.first.record("plain", "draining"));
+    fixture.store.put("config", "main",
+                      configuration(2, json::array({route("/moved/", "plain", "idempotent")})));
+    cr_assert(fixture.isServedSoon("/moved/a"));
+    cr_assert_eq(fixture.call("/get/a", "gone")->head.status, 404);
+    const std::size_t before = fixture.first.runs.size();
+    fixture.pass(std::chrono::seconds(1));
+    for (int request = 0; request < 8; ++request)
+        cr_assert_eq(fixture.call("/moved/a", "r" + std::to_string(request))->head.status, 200);
+    cr_assert_leq(fixture.first.runs.size(), before + 1);
+    // An older version that comes late is not taken.
+    fixture.store.put("config", "main", configuration(1, usualRoutes()));
+    fixture.store.put("config", "main",
+                      configuration(3, json::array({route("/again/", "plain", "idempotent")})));
+    fixture.pass(std::chrono::seconds(1));
+    cr_assert_neq(fixture.call("/get/a", "old")->head.status, 200);
+}
+
+// Guards against a daemon that stops serving while the store is away, and one that misses what
+// changed meanwhile because the history is gone.
+Test(platform, storeOutageIsSurvived, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.store.setMode(StoreStandIn::Mode::Refusing);
+    fixture.pass(std::chrono::seconds(3));
+    cr_assert_eq(fixture.call("/get/a", "r1")->head.status, 200);
+    fixture.store.put("config", "main",
+                      configuration(2, json::array({route("/moved/", "plain", "idempotent")})));
+    fixture.store.forgetHistory();
+    fixture.store.setMode(StoreStandIn::Mode::Serving);
+    cr_assert(fixture.isServedSoon("/moved/a"));
+}
+
+// Guards against an adapter that is never loaded, loaded for each waiting request, or used at an
+// endpoint that does not hold it.
+Test(platform, missingAdapterIsLoadedOnce, .timeout = 60)
+{
+    Fixture fixture("model");
+    const auto run = [](const EndpointStandIn::Exchange &exchange) { stream(exchange, 2, false); };
+    fixture.first.run = fixture.second.run = run;
+    // The lease for orders is won and the endpoints are asked what they hold within a second.
+    cr_assert(fixture.waitUntil(
+        [&] { return !fixture.store.spec("jackdawlead-leases", "orders").is_null(); }));
+    fixture.pass(std::chrono::seconds(1));
+    std::vector<AnswerPtr> answers;
+    for (int number = 0; number < 3; ++number)
+        answers.push_back(fixture.start("/stream/a", "r" + std::to_string(number), "base/a7"));
+    cr_assert(fixture.waitUntil([&answers] {
+        return std::ranges::all_of(answers, [](const auto &answer) { return answer->isEnded; });
+    }));
+    for (const AnswerPtr &answer : answers)
+        cr_assert_eq(answer->body, events(1, 2));
+    cr_assert_eq(fixture.first.loads + fixture.second.loads, 1);
+}
+
+// Guards against a planned stop that cuts off a stream, refuses what it has read, or never ends.
+Test(platform, plannedStopCutsNothingOff, .timeout = 60)
+{
+    Fixture fixture("model");
+    std::vector<EndpointStandIn::Exchange> held;
+    const auto run = [&held](const EndpointStandIn::Exchange &exchange) {
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk(event(1));
+        held.push_back(exchange);
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.start("/once/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&answer] { return answer->body == event(1); }));
+    fixture.daemon.signal(SIGTERM);
+    cr_assert(fixture.waitUntil([&] { return fixture.readiness() == 503; }));
+    cr_assert_not(answer->isEnded);
+    held[0]->writeChunk(event(2));
+    held[0]->finishChunked();
+    cr_assert(fixture.waitUntil([&answer] { return answer->isEnded; }));
+    cr_assert(answer->isWhole);
+    cr_assert_eq(answer->body, events(1, 2));
+    answer->connection.reset();
+    std::optional<int> code;
+    cr_assert(fixture.waitUntil([&] { return (code = fixture.daemon.exitCode()).has_value(); }));
+    cr_assert_eq(*code, 0);
+}
--- /dev/null
+++ b/tests/support/platformstandin.cpp
@@ -0,0 +1,272 @@
+#include "support/platformstandin.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace jackdawlead::testsupport {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view objectsPath = "/-/objects/";
+
+std::map<std::string, std::string> queryOf(const std::string &target)
+{
+    std::map<std::string, std::string> query;
+    const std::size_t mark = target.find('?');
+    if (mark == std::string::npos)
+        return query;
+    std::istringstream parts(target.substr(mark + 1));
+    for (std::string part; std::getline(parts, part, '&');) {
+        const std::size_t equals = part.find('=');
+        query[part.substr(0, equals)] = part.substr(equals + 1);
+    }
+    return query;
+}
+
+void respondJson(http::ServerExchange &exchange, int status, const json &body)
+{
+    exchange.respond(status, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(net::EventLoop &loop, net::TimerService &timers, std::uint16_t port)
+    : m_timers(timers)
+    , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
+{
+    // A test that cannot listen fails at its first request.
+    (void)m_server.listen({"127.0.0.1", port});
+}
+
+json StoreStandIn::encode(const std::string &name, const Object &object)
+{
+    return {{"metadata",
+             {{"name", name},
+              {"revision", object.revision},
+              {"created", 1},
+              {"finalizers", json::array()},
+              {"deleting", false}}},
+            {"spec", object.spec},
+            {"status", nullptr}};
+}
+
+void StoreStandIn::put(const std::string &kind, const std::string &name, const json &spec)
+{
+    Object &object = m_kinds[kind][name];
+    object.spec = spec;
+    object.revision = m_revision + 1;
+    changed(kind, {{"removed", false}, {"object", encode(name, object)}});
+}
+
+void StoreStandIn::remove(const std::string &kind, const std::string &name)
+{
+    const Object object = m_kinds[kind][name];
+    m_kinds[kind].erase(name);
+    changed(kind, {{"removed", true}, {"object", encode(name, object)}});
+}
+
+json StoreStandIn::spec(const std::string &kind, const std::string &name) const
+{
+    const auto objects = m_kinds.find(kind);
+    if (objects == m_kinds.end() || !objects->second.contains(name))
+        return nullptr;
+    return objects->second.at(name).spec;
+}
+
+void StoreStandIn::forgetHistory()
+{
+    m_oldest = m_revision;
+    m_events.clear();
+}
+
+void StoreStandIn::changed(const std::string &kind, const json &body)
+{
+    m_events.push_back({++m_revision, kind, body});
+    for (auto watch = m_watches.begin(); watch != m_watches.end();)
+        watch = answer(*watch, false) ? m_watches.erase(watch) : std::next(watch);
+}
+
+void StoreStandIn::serve(const std::shared_ptr<http::ServerExchange> &exchange)
+{
+    const std::string &target = exchange->head.target;
+    if (m_mode == Mode::Silent) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
+    if (m_mode == Mode::Refusing || !target.starts_with(objectsPath)) {
+        exchange->respond(m_mode == Mode::Refusing ? 503 : 404, {}, {});
+        return;
+    }
+    const std::string path
+        = target.substr(objectsPath.size(), target.find('?') - objectsPath.size());
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    auto query = queryOf(target);
+    if (exchange->head.method != "GET") {
+        write(kind, name, *exchange);
+    } else if (query.contains("watch")) {
+        watch(kind, std::stoull(query["watch"]), std::stoi(query["wait_ms"]), exchange);
+    } else if (name.empty()) {
+        list(kind, *exchange);
+    } else if (spec(kind, name).is_null()) {
+        exchange->respond(404, {}, {});
+    } else {
+        respondJson(*exchange, 200, encode(name, m_kinds[kind][name]));
+    }
+}
+
+void StoreStandIn::list(const std::string &kind, http::ServerExchange &exchange) const
+{
+    json items = json::array();
+    if (const auto objects = m_kinds.find(kind); objects != m_kinds.end()) {
+        for (const auto &[name, object] : objects->second)
+            items.push_back(encode(name, object));
+    }
+    respondJson(exchange, 200,
+                {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
+}
+
+bool StoreStandIn::answer(const Watch &watch, bool isOver)
+{
+    json events = json::array();
+    for (const Event &event : m_events) {
+        if (event.kind == watch.kind && event.revision > watch.since)
+            events.push_back(event.body);
+    }
+    if (events.empty() && !isOver)
+        return false;
+    respondJson(*watch.exchange, 200, {{"events", events}, {"current_rev", m_revision}});
+    return true;
+}
+
+void StoreStandIn::watch(const std::string &kind, std::uint64_t since, int waitMilliseconds,
+                         const std::shared_ptr<http::ServerExchange> &exchange)
+{
+    if (since < m_oldest) {
+        exchange->respond(410, {}, {});
+        return;
+    }
+    Watch watch {kind, since, exchange, {}};
+    if (answer(watch, false))
+        return;
+    m_watches.push_back(std::move(watch));
+    const auto entry = std::prev(m_watches.end());
+    entry->timeout = m_timers.once(std::chrono::milliseconds(waitMilliseconds), [this, entry] {
+        answer(*entry, true);
+        m_watches.erase(entry);
+    });
+}
+
+void StoreStandIn::write(const std::string &kind, const std::string &pathName,
+                         http::ServerExchange &exchange)
+{
+    const json body = json::parse(exchange.body);
+    const json &metadata = body.at("metadata");
+    const std::string name = pathName.empty() ? metadata.at("name").get<std::string>() : pathName;
+    const bool exists = !spec(kind, name).is_null();
+    const bool isCreation = exchange.head.method == "POST";
+    if (!exists && !isCreation) {
+        exchange.respond(404, {}, {});
+        return;
+    }
+    const bool isConflict = isCreation
+        ? exists
+        : metadata.value("revision", std::uint64_t {0}) != m_kinds[kind][name].revision;
+    if (isConflict) {
+        respondJson(exchange, 409, encode(name, m_kinds[kind][name]));
+        return;
+    }
+    put(kind, name, body.at("spec"));
+    respondJson(exchange, 200, encode(name, m_kinds[kind][name]));
+}
+
+EndpointStandIn::EndpointStandIn(net::EventLoop &loop, net::TimerService &timers, std::string name,
+                                 std::uint16_t listenPort)
+    : id(std::move(name))
+    , port(listenPort)
+    , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
+{
+    (void)m_server.listen({"127.0.0.1", port});
+    run = [](const Exchange &exchange) {
+        exchange->respond(200, stamped(exchange), "whole answer");
+    };
+}
+
+json EndpointStandIn::record(const std::string &service, const std::string &state) const
+{
+    return {
+        {"service", service},
+        {"address", "127.0.0.1:" + std::to_string(port)},
+        {"zone", "z1"},
+        {"version", "v1"},
+        {"slots", 8},
+        {"state", state},
+        {"cold_left_ms", 0},
+        {"born", 1},
+        {"seq", m_orderRevision},
+        {"models", json::array({{{"name", model}, {"version", 1}, {"adapters", json::array()}}})}};
+}
+
+net::Headers EndpointStandIn::stamped(const Exchange &exchange)
+{
+    return {{"Request-Id", exchange->head.headers.value("Request-Id")},
+            {"Response-Stamp", "stamp"},
+            {"Keep-Alive", "timeout=20"}};
+}
+
+void EndpointStandIn::serve(const Exchange &exchange)
+{
+    const std::string &target = exchange->head.target;
+    if (exchange->head.headers.value("Expect-Instance") != id) {
+        exchange->respond(421, {{"Instance-Id", id}}, {});
+        return;
+    }
+    if (target == "/-/order") {
+        order(exchange);
+        return;
+    }
+    if (target == "/-/report") {
+        json adapters = json::array();
+        for (const auto &[adapter, isHeld] : m_adapters)
+            adapters.push_back(adapter + "@1");
+        const json models
+            = json::array({{{"name", model}, {"version", 1}, {"adapters", adapters}}});
+        respondJson(*exchange, 200,
+                    {{"born", 1}, {"seq", m_orderRevision}, {"busy", false}, {"models", models}});
+        return;
+    }
+    heads.push_back(exchange->head);
+    const std::string asked = exchange->head.headers.value("Model");
+    const std::size_t slash = asked.find('/');
+    if (slash != std::string::npos && !m_adapters.contains(asked.substr(slash + 1))) {
+        exchange->respond(421, {{"Instance-Id", id}}, {});
+        return;
+    }
+    runs.push_back(exchange->head.headers.value("Request-Id"));
+    run(exchange);
+}
+
+void EndpointStandIn::order(const Exchange &exchange)
+{
+    const json body = json::parse(exchange->body);
+    if (body.at("expected_rev").get<int>() != m_orderRevision) {
+        exchange->respond(409, {}, {});
+        return;
+    }
+    ++m_orderRevision;
+    const auto adapter = body.value("adapter", std::string());
+    if (body.at("operation") == "load") {
+        ++loads;
+        m_adapters[adapter] = true;
+        exchange->respond(202, {}, {});
+        return;
+    }
+    m_adapters.erase(adapter);
+    exchange->respond(200, {}, {});
+}
+
+} // namespace jackdawlead::testsupport
