Keep requests that crash endpoints away from them, and do not charge sends that never arrived

Requests that crash their endpoints were sent on without end. Change: only arrivals count; a request that was running when three endpoints died is refused, and daemons tell each other of such deaths.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -177,6 +177,8 @@
     }
     for (const auto &[id, key] : report.contradictions)
         m_planner.contradicted(id, key, now);
+    for (const decisions::CrashFact &fact : report.crashes)
+        m_crashes.told(fact, now);
     for (const core::EndpointId &id : report.unreachable)
         m_planner.unreachable(id, now);
     sumLoads();
@@ -196,6 +198,7 @@
     view.revision = m_planner.revision();
     view.load = m_load;
     view.daemons = static_cast<int>(m_daemons.size());
+    view.crashes = m_crashes.recent(m_timers.now());
     for (const auto &[id, state] : m_planner.endpoints()) {
         // Until the first report the daemons use the endpoint's own record.
         const bool isKnown = state.lastReport != core::TimePoint();
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -69,6 +69,7 @@
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
+    decisions::CrashSuspects m_crashes; ///< Collects what daemons tell, to tell it to all.
     std::map<core::EndpointId, double> m_load;
     std::set<core::EndpointId> m_reportsAsked;
     bool m_wasHolder = false;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -43,6 +43,7 @@
                  .pool = m_pool,
                  .placement = {},
                  .budgets = {},
+                 .crashes = decisions::CrashSuspects(),
                  .demand = {},
                  .contradictions = {},
                  .isLoadingPossible = [this] { return m_peers.isGiverHeard(); },
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -53,7 +53,8 @@
     m_coordinator = &coordinator;
     bindMethods(coordinator);
     m_server = std::make_unique<http::Server>(
-        m_context.loop, m_context.timers, [this](std::shared_ptr<http::ServerExchange> exchange) {
+        m_context.loop, m_context.timers,
+        [this](const std::shared_ptr<http::ServerExchange> &exchange) {
             if (exchange->head.method != "POST" || exchange->head.target != rpcPath) {
                 exchange->respond(404, {}, {});
                 return;
@@ -116,6 +117,7 @@
     }
     report.demand = std::exchange(m_context.demand, {});
     report.contradictions = std::exchange(m_context.contradictions, {});
+    report.crashes = m_context.crashes.recent(m_context.timers.now());
     report.unreachable = m_context.pool.unreachable();
     report.knownRevision = m_knownRevision;
     report.token = m_giverToken;
@@ -153,6 +155,8 @@
     m_giverToken = view.token;
     for (const auto &[id, contents] : view.contents)
         m_context.placement.told(id, contents);
+    for (const decisions::CrashFact &fact : view.crashes)
+        m_context.crashes.told(fact, m_giverHeardAt);
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
         const auto total = view.load.find(id);
         const double all = total == view.load.end() ? 0 : total->second;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -62,6 +62,23 @@
     return contents;
 }
 
+json encodeCrashes(const std::vector<decisions::CrashFact> &facts)
+{
+    json value = json::array();
+    for (const decisions::CrashFact &fact : facts)
+        value.push_back({fact.fingerprint.value(), fact.death.value()});
+    return value;
+}
+
+std::vector<decisions::CrashFact> decodeCrashes(const json &value)
+{
+    std::vector<decisions::CrashFact> facts;
+    for (const json &fact : value)
+        facts.push_back({decisions::Fingerprint(fact.at(0).get<std::string>()),
+                         decisions::DeathId(fact.at(1).get<std::string>())});
+    return facts;
+}
+
 absl::Status malformed(const json::exception &error)
 {
     return core::makeError(absl::StatusCode::kInvalidArgument, "read peer message", "peer",
@@ -88,6 +105,7 @@
             {"demand", demand},
             {"contradictions", contradictions},
             {"unreachable", unreachable},
+            {"crashes", encodeCrashes(report.crashes)},
             {"revision", report.knownRevision},
             {"token", report.token.value()}};
 }
@@ -97,9 +115,13 @@
     json contents = json::object();
     for (const auto &[id, entry] : view.contents)
         contents[id.value()] = encodeContents(entry, now);
-    return {{"isGiver", view.isGiver},        {"token", view.token.value()},
-            {"revision", view.revision},      {"contents", contents},
-            {"load", encodeLoads(view.load)}, {"daemons", view.daemons}};
+    return {{"isGiver", view.isGiver},
+            {"token", view.token.value()},
+            {"revision", view.revision},
+            {"contents", contents},
+            {"load", encodeLoads(view.load)},
+            {"daemons", view.daemons},
+            {"crashes", encodeCrashes(view.crashes)}};
 }
 
 absl::StatusOr<PeerReport> decodePeerReport(const std::string &text)
@@ -118,6 +140,7 @@
                 = fleet::adapterKeyFrom(key.get<std::string>());
         for (const json &id : value.at("unreachable"))
             report.unreachable.push_back(core::EndpointId(id.get<std::string>()));
+        report.crashes = decodeCrashes(value.at("crashes"));
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
         return report;
@@ -137,6 +160,7 @@
         for (const auto &[id, contents] : value.at("contents").items())
             view.contents[core::EndpointId(id)] = decodeContents(contents, now);
         view.load = decodeLoads(value.at("load"));
+        view.crashes = decodeCrashes(value.at("crashes"));
         view.daemons = value.at("daemons").get<int>();
         return view;
     } catch (const json::exception &error) {
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/crashsuspects.h"
 #include "decisions/placementview.h"
 #include "fleet/adapterkey.h"
 
@@ -27,8 +28,9 @@
     std::unordered_map<fleet::AdapterKey, int> demand;
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     std::vector<core::EndpointId> unreachable;
-    std::uint64_t knownRevision = 0; ///< Of the contents that it was told last.
-    core::FencingToken token;        ///< Of the giver who told them.
+    std::vector<decisions::CrashFact> crashes; ///< Learned lately.
+    std::uint64_t knownRevision = 0;           ///< Of the contents that it was told last.
+    core::FencingToken token;                  ///< Of the giver who told them.
 };
 
 /// What the giver of orders tells a daemon: contents that changed, and the load of all endpoints.
@@ -40,6 +42,7 @@
     std::map<core::EndpointId, decisions::EndpointContents> contents;
     std::map<core::EndpointId, double> load; ///< Of all daemons together, in slots.
     int daemons = 0;
+    std::vector<decisions::CrashFact> crashes; ///< Learned lately from any daemon.
 };
 
 /// Times are sent as what is left, since the clocks of daemons differ.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/crashsuspects.h"
 #include "decisions/endpointchooser.h"
 #include "decisions/placementview.h"
 #include "decisions/retrybudget.h"
@@ -27,6 +28,7 @@
     EndpointPool &pool;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
+    decisions::CrashSuspects crashes;
     /// Requests for adapters since the last report to the giver of orders.
     std::unordered_map<fleet::AdapterKey, int> demand;
     /// Endpoints that lacked what they were believed to hold, since the last report.
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -33,6 +33,7 @@
 constexpr core::Duration refusedPause = std::chrono::milliseconds(150);
 constexpr core::Duration busyRetryAfter = std::chrono::milliseconds(400);
 constexpr core::Duration loadRetryAfter = std::chrono::milliseconds(900);
+constexpr core::Duration quarantineRetryAfter = std::chrono::minutes(5);
 constexpr core::Duration startRetryAfter = std::chrono::milliseconds(500);
 // From then on an older version of an adapter is not used, to be inside the platform's bound also
 // after a wait in the endpoint's queue.
@@ -79,6 +80,10 @@
         refuse("the daemon is stopping", busyRetryAfter);
         return;
     }
+    if (m_context.crashes.isQuarantined(fingerprint(), now())) {
+        refuse("request was running when endpoints died", quarantineRetryAfter);
+        return;
+    }
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.draw());
     m_context.budgets[m_service].requestCame(now());
     if (!m_fields.adapter.isEmpty())
@@ -354,13 +359,43 @@
         answerBuffered();
         return;
     }
-    m_context.pool.health(m_endpoint).broke(now());
+    connectionBroke(end);
     if (end == http::ExchangeEnd::ConnectFailed)
         sendFailed(Failure::NotSent, "cannot connect");
     else
         sendFailed(Failure::MayHaveRun, "connection broke before the answer was complete");
 }
 
+void RequestTask::connectionBroke(http::ExchangeEnd end)
+{
+    decisions::EndpointHealth &health = m_context.pool.health(m_endpoint);
+    const bool wasUnreachable = health.isUnreachable(now());
+    health.broke(now());
+    if (end == http::ExchangeEnd::Broken)
+        m_context.crashes.broke(fingerprint(), m_endpoint, now());
+    if (wasUnreachable || !health.isUnreachable(now()))
+        return;
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_endpoint);
+    const std::int64_t born = endpoint == nullptr ? 0 : endpoint->born.count();
+    observability::log({.level = observability::LogLevel::Warn,
+                        .step = "endpoint",
+                        .message = "unreachable: connections broke in a row",
+                        .peer = m_endpoint.value()});
+    m_context.crashes.died(m_endpoint,
+                           decisions::DeathId(absl::StrCat(m_endpoint.value(), "@", born)), now());
+}
+
+// Host, path and body are the same each time such a request comes; its id is not.
+decisions::Fingerprint RequestTask::fingerprint() const
+{
+    const http::MessageHead &head = m_exchange->head;
+    return decisions::fingerprintOf(
+        core::CustomerId(head.headers.value("Host")),
+        {core::AdapterId(absl::StrCat(m_fields.model.value(), "/", m_fields.adapter.value())),
+         head.target},
+        m_exchange->body);
+}
+
 void RequestTask::streamEnded(http::ExchangeEnd end)
 {
     if (end == http::ExchangeEnd::Complete && m_answer.status == 200 && !m_isBrokenStream) {
@@ -372,7 +407,7 @@
         return;
     }
     m_isBrokenStream = false;
-    m_context.pool.health(m_endpoint).broke(now());
+    connectionBroke(end);
     sendFailed(end == http::ExchangeEnd::ConnectFailed ? Failure::NotSent : Failure::MayHaveRun,
                "stream broke");
 }
@@ -419,8 +454,13 @@
         if (!m_route->mayRunAgain() || m_runs >= m_route->maxAttempts)
             return false;
     }
-    return m_sends < maxSends && m_exchange->isOpen()
-        && m_context.budgets[m_service].tryTake(now());
+    if (m_sends >= maxSends || !m_exchange->isOpen())
+        return false;
+    // A request that was running when two endpoints died is not carried to a third one by us.
+    if (failure == Failure::MayHaveRun && m_context.crashes.deaths(fingerprint(), now()) > 1)
+        return false;
+    // The budget counts what arrives at endpoints.
+    return failure == Failure::NotSent || m_context.budgets[m_service].tryTake(now());
 }
 
 void RequestTask::sendFailed(Failure failure, std::string_view cause)
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -50,6 +50,8 @@
     void headArrived(http::MessageHead &head);
     void bodyArrived(std::string_view bytes);
     void exchangeEnded(http::ExchangeEnd end);
+    void connectionBroke(http::ExchangeEnd end);
+    decisions::Fingerprint fingerprint() const;
     void streamEnded(http::ExchangeEnd end);
     void answerBuffered();
     void notRun();
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -1,3 +1,4 @@
+#include "decisions/crashsuspects.h"
 #include "decisions/endpointchooser.h"
 #include "decisions/endpointhealth.h"
 #include "decisions/placementview.h"
@@ -211,3 +212,34 @@
     view.contradicted(endpoint.id, key);
     cr_assert_not(view.heldVersion(endpoint.id, key, start + milliseconds(280)));
 }
+
+// Guards against a request that is sent on although it was running when three endpoints died, and
+// against two daemons' word on one death being counted twice.
+Test(crashsuspects, threeDeathsQuarantine)
+{
+    const Fingerprint request("request");
+    CrashSuspects suspects;
+    for (int death = 1; death <= 3; ++death) {
+        cr_assert_not(suspects.isQuarantined(request, start));
+        const core::EndpointId endpoint("e" + std::to_string(death));
+        suspects.broke(request, endpoint, start);
+        suspects.died(endpoint, DeathId(endpoint.value()), start + milliseconds(200));
+        suspects.told({request, DeathId(endpoint.value())}, start + milliseconds(300));
+    }
+    cr_assert(suspects.isQuarantined(request, start + milliseconds(300)));
+    cr_assert_not(suspects.isQuarantined(request, start + std::chrono::minutes(11)));
+}
+
+// Guards against requests being kept away because sound endpoints lose their answers, or because
+// they ended long before an endpoint died.
+Test(crashsuspects, brokenConnectionAloneDoesNotCount)
+{
+    const Fingerprint request("request");
+    CrashSuspects suspects;
+    for (int number = 0; number < 5; ++number)
+        suspects.broke(request, core::EndpointId("e"), start);
+    cr_assert_eq(suspects.deaths(request, start), 0U);
+    suspects.died(core::EndpointId("other"), DeathId("other"), start);
+    suspects.died(core::EndpointId("e"), DeathId("e"), start + std::chrono::seconds(5));
+    cr_assert_eq(suspects.deaths(request, start + std::chrono::seconds(5)), 0U);
+}
