--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -51,7 +52,7 @@
 }
 
 // Serves the users' platform; its settings file is named by the platform's environment variable.
-int runGateway(bool checkOnly)
+int runGateway(bool checkOnly, std::uint16_t metricsPort)
 {
     using namespace jackdawlead;
     const char *path = std::getenv(platform::settingsVariable);
@@ -68,7 +69,8 @@
         std::cout << path << ": settings are valid\n";
         return Stopped;
     }
-    observability::startLogging("INFO", settings->host);
+    settings->metricsPort = metricsPort;
+    observability::startBoundedLogging("INFO", settings->host);
     gateway::Gateway gateway(*std::move(settings));
     if (const absl::Status status = gateway.start(); !status.ok()) {
         observability::logError(observability::LogLevel::Error, status);
@@ -87,6 +89,8 @@
     description.add_options()("help", "print this text")("settings", options::value<std::string>(),
                                                          "YAML settings file")(
         "check-settings", "check the settings file and exit")(
+        "metrics-port", options::value<std::uint16_t>()->default_value(0),
+        "with --platform: where /metrics is served; 0 serves none")(
         "platform", "serve the users' platform; JACKDAWLEAD_SETTINGS names its settings file");
     options::variables_map values;
     try {
@@ -100,7 +104,8 @@
         return Stopped;
     }
     if (values.contains("platform"))
-        return runGateway(values.contains("check-settings"));
+        return runGateway(values.contains("check-settings"),
+                          values["metrics-port"].as<std::uint16_t>());
     if (!values.contains("settings")) {
         std::cerr << "--settings is required\n" << description;
         return WrongUse;
--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -36,6 +36,7 @@
     std::uint16_t firstPeerPort = 0;
     std::uint16_t lastPeerPort = 0;
     net::Address store;
+    std::uint16_t metricsPort = 0; ///< 0 serves no metrics.
     Bounds bounds;
 };
 
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -64,12 +64,13 @@
 
 Coordinator::Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
                          http::Caller &caller, FleetWatch &watch, LeaseKeeper &lease,
-                         ViewSender sendView)
+                         observability::GatewayMetrics &metrics, ViewSender sendView)
     : m_settings(settings)
     , m_timers(timers)
     , m_caller(caller)
     , m_watch(watch)
     , m_lease(lease)
+    , m_metrics(metrics)
     , m_sendView(std::move(sendView))
     , m_planner({})
 { }
@@ -296,6 +297,7 @@
                                                 " ", nameOf(end), ", revision ",
                                                 planned.orderRevision, ", sends ", sends),
                         .peer = planned.endpoint.value()});
+    m_metrics.orderEnded(planned.isLoad ? "load" : "unload", nameOf(end));
     if (end == decisions::OrderEnd::Unknown && sends < maxOrderSends) {
         give(planned, sends);
         return;
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -6,6 +6,7 @@
 #include "gateway/leasekeeper.h"
 #include "gateway/peermessages.h"
 #include "http/caller.h"
+#include "observability/gatewaymetrics.h"
 #include "platform/endpointcodec.h"
 
 #include <functional>
@@ -25,7 +26,8 @@
     using ViewSender = std::function<void(const net::Address &, const PeerView &)>;
 
     Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
-                http::Caller &caller, FleetWatch &watch, LeaseKeeper &lease, ViewSender sendView);
+                http::Caller &caller, FleetWatch &watch, LeaseKeeper &lease,
+                observability::GatewayMetrics &metrics, ViewSender sendView);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
@@ -66,6 +68,7 @@
     http::Caller &m_caller;
     FleetWatch &m_watch;
     LeaseKeeper &m_lease;
+    observability::GatewayMetrics &m_metrics;
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -41,12 +41,14 @@
                  .timers = m_timers,
                  .watch = m_watch,
                  .pool = m_pool,
+                 .metrics = m_metrics,
                  .placement = {},
                  .budgets = {},
                  .crashes = decisions::CrashSuspects(),
                  .demand = {},
                  .contradictions = {},
                  .isLoadingPossible = [this] { return m_peers.isGiverHeard(); },
+                 .untilLoadsResume = [this] { return m_peers.untilNextGiver(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
                  .random = std::mt19937_64(std::random_device()()),
                  .stopBegan = {}}
@@ -54,14 +56,19 @@
               leaseLimits(m_settings), [this] { return m_peers.isGiverHeard(); })
     , m_peers(m_context, m_caller, m_lease, [this] { wakeWaiting(); })
     , m_coordinator(
-          m_settings, m_timers, m_caller, m_watch, m_lease,
+          m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics,
           [this](const net::Address &peer, const PeerView &view) { m_peers.sendView(peer, view); })
     , m_callers(
           m_loop, m_timers,
           [this](std::shared_ptr<http::ServerExchange> exchange) { serve(std::move(exchange)); })
-    , m_readiness(m_loop, m_timers, [this](const std::shared_ptr<http::ServerExchange> &exchange) {
-        answerReadiness(*exchange);
-    })
+    , m_readiness(m_loop, m_timers,
+                  [this](const std::shared_ptr<http::ServerExchange> &exchange) {
+                      answerReadiness(*exchange);
+                  })
+    , m_metricsServer(m_loop, m_timers,
+                      [this](const std::shared_ptr<http::ServerExchange> &exchange) {
+                          answerMetrics(*exchange);
+                      })
 { }
 
 FleetWatch::Handlers Gateway::watchHandlers()
@@ -92,6 +99,11 @@
         return status;
     if (absl::Status status = m_readiness.listen(m_settings.readiness); !status.ok())
         return status;
+    if (m_settings.metricsPort != 0) {
+        const net::Address metrics {m_settings.callers.ip, m_settings.metricsPort};
+        if (absl::Status status = m_metricsServer.listen(metrics); !status.ok())
+            return status;
+    }
     if (absl::Status status = m_peers.start(m_coordinator); !status.ok())
         return status;
     m_loop.onSignal(SIGTERM, [this] { stop(); });
@@ -121,6 +133,22 @@
     exchange.respond(isReady ? 200 : 503, {}, {});
 }
 
+void Gateway::answerMetrics(http::ServerExchange &exchange)
+{
+    if (exchange.head.target != "/metrics") {
+        exchange.respond(404, {}, {});
+        return;
+    }
+    m_metrics.setGeneration(
+        m_watch.routes() ? static_cast<double>(m_watch.routes()->generation().value()) : 0);
+    m_metrics.setEndpoints(static_cast<double>(m_watch.endpoints().size()));
+    m_metrics.setStoreInTouch(m_watch.isInTouch());
+    m_metrics.setGivesOrders(m_lease.isHolder());
+    m_metrics.setRequests(static_cast<double>(m_requests.size()));
+    m_metrics.setControlCalls(static_cast<double>(m_caller.callCount()));
+    exchange.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render());
+}
+
 void Gateway::serve(std::shared_ptr<http::ServerExchange> exchange)
 {
     const std::uint64_t number = m_nextRequest++;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -38,6 +38,7 @@
     void serve(std::shared_ptr<http::ServerExchange> exchange);
     void answerReadiness(http::ServerExchange &exchange) const;
     void configurationChanged();
+    void answerMetrics(http::ServerExchange &exchange);
     void wakeWaiting();
     void stop();
     void checkStopped();
@@ -48,6 +49,7 @@
     net::TimerService m_timers;
     http::Caller m_caller;
     platform::ObjectStore m_store;
+    observability::GatewayMetrics m_metrics;
     FleetWatch m_watch;
     EndpointPool m_pool;
     RequestContext m_context;
@@ -56,6 +58,7 @@
     Coordinator m_coordinator;
     http::Server m_callers;
     http::Server m_readiness;
+    http::Server m_metricsServer;
     std::map<std::uint64_t, std::shared_ptr<RequestTask>> m_requests; ///< In order of arrival.
     std::uint64_t m_nextRequest = 0;
     net::TimerService::Subscription m_wake;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "observability/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -14,6 +15,9 @@
 constexpr core::Duration callTimeout = std::chrono::milliseconds(500);
 // Two reports in a row without an answer.
 constexpr core::Duration giverTimeout = std::chrono::milliseconds(800);
+// From the loss of the giver to the end of its right, as others can know it, beside the silence
+// that its successor keeps; seen in the log of quiet-1 with the giver cut off.
+constexpr core::Duration takeOverTime = std::chrono::milliseconds(3000);
 constexpr char reportMethod[] = "report";
 constexpr char viewMethod[] = "view";
 constexpr char rpcPath[] = "/rpc";
@@ -97,6 +101,13 @@
         && m_giverHeardAt != core::TimePoint();
 }
 
+core::Duration PeerLink::untilNextGiver() const
+{
+    const core::Duration takeOver = m_context.settings.bounds.lease + takeOverTime;
+    const core::Duration spent = m_context.timers.now() - m_giverHeardAt;
+    return std::max(core::Duration::zero(), takeOver - spent);
+}
+
 void PeerLink::report()
 {
     const auto &record = m_lease.lease().record();
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -29,6 +29,8 @@
     void reportSoon();
     /// Whether the giver of orders answered lately.
     bool isGiverHeard() const;
+    /// How long it takes until a successor of the giver of orders may give its first order.
+    core::Duration untilNextGiver() const;
     /// Sends a view to another daemon.
     void sendView(const net::Address &peer, const PeerView &view);
 
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -9,6 +9,7 @@
 #include "fleet/hostsettings.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
+#include "observability/gatewaymetrics.h"
 
 #include <functional>
 #include <map>
@@ -26,6 +27,7 @@
     net::TimerService &timers;
     FleetWatch &watch;
     EndpointPool &pool;
+    observability::GatewayMetrics &metrics;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
     decisions::CrashSuspects crashes;
@@ -35,6 +37,8 @@
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     /// Whether some daemon gives orders, so that waiting for a load makes sense.
     std::function<bool()> isLoadingPossible;
+    /// When loads go on, if no daemon gives orders now.
+    std::function<core::Duration()> untilLoadsResume;
     /// Tells the giver of orders at once about new demand.
     std::function<void()> onDemand;
     std::mt19937_64 random;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -212,8 +212,10 @@
     const bool isHopeless
         = needsLoad && (m_fields.model.isEmpty() || !m_context.isLoadingPossible());
     if (isHopeless || now() >= waitLimit(reason)) {
+        const core::Duration retryAfter
+            = isHopeless ? std::max(loadRetryAfter, m_context.untilLoadsResume()) : loadRetryAfter;
         refuse(needsLoad ? "no endpoint holds what is asked for" : "all endpoints are full",
-               needsLoad ? loadRetryAfter : busyRetryAfter);
+               needsLoad ? retryAfter : busyRetryAfter);
         return;
     }
     m_isWaiting = true;
@@ -234,6 +236,8 @@
     m_tried.insert(endpoint.id);
     m_isSent = true;
     m_sentAt = now();
+    if (m_sends == 1)
+        m_context.metrics.sentAfter(m_sentAt - m_exchange->receivedAt);
     m_answerBody.clear();
     m_startLoad
         = m_context.pool.load(endpoint.id, endpoint.slots) + m_context.pool.others(endpoint.id);
@@ -401,6 +405,9 @@
     if (end == http::ExchangeEnd::Complete && m_answer.status == 200 && !m_isBrokenStream) {
         m_context.pool.health(m_endpoint).succeeded();
         logIfLate();
+        m_context.metrics.firstEvent(m_firstEventAt - m_exchange->receivedAt);
+        m_context.metrics.longestPause(m_longestGap);
+        m_status = m_answer.status;
         m_exchange->writeChunk(m_events.rest());
         m_exchange->finishChunked();
         finish();
@@ -431,6 +438,7 @@
         return;
     }
     m_exchange->respond(m_answer.status, platform::answerFieldsForCaller(m_answer), m_answerBody);
+    m_status = m_answer.status;
     finish();
 }
 
@@ -474,6 +482,7 @@
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
     if (isRepeated) {
+        m_context.metrics.sentAgain(std::string(cause));
         choose();
         return;
     }
@@ -541,6 +550,8 @@
     const auto delay = std::chrono::duration_cast<core::Duration>(
         retryAfter * (1.0 + spreadOfRetryAfter * m_context.draw()));
     m_exchange->respond(503, platform::retryAfterFields(delay), {});
+    m_context.metrics.refused(std::string(cause));
+    m_status = 503;
     finish();
 }
 
@@ -553,6 +564,7 @@
                         .peer = m_endpoint.value(),
                         .request = m_fields.id.value()});
     m_exchange->respond(status, {}, {});
+    m_status = status;
     finish();
 }
 
@@ -574,6 +586,7 @@
     m_isDone = true;
     m_isWaiting = false;
     m_deadlineTimer.cancel();
+    m_context.metrics.answered(m_status, now() - m_exchange->receivedAt);
     // At-most-once work that was sent keeps its connection until it ends; all else is cut off.
     const bool mustFinish
         = m_isSent && m_route != nullptr && !m_route->mayRunAgain() && !m_route->isStream;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -89,6 +89,7 @@
     bool m_isSent = false; ///< An exchange is in progress.
     bool m_isDone = false;
 
+    int m_status = 0; ///< Given to the caller; zero if the answer was broken off.
     http::MessageHead m_answer;
     platform::AnswerTraits m_traits;
     std::string m_answerBody;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -11,11 +11,13 @@
 
 namespace {
 
-// A store that has gone silent is noticed after the wait and the call's own limit, before bounds of
-// 3 s and more on draining and configuration have passed.
-constexpr core::Duration watchWait = std::chrono::milliseconds(2500);
-// Joins changes that come together: each call is priced, and endpoints' entries change often.
-constexpr core::Duration eventPause = std::chrono::milliseconds(300);
+// A watch that a silent store swallowed is given up after the wait and the call's own limit, 6 s
+// together. The platform's bounds hold again 4 s after the store's return and then allow 3 s.
+constexpr core::Duration watchWait = std::chrono::milliseconds(4500);
+// Joins changes that come together: each call is priced, and endpoints' entries change with each
+// order, while what matters in them has bounds of 3 s. The other kinds change rarely.
+constexpr core::Duration endpointEventPause = std::chrono::milliseconds(1000);
+constexpr core::Duration eventPause = std::chrono::milliseconds(50);
 constexpr core::Duration firstRetry = std::chrono::milliseconds(100);
 constexpr core::Duration longestRetry = std::chrono::milliseconds(1000);
 
@@ -86,7 +88,9 @@
         if (events->events.empty())
             watchNext();
         else
-            m_retry = m_timers.once(eventPause, [this] { watchNext(); });
+            m_retry = m_timers.once(m_kind == platform::Kind::Endpoints ? endpointEventPause
+                                                                        : eventPause,
+                                    [this] { watchNext(); });
     });
 }
 
--- /dev/null
+++ b/src/libs/observability/boundedappender.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "observability/linebudget.h"
+
+#include <log4cplus/appender.h>
+
+#include <string>
+
+namespace jackdawlead::observability {
+
+/// Writes log lines to a descriptor without ever waiting for its reader, and within a budget of
+/// lines. Warnings and errors are outside the budget. What was left out is counted and told with a
+/// later line. Thread safety: log4cplus calls it under its own lock.
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+    explicit BoundedAppender(int descriptor);
+    ~BoundedAppender() override;
+
+    void close() override { closed = true; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override;
+
+private:
+    /// Whether the line was taken whole by the descriptor.
+    bool writeLine(const std::string &line) const;
+
+    int m_descriptor;
+    LineBudget m_budget;
+    std::uint64_t m_lost = 0; ///< Lines that the reader did not take in time.
+};
+
+} // namespace jackdawlead::observability
--- /dev/null
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -0,0 +1,94 @@
+#include "observability/gatewaymetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace jackdawlead::observability {
+
+namespace {
+
+// Around the target latencies (0.3 to 1 s), pauses (0.25 s) and deadlines (3 to 20 s) of the
+// sheets.
+const prometheus::Histogram::BucketBoundaries secondsBuckets {0.01, 0.025, 0.05, 0.1, 0.25, 0.4,
+                                                              0.8,  1.0,   2.0,  4.0, 12.0, 20.0};
+
+prometheus::Family<prometheus::Counter> &counters(prometheus::Registry &registry, const char *name,
+                                                  const char *help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
+        {}, secondsBuckets);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &registry, const char *name, const char *help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_answers(counters(*m_registry, "jackdawlead_answers_total",
+                         "Answers by status; 0 for those broken off"))
+    , m_refusals(counters(*m_registry, "jackdawlead_refusals_total",
+                          "Requests refused as not run, by cause"))
+    , m_repeats(counters(*m_registry, "jackdawlead_repeated_sends_total",
+                         "Sends beyond the first of a request, by cause"))
+    , m_orders(counters(*m_registry, "jackdawlead_orders_total",
+                        "Orders to endpoints by operation and result"))
+    , m_total(histogram(*m_registry, "jackdawlead_answer_seconds",
+                        "From the first byte of a request to the end of its answer"))
+    , m_firstEvent(histogram(*m_registry, "jackdawlead_first_event_seconds",
+                             "From the first byte of a request to the first event of its stream"))
+    , m_longestPause(histogram(*m_registry, "jackdawlead_longest_pause_seconds",
+                               "The longest pause between two events of a stream"))
+    , m_wait(histogram(*m_registry, "jackdawlead_wait_seconds",
+                       "From the first byte of a request to its first send"))
+    , m_generation(gauge(*m_registry, "jackdawlead_config_generation", "Configuration in force"))
+    , m_endpoints(gauge(*m_registry, "jackdawlead_endpoints", "Endpoints that are known"))
+    , m_storeInTouch(gauge(*m_registry, "jackdawlead_store_in_touch",
+                           "1 if the last calls to the store were answered"))
+    , m_givesOrders(gauge(*m_registry, "jackdawlead_gives_orders",
+                          "1 on the daemon that holds the lease for orders"))
+    , m_requestsInProgress(gauge(*m_registry, "jackdawlead_requests_in_progress",
+                                 "Requests of callers that are not answered yet"))
+    , m_controlCalls(gauge(*m_registry, "jackdawlead_control_calls",
+                           "Calls to store, endpoints and daemons since the start"))
+{ }
+
+double GatewayMetrics::toSeconds(core::Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+void GatewayMetrics::answered(int status, core::Duration total)
+{
+    m_answers.Add({{"status", std::to_string(status)}}).Increment();
+    m_total.Observe(toSeconds(total));
+}
+
+void GatewayMetrics::refused(const std::string &cause)
+{
+    m_refusals.Add({{"cause", cause}}).Increment();
+}
+
+void GatewayMetrics::sentAgain(const std::string &cause)
+{
+    m_repeats.Add({{"cause", cause}}).Increment();
+}
+
+void GatewayMetrics::orderEnded(const std::string &operation, const std::string &result)
+{
+    m_orders.Add({{"operation", operation}, {"result", result}}).Increment();
+}
+
+std::string GatewayMetrics::render() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace jackdawlead::observability
--- /dev/null
+++ b/src/libs/observability/gatewaymetrics.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace jackdawlead::observability {
+
+/// The metrics of a daemon on the users' platform. Thread safety: any thread.
+class GatewayMetrics
+{
+public:
+    GatewayMetrics();
+
+    /// A request ended with this status, `total` after its first byte; zero if it was broken off.
+    void answered(int status, core::Duration total);
+    void refused(const std::string &cause);
+    void sentAgain(const std::string &cause);
+    void firstEvent(core::Duration delay) { m_firstEvent.Observe(toSeconds(delay)); }
+    void longestPause(core::Duration pause) { m_longestPause.Observe(toSeconds(pause)); }
+    void sentAfter(core::Duration wait) { m_wait.Observe(toSeconds(wait)); }
+    void orderEnded(const std::string &operation, const std::string &result);
+    void setGeneration(double generation) { m_generation.Set(generation); }
+    void setEndpoints(double count) { m_endpoints.Set(count); }
+    void setStoreInTouch(bool isInTouch) { m_storeInTouch.Set(isInTouch ? 1 : 0); }
+    void setGivesOrders(bool isGiver) { m_givesOrders.Set(isGiver ? 1 : 0); }
+    void setRequests(double count) { m_requestsInProgress.Set(count); }
+    void setControlCalls(double count) { m_controlCalls.Set(count); }
+
+    /// All metrics in the Prometheus text format.
+    std::string render() const;
+
+private:
+    static double toSeconds(core::Duration duration);
+
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter> &m_answers;
+    prometheus::Family<prometheus::Counter> &m_refusals;
+    prometheus::Family<prometheus::Counter> &m_repeats;
+    prometheus::Family<prometheus::Counter> &m_orders;
+    prometheus::Histogram &m_total;
+    prometheus::Histogram &m_firstEvent;
+    prometheus::Histogram &m_longestPause;
+    prometheus::Histogram &m_wait;
+    prometheus::Gauge &m_generation;
+    prometheus::Gauge &m_endpoints;
+    prometheus::Gauge &m_storeInTouch;
+    prometheus::Gauge &m_givesOrders;
+    prometheus::Gauge &m_requestsInProgress;
+    prometheus::Gauge &m_controlCalls;
+};
+
+} // namespace jackdawlead::observability
--- a/src/libs/observability/log.cpp
+++ b/src/libs/observability/log.cpp
@@ -1,6 +1,7 @@
 #include "observability/log.h"
 
 #include "core/error.h"
+#include "observability/boundedappender.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,6 +11,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
 namespace jackdawlead::observability {
 
 namespace {
@@ -57,14 +60,12 @@
 
 } // namespace
 
-void startLogging(const std::string &level, const core::HostId &host)
+namespace {
+
+void startWith(log4cplus::Appender *sink, const std::string &level, const core::HostId &host)
 {
-    static const log4cplus::Initializer initializer;
     hostName() = host.value();
-    constexpr bool logToStdErr = true;
-    constexpr bool immediateFlush = true;
-    const log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(logToStdErr, immediateFlush));
+    const log4cplus::SharedAppenderPtr appender(sink);
     // %D is UTC; the message supplies the remaining fields and the closing brace.
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         R"({"time":"%D{%Y-%m-%dT%H:%M:%S.%q}Z","level":"%p",%m%n)"));
@@ -72,6 +73,27 @@
     logger().setLogLevel(log4cplus::getLogLevelManager().fromString(level));
 }
 
+void initialize()
+{
+    static const log4cplus::Initializer initializer;
+}
+
+} // namespace
+
+void startLogging(const std::string &level, const core::HostId &host)
+{
+    initialize();
+    constexpr bool logToStdErr = true;
+    constexpr bool immediateFlush = true;
+    startWith(new log4cplus::ConsoleAppender(logToStdErr, immediateFlush), level, host);
+}
+
+void startBoundedLogging(const std::string &level, const core::HostId &host)
+{
+    initialize();
+    startWith(new BoundedAppender(STDOUT_FILENO), level, host);
+}
+
 void log(const LogEvent &event)
 {
     const log4cplus::LogLevel level = levelOf(event.level);
--- a/src/libs/observability/log.h
+++ b/src/libs/observability/log.h
@@ -25,8 +25,11 @@
 /// Precondition: called once, before the first line. Thread safety: any thread.
 void startLogging(const std::string &level, const core::HostId &host);
 
-/// Writes one line of JSON to standard error. It must carry no credential and no request body.
-/// Thread safety: any thread.
+/// The same, with the lines on standard output and their volume bounded (BoundedAppender).
+void startBoundedLogging(const std::string &level, const core::HostId &host);
+
+/// Writes one line of JSON to where logging was started. It must carry no credential and no request
+/// body. Thread safety: any thread.
 void log(const LogEvent &event);
 
 /// Writes an error with the step and the peer that it carries.
