--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -60,7 +60,8 @@
         std::cerr << platform::settingsVariable << ": names no readable file\n";
         return BadSettings;
     }
-    auto settings = platform::readSettings(readFile(path));
+    const auto read = [path] { return platform::readSettings(readFile(path)); };
+    auto settings = read();
     if (!settings.ok()) {
         std::cerr << path << ":\n" << std::string(settings.status().message()) << "\n";
         return BadSettings;
@@ -71,7 +72,7 @@
     }
     settings->metricsPort = metricsPort;
     observability::startBoundedLogging("INFO", settings->host);
-    gateway::Gateway gateway(*std::move(settings));
+    gateway::Gateway gateway(*std::move(settings), read);
     if (const absl::Status status = gateway.start(); !status.ok()) {
         observability::logError(observability::LogLevel::Error, status);
         return CannotListen;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-Gateway::Gateway(fleet::HostSettings settings)
+Gateway::Gateway(fleet::HostSettings settings, SettingsReader readSettings)
     : m_settings(std::move(settings))
+    , m_readSettings(std::move(readSettings))
     , m_timers(m_loop)
     , m_caller(m_loop, m_timers)
     , m_store(m_caller, m_settings.store)
@@ -107,6 +108,7 @@
     if (absl::Status status = m_peers.start(m_coordinator); !status.ok())
         return status;
     m_loop.onSignal(SIGTERM, [this] { stop(); });
+    m_loop.onSignal(SIGHUP, [this] { reloadSettings(); });
     m_watch.start();
     m_lease.start();
     m_coordinator.start();
@@ -196,6 +198,21 @@
         task->endpointsChanged();
 }
 
+void Gateway::reloadSettings()
+{
+    const auto settings = m_readSettings();
+    if (!settings.ok()) {
+        // The settings in force stay; a daemon that serves must not end by a faulty file.
+        observability::logError(observability::LogLevel::Error, settings.status());
+        return;
+    }
+    m_settings.bounds = settings->bounds;
+    m_settings.regions = settings->regions;
+    observability::log({.step = "reload", .message = "SIGHUP received, settings read again"});
+    if (m_watch.routes())
+        configurationChanged();
+}
+
 void Gateway::stop()
 {
     if (m_context.stopBegan)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -15,8 +15,10 @@
 #include "platform/objectstore.h"
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -27,7 +29,10 @@
 class Gateway
 {
 public:
-    explicit Gateway(fleet::HostSettings settings);
+    /// Reads the settings again. Errors: as at the start.
+    using SettingsReader = std::function<absl::StatusOr<fleet::HostSettings>()>;
+
+    Gateway(fleet::HostSettings settings, SettingsReader readSettings);
 
     /// Errors: an address cannot be listened on.
     absl::Status start();
@@ -40,11 +45,14 @@
     void configurationChanged();
     void answerMetrics(http::ServerExchange &exchange);
     void wakeWaiting();
+    /// Takes the bounds of changed settings; addresses last as long as the process.
+    void reloadSettings();
     void stop();
     void checkStopped();
     FleetWatch::Handlers watchHandlers();
 
     fleet::HostSettings m_settings;
+    SettingsReader m_readSettings;
     net::EventLoop m_loop;
     net::TimerService m_timers;
     http::Caller m_caller;
--- a/src/tools/arguments.cpp
+++ b/src/tools/arguments.cpp
@@ -32,6 +32,7 @@
     {"get", "", "prints the configuration in force", true, false},
     {"status", "", "prints the state of a daemon", false, true},
     {"drain", "", "starts a planned stop of a daemon", false, true},
+    {"explain", " REQUEST-ID", "tells from daemons' logs what became of a request", false, false},
     {"report burn", "", "prints the service-level burn of one or more daemons", false, true},
 };
 
@@ -53,6 +54,9 @@
     if (std::string(command.name) == "apply")
         all.add_options()("expect-generation", options::value<std::uint64_t>(),
                           "apply only if this generation is in force");
+    if (std::string(command.name) == "explain")
+        all.add_options()("log", options::value<std::vector<std::string>>()->multitoken(),
+                          "log files of daemons; standard input if none is given");
     if (command.usesAdmin)
         all.add_options()(
             "admin",
@@ -122,10 +126,12 @@
     }
     if (values.contains("expect-generation"))
         arguments.expected = core::Generation(values["expect-generation"].as<std::uint64_t>());
+    if (values.contains("log"))
+        arguments.logs = values["log"].as<std::vector<std::string>>();
     if (values.contains("file"))
         arguments.file = values["file"].as<std::string>();
     if (*command->operands != '\0' && arguments.file.empty())
-        return wrongUse("FILE is missing", arguments.command);
+        return wrongUse(std::string(command->operands + 1) + " is missing", arguments.command);
     return command->usesAdmin ? readAdmin(values, arguments) : absl::OkStatus();
 }
 
--- a/src/tools/arguments.h
+++ b/src/tools/arguments.h
@@ -15,9 +15,10 @@
 /// The arguments of one call of jackdawctl.
 struct Arguments
 {
-    std::string command;  ///< One of commandNames(), or empty if help was asked for.
-    std::string helpText; ///< Set if help was asked for.
-    std::string file;
+    std::string command;           ///< One of commandNames(), or empty if help was asked for.
+    std::string helpText;          ///< Set if help was asked for.
+    std::string file;              ///< The operand of the command.
+    std::vector<std::string> logs; ///< Empty for standard input.
     net::Address objectApi;
     std::vector<net::Address> admins;
     std::string adminCredential;
--- a/src/tools/jackdawctl.cpp
+++ b/src/tools/jackdawctl.cpp
@@ -1,12 +1,35 @@
 #include "admincommands.h"
 #include "configcommands.h"
+#include "explain.h"
 
+#include <algorithm>
+#include <fstream>
 #include <iostream>
 
 namespace {
 
 using namespace jackdawlead::tools;
 
+ExitCode explain(const Arguments &arguments)
+{
+    std::vector<nlohmann::json> lines;
+    if (arguments.logs.empty())
+        lines = readLogLines(std::cin);
+    for (const std::string &path : arguments.logs) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << path << ": cannot be read\n";
+            return ExitCode::WrongUse;
+        }
+        std::ranges::move(readLogLines(file), std::back_inserter(lines));
+    }
+    const RequestHistory history = explainRequest(arguments.file, std::move(lines));
+    const nlohmann::json result {{"events", history.events},
+                                 {"surroundings", history.surroundings},
+                                 {"cause", history.cause}};
+    return Printer(arguments.format).result(result, historyText(history));
+}
+
 ExitCode run(const Arguments &arguments)
 {
     const ConfigCommands config(arguments);
@@ -21,6 +44,8 @@
         return config.show();
     if (arguments.command == "status")
         return admin.status();
+    if (arguments.command == "explain")
+        return explain(arguments);
     if (arguments.command == "drain")
         return admin.drain();
     return admin.reportBurn();
--- a/tests/e2e/tst_platform.cpp
+++ b/tests/e2e/tst_platform.cpp
@@ -459,6 +459,20 @@
     cr_assert_eq(fixture.first.loads + fixture.second.loads, 1);
 }
 
+// Guards against a daemon that ends by SIGHUP, at once or because the changed file has a fault.
+Test(platform, settingsAreReadAgain, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.daemon.signal(SIGHUP);
+    fixture.pass(milliseconds(300));
+    cr_assert_eq(fixture.call("/get/a", "r1")->head.status, 200);
+    std::ofstream(fixture.folder + "/settings.conf") << "node=h1\n";
+    fixture.daemon.signal(SIGHUP);
+    fixture.pass(milliseconds(300));
+    cr_assert_not(fixture.daemon.exitCode());
+    cr_assert_eq(fixture.call("/get/a", "r2")->head.status, 200);
+}
+
 // Guards against a planned stop that cuts off a stream, refuses what it has read, or never ends.
 Test(platform, plannedStopCutsNothingOff, .timeout = 60)
 {
