--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -112,6 +112,16 @@
         m_planner.distrust(id);
 }
 
+std::optional<net::Address> Coordinator::someDaemon() const
+{
+    const core::TimePoint now = m_timers.now();
+    for (const auto &[host, daemon] : m_daemons) {
+        if (host != m_settings.host && now - daemon.heardAt <= daemonTimeout)
+            return daemon.address;
+    }
+    return std::nullopt;
+}
+
 void Coordinator::configurationChanged()
 {
     for (const auto &[id, endpoint] : m_watch.endpoints())
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace jackdawlead::gateway {
@@ -35,6 +36,8 @@
     void start();
     /// Takes a report and returns what its sender does not know yet.
     PeerView reported(const PeerReport &report);
+    /// The address of a daemon that reported lately; none if there is none but this one.
+    std::optional<net::Address> someDaemon() const;
     void endpointChanged(const fleet::Endpoint &endpoint);
     void endpointGone(const core::EndpointId &id);
     void versionAnnounced(const fleet::AnnouncedVersion &version);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -34,7 +34,11 @@
     , m_readSettings(std::move(readSettings))
     , m_timers(m_loop)
     , m_caller(m_loop, m_timers)
-    , m_store(m_caller, m_settings.store)
+    , m_storePath(m_caller, m_timers, m_settings.store)
+    , m_store([this](const net::HttpRequest &request, core::Duration timeout,
+                     http::Caller::Handler handler) {
+        m_storePath.call(request, timeout, std::move(handler));
+    })
     , m_watch(m_store, m_timers, watchHandlers())
     , m_pool(m_loop, m_timers)
     , m_context {.settings = m_settings,
@@ -55,7 +59,7 @@
                  .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
               leaseLimits(m_settings), [this] { return m_peers.isGiverHeard(); })
-    , m_peers(m_context, m_caller, m_lease, [this] { wakeWaiting(); })
+    , m_peers(m_context, m_caller, m_storePath, m_lease, [this] { wakeWaiting(); })
     , m_coordinator(
           m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics,
           [this](const net::Address &peer, const PeerView &view) { m_peers.sendView(peer, view); })
@@ -109,6 +113,7 @@
         return status;
     m_loop.onSignal(SIGTERM, [this] { stop(); });
     m_loop.onSignal(SIGHUP, [this] { reloadSettings(); });
+    m_storePath.setPeerFinder([this] { return m_peers.otherDaemon(); });
     m_watch.start();
     m_lease.start();
     m_coordinator.start();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/peerlink.h"
 #include "gateway/requestcontext.h"
 #include "gateway/requesttask.h"
+#include "gateway/storepath.h"
 #include "http/caller.h"
 #include "http/server.h"
 #include "net/eventloop.h"
@@ -56,6 +57,7 @@
     net::EventLoop m_loop;
     net::TimerService m_timers;
     http::Caller m_caller;
+    StorePath m_storePath;
     platform::ObjectStore m_store;
     observability::GatewayMetrics m_metrics;
     FleetWatch m_watch;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -18,6 +18,8 @@
 // From the loss of the giver to the end of its right, as others can know it, beside the silence
 // that its successor keeps; seen in the log of quiet-1 with the giver cut off.
 constexpr core::Duration takeOverTime = std::chrono::milliseconds(3000);
+// A watch waits for 4.5 s at the store.
+constexpr core::Duration passedOnTimeout = std::chrono::seconds(6);
 constexpr char reportMethod[] = "report";
 constexpr char viewMethod[] = "view";
 constexpr char rpcPath[] = "/rpc";
@@ -34,10 +36,11 @@
 
 } // namespace
 
-PeerLink::PeerLink(RequestContext &context, http::Caller &caller, LeaseKeeper &lease,
-                   std::function<void()> onView)
+PeerLink::PeerLink(RequestContext &context, http::Caller &caller, StorePath &storePath,
+                   LeaseKeeper &lease, std::function<void()> onView)
     : m_context(context)
     , m_caller(caller)
+    , m_storePath(storePath)
     , m_lease(lease)
     , m_onView(std::move(onView))
 { }
@@ -59,6 +62,10 @@
     m_server = std::make_unique<http::Server>(
         m_context.loop, m_context.timers,
         [this](const std::shared_ptr<http::ServerExchange> &exchange) {
+            if (exchange->head.target.starts_with(StorePath::peerPrefix)) {
+                passOnToStore(exchange);
+                return;
+            }
             if (exchange->head.method != "POST" || exchange->head.target != rpcPath) {
                 exchange->respond(404, {}, {});
                 return;
@@ -70,6 +77,31 @@
     return m_server->listen(addressOf(m_context.settings));
 }
 
+// The call's own limit is the asking daemon's; the longest one is a watch.
+void PeerLink::passOnToStore(const std::shared_ptr<http::ServerExchange> &exchange)
+{
+    net::HttpRequest request;
+    request.method = exchange->head.method;
+    request.path = exchange->head.target.substr(sizeof StorePath::peerPrefix - 1);
+    request.body = exchange->body;
+    if (!request.body.empty())
+        request.headers.add("Content-Type", "application/json");
+    m_storePath.passOn(request, passedOnTimeout, [exchange](auto answer) {
+        if (answer.ok())
+            exchange->respond(answer->status, {{"Content-Type", "application/json"}}, answer->body);
+        else
+            exchange->abort();
+    });
+}
+
+std::optional<net::Address> PeerLink::otherDaemon() const
+{
+    const auto &record = m_lease.lease().record();
+    if (record && record->holder != m_context.settings.host && isGiverHeard())
+        return record->address;
+    return m_coordinator == nullptr ? std::nullopt : m_coordinator->someDaemon();
+}
+
 void PeerLink::bindMethods(Coordinator &coordinator)
 {
     m_dispatcher.bind({reportMethod}, [this, &coordinator](const rpc::JsonText &params) {
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -2,12 +2,14 @@
 
 #include "gateway/coordinator.h"
 #include "gateway/requestcontext.h"
+#include "gateway/storepath.h"
 #include "http/caller.h"
 #include "http/server.h"
 #include "rpc/rpccodec.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace jackdawlead::gateway {
 
@@ -16,8 +18,8 @@
 class PeerLink
 {
 public:
-    PeerLink(RequestContext &context, http::Caller &caller, LeaseKeeper &lease,
-             std::function<void()> onView);
+    PeerLink(RequestContext &context, http::Caller &caller, StorePath &storePath,
+             LeaseKeeper &lease, std::function<void()> onView);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
@@ -29,18 +31,22 @@
     void reportSoon();
     /// Whether the giver of orders answered lately.
     bool isGiverHeard() const;
+    /// A daemon that is in touch with this one; none if there is none.
+    std::optional<net::Address> otherDaemon() const;
     /// How long it takes until a successor of the giver of orders may give its first order.
     core::Duration untilNextGiver() const;
     /// Sends a view to another daemon.
     void sendView(const net::Address &peer, const PeerView &view);
 
 private:
+    void passOnToStore(const std::shared_ptr<http::ServerExchange> &exchange);
     void bindMethods(Coordinator &coordinator);
     void report();
     void takeView(const PeerView &view);
 
     RequestContext &m_context;
     http::Caller &m_caller;
+    StorePath &m_storePath;
     LeaseKeeper &m_lease;
     std::function<void()> m_onView;
     Coordinator *m_coordinator = nullptr;
--- /dev/null
+++ b/src/libs/gateway/storepath.cpp
@@ -0,0 +1,78 @@
+#include "gateway/storepath.h"
+
+#include "observability/log.h"
+
+#include <utility>
+
+namespace jackdawlead::gateway {
+
+namespace {
+
+// How long the way through another daemon is kept before the straight one is tried again.
+constexpr core::Duration peerPeriod = std::chrono::seconds(2);
+// In an outage of the whole store each way is tried at this pace; refused calls are priced too.
+constexpr core::Duration hopelessPeriod = std::chrono::seconds(1);
+// A round trip to another daemon, in another region at worst.
+constexpr core::Duration peerTime = std::chrono::milliseconds(150);
+
+bool isRefusal(const absl::StatusOr<http::Answer> &answer)
+{
+    return !answer.ok() || answer->status == 503 || answer->status == 429;
+}
+
+} // namespace
+
+StorePath::StorePath(http::Caller &caller, net::TimerService &timers, net::Address store)
+    : m_caller(caller)
+    , m_timers(timers)
+    , m_store(std::move(store))
+{ }
+
+void StorePath::call(const net::HttpRequest &request, core::Duration timeout,
+                     http::Caller::Handler handler)
+{
+    if (m_timers.now() < m_peerUntil) {
+        callPeer(request, timeout, std::move(handler),
+                 absl::UnavailableError("the store turned this daemon away"));
+        return;
+    }
+    m_caller.call(m_store, request, timeout,
+                  [this, request, timeout, handler = std::move(handler)](auto answer) {
+                      if (isRefusal(answer))
+                          callPeer(request, timeout, handler, std::move(answer));
+                      else
+                          handler(std::move(answer));
+                  });
+}
+
+void StorePath::callPeer(const net::HttpRequest &request, core::Duration timeout,
+                         http::Caller::Handler handler, absl::StatusOr<http::Answer> directResult)
+{
+    const auto peer = m_findPeer ? m_findPeer() : std::nullopt;
+    if (!peer || m_timers.now() < m_noPeerUntil) {
+        handler(std::move(directResult));
+        return;
+    }
+    net::HttpRequest passed = request;
+    passed.path = peerPrefix + request.path;
+    m_caller.call(*peer, passed, timeout + peerTime,
+                  [this, handler = std::move(handler)](auto answer) {
+                      const bool helped = !isRefusal(answer);
+                      if (helped && m_timers.now() >= m_peerUntil)
+                          observability::log({.level = observability::LogLevel::Warn,
+                                              .step = "call store",
+                                              .message = "turned away; served through a daemon"});
+                      if (!helped)
+                          m_noPeerUntil = m_timers.now() + hopelessPeriod;
+                      m_peerUntil = helped ? m_timers.now() + peerPeriod : core::TimePoint();
+                      handler(std::move(answer));
+                  });
+}
+
+void StorePath::passOn(const net::HttpRequest &request, core::Duration timeout,
+                       http::Caller::Handler handler)
+{
+    m_caller.call(m_store, request, timeout, std::move(handler));
+}
+
+} // namespace jackdawlead::gateway
--- a/src/libs/platform/objectstore.cpp
+++ b/src/libs/platform/objectstore.cpp
@@ -15,6 +15,13 @@
 
 // The store answers in 4 ms; the rest is room for a round trip between regions and a lost packet.
 constexpr core::Duration callTimeout = std::chrono::milliseconds(1500);
+// A lease that is not renewed in time is lost, so that its calls must leave time for another way.
+constexpr core::Duration leaseCallTimeout = std::chrono::milliseconds(400);
+
+core::Duration timeoutOf(Kind kind)
+{
+    return kind == Kind::Leases ? leaseCallTimeout : callTimeout;
+}
 
 std::string pathOf(Kind kind)
 {
@@ -91,9 +98,8 @@
 
 } // namespace
 
-ObjectStore::ObjectStore(http::Caller &caller, net::Address address)
-    : m_caller(caller)
-    , m_address(std::move(address))
+ObjectStore::ObjectStore(Call call)
+    : m_call(std::move(call))
 { }
 
 void ObjectStore::list(Kind kind, const std::string &after, Handler<ObjectPage> handler)
@@ -102,7 +108,7 @@
     request.path = pathOf(kind);
     if (!after.empty())
         absl::StrAppend(&request.path, "?after=", after);
-    m_caller.call(m_address, request, callTimeout, [handler = std::move(handler)](auto answer) {
+    m_call(request, callTimeout, [handler = std::move(handler)](auto answer) {
         handler(decodeAnswer<ObjectPage>(answer, decodePage));
     });
 }
@@ -111,7 +117,7 @@
 {
     net::HttpRequest request;
     request.path = absl::StrCat(pathOf(kind), "/", name);
-    m_caller.call(m_address, request, callTimeout, [handler = std::move(handler)](auto answer) {
+    m_call(request, timeoutOf(kind), [handler = std::move(handler)](auto answer) {
         handler(decodeAnswer<StoredObject>(answer, decodeObject));
     });
 }
@@ -123,36 +129,35 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     net::HttpRequest request;
     request.path = absl::StrCat(pathOf(kind), "?watch=", since, "&wait_ms=", waitMilliseconds);
-    m_caller.call(m_address, request, wait + callTimeout,
-                  [handler = std::move(handler)](auto answer) {
-                      handler(decodeAnswer<ObjectEvents>(answer, decodeEvents));
-                  });
+    m_call(request, wait + callTimeout, [handler = std::move(handler)](auto answer) {
+        handler(decodeAnswer<ObjectEvents>(answer, decodeEvents));
+    });
 }
 
 void ObjectStore::create(Kind kind, const std::string &name, const json &spec,
                          Handler<WriteResult> handler)
 {
-    write("POST", pathOf(kind), {{"metadata", {{"name", name}}}, {"spec", spec}},
+    write(kind, "POST", pathOf(kind), {{"metadata", {{"name", name}}}, {"spec", spec}},
           std::move(handler));
 }
 
 void ObjectStore::replace(Kind kind, const StoredObject &object, Handler<WriteResult> handler)
 {
-    write("PUT", absl::StrCat(pathOf(kind), "/", object.name),
+    write(kind, "PUT", absl::StrCat(pathOf(kind), "/", object.name),
           {{"metadata", {{"name", object.name}, {"revision", object.revision}}},
            {"spec", object.spec}},
           std::move(handler));
 }
 
-void ObjectStore::write(const std::string &method, const std::string &path, const json &body,
-                        Handler<WriteResult> handler)
+void ObjectStore::write(Kind kind, const std::string &method, const std::string &path,
+                        const json &body, Handler<WriteResult> handler)
 {
     net::HttpRequest request;
     request.method = method;
     request.path = path;
     request.headers.add("Content-Type", "application/json");
     request.body = body.dump();
-    m_caller.call(m_address, request, callTimeout, [handler = std::move(handler)](auto answer) {
+    m_call(request, timeoutOf(kind), [handler = std::move(handler)](auto answer) {
         const bool isConflict = answer.ok() && answer->status == 409;
         if (isConflict || (answer.ok() && answer->status == 201))
             answer->status = 200;
--- a/src/libs/platform/objectstore.h
+++ b/src/libs/platform/objectstore.h
@@ -63,7 +63,11 @@
 public:
     template <typename Result> using Handler = std::function<void(absl::StatusOr<Result>)>;
 
-    ObjectStore(http::Caller &caller, net::Address address);
+    /// Makes one call to the store, on whatever way.
+    using Call = std::function<void(const net::HttpRequest &, core::Duration timeout,
+                                    http::Caller::Handler)>;
+
+    explicit ObjectStore(Call call);
 
     void list(Kind kind, const std::string &after, Handler<ObjectPage> handler);
     void read(Kind kind, const std::string &name, Handler<StoredObject> handler);
@@ -75,11 +79,10 @@
     void replace(Kind kind, const StoredObject &object, Handler<WriteResult> handler);
 
 private:
-    void write(const std::string &method, const std::string &path, const nlohmann::json &body,
-               Handler<WriteResult> handler);
+    void write(Kind kind, const std::string &method, const std::string &path,
+               const nlohmann::json &body, Handler<WriteResult> handler);
 
-    http::Caller &m_caller;
-    net::Address m_address;
+    Call m_call;
 };
 
 } // namespace jackdawlead::platform
--- /dev/null
+++ b/tests/auto/storepath/tst_storepath.cpp
@@ -0,0 +1,112 @@
+#include "gateway/storepath.h"
+#include "http/server.h"
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace jackdawlead;
+using namespace jackdawlead::gateway;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+std::uint16_t freePort()
+{
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    cr_assert_eq(bind(handle, reinterpret_cast<const sockaddr *>(&address), size), 0);
+    cr_assert_eq(getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size), 0);
+    close(handle);
+    return ntohs(address.sin_port);
+}
+
+/// A store that turns this daemon away, and another daemon that it serves.
+struct Fixture
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    http::Caller caller {loop, timers};
+    net::Address storeAddress {"127.0.0.1", freePort()};
+    net::Address peerAddress {"127.0.0.1", freePort()};
+    int storeStatus = 503;
+    int peerStatus = 200;
+    int storeCalls = 0;
+    std::vector<std::string> peerTargets;
+    http::Server store {loop, timers, [this](const auto &exchange) {
+                            ++storeCalls;
+                            exchange->respond(storeStatus, {}, "from the store");
+                        }};
+    http::Server peer {loop, timers, [this](const auto &exchange) {
+                           peerTargets.push_back(exchange->head.target);
+                           exchange->respond(peerStatus, {}, "through the peer");
+                       }};
+    StorePath path {caller, timers, storeAddress};
+
+    Fixture()
+    {
+        cr_assert(store.listen(storeAddress).ok());
+        cr_assert(peer.listen(peerAddress).ok());
+        path.setPeerFinder([this] { return std::optional(peerAddress); });
+    }
+
+    absl::StatusOr<http::Answer> call()
+    {
+        absl::StatusOr<http::Answer> result = absl::UnknownError("no answer");
+        net::HttpRequest request;
+        request.path = "/-/objects/config";
+        path.call(request, milliseconds(500), [&](auto answer) {
+            result = std::move(answer);
+            loop.stop();
+        });
+        loop.run();
+        return result;
+    }
+};
+
+} // namespace
+
+// Guards against a giver of orders that loses its lease, and a daemon that serves an old
+// configuration, because the store turns them away while it serves the others: 7 s without loads
+// were seen twice in incident inc-34b6.
+Test(storepath, refusedCallGoesThroughAnotherDaemon)
+{
+    Fixture fixture;
+    const auto answer = fixture.call();
+    cr_assert(answer.ok());
+    cr_assert_eq(answer->status, 200);
+    cr_assert_eq(answer->body, "through the peer");
+    cr_assert_eq(fixture.peerTargets[0], "/store/-/objects/config");
+    // The next calls do not wait for a further refusal.
+    fixture.call();
+    cr_assert_eq(fixture.storeCalls, 1);
+}
+
+// Guards against double calls in an outage of the whole store, which are priced.
+Test(storepath, peerThatIsRefusedTooIsNotAskedAgainAtOnce)
+{
+    Fixture fixture;
+    fixture.peerStatus = 503;
+    cr_assert_eq(fixture.call()->status, 503);
+    cr_assert_eq(fixture.call()->status, 503);
+    cr_assert_eq(fixture.storeCalls, 2);
+    cr_assert_eq(fixture.peerTargets.size(), 1U);
+}
+
+// Guards against calls that go through another daemon, or are answered twice, without need.
+Test(storepath, answersOfTheStoreAreTaken)
+{
+    Fixture fixture;
+    for (const int status : {200, 404, 409, 410}) {
+        fixture.storeStatus = status;
+        cr_assert_eq(fixture.call()->status, status);
+    }
+    cr_assert(fixture.peerTargets.empty());
+}
