--- a/src/libs/decisions/placementview.h
+++ b/src/libs/decisions/placementview.h
@@ -11,7 +11,7 @@
 
 namespace jackdawlead::decisions {
 
-/// What one life of an endpoint holds, as the giver of orders last told.
+/// What one life of an endpoint holds, as the coordinator last told.
 struct EndpointContents
 {
     fleet::BirthTime born {};
@@ -24,8 +24,8 @@
     std::unordered_map<fleet::AdapterKey, Adapter> adapters;
 };
 
-/// One daemon's view of what each endpoint holds. An endpoint's own record is used until the giver
-/// of orders has told of this life, since records do not follow loads of adapters.
+/// One daemon's view of what each endpoint holds. An endpoint's own record is used until the
+/// coordinator of orders has told of this life, since records do not follow loads of adapters.
 /// Thread safety: one thread at a time.
 class PlacementView
 {
--- a/src/libs/decisions/planningtypes.h
+++ b/src/libs/decisions/planningtypes.h
@@ -71,7 +71,7 @@
     std::uint64_t orderRevision = 0;
 };
 
-/// How an order ended, as far as its giver can know.
+/// How an order ended, as far as its coordinator can know.
 enum class OrderEnd { Accepted, Holds, Conflict, Refused, Unknown };
 
 /// What an endpoint holds and can be used for, as the planner believes.
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -204,7 +204,7 @@
 PeerView Coordinator::viewSince(std::uint64_t revision) const
 {
     PeerView view;
-    view.isGiver = true;
+    view.isCoordinator = true;
     view.token = m_token;
     view.revision = m_planner.revision();
     view.load = m_load;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -52,13 +52,13 @@
                  .crashes = decisions::CrashSuspects(),
                  .demand = {},
                  .contradictions = {},
-                 .isLoadingPossible = [this] { return m_peers.isGiverHeard(); },
-                 .untilLoadsResume = [this] { return m_peers.untilNextGiver(); },
+                 .isLoadingPossible = [this] { return m_peers.isCoordinatorHeard(); },
+                 .untilLoadsResume = [this] { return m_peers.untilNextCoordinator(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
                  .random = std::mt19937_64(std::random_device()()),
                  .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
-              leaseLimits(m_settings), [this] { return m_peers.isGiverHeard(); })
+              leaseLimits(m_settings), [this] { return m_peers.isCoordinatorHeard(); })
     , m_peers(m_context, m_caller, m_storePath, m_lease, [this] { wakeWaiting(); })
     , m_coordinator(
           m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics,
@@ -150,7 +150,7 @@
         m_watch.routes() ? static_cast<double>(m_watch.routes()->generation().value()) : 0);
     m_metrics.setEndpoints(static_cast<double>(m_watch.endpoints().size()));
     m_metrics.setStoreInTouch(m_watch.isInTouch());
-    m_metrics.setGivesOrders(m_lease.isHolder());
+    m_metrics.setIsCoordinator(m_lease.isHolder());
     m_metrics.setRequests(static_cast<double>(m_requests.size()));
     m_metrics.setControlCalls(static_cast<double>(m_caller.callCount()));
     exchange.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render());
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -14,9 +14,9 @@
 constexpr core::Duration demandDelay = std::chrono::milliseconds(5); ///< Joins what comes together.
 constexpr core::Duration callTimeout = std::chrono::milliseconds(500);
 // Two reports in a row without an answer.
-constexpr core::Duration giverTimeout = std::chrono::milliseconds(800);
-// From the loss of the giver to the end of its right, as others can know it, beside the silence
-// that its successor keeps; seen in the log of quiet-1 with the giver cut off.
+constexpr core::Duration coordinatorTimeout = std::chrono::milliseconds(800);
+// From the loss of the coordinator to the end of its right, as others can know it, beside the
+// silence that its successor keeps; seen in the log of quiet-1 with the coordinator cut off.
 constexpr core::Duration takeOverTime = std::chrono::milliseconds(3000);
 // The longest call is a watch, of 3.2 s on the grown deployments.
 constexpr core::Duration passedOnTimeout = std::chrono::seconds(6);
@@ -97,7 +97,7 @@
 std::optional<net::Address> PeerLink::otherDaemon() const
 {
     const auto &record = m_lease.lease().record();
-    if (record && record->holder != m_context.settings.host && isGiverHeard())
+    if (record && record->holder != m_context.settings.host && isCoordinatorHeard())
         return record->address;
     return m_coordinator == nullptr ? std::nullopt : m_coordinator->someDaemon();
 }
@@ -127,16 +127,16 @@
     m_soon = m_context.timers.once(demandDelay, [this] { report(); });
 }
 
-bool PeerLink::isGiverHeard() const
+bool PeerLink::isCoordinatorHeard() const
 {
-    return m_context.timers.now() - m_giverHeardAt < giverTimeout
-        && m_giverHeardAt != core::TimePoint();
+    return m_context.timers.now() - m_coordinatorHeardAt < coordinatorTimeout
+        && m_coordinatorHeardAt != core::TimePoint();
 }
 
-core::Duration PeerLink::untilNextGiver() const
+core::Duration PeerLink::untilNextCoordinator() const
 {
     const core::Duration takeOver = m_context.settings.bounds.lease + takeOverTime;
-    const core::Duration spent = m_context.timers.now() - m_giverHeardAt;
+    const core::Duration spent = m_context.timers.now() - m_coordinatorHeardAt;
     return std::max(core::Duration::zero(), takeOver - spent);
 }
 
@@ -163,7 +163,7 @@
     report.crashes = m_context.crashes.recent(m_context.timers.now());
     report.unreachable = m_context.pool.unreachable();
     report.knownRevision = m_knownRevision;
-    report.token = m_giverToken;
+    report.token = m_coordinatorToken;
     if (record->holder == m_context.settings.host) {
         takeView(m_coordinator->reported(report));
         return;
@@ -190,16 +190,16 @@
 void PeerLink::takeView(const PeerView &view)
 {
     // A predecessor's late view must not replace what its successor told.
-    if (!view.isGiver || view.token < m_giverToken)
+    if (!view.isCoordinator || view.token < m_coordinatorToken)
         return;
-    m_giverHeardAt = m_context.timers.now();
-    if (view.token != m_giverToken || view.revision >= m_knownRevision)
+    m_coordinatorHeardAt = m_context.timers.now();
+    if (view.token != m_coordinatorToken || view.revision >= m_knownRevision)
         m_knownRevision = view.revision;
-    m_giverToken = view.token;
+    m_coordinatorToken = view.token;
     for (const auto &[id, contents] : view.contents)
         m_context.placement.told(id, contents);
     for (const decisions::CrashFact &fact : view.crashes)
-        m_context.crashes.told(fact, m_giverHeardAt);
+        m_context.crashes.told(fact, m_coordinatorHeardAt);
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
         const auto total = view.load.find(id);
         const double all = total == view.load.end() ? 0 : total->second;
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -13,7 +13,7 @@
 
 namespace jackdawlead::gateway {
 
-/// Carries reports to the giver of orders and views back, as JSON-RPC over HTTP between the
+/// Carries reports to the coordinator and views back, as JSON-RPC over HTTP between the
 /// daemons. Thread safety: the loop's thread only.
 class PeerLink
 {
@@ -29,12 +29,12 @@
     static net::Address addressOf(const fleet::HostSettings &settings);
     /// Reports within some milliseconds, so that new demand need not wait for the next turn.
     void reportSoon();
-    /// Whether the giver of orders answered lately.
-    bool isGiverHeard() const;
+    /// Whether the coordinator answered lately.
+    bool isCoordinatorHeard() const;
     /// A daemon that is in touch with this one; none if there is none.
     std::optional<net::Address> otherDaemon() const;
-    /// How long it takes until a successor of the giver of orders may give its first order.
-    core::Duration untilNextGiver() const;
+    /// How long it takes until a successor of the coordinator may give its first order.
+    core::Duration untilNextCoordinator() const;
     /// Sends a view to another daemon.
     void sendView(const net::Address &peer, const PeerView &view);
 
@@ -54,9 +54,9 @@
     rpc::RpcDispatcher m_dispatcher;
     bool m_isReporting = false;
     bool m_isReportDue = false;
-    core::TimePoint m_giverHeardAt;
+    core::TimePoint m_coordinatorHeardAt;
     std::uint64_t m_knownRevision = 0;
-    core::FencingToken m_giverToken;
+    core::FencingToken m_coordinatorToken;
     net::TimerService::Subscription m_timer;
     net::TimerService::Subscription m_soon;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -115,7 +115,7 @@
     json contents = json::object();
     for (const auto &[id, entry] : view.contents)
         contents[id.value()] = encodeContents(entry, now);
-    return {{"isGiver", view.isGiver},
+    return {{"isCoordinator", view.isCoordinator},
             {"token", view.token.value()},
             {"revision", view.revision},
             {"contents", contents},
@@ -154,7 +154,7 @@
     try {
         const json value = json::parse(text);
         PeerView view;
-        view.isGiver = value.at("isGiver").get<bool>();
+        view.isCoordinator = value.at("isCoordinator").get<bool>();
         view.token = core::FencingToken(value.at("token").get<std::uint64_t>());
         view.revision = value.at("revision").get<std::uint64_t>();
         for (const auto &[id, contents] : value.at("contents").items())
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -18,7 +18,7 @@
 
 namespace jackdawlead::gateway {
 
-/// What a daemon tells the giver of orders.
+/// What a daemon tells the coordinator.
 struct PeerReport
 {
     core::HostId host;
@@ -30,13 +30,13 @@
     std::vector<core::EndpointId> unreachable;
     std::vector<decisions::CrashFact> crashes; ///< Learned lately.
     std::uint64_t knownRevision = 0;           ///< Of the contents that it was told last.
-    core::FencingToken token;                  ///< Of the giver who told them.
+    core::FencingToken token;                  ///< Of the coordinator who told them.
 };
 
-/// What the giver of orders tells a daemon: contents that changed, and the load of all endpoints.
+/// What the coordinator tells a daemon: contents that changed, and the load of all endpoints.
 struct PeerView
 {
-    bool isGiver = false; ///< Whether the sender gives orders now.
+    bool isCoordinator = false; ///< Whether the sender gives orders now.
     core::FencingToken token;
     std::uint64_t revision = 0;
     std::map<core::EndpointId, decisions::EndpointContents> contents;
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -31,7 +31,7 @@
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
     decisions::CrashSuspects crashes;
-    /// Requests for adapters since the last report to the giver of orders.
+    /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
     /// Endpoints that lacked what they were believed to hold, since the last report.
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
@@ -39,7 +39,7 @@
     std::function<bool()> isLoadingPossible;
     /// When loads go on, if no daemon gives orders now.
     std::function<core::Duration()> untilLoadsResume;
-    /// Tells the giver of orders at once about new demand.
+    /// Tells the coordinator at once about new demand.
     std::function<void()> onDemand;
     std::mt19937_64 random;
     /// When SIGTERM came, if it came.
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -52,8 +52,8 @@
     , m_endpoints(gauge(*m_registry, "jackdawlead_endpoints", "Endpoints that are known"))
     , m_storeInTouch(gauge(*m_registry, "jackdawlead_store_in_touch",
                            "1 if the last calls to the store were answered"))
-    , m_givesOrders(gauge(*m_registry, "jackdawlead_gives_orders",
-                          "1 on the daemon that holds the lease for orders"))
+    , m_isCoordinator(gauge(*m_registry, "jackdawlead_is_coordinator",
+                            "1 on the daemon that holds the lease for orders"))
     , m_requestsInProgress(gauge(*m_registry, "jackdawlead_requests_in_progress",
                                  "Requests of callers that are not answered yet"))
     , m_controlCalls(gauge(*m_registry, "jackdawlead_control_calls",
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -30,7 +30,7 @@
     void setGeneration(double generation) { m_generation.Set(generation); }
     void setEndpoints(double count) { m_endpoints.Set(count); }
     void setStoreInTouch(bool isInTouch) { m_storeInTouch.Set(isInTouch ? 1 : 0); }
-    void setGivesOrders(bool isGiver) { m_givesOrders.Set(isGiver ? 1 : 0); }
+    void setIsCoordinator(bool isCoordinator) { m_isCoordinator.Set(isCoordinator ? 1 : 0); }
     void setRequests(double count) { m_requestsInProgress.Set(count); }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
 
@@ -52,7 +52,7 @@
     prometheus::Gauge &m_generation;
     prometheus::Gauge &m_endpoints;
     prometheus::Gauge &m_storeInTouch;
-    prometheus::Gauge &m_givesOrders;
+    prometheus::Gauge &m_isCoordinator;
     prometheus::Gauge &m_requestsInProgress;
     prometheus::Gauge &m_controlCalls;
 };
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -140,9 +140,16 @@
 // Guards against requests that are sent to an endpoint whose queue they would only lengthen.
 Test(endpointchooser, fullEndpointsTakeNothing)
 {
-    const auto choice = chooseEndpoint({optionOf("a", 13)}, 0.0);
+    const EndpointChooserLimits limits;
+    EndpointOption option = optionOf("a", 0);
+    option.load = limits.fullAt * option.slots;
+    const auto choice = chooseEndpoint({option}, 0.0);
     cr_assert_not(choice.endpoint);
     cr_assert_eq(choice.reason, NoChoice::AllFull);
+    option.load -= 0.1;
+    cr_assert(chooseEndpoint({option}, 0.0).endpoint.has_value());
+    option.readingTokens = limits.mostReadingTokens;
+    cr_assert_eq(chooseEndpoint({option}, 0.0).reason, NoChoice::AllFull);
     cr_assert_eq(chooseEndpoint({}, 0.0).reason, NoChoice::NoEndpoint);
 }
 
--- a/tests/auto/storepath/tst_storepath.cpp
+++ b/tests/auto/storepath/tst_storepath.cpp
@@ -73,7 +73,7 @@
 
 } // namespace
 
-// Guards against a giver of orders that loses its lease, and a daemon that serves an old
+// Guards against a coordinator that loses its lease, and a daemon that serves an old
 // configuration, because the store turns them away while it serves the others: 7 s without loads
 // were seen twice in incident inc-34b6.
 Test(storepath, refusedCallGoesThroughAnotherDaemon)
