Keep the ports of tests reserved while they are used

Cause: mutedWatchEndsWithinTheBound failed once (3.5 s instead of 2.3 s). The fixture chose its ports, closed them and listened later, and a stand-in that could not listen said nothing. Another test process could get the same port in between; a request of one test then goes to the other's stand-in and may stay without an answer, and the daemon gives a silent endpoint up after 1.1 s.

Change: a picker's sockets allow reuse and stay bound as long as the fixture, so that only the test's own listeners get the ports. A stand-in that cannot listen throws. The check prints where requests ran and what the daemon wrote, for the next time.

--- a/tests/auto/storepath/tst_storepath.cpp
+++ b/tests/auto/storepath/tst_storepath.cpp
@@ -1,13 +1,9 @@
 #include "gateway/storepath.h"
 #include "http/server.h"
+#include "support/ports.h"
 
 #include <criterion/criterion.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 using namespace jackdawlead;
 using namespace jackdawlead::gateway;
 
@@ -15,27 +11,15 @@
 
 using std::chrono::milliseconds;
 
-std::uint16_t freePort()
-{
-    const int handle = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    cr_assert_eq(bind(handle, reinterpret_cast<const sockaddr *>(&address), size), 0);
-    cr_assert_eq(getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size), 0);
-    close(handle);
-    return ntohs(address.sin_port);
-}
-
 /// A store that turns this daemon away, and another daemon that it serves.
 struct Fixture
 {
     net::EventLoop loop;
     net::TimerService timers {loop};
     http::Caller caller {loop, timers};
-    net::Address storeAddress {"127.0.0.1", freePort()};
-    net::Address peerAddress {"127.0.0.1", freePort()};
+    testsupport::PortPicker ports;
+    net::Address storeAddress {"127.0.0.1", ports.take()};
+    net::Address peerAddress {"127.0.0.1", ports.take()};
     int storeStatus = 503;
     int peerStatus = 200;
     int storeCalls = 0;
--- a/tests/e2e/tst_platform.cpp
+++ b/tests/e2e/tst_platform.cpp
@@ -76,10 +76,9 @@
             route("/stream/", "model", "stream", true), route("/once/", "model", "stream", false)};
 }
 
-std::vector<std::uint16_t> freePorts()
+std::vector<std::uint16_t> takePorts(PortPicker &picker)
 {
     constexpr int count = 6;
-    PortPicker picker;
     std::vector<std::uint16_t> ports;
     ports.reserve(count);
     for (int number = 0; number < count; ++number)
@@ -92,7 +91,8 @@
 {
     net::EventLoop loop;
     net::TimerService timers {loop};
-    std::vector<std::uint16_t> ports = freePorts();
+    PortPicker picker;
+    std::vector<std::uint16_t> ports = takePorts(picker);
     std::uint16_t storePort = ports[0];
     StoreStandIn store {loop, timers, storePort};
     EndpointStandIn first {loop, timers, "e-first", ports[1]};
@@ -121,6 +121,13 @@
         std::filesystem::remove_all(folder);
     }
 
+    /// What the daemon has written, shown with a failure that the check alone does not explain.
+    std::string output() const
+    {
+        std::ifstream file(folder + "/output");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
     void startDaemon()
     {
         const std::string path = folder + "/settings.conf";
@@ -465,7 +472,10 @@
                       configuration(2, json::array({route("/moved/", "plain", "idempotent")})));
     const core::TimePoint begin = fixture.loop.now();
     cr_assert(fixture.isServedSoon("/moved/a"));
-    cr_assert_leq(fixture.loop.now() - begin, milliseconds(3000));
+    cr_assert_leq(fixture.loop.now() - begin, milliseconds(3000),
+                  "runs at %s: %zu, at %s: %zu; the daemon wrote:\n%s", fixture.first.id.c_str(),
+                  fixture.first.runs.size(), fixture.second.id.c_str(), fixture.second.runs.size(),
+                  fixture.output().c_str());
 }
 
 // Guards against an adapter that is never loaded, loaded for each waiting request, or used at an
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -69,7 +69,8 @@
 
 void Fleet::choosePorts()
 {
-    PortPicker ports;
+    m_ports = std::make_unique<PortPicker>();
+    PortPicker &ports = *m_ports;
     m_platformPort = ports.take();
     m_servicePort = ports.take();
     m_awayRelayPort = ports.take();
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "support/caller.h"
+#include "support/ports.h"
 #include "support/process.h"
 
 #include <cstdint>
 #include <filesystem>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -147,6 +149,7 @@
     FleetOptions m_options;
     std::filesystem::path m_folder;
     Caller m_caller;
+    std::unique_ptr<PortPicker> m_ports; ///< Reserves the ports below.
     std::uint16_t m_platformPort = 0;
     std::uint16_t m_servicePort = 0;
     std::uint16_t m_awayPlatformPort = 0;
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
 namespace jackdawlead::testsupport {
@@ -26,6 +27,13 @@
     return query;
 }
 
+// Without the listener the daemon under test would talk to whoever has the port.
+void listenOrThrow(http::Server &server, std::uint16_t port)
+{
+    if (const absl::Status status = server.listen({"127.0.0.1", port}); !status.ok())
+        throw std::runtime_error(std::string(status.message()));
+}
+
 void respondJson(http::ServerExchange &exchange, int status, const json &body)
 {
     exchange.respond(status, {{"Content-Type", "application/json"}}, body.dump());
@@ -37,8 +45,7 @@
     : m_timers(timers)
     , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
 {
-    // A test that cannot listen fails at its first request.
-    (void)m_server.listen({"127.0.0.1", port});
+    listenOrThrow(m_server, port);
 }
 
 json StoreStandIn::encode(const std::string &name, const Object &object)
@@ -192,7 +199,7 @@
     , port(listenPort)
     , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
 {
-    (void)m_server.listen({"127.0.0.1", port});
+    listenOrThrow(m_server, port);
     run = [](const Exchange &exchange) {
         exchange->respond(200, stamped(exchange), "whole answer");
     };
--- a/tests/support/ports.cpp
+++ b/tests/support/ports.cpp
@@ -21,7 +21,11 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
     m_sockets.push_back(handle);
-    if (bind(handle, reinterpret_cast<const sockaddr *>(&address), size) != 0
+    // A listener that allows reuse as well may bind the port beside this socket, which never
+    // listens; the system gives it to nobody who asks for any port.
+    const int isReusable = 1;
+    if (setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &isReusable, sizeof isReusable) != 0
+        || bind(handle, reinterpret_cast<const sockaddr *>(&address), size) != 0
         || getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size) != 0)
         return 0;
     return ntohs(address.sin_port);
--- a/tests/support/ports.h
+++ b/tests/support/ports.h
@@ -5,8 +5,9 @@
 
 namespace jackdawlead::testsupport {
 
-/// Finds free loopback ports by binding port 0. Every port stays bound until the picker is
-/// destroyed, so that no port is given twice. Thread safety: one thread at a time.
+/// Reserves free loopback ports. A listener with SO_REUSEADDR may use a reserved port, while the
+/// system gives it to no other process until the picker is destroyed; a picker lives as long as
+/// the test that uses its ports. Thread safety: one thread at a time.
 class PortPicker
 {
 public:
@@ -15,7 +16,7 @@
     PortPicker(const PortPicker &) = delete;
     PortPicker &operator=(const PortPicker &) = delete;
 
-    /// A free port; 0 if the system has none.
+    /// A reserved port; 0 if the system has none.
     std::uint16_t take();
 
 private:
