--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -8,16 +8,6 @@
 
 namespace jackdawlead::decisions {
 
-namespace {
-
-const fleet::ModelSpec *findModel(const fleet::EngineSpec &engine, const core::ModelId &model)
-{
-    const auto found = std::ranges::find(engine.models, model, &fleet::ModelSpec::model);
-    return found == engine.models.end() ? nullptr : &*found;
-}
-
-} // namespace
-
 std::pair<core::AdapterId, int> parseHeldAdapter(const std::string &text)
 {
     const std::size_t at = text.find('@');
@@ -192,7 +182,7 @@
         ++state.orderRevision;
     changed(order.endpoint);
     if (order.adapter.isEmpty()) {
-        const fleet::ModelSpec *spec = findModel(*state.engine, order.model);
+        const fleet::ModelSpec *spec = state.engine->find(order.model);
         state.models[order.model] = now + (spec != nullptr ? spec->loadTime : core::Duration {});
         return;
     }
--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -14,12 +14,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-const fleet::ModelSpec *findModel(const fleet::EngineSpec &engine, const core::ModelId &model)
-{
-    const auto found = std::ranges::find(engine.models, model, &fleet::ModelSpec::model);
-    return found == engine.models.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 PlanningPass::PlanningPass(const AdapterPlannerLimits &limits, const AdapterDemand &demand,
@@ -96,14 +90,14 @@
         return false;
     double megabytes = 0;
     for (const auto &[id, end] : state.models) {
-        const fleet::ModelSpec *spec = findModel(engine, id);
+        const fleet::ModelSpec *spec = engine.find(id);
         megabytes += spec != nullptr ? spec->weightsMegabytes : 0;
     }
     for (const auto &[key, placed] : state.adapters) {
-        const fleet::ModelSpec *spec = findModel(engine, key.model);
+        const fleet::ModelSpec *spec = engine.find(key.model);
         megabytes += spec != nullptr ? spec->adapterMegabytes : 0;
     }
-    const fleet::ModelSpec *wanted = findModel(engine, model);
+    const fleet::ModelSpec *wanted = engine.find(model);
     return wanted != nullptr && megabytes + wanted->adapterMegabytes <= engine.weightsMegabytes;
 }
 
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -60,6 +61,13 @@
     double weightsMegabytes = 0; ///< For models and adapters together.
     double loadsPerSecond = 0;   ///< Model loads from the weight store over all endpoints.
     std::vector<ModelSpec> models;
+
+    /// The model of that name; nullptr if the engine cannot hold it.
+    const ModelSpec *find(const core::ModelId &model) const
+    {
+        const auto found = std::ranges::find(models, model, &ModelSpec::model);
+        return found == models.end() ? nullptr : &*found;
+    }
 };
 
 struct ServiceSpec
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -154,12 +154,6 @@
     return found == m_endpoints.end() ? 0 : found->second.reading;
 }
 
-int EndpointPool::inProgress(const core::EndpointId &id) const
-{
-    const auto found = m_endpoints.find(id);
-    return found == m_endpoints.end() ? 0 : found->second.inProgress;
-}
-
 double EndpointPool::others(const core::EndpointId &id) const
 {
     const auto found = m_endpoints.find(id);
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -40,7 +40,6 @@
     /// reading the prompts of the last second takes from all slots together.
     double load(const core::EndpointId &id, int slots) const;
     void ended(const core::EndpointId &id);
-    int inProgress(const core::EndpointId &id) const;
     /// What other daemons' requests occupy there, in slots, as last told.
     void setOthers(const core::EndpointId &id, double slots) { m_endpoints[id].others = slots; }
     double others(const core::EndpointId &id) const;
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -51,8 +51,6 @@
     void send(const OutgoingRequest &request, ExchangeObserver observer);
     /// Whether the next exchange may use this connection.
     bool isReusable() const { return m_isReusable && !m_isBusy; }
-    bool isBusy() const { return m_isBusy; }
-    bool isConnected() const { return m_connection.isConnected(); }
     /// How long the peer keeps an idle connection, as its Keep-Alive field says; zero if unknown.
     core::Duration idleTimeout() const { return m_idleTimeout; }
     /// Called when the connection ends, or receives bytes, while no exchange is in progress.
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -93,7 +93,6 @@
     const auto connection = m_connection.lock();
     if (!connection || m_isDone)
         return;
-    m_hasStarted = true;
     headers.set("Content-Length", std::to_string(bytes.size()));
     std::string text = connection->headOf(status, headers);
     if (head.method != "HEAD")
@@ -107,7 +106,6 @@
     const auto connection = m_connection.lock();
     if (!connection || m_isDone)
         return;
-    m_hasStarted = true;
     net::Headers chunked = headers;
     chunked.remove("Content-Length");
     chunked.set("Transfer-Encoding", "chunked");
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -34,7 +34,6 @@
     /// Ends the connection so that the answer does not look complete.
     void abort();
 
-    bool hasStarted() const { return m_hasStarted; }
     /// Whether the caller can still be answered.
     bool isOpen() const { return !m_connection.expired(); }
     /// Bytes of the answer that the caller has not taken yet.
@@ -48,7 +47,6 @@
     void complete();
 
     std::weak_ptr<ServerConnection> m_connection;
-    bool m_hasStarted = false;
     bool m_isDone = false;
     std::function<void()> m_onGone;
     std::function<void()> m_onDrained;
@@ -82,7 +80,6 @@
     /// Closes the connections on which no request is being read or answered.
     void closeIdle();
     std::size_t openConnections() const { return m_connections.size(); }
-    std::size_t openExchanges() const { return m_openExchanges; }
 
 private:
     friend class ServerConnection;
@@ -95,7 +92,6 @@
     ServerLimits m_limits;
     evconnlistener *m_listener = nullptr;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
-    std::size_t m_openExchanges = 0;
     bool m_isClosing = false;
     net::TimerService::Subscription m_sweep;
 };
--- a/src/libs/http/serverconnection.cpp
+++ b/src/libs/http/serverconnection.cpp
@@ -86,7 +86,6 @@
     m_exchange->body = m_parser.takeBody();
     m_exchange->receivedAt = m_stepBegan;
     m_keepAlive = m_exchange->head.keepAlive;
-    ++m_server.m_openExchanges;
     m_server.m_handler(m_exchange);
 }
 
@@ -118,7 +117,6 @@
 void ServerConnection::answered()
 {
     m_exchange.reset();
-    --m_server.m_openExchanges;
     if (!m_keepAlive) {
         closeGently();
         return;
@@ -168,7 +166,6 @@
     const auto exchange = std::exchange(m_exchange, nullptr);
     if (!exchange)
         return;
-    --m_server.m_openExchanges;
     exchange->m_connection.reset();
     if (!exchange->m_isDone && exchange->m_onGone) {
         const auto handler = std::exchange(exchange->m_onGone, nullptr);
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -56,7 +56,6 @@
     fields.id = core::RequestId(head.headers.value(wire::requestId));
     if (const auto deadline = readNumber(head.headers.value(wire::deadlineMs)))
         fields.deadline = std::chrono::milliseconds(*deadline);
-    fields.lastEventId = readNumber(head.headers.value(wire::lastEventId));
     const std::vector<std::string> model
         = absl::StrSplit(head.headers.value(wire::model), absl::MaxSplits('/', 1));
     fields.model = core::ModelId(model[0]);
@@ -64,10 +63,8 @@
         fields.adapter = core::AdapterId(model[1]);
     const std::vector<std::string> tokens
         = absl::StrSplit(head.headers.value(wire::tokenCount), ',');
-    if (tokens.size() == 2) {
+    if (tokens.size() == 2)
         fields.promptTokens = static_cast<int>(readNumber(tokens[0]).value_or(0));
-        fields.outputTokens = static_cast<int>(readNumber(tokens[1]).value_or(0));
-    }
     return fields;
 }
 
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -21,8 +21,6 @@
     core::ModelId model;                    ///< Empty for requests to plain services.
     core::AdapterId adapter;                ///< Empty if the base model itself is asked for.
     int promptTokens = 0;
-    int outputTokens = 0;
-    std::optional<std::uint64_t> lastEventId; ///< A stream goes on behind this event.
 };
 
 /// Reads the fields of a caller's request; what cannot be read counts as absent.
