--- a/src/libs/gateway/watchrelay.cpp
+++ b/src/libs/gateway/watchrelay.cpp
@@ -126,7 +126,8 @@
 void WatchRelay::sweep()
 {
     const core::TimePoint now = m_timers.now();
-    for (auto &[kind, history] : m_histories) {
+    for (auto &entry : m_histories) {
+        History &history = entry.second;
         if (!isFresh(history)) {
             turnAway(history);
             continue;
--- a/tests/auto/relaychoice/tst_relaychoice.cpp
+++ b/tests/auto/relaychoice/tst_relaychoice.cpp
@@ -14,6 +14,7 @@
 std::vector<RelayCandidate> daemons(int count)
 {
     std::vector<RelayCandidate> candidates;
+    candidates.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number)
         candidates.push_back({core::HostId("h" + std::to_string(number)), domain, 0.12, false});
     return candidates;
