--- a/tests/e2e/tst_platform.cpp
+++ b/tests/e2e/tst_platform.cpp
@@ -135,7 +135,10 @@
     std::vector<EndpointStandIn::Exchange> held;
     fixture.first.run
         = [&held](const EndpointStandIn::Exchange &exchange) { held.push_back(exchange); };
-    for (int number = 0; number < 4; ++number)
+    // Equal endpoints are chosen at random: of four requests none came to the silent one in one
+    // run of sixteen.
+    constexpr int mostCalls = 64;
+    for (int number = 0; number < 4 || (held.empty() && number < mostCalls); ++number)
         cr_assert_eq(fixture.call("/get/a", "r" + std::to_string(number))->head.status, 200);
     cr_assert_gt(held.size(), 0U);
     const std::size_t runs = fixture.first.runs.size() + fixture.second.runs.size();
