--- a/src/libs/core/error.cpp
+++ b/src/libs/core/error.cpp
@@ -1,7 +1,8 @@
 #include "core/error.h"
 
+#include "core/text.h"
+
 #include <absl/strings/cord.h>
-#include <absl/strings/string_view.h>
 
 namespace jackdawlead::core {
 
@@ -12,11 +13,6 @@
 constexpr char retryAfterUrl[] = "jackdawlead.dev/retry-after-us";
 constexpr char outcomeUrl[] = "jackdawlead.dev/outcome";
 
-absl::string_view toAbsl(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string payload(const absl::Status &status, const char *url)
 {
     const auto cord = status.GetPayload(url);
--- a/src/libs/core/time.h
+++ b/src/libs/core/time.h
@@ -17,4 +17,15 @@
 using Duration = MonotonicClock::duration;
 using TimePoint = MonotonicClock::time_point;
 
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// The duration times `factor`, cut off to whole microseconds.
+inline Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 } // namespace jackdawlead::core
--- a/src/libs/decisions/adapterdemand.cpp
+++ b/src/libs/decisions/adapterdemand.cpp
@@ -10,28 +10,23 @@
 // Under this rate an adapter was asked for once, more than four times the memory ago.
 constexpr double forgottenRate = 0.004;
 
-double seconds(core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 double remaining(core::TimePoint since, core::TimePoint now, core::Duration memory)
 {
     const core::Duration age = std::max(core::Duration::zero(), now - since);
-    return std::exp(-seconds(age) / seconds(memory));
+    return std::exp(-core::toSeconds(age) / core::toSeconds(memory));
 }
 
 } // namespace
 
 double AdapterDemand::rateOf(const Decayed &decayed, core::TimePoint now)
 {
-    return decayed.weight * remaining(decayed.at, now, memory) / seconds(memory);
+    return decayed.weight * remaining(decayed.at, now, memory) / core::toSeconds(memory);
 }
 
 double AdapterDemand::peakRateOf(const Decayed &decayed, core::TimePoint now)
 {
-    const double shortRate
-        = decayed.shortWeight * remaining(decayed.at, now, shortMemory) / seconds(shortMemory);
+    const double shortRate = decayed.shortWeight * remaining(decayed.at, now, shortMemory)
+        / core::toSeconds(shortMemory);
     return std::max(rateOf(decayed, now), shortRate);
 }
 
--- a/src/libs/decisions/adapterrates.cpp
+++ b/src/libs/decisions/adapterrates.cpp
@@ -16,7 +16,7 @@
 
 double decay(core::Duration age, double timeConstantSeconds)
 {
-    return std::exp(-std::chrono::duration<double>(age).count() / timeConstantSeconds);
+    return std::exp(-core::toSeconds(age) / timeConstantSeconds);
 }
 
 } // namespace
@@ -52,7 +52,7 @@
 {
     // Entries that were not requested for three time constants say little.
     std::erase_if(m_rates, [now](const auto &entry) {
-        return std::chrono::duration<double>(now - entry.second.at).count() > 3 * slowSeconds;
+        return core::toSeconds(now - entry.second.at) > 3 * slowSeconds;
     });
     if (m_rates.size() >= maxAdapters)
         m_rates.clear();
--- a/src/libs/decisions/loadwait.cpp
+++ b/src/libs/decisions/loadwait.cpp
@@ -14,9 +14,7 @@
 void LoadWait::measured(core::Duration wait, core::TimePoint now)
 {
     const core::Duration before = predicted(now);
-    m_mean = before
-        + std::chrono::duration_cast<core::Duration>((wait - before)
-                                                     * (before > wait ? 1.0 : newShare));
+    m_mean = before + core::scaled(wait - before, before > wait ? 1.0 : newShare);
     m_measuredAt = now;
 }
 
@@ -29,7 +27,7 @@
 core::Duration LoadWait::predicted(core::TimePoint now) const
 {
     const double halvings = std::chrono::duration<double>(now - m_measuredAt) / halfLife;
-    return std::chrono::duration_cast<core::Duration>(m_mean * std::exp2(-halvings));
+    return core::scaled(m_mean, std::exp2(-halvings));
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/membership.cpp
+++ b/src/libs/decisions/membership.cpp
@@ -285,8 +285,7 @@
         return;
     }
     const auto rounds = static_cast<double>(std::bit_width(daemonCount()));
-    const auto time = std::chrono::duration_cast<core::Duration>(m_limits.probePeriod * rounds
-                                                                 * m_limits.suspicionFactor);
+    const auto time = core::scaled(m_limits.probePeriod, rounds * m_limits.suspicionFactor);
     m_suspects[host] = now + time;
 }
 
--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -7,15 +7,6 @@
 
 namespace jackdawlead::decisions {
 
-namespace {
-
-double seconds(core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-} // namespace
-
 PlanningPass::PlanningPass(const AdapterPlannerLimits &limits, const AdapterDemand &demand,
                            const std::unordered_map<fleet::AdapterKey, int> &newest,
                            std::deque<core::TimePoint> &modelLoads, EndpointStates &endpoints,
@@ -132,8 +123,8 @@
 {
     while (!m_modelLoads.empty() && m_now - m_modelLoads.front() > m_limits.modelLoadWindow)
         m_modelLoads.pop_front();
-    const double ceiling
-        = state.engine->loadsPerSecond * seconds(m_limits.modelLoadWindow) * m_limits.modelLoadPart;
+    const double ceiling = state.engine->loadsPerSecond * core::toSeconds(m_limits.modelLoadWindow)
+        * m_limits.modelLoadPart;
     int loading = 0;
     for (const auto &[id, other] : m_endpoints) {
         loading += static_cast<int>(std::ranges::count_if(
@@ -230,7 +221,8 @@
 {
     const double perCopy = m_slots * m_limits.fillPerCopy;
     const double rate = AdapterDemand::peakRateOf(demand, m_now);
-    int needed = static_cast<int>(std::ceil(rate * seconds(m_limits.requestTime) / perCopy));
+    int needed
+        = static_cast<int>(std::ceil(rate * core::toSeconds(m_limits.requestTime) / perCopy));
     if (AdapterDemand::rateOf(demand, m_now) >= m_limits.sparedRate)
         needed = std::max(needed, 2);
     int held = 0;
@@ -249,7 +241,7 @@
 std::vector<PlanningPass::Wish> PlanningPass::wishes() const
 {
     // A single request counts 1 / memory at its arrival; half of that is an old one.
-    const double oldRate = 0.5 / seconds(AdapterDemand::memory);
+    const double oldRate = 0.5 / core::toSeconds(AdapterDemand::memory);
     std::vector<Wish> wishes;
     for (const auto &[key, regions] : m_demand.adapters()) {
         const Copies &copies = copiesOf(key);
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -26,8 +26,7 @@
     const auto newest = m_context.watch.newestVersion({m_fields.model, m_fields.adapter});
     if (!newest)
         return std::nullopt;
-    const auto grace = std::chrono::duration_cast<core::Duration>(m_context.settings.bounds.version
-                                                                  * versionGracePart);
+    const auto grace = core::scaled(m_context.settings.bounds.version, versionGracePart);
     if (now - newest->learnedAt < grace)
         return std::nullopt;
     return newest->version;
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -137,8 +137,7 @@
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
         return 0;
-    const double tokensPerSecond
-        = recentTokens(found->second) / std::chrono::duration<double>(recentMemory).count();
+    const double tokensPerSecond = recentTokens(found->second) / core::toSeconds(recentMemory);
     return found->second.inProgress + slots * tokensPerSecond / readTokensPerSecond;
 }
 
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -26,8 +26,7 @@
 
 core::Duration FleetWatch::watchWait(const fleet::Bounds &bounds)
 {
-    return std::chrono::duration_cast<core::Duration>(std::min(bounds.configuration, bounds.drain)
-                                                      * partOfBound);
+    return core::scaled(std::min(bounds.configuration, bounds.drain), partOfBound);
 }
 
 FleetWatch::FleetWatch(platform::ObjectStore &store, net::TimerService &timers, WatchRelay &relay,
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -24,9 +24,7 @@
 core::Duration mostAgeOfNews(const fleet::Bounds &bounds)
 {
     constexpr core::Duration answerTime = std::chrono::milliseconds(300);
-    return answerTime
-        + std::chrono::duration_cast<core::Duration>(FleetWatch::watchWait(bounds)
-                                                     * StorePath::relayWaitPart);
+    return answerTime + core::scaled(FleetWatch::watchWait(bounds), StorePath::relayWaitPart);
 }
 
 decisions::OrderLeaseLimits leaseLimits(const fleet::HostSettings &settings)
--- a/src/libs/gateway/leasekeeper.cpp
+++ b/src/libs/gateway/leasekeeper.cpp
@@ -1,6 +1,6 @@
 #include "gateway/leasekeeper.h"
 
-#include "net/bootclock.h"
+#include "net/clocks.h"
 #include "observability/log.h"
 #include "platform/decoder.h"
 
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -1,9 +1,9 @@
 #include "gateway/requesttask.h"
 
+#include "core/text.h"
 #include "observability/log.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/string_view.h>
 
 #include <algorithm>
 #include <cmath>
@@ -426,8 +426,8 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = isRepeated ? "send again" : "give up",
-         .message = absl::StrCat(absl::string_view(cause.data(), cause.size()), ", sends ", m_sends,
-                                 ", may have run ", m_runs, ", status ", m_answer.status),
+         .message = absl::StrCat(core::toAbsl(cause), ", sends ", m_sends, ", may have run ",
+                                 m_runs, ", status ", m_answer.status),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
     if (isRepeated) {
@@ -491,13 +491,13 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "refuse",
-         .message = absl::StrCat(absl::string_view(cause.data(), cause.size()), ", model ",
-                                 m_fields.model.value(), "/", m_fields.adapter.value(), ", held ",
-                                 held.count(), " ms, sends ", m_sends),
+         .message
+         = absl::StrCat(core::toAbsl(cause), ", model ", m_fields.model.value(), "/",
+                        m_fields.adapter.value(), ", held ", held.count(), " ms, sends ", m_sends),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
-    const auto delay = std::chrono::duration_cast<core::Duration>(
-        retryAfter * (1.0 + spreadOfRetryAfter * m_context.draw()));
+    const core::Duration delay
+        = core::scaled(retryAfter, 1.0 + spreadOfRetryAfter * m_context.draw());
     m_exchange->respond(503, platform::retryAfterFields(delay), {});
     m_context.metrics.refused(std::string(cause));
     m_status = 503;
@@ -508,8 +508,7 @@
 {
     observability::log({.level = observability::LogLevel::Info,
                         .step = "fail",
-                        .message = absl::StrCat("status ", status, ", ",
-                                                absl::string_view(cause.data(), cause.size())),
+                        .message = absl::StrCat("status ", status, ", ", core::toAbsl(cause)),
                         .peer = m_endpoint.value(),
                         .request = m_fields.id.value()});
     m_exchange->respond(status, {}, {});
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -124,7 +124,7 @@
     ++m_failures;
     // Up to half as long again, so that daemons do not come back together.
     std::uniform_real_distribution<double> spread(1.0, 1.5);
-    const auto delay = std::chrono::duration_cast<core::Duration>(pause * spread(m_random));
+    const auto delay = core::scaled(pause, spread(m_random));
     m_retry = m_timers.once(delay, [this, isWatch] {
         if (isWatch)
             watchNext();
--- a/src/libs/gateway/storepath.cpp
+++ b/src/libs/gateway/storepath.cpp
@@ -84,7 +84,7 @@
     if (!m_relay || m_timers.now() < m_noRelayUntil) {
         platform::WatchRequest direct = watch;
         if (m_isRelay)
-            direct.wait = std::chrono::duration_cast<core::Duration>(watch.wait * relayWaitPart);
+            direct.wait = core::scaled(watch.wait, relayWaitPart);
         request.path = platform::writeWatchTarget(direct);
         call(request, direct.wait + margin, std::move(handler));
         return;
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -1,10 +1,10 @@
 #include "http/server.h"
 
 #include "core/error.h"
+#include "core/text.h"
 #include "http/serverconnection.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/string_view.h>
 
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -23,11 +23,6 @@
 constexpr core::Duration sweepPeriod = std::chrono::milliseconds(250);
 constexpr int backlog = 1024; ///< Connections waiting for accept; a burst must not fill it.
 
-absl::string_view toAbsl(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 } // namespace
 
 Server::Server(net::EventLoop &loop, net::TimerService &timers, Handler handler)
@@ -117,7 +112,7 @@
     const auto connection = m_connection.lock();
     if (!connection || m_isDone || bytes.empty())
         return;
-    connection->write(absl::StrCat(absl::Hex(bytes.size()), "\r\n", toAbsl(bytes), "\r\n"));
+    connection->write(absl::StrCat(absl::Hex(bytes.size()), "\r\n", core::toAbsl(bytes), "\r\n"));
 }
 
 void ServerExchange::finishChunked()
--- a/src/libs/http/serverconnection.cpp
+++ b/src/libs/http/serverconnection.cpp
@@ -1,7 +1,8 @@
 #include "http/serverconnection.h"
 
+#include "core/text.h"
+
 #include <absl/strings/str_cat.h>
-#include <absl/strings/string_view.h>
 
 #include <algorithm>
 #include <utility>
@@ -16,11 +17,6 @@
 // reset it and could destroy the answer on its way.
 constexpr core::Duration lingerTime = std::chrono::seconds(2);
 
-absl::string_view toAbsl(std::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 std::string_view reasonOf(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -105,7 +101,8 @@
 {
     if (m_server.m_isClosing)
         m_keepAlive = false;
-    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", toAbsl(reasonOf(status)), "\r\n");
+    std::string text
+        = absl::StrCat("HTTP/1.1 ", status, " ", core::toAbsl(reasonOf(status)), "\r\n");
     for (const auto &[name, value] : headers.fields())
         absl::StrAppend(&text, name, ": ", value, "\r\n");
     if (!m_keepAlive)
--- a/src/libs/net/bootclock.cpp
+++ b/src/libs/net/clocks.cpp
@@ -1,9 +1,16 @@
-#include "net/bootclock.h"
+#include "net/clocks.h"
 
+#include <chrono>
 #include <ctime>
 
 namespace jackdawlead::net {
 
+core::TimePoint steadyTime()
+{
+    return core::TimePoint(std::chrono::duration_cast<core::Duration>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 core::TimePoint bootTime()
 {
     timespec now {};
--- a/src/libs/net/eventloop.cpp
+++ b/src/libs/net/eventloop.cpp
@@ -1,8 +1,9 @@
 #include "net/eventloop.h"
 
+#include "net/clocks.h"
+
 #include <event2/event.h>
 
-#include <chrono>
 #include <list>
 #include <utility>
 
@@ -61,8 +62,7 @@
 
 core::TimePoint EventLoop::now() const
 {
-    const auto sinceEpoch = std::chrono::steady_clock::now().time_since_epoch();
-    return core::TimePoint(std::chrono::duration_cast<core::Duration>(sinceEpoch));
+    return steadyTime();
 }
 
 void EventLoop::onSignal(int number, std::function<void()> handler)
--- a/src/libs/observability/boundedappender.cpp
+++ b/src/libs/observability/boundedappender.cpp
@@ -1,12 +1,13 @@
 #include "observability/boundedappender.h"
 
+#include "net/clocks.h"
+
 #include <log4cplus/layout.h>
 #include <log4cplus/spi/loggingevent.h>
 
 #include <poll.h>
 #include <unistd.h>
 
-#include <chrono>
 #include <sstream>
 
 namespace jackdawlead::observability {
@@ -16,12 +17,6 @@
 // A pipe that can be written to takes this many bytes without waiting (PIPE_BUF).
 constexpr std::size_t longestLine = 4096;
 
-core::TimePoint steadyNow()
-{
-    return core::TimePoint(std::chrono::duration_cast<core::Duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
-}
-
 } // namespace
 
 BoundedAppender::BoundedAppender(int descriptor)
@@ -36,7 +31,7 @@
 void BoundedAppender::append(const log4cplus::spi::InternalLoggingEvent &event)
 {
     const bool isBudgeted = event.getLogLevel() < log4cplus::WARN_LOG_LEVEL;
-    if (isBudgeted && !m_budget.tryTake(steadyNow()))
+    if (isBudgeted && !m_budget.tryTake(net::steadyTime()))
         return;
     std::ostringstream text;
     layout->formatAndAppend(text, event);
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -64,15 +64,10 @@
                            "Calls to store, endpoints and daemons since the start"))
 { }
 
-double GatewayMetrics::toSeconds(core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 void GatewayMetrics::answered(int status, core::Duration total)
 {
     m_answers.Add({{"status", std::to_string(status)}}).Increment();
-    m_total.Observe(toSeconds(total));
+    m_total.Observe(core::toSeconds(total));
 }
 
 void GatewayMetrics::refused(const std::string &cause)
@@ -87,7 +82,7 @@
 
 void GatewayMetrics::planned(core::Duration time, int transitLimit)
 {
-    m_planning.Observe(toSeconds(time));
+    m_planning.Observe(core::toSeconds(time));
     m_transitLimit.Set(transitLimit);
 }
 
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -23,9 +23,9 @@
     void answered(int status, core::Duration total);
     void refused(const std::string &cause);
     void sentAgain(const std::string &cause);
-    void firstEvent(core::Duration delay) { m_firstEvent.Observe(toSeconds(delay)); }
-    void longestPause(core::Duration pause) { m_longestPause.Observe(toSeconds(pause)); }
-    void sentAfter(core::Duration wait) { m_wait.Observe(toSeconds(wait)); }
+    void firstEvent(core::Duration delay) { m_firstEvent.Observe(core::toSeconds(delay)); }
+    void longestPause(core::Duration pause) { m_longestPause.Observe(core::toSeconds(pause)); }
+    void sentAfter(core::Duration wait) { m_wait.Observe(core::toSeconds(wait)); }
     void orderEnded(const std::string &operation, const std::string &result);
     /// A planning pass of the coordinator took `time`; the limit is that of adapters in transit.
     void planned(core::Duration time, int transitLimit);
@@ -40,8 +40,6 @@
     std::string render() const;
 
 private:
-    static double toSeconds(core::Duration duration);
-
     std::shared_ptr<prometheus::Registry> m_registry;
     prometheus::Family<prometheus::Counter> &m_answers;
     prometheus::Family<prometheus::Counter> &m_refusals;
--- a/src/libs/observability/metrics.cpp
+++ b/src/libs/observability/metrics.cpp
@@ -11,16 +11,11 @@
 const prometheus::Histogram::BucketBoundaries secondsBuckets {
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.44, 0.75, 1.0, 2.0, 5.0, 10.0, 30.0};
 
-double seconds(core::Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help,
                                  const Objective &objective)
 {
     prometheus::Histogram::BucketBoundaries buckets = secondsBuckets;
-    const double limit = seconds(objective.limit);
+    const double limit = core::toSeconds(objective.limit);
     const auto place = std::ranges::lower_bound(buckets, limit);
     if (place == buckets.end() || *place != limit)
         buckets.insert(place, limit);
@@ -33,7 +28,7 @@
     BurnCounts counts;
     counts.total = metric.histogram.sample_count;
     for (const prometheus::ClientMetric::Bucket &bucket : metric.histogram.bucket)
-        if (bucket.upper_bound <= seconds(objective.limit))
+        if (bucket.upper_bound <= core::toSeconds(objective.limit))
             counts.good = bucket.cumulative_count;
     return counts;
 }
@@ -82,17 +77,17 @@
 {
     m_requests.Add({{"outcome", std::string(core::toString(outcome))}}).Increment();
     if (outcome == core::Outcome::Completed)
-        m_answerSeconds.Observe(seconds(total));
+        m_answerSeconds.Observe(core::toSeconds(total));
 }
 
 void Metrics::firstTokenAfter(core::Duration delay)
 {
-    m_firstTokenSeconds.Observe(seconds(delay));
+    m_firstTokenSeconds.Observe(core::toSeconds(delay));
 }
 
 void Metrics::loadStall(core::Duration delay)
 {
-    m_loadStallSeconds.Observe(seconds(delay));
+    m_loadStallSeconds.Observe(core::toSeconds(delay));
 }
 
 void Metrics::loadOrdered(bool succeeded)
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -125,8 +125,7 @@
 
 net::Headers retryAfterFields(core::Duration delay)
 {
-    const double seconds = std::chrono::duration<double>(delay).count();
-    return {{wire::retryAfter, absl::StrFormat("%.3f", seconds)}};
+    return {{wire::retryAfter, absl::StrFormat("%.3f", core::toSeconds(delay))}};
 }
 
 bool isReadinessRequest(const http::MessageHead &head)
--- a/src/libs/platform/settingsreader.cpp
+++ b/src/libs/platform/settingsreader.cpp
@@ -1,6 +1,7 @@
 #include "platform/settingsreader.h"
 
 #include "core/error.h"
+#include "core/text.h"
 #include "platform/decoder.h"
 
 #include <absl/strings/ascii.h>
@@ -26,8 +27,7 @@
 public:
     explicit PropertyReader(std::string_view text)
     {
-        for (const absl::string_view line :
-             absl::StrSplit(absl::string_view(text.data(), text.size()), '\n')) {
+        for (const absl::string_view line : absl::StrSplit(core::toAbsl(text), '\n')) {
             const std::vector<std::string> parts = absl::StrSplit(line, absl::MaxSplits('=', 1));
             if (parts.size() == 2)
                 m_values.insert_or_assign(std::string(absl::StripAsciiWhitespace(parts[0])),
--- a/src/libs/platform/watchcodec.cpp
+++ b/src/libs/platform/watchcodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/watchcodec.h"
 
+#include "core/text.h"
 #include "platform/wirenames.h"
 
 #include <absl/strings/numbers.h>
@@ -40,8 +41,7 @@
 
 std::optional<WatchRequest> readWatchTarget(std::string_view target)
 {
-    const std::vector<absl::string_view> parts
-        = absl::StrSplit(absl::string_view(target.data(), target.size()), '?');
+    const std::vector<absl::string_view> parts = absl::StrSplit(core::toAbsl(target), '?');
     if (parts.size() != 2)
         return std::nullopt;
     const std::vector<absl::string_view> parameters = absl::StrSplit(parts[1], '&');
--- a/src/libs/serving/burntask.cpp
+++ b/src/libs/serving/burntask.cpp
@@ -47,7 +47,7 @@
             indicators.push_back(
                 {{"name", toString(static_cast<observability::Indicator>(index))},
                  {"windowSeconds", duration_cast<std::chrono::seconds>(length).count()},
-                 {"coveredSeconds", std::chrono::duration<double>(window.covered).count()},
+                 {"coveredSeconds", core::toSeconds(window.covered)},
                  {"limitMs", duration_cast<std::chrono::milliseconds>(objective.limit).count()},
                  {"objective", objective.share},
                  {"total", counts.total},
