Share the tests' wait on a loop

The same loop of checks stood in the fixture of the platform's tests and in tst_watchrelay, and with a limit of its own in tst_peers; tests/support has it once now. The checks and limits of the tests are unchanged; tst_peers looks each 5 ms instead of 10.

--- a/tests/auto/peers/tst_peers.cpp
+++ b/tests/auto/peers/tst_peers.cpp
@@ -1,6 +1,7 @@
 #include "net/httpserver.h"
 #include "serving/configtask.h"
 #include "serving/peertask.h"
+#include "support/loopwait.h"
 
 #include <criterion/criterion.h>
 
@@ -195,15 +196,7 @@
 
     void waitFor(const char *what, const std::function<bool()> &condition)
     {
-        bool isMet = false;
-        const auto check = timers.every(10ms, [&] {
-            isMet = condition();
-            if (isMet)
-                loop.stop();
-        });
-        const auto limit = timers.once(patience, [this] { loop.stop(); });
-        loop.run();
-        cr_assert(isMet, "%s", what);
+        cr_assert(testsupport::waitUntil(loop, timers, condition, patience), "%s", what);
     }
 
     bool areAllAt(std::uint64_t generation) const
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -2,6 +2,7 @@
 #include "gateway/storepath.h"
 #include "gateway/watchrelay.h"
 #include "platform/watchcodec.h"
+#include "support/loopwait.h"
 #include "support/platformstandin.h"
 #include "support/ports.h"
 
@@ -123,21 +124,10 @@
     bool waitUntil(const std::function<bool()> &condition,
                    core::Duration most = std::chrono::seconds(20))
     {
-        const core::TimePoint end = loop.now() + most;
-        bool holds = false;
-        const auto check = timers.every(milliseconds(5), [&] {
-            holds = condition();
-            if (holds || loop.now() > end)
-                loop.stop();
-        });
-        loop.run();
-        return holds;
+        return testsupport::waitUntil(loop, timers, condition, most);
     }
 
-    void pass(core::Duration time)
-    {
-        waitUntil([] { return false; }, time);
-    }
+    void pass(core::Duration time) { runFor(loop, timers, time); }
 };
 
 } // namespace
--- a/tests/e2e/tst_platform.cpp
+++ b/tests/e2e/tst_platform.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-using nlohmann::json;
-using std::chrono::milliseconds;
 using Fixture = PlatformFixture;
 
 } // namespace
--- a/tests/e2e/tst_platformhttp.cpp
+++ b/tests/e2e/tst_platformhttp.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-using nlohmann::json;
-using std::chrono::milliseconds;
 using Fixture = PlatformFixture;
 
 /// Answers with the id of another request.
--- a/tests/e2e/tst_platformlogs.cpp
+++ b/tests/e2e/tst_platformlogs.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-using nlohmann::json;
-using std::chrono::milliseconds;
 using Fixture = PlatformFixture;
 
 std::string contentOf(const std::string &path)
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -1,5 +1,7 @@
 #include "support/caller.h"
 
+#include "support/loopwait.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -82,8 +84,7 @@
 
 void Caller::pass(core::Duration time)
 {
-    const auto timer = m_timers.once(time, [this] { m_loop.stop(); });
-    m_loop.run();
+    runFor(m_loop, m_timers, time);
 }
 
 bool Caller::waitForAll(const std::vector<AnswerPtr> &answers, core::Duration limit)
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clientconnection.h"
+#include "support/loopwait.h"
 #include "support/platformstandin.h"
 #include "support/ports.h"
 #include "support/process.h"
@@ -143,15 +144,7 @@
 
     bool waitUntil(const std::function<bool()> &condition, core::Duration most = limit)
     {
-        const core::TimePoint end = loop.now() + most;
-        bool holds = false;
-        const auto check = timers.every(milliseconds(5), [&] {
-            holds = condition();
-            if (holds || loop.now() > end)
-                loop.stop();
-        });
-        loop.run();
-        return holds;
+        return testsupport::waitUntil(loop, timers, condition, most);
     }
 
     AnswerPtr send(std::uint16_t port, const std::string &bytes, const std::string &id = {})
@@ -188,10 +181,7 @@
     }
 
     /// Lets the daemon go on by itself.
-    void pass(core::Duration time)
-    {
-        waitUntil([] { return false; }, time);
-    }
+    void pass(core::Duration time) { runFor(loop, timers, time); }
 
     /// Asks again and again until the path is served.
     bool isServedSoon(const std::string &path)
