Keep idle connections in one place

http::Caller and gateway::EndpointPool each kept idle connections, dropped the ones that ended, by address of the connection, and closed others from the loop. http::IdleConnections does it for both. A connection that ended is found by its state now, and one that is left for its age keeps its handler.

--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -38,37 +38,27 @@
     m_sweep = timers.every(sweepPeriod, [this] {
         const core::TimePoint now = m_timers.now();
         for (auto &[id, entry] : m_endpoints) {
-            std::erase_if(entry.idle, [now](const Idle &idle) {
-                return !idle.connection->isReusable()
-                    || now - idle.since > usableIdle(*idle.connection, false);
+            entry.idle.closeOlder(now, [](const http::ClientConnection &connection) {
+                return usableIdle(connection, false);
             });
         }
     });
 }
 
-EndpointPool::~EndpointPool()
-{
-    *m_isAlive = false;
-}
+EndpointPool::Entry::Entry(net::EventLoop &loop)
+    : idle(loop, maxIdlePerEndpoint)
+{ }
 
 std::unique_ptr<http::ClientConnection> EndpointPool::take(const fleet::Endpoint &endpoint,
                                                            bool isCautious)
 {
-    Entry &entry = m_endpoints[endpoint.id];
-    const core::TimePoint now = m_timers.now();
-    // The one used last is the least likely to be closed by the endpoint just now.
-    while (!entry.idle.empty()) {
-        Idle idle = std::move(entry.idle.back());
-        entry.idle.pop_back();
-        const bool isFresh = now - idle.since <= usableIdle(*idle.connection, isCautious);
-        idle.connection->setIdleEndHandler(nullptr);
-        if (idle.connection->isReusable() && isFresh)
-            return std::move(idle.connection);
-        if (!isFresh && idle.connection->isReusable()) {
-            entry.idle.push_back(std::move(idle));
-            break;
-        }
-    }
+    auto connection
+        = entryOf(endpoint.id)
+              .idle.take(m_timers.now(), [isCautious](const http::ClientConnection &idle) {
+                  return usableIdle(idle, isCautious);
+              });
+    if (connection)
+        return connection;
     return std::make_unique<http::ClientConnection>(m_loop, endpoint.address, connectTimeout);
 }
 
@@ -76,28 +66,10 @@
                             std::unique_ptr<http::ClientConnection> connection)
 {
     const auto found = m_endpoints.find(id);
-    if (!connection->isReusable() || found == m_endpoints.end()
-        || found->second.idle.size() >= maxIdlePerEndpoint) {
-        closeLater(std::move(connection));
-        return;
-    }
-    http::ClientConnection *raw = connection.get();
-    connection->setIdleEndHandler([this, alive = m_isAlive, id, raw] {
-        m_loop.post([this, alive, id, raw] {
-            const auto entry = *alive ? m_endpoints.find(id) : m_endpoints.end();
-            if (*alive && entry != m_endpoints.end())
-                std::erase_if(entry->second.idle,
-                              [raw](const Idle &idle) { return idle.connection.get() == raw; });
-        });
-    });
-    found->second.idle.push_back({std::move(connection), m_timers.now()});
-}
-
-// The connection may be on the stack of its own callback.
-void EndpointPool::closeLater(std::unique_ptr<http::ClientConnection> connection)
-{
-    m_loop.post([held = std::make_shared<std::unique_ptr<http::ClientConnection>>(
-                     std::move(connection))] { held->reset(); });
+    if (found == m_endpoints.end())
+        http::closeLater(m_loop, std::move(connection));
+    else
+        found->second.idle.keep(std::move(connection), m_timers.now());
 }
 
 void EndpointPool::forget(const core::EndpointId &id)
@@ -105,9 +77,7 @@
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end())
         return;
-    for (Idle &idle : found->second.idle)
-        closeLater(std::move(idle.connection));
-    found->second.idle.clear();
+    found->second.idle.closeAll();
     if (found->second.inProgress == 0)
         m_endpoints.erase(found);
 }
@@ -126,7 +96,7 @@
 
 void EndpointPool::readingBegan(const core::EndpointId &id, int tokens)
 {
-    Entry &entry = m_endpoints[id];
+    Entry &entry = entryOf(id);
     entry.reading += tokens;
     entry.recentTokens = recentTokens(entry) + tokens;
     entry.recentAt = m_timers.now();
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -3,7 +3,7 @@
 #include "core/ids.h"
 #include "decisions/endpointhealth.h"
 #include "fleet/endpoint.h"
-#include "http/clientconnection.h"
+#include "http/idleconnections.h"
 #include "net/timerservice.h"
 
 #include <map>
@@ -18,7 +18,6 @@
 {
 public:
     EndpointPool(net::EventLoop &loop, net::TimerService &timers);
-    ~EndpointPool();
     EndpointPool(const EndpointPool &) = delete;
     EndpointPool &operator=(const EndpointPool &) = delete;
 
@@ -30,7 +29,7 @@
     /// Closes idle connections of an endpoint that is gone.
     void forget(const core::EndpointId &id);
 
-    void began(const core::EndpointId &id) { ++m_endpoints[id].inProgress; }
+    void began(const core::EndpointId &id) { ++entryOf(id).inProgress; }
     /// A prompt of `tokens` was sent, and its first event has not come yet.
     void readingBegan(const core::EndpointId &id, int tokens);
     void readingEnded(const core::EndpointId &id, int tokens);
@@ -41,22 +40,19 @@
     double load(const core::EndpointId &id, int slots) const;
     void ended(const core::EndpointId &id);
     /// What other daemons' requests occupy there, in slots, as last told.
-    void setOthers(const core::EndpointId &id, double slots) { m_endpoints[id].others = slots; }
+    void setOthers(const core::EndpointId &id, double slots) { entryOf(id).others = slots; }
     double others(const core::EndpointId &id) const;
-    decisions::EndpointHealth &health(const core::EndpointId &id) { return m_endpoints[id].health; }
+    decisions::EndpointHealth &health(const core::EndpointId &id) { return entryOf(id).health; }
 
     /// Endpoints that broke several connections in a row and are passed over now.
     std::vector<core::EndpointId> unreachable() const;
 
 private:
-    struct Idle
-    {
-        std::unique_ptr<http::ClientConnection> connection;
-        core::TimePoint since;
-    };
     struct Entry
     {
-        std::vector<Idle> idle; ///< The last one was used last.
+        explicit Entry(net::EventLoop &loop);
+
+        http::IdleConnections idle;
         int inProgress = 0;
         double others = 0;
         int reading = 0;
@@ -65,14 +61,16 @@
         decisions::EndpointHealth health;
     };
 
+    Entry &entryOf(const core::EndpointId &id)
+    {
+        return m_endpoints.try_emplace(id, m_loop).first->second;
+    }
     double recentTokens(const Entry &entry) const;
-    void closeLater(std::unique_ptr<http::ClientConnection> connection);
 
     net::EventLoop &m_loop;
     net::TimerService &m_timers;
     std::map<core::EndpointId, Entry> m_endpoints;
     net::TimerService::Subscription m_sweep;
-    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/http/caller.cpp
+++ b/src/libs/http/caller.cpp
@@ -49,16 +49,9 @@
     *m_isAlive = false;
 }
 
-std::unique_ptr<ClientConnection> Caller::takeConnection(const net::Address &peer)
+IdleConnections &Caller::idleTo(const net::Address &peer)
 {
-    Idle &idle = m_idle[peer];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (connection->isReusable())
-            return connection;
-    }
-    return std::make_unique<ClientConnection>(m_loop, peer, connectTimeout);
+    return m_idle.try_emplace(peer, m_loop, maxIdlePerPeer).first->second;
 }
 
 void Caller::call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
@@ -69,8 +62,10 @@
     m_calls.push_back(call);
     call->peer = peer;
     call->handler = std::move(handler);
-    call->connection = takeConnection(peer);
-    call->connection->setIdleEndHandler(nullptr);
+    const auto isAnyAge = [](const ClientConnection &) { return core::Duration::max(); };
+    call->connection = idleTo(peer).take(m_timers.now(), isAnyAge);
+    if (!call->connection)
+        call->connection = std::make_unique<ClientConnection>(m_loop, peer, connectTimeout);
     const std::weak_ptr<Call> weak = call;
     call->timeout = m_timers.once(timeout, [this, weak] {
         if (const auto held = weak.lock())
@@ -114,26 +109,10 @@
     m_loop.post(
         [this, alive = m_isAlive, peer = call->peer,
          held = std::make_shared<std::unique_ptr<ClientConnection>>(std::move(connection))] {
-            if (*alive && (*held)->isReusable())
-                keep(peer, std::move(*held));
+            if (*alive)
+                idleTo(peer).keep(std::move(*held), m_timers.now());
         });
     call->handler(std::move(result));
 }
 
-void Caller::keep(const net::Address &peer, std::unique_ptr<ClientConnection> connection)
-{
-    Idle &idle = m_idle[peer];
-    if (idle.size() >= maxIdlePerPeer)
-        return;
-    ClientConnection *raw = connection.get();
-    connection->setIdleEndHandler([this, alive = m_isAlive, peer, raw] {
-        m_loop.post([this, alive, peer, raw] {
-            if (!*alive)
-                return;
-            std::erase_if(m_idle[peer], [raw](const auto &entry) { return entry.get() == raw; });
-        });
-    });
-    idle.push_back(std::move(connection));
-}
-
 } // namespace jackdawlead::http
--- a/src/libs/http/caller.h
+++ b/src/libs/http/caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/clientconnection.h"
+#include "http/idleconnections.h"
 #include "net/timerservice.h"
 
 #include <absl/status/statusor.h>
@@ -44,15 +45,13 @@
 
 private:
     struct Call;
-    using Idle = std::vector<std::unique_ptr<ClientConnection>>;
 
-    std::unique_ptr<ClientConnection> takeConnection(const net::Address &peer);
+    IdleConnections &idleTo(const net::Address &peer);
     void finish(const std::shared_ptr<Call> &call, absl::StatusOr<Answer> result);
-    void keep(const net::Address &peer, std::unique_ptr<ClientConnection> connection);
 
     net::EventLoop &m_loop;
     net::TimerService &m_timers;
-    std::map<net::Address, Idle> m_idle;
+    std::map<net::Address, IdleConnections> m_idle;
     std::list<std::shared_ptr<Call>> m_calls;
     std::uint64_t m_callCount = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/libs/http/idleconnections.cpp
@@ -0,0 +1,71 @@
+#include "http/idleconnections.h"
+
+#include <utility>
+
+namespace jackdawlead::http {
+
+void closeLater(net::EventLoop &loop, std::unique_ptr<ClientConnection> connection)
+{
+    loop.post([held = std::make_shared<std::unique_ptr<ClientConnection>>(std::move(connection))] {
+        held->reset();
+    });
+}
+
+IdleConnections::IdleConnections(net::EventLoop &loop, std::size_t most)
+    : m_loop(loop)
+    , m_most(most)
+{ }
+
+IdleConnections::~IdleConnections()
+{
+    *m_isAlive = false;
+}
+
+void IdleConnections::keep(std::unique_ptr<ClientConnection> connection, core::TimePoint now)
+{
+    if (!connection->isReusable() || m_idle.size() >= m_most) {
+        closeLater(m_loop, std::move(connection));
+        return;
+    }
+    connection->setIdleEndHandler([this, alive = m_isAlive] {
+        m_loop.post([this, alive] {
+            if (*alive)
+                std::erase_if(m_idle,
+                              [](const Idle &idle) { return !idle.connection->isReusable(); });
+        });
+    });
+    m_idle.push_back({std::move(connection), now});
+}
+
+std::unique_ptr<ClientConnection> IdleConnections::take(core::TimePoint now, const Limit &limit)
+{
+    while (!m_idle.empty()) {
+        Idle &last = m_idle.back();
+        const bool isReusable = last.connection->isReusable();
+        // The others have waited for longer.
+        if (isReusable && now - last.since > limit(*last.connection))
+            return nullptr;
+        std::unique_ptr<ClientConnection> connection = std::move(last.connection);
+        m_idle.pop_back();
+        connection->setIdleEndHandler(nullptr);
+        if (isReusable)
+            return connection;
+    }
+    return nullptr;
+}
+
+void IdleConnections::closeOlder(core::TimePoint now, const Limit &limit)
+{
+    std::erase_if(m_idle, [now, &limit](const Idle &idle) {
+        return !idle.connection->isReusable() || now - idle.since > limit(*idle.connection);
+    });
+}
+
+void IdleConnections::closeAll()
+{
+    for (Idle &idle : m_idle)
+        closeLater(m_loop, std::move(idle.connection));
+    m_idle.clear();
+}
+
+} // namespace jackdawlead::http
--- /dev/null
+++ b/src/libs/http/idleconnections.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "http/clientconnection.h"
+#include "net/eventloop.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace jackdawlead::http {
+
+/// Closes a connection that may be on the stack of its own callback. Thread safety: the loop's
+/// thread only.
+void closeLater(net::EventLoop &loop, std::unique_ptr<ClientConnection> connection);
+
+/// Connections to one peer that wait for their next exchange. One that ends meanwhile is dropped.
+/// Thread safety: the loop's thread only.
+class IdleConnections
+{
+public:
+    /// How long a connection may wait and still be used.
+    using Limit = std::function<core::Duration(const ClientConnection &)>;
+
+    IdleConnections(net::EventLoop &loop, std::size_t most);
+    ~IdleConnections();
+    IdleConnections(const IdleConnections &) = delete;
+    IdleConnections &operator=(const IdleConnections &) = delete;
+
+    /// Keeps the connection, or closes it if it cannot be used again or there are enough. It may be
+    /// on the stack of its own callback.
+    void keep(std::unique_ptr<ClientConnection> connection, core::TimePoint now);
+    /// The connection that was kept last, which its peer is the least likely to close just now;
+    /// nullptr if there is none within its limit.
+    std::unique_ptr<ClientConnection> take(core::TimePoint now, const Limit &limit);
+    /// Closes those that waited for longer than their limit.
+    void closeOlder(core::TimePoint now, const Limit &limit);
+    /// Closes all; one may be on the stack of its own callback.
+    void closeAll();
+
+private:
+    struct Idle
+    {
+        std::unique_ptr<ClientConnection> connection;
+        core::TimePoint since;
+    };
+
+    net::EventLoop &m_loop;
+    std::size_t m_most;
+    std::vector<Idle> m_idle; ///< In the order in which they were kept.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace jackdawlead::http
