Remove a dead member and a forwarding function, and two repeats of work

StoreFollower::m_isListing was never read; CrashSuspects::told only called add(). The version that an adapter must have was looked up for each endpoint of each waiting request, fifty times a second, and the coordinator looked for changed contents with each report, although reports are several times as many as changes. No behaviour changes.

--- a/src/libs/decisions/crashsuspects.cpp
+++ b/src/libs/decisions/crashsuspects.cpp
@@ -17,18 +17,13 @@
 {
     for (const Broken &broken : m_broken) {
         if (broken.endpoint == endpoint && now - broken.at <= m_limits.attribution)
-            add({broken.fingerprint, death}, now);
+            told({broken.fingerprint, death}, now);
     }
     std::erase_if(m_broken,
                   [&endpoint](const Broken &broken) { return broken.endpoint == endpoint; });
 }
 
 void CrashSuspects::told(const CrashFact &fact, core::TimePoint now)
-{
-    add(fact, now);
-}
-
-void CrashSuspects::add(const CrashFact &fact, core::TimePoint now)
 {
     if (m_entries.size() >= m_limits.maxEntries && !m_entries.contains(fact.fingerprint)) {
         m_entries.erase(std::ranges::min_element(
--- a/src/libs/decisions/crashsuspects.h
+++ b/src/libs/decisions/crashsuspects.h
@@ -47,7 +47,7 @@
     /// The endpoint was found dead; requests whose connections broke just before were running
     /// there.
     void died(const core::EndpointId &endpoint, const DeathId &death, core::TimePoint now);
-    /// Takes what another daemon found.
+    /// Takes a fact, found here or by another daemon.
     void told(const CrashFact &fact, core::TimePoint now);
     /// What was learned lately, to be told on.
     std::vector<CrashFact> recent(core::TimePoint now) const;
@@ -75,8 +75,6 @@
         CrashFact fact;
         core::TimePoint at;
     };
-    void add(const CrashFact &fact, core::TimePoint now);
-
     CrashSuspectLimits m_limits;
     std::deque<Broken> m_broken;
     std::map<Fingerprint, Entry> m_entries;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -243,6 +243,9 @@
 
 void Coordinator::noteContents()
 {
+    // Reports are several times as many as changes.
+    if (std::exchange(m_notedRevision, m_planner.revision()) == m_planner.revision())
+        return;
     for (const auto &[id, state] : m_planner.endpoints()) {
         // Until the first report the daemons use the endpoint's own record.
         const bool isKnown = state.lastReport != core::TimePoint();
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -85,6 +85,7 @@
     std::map<core::EndpointId, double> m_load;
     decisions::RelayChoice m_relays;
     decisions::ContentsHistory m_contents;
+    std::uint64_t m_notedRevision = 0; ///< Up to which m_contents follows the planner.
     std::set<core::EndpointId> m_reportsAsked;
     bool m_wasHolder = false;
     core::FencingToken m_token;
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -32,7 +32,8 @@
     return newest->version;
 }
 
-bool EndpointFinder::holdsWanted(const fleet::Endpoint &endpoint, core::TimePoint now) const
+bool EndpointFinder::holdsWanted(const fleet::Endpoint &endpoint, int leastVersion,
+                                 core::TimePoint now) const
 {
     if (m_fields.model.isEmpty())
         return true;
@@ -42,7 +43,7 @@
         return true;
     const fleet::AdapterKey key {m_fields.model, m_fields.adapter};
     const auto held = m_context.placement.heldVersion(endpoint.id, key, now);
-    return held && *held >= expectedVersion(now).value_or(0);
+    return held && *held >= leastVersion;
 }
 
 decisions::Distance EndpointFinder::distanceTo(const core::FailureDomainId &domain) const
@@ -56,9 +57,11 @@
 }
 
 std::optional<decisions::EndpointOption> EndpointFinder::optionFor(const fleet::Endpoint &endpoint,
+                                                                   int leastVersion,
                                                                    core::TimePoint now) const
 {
-    if (endpoint.service != m_service || endpoint.isLeaving || !holdsWanted(endpoint, now))
+    if (endpoint.service != m_service || endpoint.isLeaving
+        || !holdsWanted(endpoint, leastVersion, now))
         return std::nullopt;
     const bool wasTried = m_tried.contains(endpoint.id);
     if (wasTried && now < m_triedAgainAt)
@@ -77,9 +80,11 @@
 
 std::vector<decisions::EndpointOption> EndpointFinder::options(core::TimePoint now) const
 {
+    // Asked for once, since each waiting request looks at all endpoints fifty times a second.
+    const int leastVersion = expectedVersion(now).value_or(0);
     std::vector<decisions::EndpointOption> options;
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
-        if (auto option = optionFor(endpoint, now))
+        if (auto option = optionFor(endpoint, leastVersion, now))
             options.push_back(*std::move(option));
     }
     // What only unreachable endpoints hold is loaded elsewhere, which takes less time than they do.
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -31,8 +31,8 @@
 
 private:
     std::optional<decisions::EndpointOption> optionFor(const fleet::Endpoint &endpoint,
-                                                       core::TimePoint now) const;
-    bool holdsWanted(const fleet::Endpoint &endpoint, core::TimePoint now) const;
+                                                       int leastVersion, core::TimePoint now) const;
+    bool holdsWanted(const fleet::Endpoint &endpoint, int leastVersion, core::TimePoint now) const;
     decisions::Distance distanceTo(const core::FailureDomainId &domain) const;
 
     RequestContext &m_context;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -40,7 +40,6 @@
 void StoreFollower::start()
 {
     m_listing.clear();
-    m_isListing = true;
     listNext();
 }
 
@@ -63,7 +62,6 @@
             listNext();
             return;
         }
-        m_isListing = false;
         m_isListed = true;
         m_revision = m_listRevision;
         m_handlers.onListed(m_listing);
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -55,7 +55,6 @@
     platform::Revision m_listRevision = 0;
     platform::Revision m_revision = 0;
     bool m_isListed = false;
-    bool m_isListing = false;
     int m_failures = 0;
     core::TimePoint m_regainedAt;
     std::minstd_rand m_random;
