--- /dev/null
+++ b/src/libs/gateway/objectindex.cpp
@@ -0,0 +1,35 @@
+#include "gateway/objectindex.h"
+
+#include <utility>
+
+namespace jackdawlead::gateway {
+
+std::vector<platform::ObjectEvent>
+ObjectIndex::listed(const std::vector<platform::StoredObject> &objects)
+{
+    std::vector<platform::ObjectEvent> events;
+    auto missing = std::exchange(m_revisions, {});
+    for (const platform::StoredObject &object : objects) {
+        const auto known = missing.find(object.name);
+        if (known == missing.end() || known->second != object.revision)
+            events.push_back({object, false});
+        if (known != missing.end())
+            missing.erase(known);
+        m_revisions[object.name] = object.revision;
+    }
+    for (const auto &[name, revision] : missing)
+        events.push_back({{name, revision, {}}, true});
+    return events;
+}
+
+void ObjectIndex::changed(const std::vector<platform::ObjectEvent> &events)
+{
+    for (const platform::ObjectEvent &event : events) {
+        if (event.isRemoved)
+            m_revisions.erase(event.object.name);
+        else
+            m_revisions[event.object.name] = event.object.revision;
+    }
+}
+
+} // namespace jackdawlead::gateway
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -17,6 +17,9 @@
 constexpr core::Duration endpointEventPause = std::chrono::milliseconds(1000);
 constexpr core::Duration eventPause = std::chrono::milliseconds(50);
 constexpr core::Duration firstRetry = std::chrono::milliseconds(100);
+// A watch after a failure: a store that leaves calls unanswered must be found back within seconds,
+// while a call that was made just before its return is still waited for in vain.
+constexpr core::Duration trialWait = std::chrono::milliseconds(300);
 constexpr core::Duration longestRetry = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -63,18 +66,31 @@
             listNext();
             return;
         }
-        m_isListed = true;
-        m_revision = m_listRevision;
-        net::runGuarded("follow store", [this] { m_handlers.onListed(m_listing); });
-        m_listing.clear();
-        m_relay.listed(m_kind, m_revision);
+        listed();
         watchNext();
     });
 }
 
+void StoreFollower::listed()
+{
+    // Watches of other daemons go on across a list, which would cost each of them one of its own.
+    platform::ObjectEvents changes {m_objects.listed(m_listing), m_listRevision};
+    std::erase_if(changes.events, [this](const platform::ObjectEvent &event) {
+        return !event.isRemoved && !isNewsForOthers(event);
+    });
+    m_revision = m_listRevision;
+    net::runGuarded("follow store", [this] { m_handlers.onListed(m_listing); });
+    m_listing.clear();
+    if (std::exchange(m_isListed, true))
+        m_relay.heard(m_kind, changes, {});
+    else
+        m_relay.listed(m_kind, m_revision);
+}
+
 void StoreFollower::watchNext()
 {
-    m_store.watch(m_kind, m_revision, m_wait, [this, alive = m_isAlive](auto events) {
+    const core::Duration wait = isInTouch() ? m_wait : std::min(m_wait, trialWait);
+    m_store.watch(m_kind, m_revision, wait, [this, alive = m_isAlive](auto events) {
         if (!*alive)
             return;
         if (!events.ok()) {
@@ -83,6 +99,7 @@
         }
         answered();
         m_revision = events->revision;
+        m_objects.changed(events->events);
         const bool hasEvents = !events->events.empty();
         std::erase_if(events->events, [this](const platform::ObjectEvent &event) {
             return !isNewsForOthers(event);
@@ -119,13 +136,13 @@
 void StoreFollower::failed(const absl::Status &status, bool isWatch)
 {
     const bool isHistoryGone = absl::IsOutOfRange(status);
-    m_relay.lost(m_kind);
-    if (m_failures == 0 && !isHistoryGone)
-        observability::logError(observability::LogLevel::Warn, status);
     if (isHistoryGone) {
         start();
         return;
     }
+    m_relay.lost(m_kind);
+    if (m_failures == 0)
+        observability::logError(observability::LogLevel::Warn, status);
     constexpr int maxDoublings = 5;
     const auto pause = std::min<core::Duration>(
         firstRetry * (1 << std::min(m_failures, maxDoublings)), longestRetry);
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/objectindex.h"
 #include "gateway/watchrelay.h"
 #include "net/timerservice.h"
 #include "platform/objectstore.h"
@@ -41,6 +42,7 @@
 
 private:
     void listNext();
+    void listed();
     void watchNext();
     void failed(const absl::Status &status, bool isWatch);
     void answered();
@@ -53,6 +55,7 @@
     core::Duration m_wait;
     Handlers m_handlers;
     std::vector<platform::StoredObject> m_listing;
+    ObjectIndex m_objects;
     platform::Revision m_listRevision = 0;
     platform::Revision m_revision = 0;
     bool m_isListed = false;
--- a/src/libs/gateway/storepath.cpp
+++ b/src/libs/gateway/storepath.cpp
@@ -156,12 +156,21 @@
     if (m_isRelay)
         direct.wait = core::scaled(watch.wait, relayWaitPart);
     net::HttpRequest request;
+    if (!isPaced) {
+        request.path = platform::writeWatchTarget(direct);
+        call(request, direct.wait + margin, std::move(handler));
+        return;
+    }
+    // Two daemons did not answer or said that the store does not: no third one is asked, and not for
+    // long, so that the relays are soon tried again.
+    direct.wait = std::min(direct.wait, relayWait);
     request.path = platform::writeWatchTarget(direct);
-    call(request, direct.wait + margin, [this, isPaced, handler = std::move(handler)](auto answer) {
-        if (isPaced && isRefusal(answer))
-            m_noWatchUntil = m_timers.now() + failedWatchPause;
-        handler(std::move(answer));
-    });
+    m_caller.call(m_store, request, direct.wait + relayMargin,
+                  [this, handler = std::move(handler)](auto answer) {
+                      if (isRefusal(answer))
+                          m_noWatchUntil = m_timers.now() + failedWatchPause;
+                      handler(std::move(answer));
+                  });
 }
 
 void StorePath::callPeer(const net::Address &peer, const net::HttpRequest &request,
