Test troubled endpoints and callers with the real daemon; only whole events are progress

Endless heads, bodies, events and requests end with a clear answer and bounded memory; comments do not keep a stalled stream alive; a slow stream at an endpoint that answers others is not cut; a request waits for the first configuration; a connection that is still being opened to a leaving endpoint is given up.

--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -321,10 +321,13 @@
     if (m_isBrokenStream)
         return;
     std::string events;
+    const auto lastId = m_events.lastId();
     m_isBrokenStream = m_events.take(bytes, events) == EventFilter::Verdict::Broken;
     if (m_isBrokenStream)
         breakExchange(); // What follows may be without end.
-    if (!events.empty()) {
+    // Comments, which an endpoint in trouble may go on to send, are no progress.
+    const bool hasProgress = m_events.lastId() != lastId || !m_events.lastId();
+    if (!events.empty() && hasProgress) {
         m_context.pool.heard(m_endpoint);
         readingEnded();
         m_times.eventsCame(now());
--- /dev/null
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -0,0 +1,287 @@
+#include "support/platformfixture.h"
+#include "support/rawpeer.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+using Fixture = PlatformFixture;
+
+/// The only endpoint of a service is one that sends what a test says.
+struct TroubledFixture : Fixture
+{
+    RawPeer::DataHandler onRequest = [](http::Connection &, std::string_view) {};
+    net::Address address {"127.0.0.1", picker.take()};
+    RawPeer peer {loop, address, [this](http::Connection &connection, std::string_view bytes) {
+                      onRequest(connection, bytes);
+                  }};
+
+    explicit TroubledFixture(const std::string &service)
+        : Fixture(service.c_str())
+    {
+        json record = first.record(service);
+        record["address"] = address.toString();
+        store.remove("servers", first.id);
+        store.remove("servers", second.id);
+        store.put("servers", "e-raw", record);
+        // A watch may end after changes that come together.
+        pass(milliseconds(2500));
+    }
+
+    /// The endpoint begins its answer with `begin` and goes on with `repeated` without end.
+    void expectBoundedFailure(const std::string &path, const std::string &model,
+                              const std::string &begin, const std::string &repeated)
+    {
+        EndlessWriter writer(timers, repeated);
+        onRequest = [&](http::Connection &connection, std::string_view) {
+            connection.write(begin);
+            writer.start(peer, connection);
+        };
+        const auto answer = start(path, "r1", model);
+        // The request's own time is 4 s; the failure must not wait for it.
+        cr_assert(waitUntil([&] { return answer->isEnded; }, std::chrono::seconds(3)),
+                  "no end after %s", begin.c_str());
+        cr_assert_not(answer->isWhole && answer->head.status < 500);
+        constexpr double mostMegabytes = 60;
+        cr_assert_lt(usageOf(daemon).residentMegabytes, mostMegabytes);
+        cr_assert_eq(daemon.exitCode(), std::nullopt);
+        // The connection was closed, and the next request is served.
+        cr_assert(waitUntil([&] { return peer.open() == 0; }));
+        onRequest = [](http::Connection &connection, std::string_view) {
+            connection.write("HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Stamp: s\r\n"
+                             "Content-Length: 4\r\n\r\nfine");
+        };
+        AnswerPtr next;
+        cr_assert(waitUntil([&] {
+            if (!next || (next->isEnded && next->head.status != 200))
+                next = start(path, "r2", model);
+            return next->isEnded && next->head.status == 200;
+        }));
+    }
+};
+
+constexpr char stampedHead[] = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n";
+
+/// A socket whose queue of new connections is full, so that connecting takes seconds.
+class FullListener
+{
+public:
+    explicit FullListener(std::uint16_t port)
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        m_sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
+        const int isReused = 1;
+        setsockopt(m_sockets[0], SOL_SOCKET, SO_REUSEADDR, &isReused, sizeof isReused);
+        cr_assert_eq(bind(m_sockets[0], reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+        cr_assert_eq(listen(m_sockets[0], 0), 0);
+        constexpr int fillers = 4;
+        for (int number = 0; number < fillers; ++number) {
+            const int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            (void)connect(filler, reinterpret_cast<sockaddr *>(&address), sizeof address);
+            m_sockets.push_back(filler);
+        }
+    }
+    ~FullListener()
+    {
+        for (const int held : m_sockets)
+            close(held);
+    }
+    FullListener(const FullListener &) = delete;
+    FullListener &operator=(const FullListener &) = delete;
+
+private:
+    std::vector<int> m_sockets;
+};
+
+} // namespace
+
+// Guards against an endpoint in trouble whose bytes have no end: the daemon read them into memory
+// until the request's time was over, and the caller had no answer until then.
+Test(platformtrouble, endlessAnswerEnds, .timeout = 60)
+{
+    TroubledFixture fixture("plain");
+    fixture.expectBoundedFailure("/get/a", {}, std::string(stampedHead) + "\r\n",
+                                 std::string(4096, 'x'));
+}
+
+Test(platformtrouble, endlessAnswerToAnOrderEnds, .timeout = 60)
+{
+    TroubledFixture fixture("plain");
+    fixture.expectBoundedFailure("/order/a", {}, std::string(stampedHead) + "\r\n",
+                                 std::string(4096, 'x'));
+}
+
+Test(platformtrouble, endlessHeadEnds, .timeout = 60)
+{
+    TroubledFixture fixture("plain");
+    fixture.expectBoundedFailure("/get/a", {}, stampedHead, "X-More: and more\r\n");
+}
+
+Test(platformtrouble, endlessEventEnds, .timeout = 60)
+{
+    TroubledFixture fixture("model");
+    fixture.expectBoundedFailure("/once/a", "base", std::string(stampedHead) + "\r\nid: 1\ndata: ",
+                                 std::string(4096, 'x'));
+}
+
+Test(platformtrouble, endlessRepeatedEventEnds, .timeout = 60)
+{
+    TroubledFixture fixture("model");
+    fixture.expectBoundedFailure("/once/a", "base", std::string(stampedHead) + "\r\n", event(1));
+}
+
+// Guards against the same from a caller: each of them must cost a bounded number of bytes.
+Test(platformtrouble, endlessRequestsEnd, .timeout = 60)
+{
+    Fixture fixture;
+    const std::string head = "POST /get/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r1\r\n";
+    const std::pair<std::string, std::string> requests[] {
+        {head, "X-More: and more\r\n"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
+        {head + "Transfer-Encoding: chunked\r\n\r\n5;extension=", std::string(4096, 'x')},
+        {"", std::string(4096, '\0')},
+    };
+    for (const auto &[begin, repeated] : requests) {
+        net::TimerService::Subscription more;
+        std::size_t sent = 0;
+        http::Connection raw(fixture.loop, {"127.0.0.1", fixture.callerPort}, limit);
+        bool isClosed = false;
+        std::string received;
+        raw.setHandlers({
+            .onConnected = [&, first = begin] { raw.write(first); },
+            .onData =
+                [&] {
+                    received += raw.received();
+                    raw.consume(raw.received().size());
+                },
+            .onDrained = {},
+            .onClosed = [&](http::CloseReason) { isClosed = true; },
+        });
+        more = fixture.timers.every(milliseconds(2), [&, text = repeated] {
+            while (raw.isConnected() && !isClosed && raw.pendingOutput() < 256 * 1024) {
+                raw.write(text);
+                sent += text.size();
+            }
+        });
+        cr_assert(fixture.waitUntil([&] { return isClosed || !received.empty(); }));
+        more.cancel();
+        cr_assert(received.empty() || received.starts_with("HTTP/1.1 4"), "%s", received.c_str());
+        cr_assert_lt(sent, 16UL * 1024 * 1024);
+    }
+    constexpr double mostMegabytes = 60;
+    cr_assert_lt(usageOf(fixture.daemon).residentMegabytes, mostMegabytes);
+    cr_assert_eq(fixture.call("/get/a", "last")->head.status, 200);
+}
+
+// Guards against a stalled stream that sends a byte now and then and is taken for a slow one: only
+// whole events with a further id are progress.
+Test(platformtrouble, commentsDoNotKeepAStalledStreamAlive, .timeout = 60)
+{
+    Fixture fixture("model");
+    std::vector<EndpointStandIn::Exchange> stalled;
+    const auto run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (!stalled.empty()) {
+            stream(exchange, 6, false);
+            return;
+        }
+        stalled.push_back(exchange);
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk(events(1, 3));
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto comments = fixture.timers.every(milliseconds(100), [&] {
+        for (const auto &exchange : stalled)
+            exchange->writeChunk(": still here\n\n");
+    });
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole);
+    cr_assert(answer->body.ends_with(events(4, 6)));
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 2U);
+}
+
+// Guards against a slow but sound stream being cut: its endpoint answers others meanwhile, and a
+// pause of 1.6 s is under the time after which callers leave.
+Test(platformtrouble, slowStreamAtAnEndpointThatAnswersIsNotCut, .timeout = 60)
+{
+    Fixture fixture("model");
+    fixture.store.remove("servers", fixture.second.id);
+    fixture.pass(milliseconds(1500));
+    EndpointStandIn::Exchange slow;
+    EndpointStandIn::Exchange fast;
+    fixture.first.run = [&](const EndpointStandIn::Exchange &exchange) {
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk(event(1));
+        (slow ? fast : slow) = exchange;
+    };
+    const auto slowAnswer = fixture.start("/stream/a", "slow", "base");
+    cr_assert(fixture.waitUntil([&] { return slow != nullptr; }));
+    const auto fastAnswer = fixture.start("/stream/a", "fast", "base");
+    cr_assert(fixture.waitUntil([&] { return fast != nullptr; }));
+    int id = 1;
+    const auto turn
+        = fixture.timers.every(milliseconds(100), [&] { fast->writeChunk(event(++id)); });
+    fixture.pass(milliseconds(1600));
+    slow->writeChunk(events(2, 3));
+    slow->finishChunked();
+    cr_assert(fixture.waitUntil([&] { return slowAnswer->isEnded; }));
+    cr_assert(slowAnswer->isWhole);
+    cr_assert_eq(slowAnswer->body, events(1, 3));
+    cr_assert_eq(fixture.first.runs.size(), 2U);
+}
+
+// Guards against requests being refused while the first configuration is some milliseconds away:
+// 104 were after all daemons had been killed in a burst (incident inc-0642).
+Test(platformtrouble, requestWaitsForTheFirstConfiguration, .timeout = 60)
+{
+    Fixture fixture("plain", false);
+    // The store answers nothing yet, so that the daemon listens and knows nothing.
+    cr_assert(fixture.waitUntil([&] { return fixture.readiness() == 503; }));
+    const auto answer = fixture.start("/get/a", "r1");
+    const auto write = fixture.timers.once(milliseconds(100), [&] {
+        fixture.store.put("config", "main", configuration(1, usualRoutes()));
+    });
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert_eq(answer->head.status, 200);
+}
+
+// Guards against a request reaching an endpoint long after it was known to leave, because its
+// connection was still being opened then.
+Test(platformtrouble, connectionToALeavingEndpointIsGivenUp, .timeout = 60)
+{
+    Fixture fixture;
+    const std::uint16_t port = fixture.picker.take();
+    const FullListener full(port);
+    json record = fixture.first.record("plain");
+    record["address"] = "127.0.0.1:" + std::to_string(port);
+    fixture.store.put("servers", "e-full", record);
+    fixture.store.remove("servers", fixture.first.id);
+    fixture.pass(milliseconds(2500));
+    // Half of them go to each endpoint.
+    std::vector<AnswerPtr> answers;
+    for (int number = 0; number < 8; ++number)
+        answers.push_back(fixture.start("/get/a", "r" + std::to_string(number)));
+    fixture.pass(milliseconds(100));
+    record["state"] = "draining";
+    fixture.store.put("servers", "e-full", record);
+    cr_assert(fixture.waitUntil([&] {
+        return std::ranges::all_of(answers, [](const auto &answer) { return answer->isEnded; });
+    }));
+    for (const auto &answer : answers)
+        cr_assert_eq(answer->head.status, 200, "%s", fixture.output().c_str());
+    cr_assert(fixture.output().find("endpoint leaves before the connection is open")
+                  != std::string::npos,
+              "%s", fixture.output().c_str());
+}
