--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -50,16 +50,23 @@
 std::unique_ptr<http::ClientConnection> EndpointPool::take(const fleet::Endpoint &endpoint,
                                                            bool isCautious)
 {
+    Entry &entry = entryOf(endpoint.id);
+    if (const auto limit = m_idleLimits.find(endpoint.service); limit != m_idleLimits.end())
+        entry.idle.setMost(limit->second);
     auto connection
-        = entryOf(endpoint.id)
-              .idle.take(m_timers.now(), [isCautious](const http::ClientConnection &idle) {
-                  return usableIdle(idle, isCautious);
-              });
+        = entry.idle.take(m_timers.now(), [isCautious](const http::ClientConnection &idle) {
+              return usableIdle(idle, isCautious);
+          });
     if (connection)
         return connection;
     return std::make_unique<http::ClientConnection>(m_loop, endpoint.address, connectTimeout);
 }
 
+void EndpointPool::setIdleLimit(const core::ServiceId &service, std::size_t most)
+{
+    m_idleLimits[service] = std::min(most, maxIdlePerEndpoint);
+}
+
 void EndpointPool::giveBack(const core::EndpointId &id,
                             std::unique_ptr<http::ClientConnection> connection)
 {
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -32,6 +32,10 @@
 
     /// How fast endpoints read prompts, which weighs prompts against slots.
     void setTokensPerSecond(double tokens) { m_tokensPerSecond = tokens; }
+    /// How many connections this daemon keeps open to each endpoint of a service while they are not
+    /// in use. Endpoints reset what goes beyond their limit, whoever opened it.
+    void setIdleLimit(const core::ServiceId &service, std::size_t most);
+    std::size_t idleConnections(const core::EndpointId &id) { return entryOf(id).idle.size(); }
     /// Whether a connection to the endpoint is open and free.
     bool hasIdleConnection(const core::EndpointId &id) { return !entryOf(id).idle.isEmpty(); }
 
@@ -81,6 +85,7 @@
     net::EventLoop &m_loop;
     net::TimerService &m_timers;
     std::map<core::EndpointId, Entry> m_endpoints;
+    std::map<core::ServiceId, std::size_t> m_idleLimits;
     double m_tokensPerSecond = decisions::RequestCost().tokensPerSecond();
     net::TimerService::Subscription m_sweep;
 };
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "decisions/connectionshare.h"
 #include "observability/log.h"
 
 #include <absl/strings/str_cat.h>
@@ -77,7 +78,7 @@
                  .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
               leaseLimits(m_settings), [this] { return m_peers.isCoordinatorHeard(); })
-    , m_peers(m_context, m_caller, m_storePath, m_relay, m_lease, [this] { wakeWaiting(); })
+    , m_peers(m_context, m_caller, m_storePath, m_relay, m_lease, [this] { viewArrived(); })
     , m_coordinator(
           m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics, m_context.cost,
           [this](const net::Address &peer, const PeerView &view) { m_peers.sendView(peer, view); })
@@ -210,9 +211,23 @@
         budget.slack = m_settings.bounds.budgetSlack;
         m_context.budgets[service.service].setLimits(budget);
     }
+    shareConnections();
     m_coordinator.configurationChanged();
 }
 
+void Gateway::shareConnections()
+{
+    m_sharingDaemons = m_context.daemons;
+    if (!m_watch.routes())
+        return;
+    for (const fleet::ServiceSpec &service : m_watch.routes()->configuration().services) {
+        if (service.maxConnections > 0)
+            m_pool.setIdleLimit(
+                service.service,
+                decisions::idleConnectionsOf(service.maxConnections, m_context.daemons));
+    }
+}
+
 void Gateway::endpointLeft(const core::EndpointId &id)
 {
     // A request may end and leave the map while it looks for another endpoint.
@@ -221,6 +236,13 @@
         task->endpointLeft(id);
 }
 
+void Gateway::viewArrived()
+{
+    if (m_sharingDaemons != m_context.daemons)
+        shareConnections();
+    wakeWaiting();
+}
+
 void Gateway::wakeWaiting()
 {
     std::vector<std::shared_ptr<RequestTask>> waiting;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -46,7 +46,10 @@
     void answerReadiness(http::ServerExchange &exchange) const;
     void configurationChanged();
     void answerMetrics(http::ServerExchange &exchange);
+    void viewArrived();
     void wakeWaiting();
+    /// Divides the endpoints' limits of connections among the daemons.
+    void shareConnections();
     void endpointLeft(const core::EndpointId &id);
     /// Takes the bounds of changed settings; addresses last as long as the process.
     void reloadSettings();
@@ -74,6 +77,7 @@
     http::Server m_metricsServer;
     std::map<std::uint64_t, std::shared_ptr<RequestTask>> m_requests; ///< In order of arrival.
     std::uint64_t m_nextRequest = 0;
+    int m_sharingDaemons = 0; ///< For which connections were divided last.
     net::TimerService::Subscription m_wake;
     net::TimerService::Subscription m_stopTimer;
 };
--- a/src/libs/http/idleconnections.h
+++ b/src/libs/http/idleconnections.h
@@ -32,6 +32,9 @@
     /// The connection that was kept last, which its peer is the least likely to close just now;
     /// nullptr if there is none within its limit.
     std::unique_ptr<ClientConnection> take(core::TimePoint now, const Limit &limit);
+    /// Changes how many are kept; those over it go with their next exchange.
+    void setMost(std::size_t most) { m_most = most; }
+    std::size_t size() const { return m_idle.size(); }
     bool isEmpty() const { return m_idle.empty(); }
     /// Closes those that waited for longer than their limit.
     void closeOlder(core::TimePoint now, const Limit &limit);
