Bound how long a watch that the store leaves unanswered holds back news

Change: a watch is given up 0.8 s beyond its wait, and the one that another daemon passes on waits 0.6 s at most.

--- a/src/libs/gateway/storepath.cpp
+++ b/src/libs/gateway/storepath.cpp
@@ -27,6 +27,9 @@
 constexpr core::Duration relayPause = std::chrono::seconds(4);
 // The same for a relay that says that the store does not answer it.
 constexpr core::Duration lostStorePause = std::chrono::seconds(1);
+// A watch that another daemon passes on; four a second at most, while the store turns this one
+// away.
+constexpr core::Duration peerWatchWait = std::chrono::milliseconds(600);
 // A daemon whose watch of the store failed asks relays only for this long. Less than half of the
 // stretch that an outage gives to the bounds, 6 s and more in all site files.
 constexpr core::Duration failedWatchPause = std::chrono::milliseconds(2500);
@@ -156,12 +159,11 @@
     platform::WatchRequest direct = watch;
     if (m_isRelay)
         direct.wait = core::scaled(watch.wait, relayWaitPart);
-    net::HttpRequest request;
     if (!isPaced) {
-        request.path = platform::writeWatchTarget(direct);
-        call(request, direct.wait + margin, std::move(handler));
+        watchOrAskPeer(direct, margin, std::move(handler));
         return;
     }
+    net::HttpRequest request;
     // Two daemons did not answer or said that the store does not: no third one is asked, and not
     // for long, so that the relays are soon tried again.
     direct.wait = std::min(direct.wait, relayWait);
@@ -174,6 +176,37 @@
                   });
 }
 
+void StorePath::watchOrAskPeer(const platform::WatchRequest &watch, core::Duration margin,
+                               http::Caller::Handler handler)
+{
+    // A peer that the store does not answer either must not hold the news back for as long again.
+    platform::WatchRequest brief = watch;
+    brief.wait = std::min(watch.wait, peerWatchWait);
+    net::HttpRequest request;
+    request.path = platform::writeWatchTarget(watch);
+    net::HttpRequest briefRequest;
+    briefRequest.path = platform::writeWatchTarget(brief);
+    const auto viaPeer = [this, briefRequest, timeout = brief.wait + margin](
+                             const net::Address &peer, http::Caller::Handler done) {
+        callPeer(peer, briefRequest, timeout, std::move(done));
+    };
+    if (m_timers.now() < m_peerUntil) {
+        if (const auto peer = usablePeer()) {
+            viaPeer(*peer, std::move(handler));
+            return;
+        }
+        m_peerUntil = {};
+    }
+    m_caller.call(m_store, request, watch.wait + margin,
+                  [this, viaPeer, handler = std::move(handler)](auto answer) {
+                      const auto peer = isRefusal(answer) ? usablePeer() : std::nullopt;
+                      if (peer)
+                          viaPeer(*peer, handler);
+                      else
+                          handler(std::move(answer));
+                  });
+}
+
 void StorePath::callPeer(const net::Address &peer, const net::HttpRequest &request,
                          core::Duration timeout, http::Caller::Handler handler)
 {
--- a/src/libs/gateway/storepath.h
+++ b/src/libs/gateway/storepath.h
@@ -68,6 +68,8 @@
                       http::Caller::Handler handler);
     void watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
                        http::Caller::Handler handler);
+    void watchOrAskPeer(const platform::WatchRequest &watch, core::Duration margin,
+                        http::Caller::Handler handler);
     void leave(Relay &relay, bool hasLostStore);
     std::optional<net::Address> usablePeer() const;
     void callPeer(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
--- a/src/libs/platform/objectstore.cpp
+++ b/src/libs/platform/objectstore.cpp
@@ -15,6 +15,10 @@
 
 // The store answers in 4 ms; the rest is room for a round trip between regions and a lost packet.
 constexpr core::Duration callTimeout = std::chrono::milliseconds(1500);
+// Beyond the wait of a watch, until its answer begins: a round trip between regions of 60 ms and
+// the time in which a lost packet is sent again. A watch that the store leaves unanswered holds
+// back news.
+constexpr core::Duration watchMargin = std::chrono::milliseconds(800);
 // A lease that is not renewed in time is lost, so that its calls must leave time for another way.
 constexpr core::Duration leaseCallTimeout = std::chrono::milliseconds(400);
 
@@ -142,7 +146,7 @@
 void ObjectStore::watch(Kind kind, Revision since, core::Duration wait,
                         Handler<ObjectEvents> handler)
 {
-    m_watch({kind, since, wait}, callTimeout, [handler = std::move(handler)](auto answer) {
+    m_watch({kind, since, wait}, watchMargin, [handler = std::move(handler)](auto answer) {
         handler(decodeAnswer<ObjectEvents>(answer, decodeEvents));
     });
 }
