--- a/src/libs/gateway/storepath.cpp
+++ b/src/libs/gateway/storepath.cpp
@@ -56,20 +56,26 @@
 
 void StorePath::call(const net::HttpRequest &request, core::Duration timeout,
                      http::Caller::Handler handler)
+{
+    callOrAskPeer({request, timeout}, {request, timeout}, std::move(handler));
+}
+
+void StorePath::callOrAskPeer(const TimedRequest &direct, const TimedRequest &viaPeer,
+                              http::Caller::Handler handler)
 {
     if (m_timers.now() < m_peerUntil) {
         // Without another daemon the store itself is asked, which may have come back.
         if (const auto peer = usablePeer()) {
-            callPeer(*peer, request, timeout, std::move(handler));
+            callPeer(*peer, viaPeer, std::move(handler));
             return;
         }
         m_peerUntil = {};
     }
-    m_caller.call(m_store, request, timeout,
-                  [this, request, timeout, handler = std::move(handler)](auto answer) {
+    m_caller.call(m_store, direct.request, direct.timeout,
+                  [this, viaPeer, handler = std::move(handler)](auto answer) {
                       const auto peer = isRefusal(answer) ? usablePeer() : std::nullopt;
                       if (peer)
-                          callPeer(*peer, request, timeout, handler);
+                          callPeer(*peer, viaPeer, handler);
                       else
                           handler(std::move(answer));
                   });
@@ -156,19 +162,24 @@
                                 "the store failed lately"));
         return;
     }
-    platform::WatchRequest direct = watch;
-    if (m_isRelay)
-        direct.wait = core::scaled(watch.wait, relayWaitPart);
+    const auto requestOf = [&watch](core::Duration wait, core::Duration extra) {
+        TimedRequest timed;
+        timed.request.path = platform::writeWatchTarget({watch.kind, watch.since, wait});
+        timed.timeout = wait + extra;
+        return timed;
+    };
     if (!isPaced) {
-        watchOrAskPeer(direct, margin, std::move(handler));
+        const core::Duration wait
+            = m_isRelay ? core::scaled(watch.wait, relayWaitPart) : watch.wait;
+        // A peer that the store does not answer either must not hold the news back for as long.
+        callOrAskPeer(requestOf(wait, margin), requestOf(std::min(wait, peerWatchWait), margin),
+                      std::move(handler));
         return;
     }
-    net::HttpRequest request;
     // Two daemons did not answer or said that the store does not: no third one is asked, and not
     // for long, so that the relays are soon tried again.
-    direct.wait = std::min(direct.wait, relayWait);
-    request.path = platform::writeWatchTarget(direct);
-    m_caller.call(m_store, request, direct.wait + relayMargin,
+    const TimedRequest brief = requestOf(std::min(watch.wait, relayWait), relayMargin);
+    m_caller.call(m_store, brief.request, brief.timeout,
                   [this, handler = std::move(handler)](auto answer) {
                       if (isRefusal(answer))
                           m_noWatchUntil = m_timers.now() + failedWatchPause;
@@ -176,43 +187,12 @@
                   });
 }
 
-void StorePath::watchOrAskPeer(const platform::WatchRequest &watch, core::Duration margin,
-                               http::Caller::Handler handler)
-{
-    // A peer that the store does not answer either must not hold the news back for as long again.
-    platform::WatchRequest brief = watch;
-    brief.wait = std::min(watch.wait, peerWatchWait);
-    net::HttpRequest request;
-    request.path = platform::writeWatchTarget(watch);
-    net::HttpRequest briefRequest;
-    briefRequest.path = platform::writeWatchTarget(brief);
-    const auto viaPeer = [this, briefRequest, timeout = brief.wait + margin](
-                             const net::Address &peer, http::Caller::Handler done) {
-        callPeer(peer, briefRequest, timeout, std::move(done));
-    };
-    if (m_timers.now() < m_peerUntil) {
-        if (const auto peer = usablePeer()) {
-            viaPeer(*peer, std::move(handler));
-            return;
-        }
-        m_peerUntil = {};
-    }
-    m_caller.call(m_store, request, watch.wait + margin,
-                  [this, viaPeer, handler = std::move(handler)](auto answer) {
-                      const auto peer = isRefusal(answer) ? usablePeer() : std::nullopt;
-                      if (peer)
-                          viaPeer(*peer, handler);
-                      else
-                          handler(std::move(answer));
-                  });
-}
-
-void StorePath::callPeer(const net::Address &peer, const net::HttpRequest &request,
-                         core::Duration timeout, http::Caller::Handler handler)
+void StorePath::callPeer(const net::Address &peer, const TimedRequest &timed,
+                         http::Caller::Handler handler)
 {
-    net::HttpRequest passed = request;
-    passed.path = peerPrefix + request.path;
-    m_caller.call(peer, passed, timeout + peerTime,
+    net::HttpRequest passed = timed.request;
+    passed.path = peerPrefix + timed.request.path;
+    m_caller.call(peer, passed, timed.timeout + peerTime,
                   [this, handler = std::move(handler)](auto answer) {
                       const bool helped = !isRefusal(answer);
                       if (helped && m_timers.now() >= m_peerUntil)
--- a/src/libs/gateway/storepath.h
+++ b/src/libs/gateway/storepath.h
@@ -55,6 +55,11 @@
     static constexpr int noRelay = 421;
 
 private:
+    struct TimedRequest
+    {
+        net::HttpRequest request;
+        core::Duration timeout {};
+    };
     struct Relay
     {
         std::optional<net::Address> address;
@@ -68,11 +73,12 @@
                       http::Caller::Handler handler);
     void watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
                        http::Caller::Handler handler);
-    void watchOrAskPeer(const platform::WatchRequest &watch, core::Duration margin,
-                        http::Caller::Handler handler);
     void leave(Relay &relay, bool hasLostStore);
     std::optional<net::Address> usablePeer() const;
-    void callPeer(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
+    /// Asks the store, or a daemon that it serves while it turns this one away.
+    void callOrAskPeer(const TimedRequest &direct, const TimedRequest &viaPeer,
+                       http::Caller::Handler handler);
+    void callPeer(const net::Address &peer, const TimedRequest &timed,
                   http::Caller::Handler handler);
 
     http::Caller &m_caller;
