Fill made places at once, serve who asks again first, let broken streams wait for room

Change: the load follows its unload without a pass; a first copy gains more the longer it is asked for; a broken stream waits up to 1.2 s for room.

--- a/src/libs/decisions/adapterdemand.cpp
+++ b/src/libs/decisions/adapterdemand.cpp
@@ -37,6 +37,8 @@
     Decayed &decayed = m_adapters[key][region];
     decayed.weight = decayed.weight * remaining(decayed.at, now, memory) + count;
     decayed.shortWeight = decayed.shortWeight * remaining(decayed.at, now, shortMemory) + count;
+    if (decayed.at == core::TimePoint())
+        decayed.firstAt = now;
     decayed.at = now;
 }
 
--- a/src/libs/decisions/adapterdemand.h
+++ b/src/libs/decisions/adapterdemand.h
@@ -33,6 +33,7 @@
         double weight = 0;
         double shortWeight = 0;
         core::TimePoint at;
+        core::TimePoint firstAt; ///< Since then it was asked for without being forgotten.
     };
     using ByRegion = std::map<core::RegionId, Decayed>;
     const std::unordered_map<fleet::AdapterKey, ByRegion> &adapters() const { return m_adapters; }
--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -161,6 +161,17 @@
     return orders;
 }
 
+std::optional<PlannedOrder> AdapterPlanner::planReserved(const core::EndpointId &id,
+                                                         core::TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return std::nullopt;
+    // The place was counted against the limit of transits when it was reserved.
+    PlanningPass pass(m_limits, m_demand, m_newest, m_modelLoads, m_endpoints, m_cost, 0, now);
+    return pass.planReserved(found->second);
+}
+
 void AdapterPlanner::orderEnded(const PlannedOrder &order, OrderEnd end, core::TimePoint now)
 {
     const auto found = m_endpoints.find(order.endpoint);
--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -17,9 +17,7 @@
     , m_cost(cost)
     , m_now(now)
     , m_transitRoom(adaptersInTransit)
-{
-    indexCopies();
-}
+{ }
 
 void PlanningPass::indexCopies()
 {
@@ -39,6 +37,7 @@
 
 std::vector<PlannedOrder> PlanningPass::run()
 {
+    indexCopies();
     std::vector<PlannedOrder> orders;
     const auto planEach = [&](auto plan, bool needsTransit) {
         for (auto &[id, state] : m_endpoints) {
@@ -216,7 +215,7 @@
 // A place that was made for an adapter is filled before anything else is decided.
 std::optional<PlannedOrder> PlanningPass::planReserved(EndpointState &state)
 {
-    if (!state.reserved)
+    if (!state.reserved || !canTakeOrder(state))
         return std::nullopt;
     const fleet::AdapterKey key = *std::exchange(state.reserved, std::nullopt);
     if (state.adapters.contains(key) || !hasRoom(state, key.model))
@@ -244,8 +243,11 @@
 {
     const double ofCopy = m_limits.fillPerCopy / m_cost.partOfEndpoint(m_slots);
     const double rate = AdapterDemand::peakRateOf(demand, m_now);
-    if (copies.empty())
-        return std::min(rate, ofCopy);
+    if (copies.empty()) {
+        // Who asks again for an adapter that was not loaded goes before further copies for a crowd.
+        const double again = 1.0 + core::toSeconds(demand.at - demand.firstAt);
+        return std::min(rate, ofCopy) * again;
+    }
     int held = 0;
     double leastFill = 0;
     for (const EndpointState *copy : copies) {
--- a/src/libs/decisions/planningpass.h
+++ b/src/libs/decisions/planningpass.h
@@ -24,6 +24,8 @@
 
     /// The orders to give now; each is marked as being given.
     std::vector<PlannedOrder> run();
+    /// The load for the place that was made at one endpoint, if it can be ordered now.
+    std::optional<PlannedOrder> planReserved(EndpointState &state);
     /// How many further adapters may be on their way from the store.
     int transitRoom() const { return m_transitRoom; }
 
@@ -65,7 +67,6 @@
 
     bool isModelLoadAllowed(const EndpointState &state);
     std::optional<PlannedOrder> planModel(EndpointState &state);
-    std::optional<PlannedOrder> planReserved(EndpointState &state);
     std::optional<PlannedOrder> planUpgrade(EndpointState &state);
     std::optional<Wish> wishFor(const fleet::AdapterKey &key, const core::RegionId &region,
                                 const AdapterDemand::Decayed &demand) const;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -389,6 +389,10 @@
     m_planner.orderEnded(planned, end, m_timers.now());
     if (planned.isLoad && end == decisions::OrderEnd::Accepted)
         tellLoad(planned);
+    if (!planned.isLoad && m_lease.mayOrder()) {
+        if (const auto load = m_planner.planReserved(planned.endpoint, m_timers.now()))
+            give(*load, 0);
+    }
     planSoon();
 }
 
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -25,6 +25,9 @@
 // Part of the target latency that a request may wait for a free slot and still be on time.
 constexpr double capacityWaitPart = 0.6;
 constexpr double deadlineWaitPart = 0.4;
+// Callers leave a stream after a gap of two seconds; the rest is for the next endpoint's first
+// event.
+constexpr core::Duration resumeWait = std::chrono::milliseconds(1200);
 // Sends that are certain not to have run do not use up the route's attempts, but they must end.
 constexpr int maxSends = 4;
 // An answer of more bytes is passed on only as a whole, so this bounds what a daemon holds for it.
@@ -167,6 +170,8 @@
 
 core::TimePoint RequestTask::waitLimit(decisions::NoChoice reason) const
 {
+    if (m_isRelaying)
+        return m_brokeAt + resumeWait;
     const core::TimePoint arrival = m_exchange->receivedAt;
     const auto part = [](core::Duration whole, double share) {
         return std::chrono::duration_cast<core::Duration>(whole * share);
@@ -311,6 +316,7 @@
     if (isLastRun || deadline() - now() < leastTimeLeft)
         return;
     dropConnection();
+    m_brokeAt = now();
     m_context.pool.health(m_endpoint).answeredFailure(now());
     sendFailed(Failure::MayHaveRun, "endpoint was silent for too long");
 }
@@ -480,6 +486,7 @@
         return;
     }
     m_isBrokenStream = false;
+    m_brokeAt = now();
     connectionBroke(end);
     sendFailed(end == http::ExchangeEnd::ConnectFailed ? Failure::NotSent : Failure::MayHaveRun,
                "stream broke");
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -110,9 +110,10 @@
     EventFilter m_events;
     StreamTimes m_times;
     core::TimePoint m_sentAt;
-    double m_startLoad = 0;  ///< Slots occupied at the endpoint when the request was sent.
-    int m_readingTokens = 0; ///< Of the present send, until its first event.
-    bool m_isAlone = false;  ///< The endpoint had nothing to read and few streams then.
+    core::TimePoint m_brokeAt; ///< When the stream that is being passed on broke off last.
+    double m_startLoad = 0;    ///< Slots occupied at the endpoint when the request was sent.
+    int m_readingTokens = 0;   ///< Of the present send, until its first event.
+    bool m_isAlone = false;    ///< The endpoint had nothing to read and few streams then.
     net::TimerService::Subscription m_deadlineTimer;
     net::TimerService::Subscription m_stallTimer;
 };
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -288,6 +288,47 @@
     cr_assert_eq(fixture.loads, 2);
 }
 
+// Pattern: rare adapters beside a crowd that grows. Guards against one that is asked for again and
+// again, and never loaded, because a further copy for the crowd always gains more: 80 of 425
+// adapters were never served in a day.
+Test(adapterplanner, adapterThatIsAskedForAgainGoesBeforeFurtherCopies)
+{
+    Fixture fixture;
+    for (int index = 0; index < 40; ++index)
+        fixture.addEndpoint("e" + std::to_string(index), near, 11);
+    fixture.now += std::chrono::seconds(2);
+    fixture.planner.demand().add(keyOf(1), near, 1, fixture.now);
+    fixture.planner.demand().add(keyOf(0), near, 1, fixture.now);
+    fixture.now += std::chrono::seconds(6);
+    fixture.planner.demand().add(keyOf(1), near, 1, fixture.now);
+    fixture.planner.demand().add(keyOf(0), near, 300, fixture.now);
+    const auto orders = fixture.planner.plan(fixture.now);
+    cr_assert(std::ranges::any_of(
+        orders, [](const PlannedOrder &order) { return order.adapter == core::AdapterId("a1"); }));
+}
+
+// Guards against an adapter that waits for the next pass after a place was made for it.
+Test(adapterplanner, placeThatWasMadeIsFilledAtOnce)
+{
+    Fixture fixture;
+    fixture.addEndpoint("e0", near, 1);
+    fixture.now += std::chrono::seconds(2);
+    fixture.planner.demand().add(keyOf(1), near, 4, fixture.now);
+    fixture.run(std::chrono::seconds(3));
+    cr_assert_eq(fixture.loads, 1);
+    fixture.now += std::chrono::seconds(20);
+    fixture.planner.demand().add(keyOf(2), near, 4, fixture.now);
+    const auto unload = fixture.planner.plan(fixture.now);
+    cr_assert_eq(unload.size(), 1U);
+    cr_assert_not(unload[0].isLoad);
+    cr_assert_not(fixture.planner.planReserved(unload[0].endpoint, fixture.now).has_value());
+    fixture.planner.orderEnded(unload[0], OrderEnd::Holds, fixture.now);
+    const auto load = fixture.planner.planReserved(unload[0].endpoint, fixture.now);
+    cr_assert(load.has_value());
+    cr_assert_eq(load->adapter, core::AdapterId("a2"));
+    cr_assert_not(fixture.planner.planReserved(unload[0].endpoint, fixture.now).has_value());
+}
+
 // Pattern: cold start under skewed demand. Guards against the first copies of adapters that are
 // asked for once taking all loads while a crowd waits for further copies of the popular ones: on a
 // day of 195 daemons 200 requests a second were refused by full endpoints from the first second on,
--- a/tests/e2e/tst_platformtrouble.cpp
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -242,6 +242,40 @@
     cr_assert_eq(fixture.first.runs.size(), 2U);
 }
 
+// Guards against a long stream that broke off being ended at the first refusal of another endpoint:
+// its wait was counted from its arrival, which was long ago.
+Test(platformtrouble, brokenStreamWaitsForRoom, .timeout = 60)
+{
+    Fixture fixture("model");
+    EndpointStandIn::Exchange broken;
+    int refusals = 0;
+    const auto run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (!broken) {
+            broken = exchange;
+            exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+            exchange->writeChunk(event(1));
+        } else if (refusals < 2) {
+            ++refusals;
+            exchange->respond(503, {{"Not-Executed", "1"}}, {});
+        } else {
+            stream(exchange, 6, false);
+        }
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return broken != nullptr; }));
+    int id = 1;
+    const auto turn
+        = fixture.timers.every(milliseconds(400), [&] { broken->writeChunk(event(++id)); });
+    // Longer than a request waits for room.
+    cr_assert(fixture.waitUntil([&] { return id == 5; }));
+    broken->abort();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 6));
+    cr_assert_eq(refusals, 2);
+}
+
 // Guards against requests being refused while the first configuration is some milliseconds away:
 // 104 were after all daemons had been killed in a burst (incident inc-0642).
 Test(platformtrouble, requestWaitsForTheFirstConfiguration, .timeout = 60)
