Wait for three missing reports before a daemon counts as gone

Cause, found on reading: daemons of large deployments report every 0.65 s, and one that was not heard of for 1.5 s was dropped, with its load and, if it was a relay, its duty.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -22,8 +22,9 @@
 // Joins loads that are accepted together: a popular adapter is waited for by most daemons, and tens
 // of copies of it are made at once.
 constexpr core::Duration tellDelay = std::chrono::milliseconds(20);
-// A daemon reports four times a second; one that was not heard of for this long has gone.
-constexpr core::Duration daemonTimeout = std::chrono::milliseconds(1500);
+// A daemon reports every 750 ms at the latest; one of which three reports in a row are missing has
+// gone.
+constexpr core::Duration daemonTimeout = std::chrono::milliseconds(2500);
 // Endpoints answer within milliseconds, from another region after 60 ms.
 constexpr core::Duration orderTimeout = std::chrono::milliseconds(200);
 // An order without an answer is sent again with the same expected revision, so that only one of the
