Handle lists as changes, and drop repeats found on the last read

Found on reading the whole change again; behaviour stays as it is. - Each object of a list was decoded twice, once as a change for the relay and once with the whole list, at the start too.

--- a/src/libs/decisions/adapterplanner.h
+++ b/src/libs/decisions/adapterplanner.h
@@ -50,11 +50,11 @@
     std::vector<PlannedOrder> plan(core::TimePoint now);
     void orderEnded(const PlannedOrder &order, OrderEnd end, core::TimePoint now);
 
-    /// How many adapters may be on their way from the store at once.
     /// The load for the place that an unload has made at the endpoint, without a whole pass: on a
     /// busy coordinator a pass takes as long as the load.
     std::optional<PlannedOrder> planReserved(const core::EndpointId &id, core::TimePoint now);
     void setRequestCost(const RequestCost &cost) { m_cost = cost; }
+    /// How many adapters may be on their way from the store at once.
     int adaptersInTransit() const { return m_transitLimit.value(); }
     const EndpointStates &endpoints() const { return m_endpoints; }
     /// Rises with each change of what endpoints hold.
--- a/src/libs/decisions/transitlimit.cpp
+++ b/src/libs/decisions/transitlimit.cpp
@@ -36,7 +36,7 @@
     m_floor = std::max(leastValue, static_cast<int>(m_value * floorPart));
 }
 
-void TransitLimit::countLoad(core::TimePoint now)
+void TransitLimit::advanceWindow(core::TimePoint now)
 {
     if (now - m_windowBegan >= decreasePeriod) {
         m_windowBegan = now;
@@ -47,7 +47,7 @@
 
 void TransitLimit::loadBegan(int inTransit, core::TimePoint now)
 {
-    countLoad(now);
+    advanceWindow(now);
     ++m_loads;
     if (inTransit < m_value || (m_hasBeenLate && now - m_lastDecrease < decreasePeriod))
         return;
@@ -60,7 +60,7 @@
 
 void TransitLimit::loadWasLate(core::TimePoint now)
 {
-    countLoad(now);
+    advanceWindow(now);
     ++m_lateLoads;
     if (m_lateLoads < lateShare * std::max(m_loads, m_loadsBefore))
         return;
--- a/src/libs/decisions/transitlimit.h
+++ b/src/libs/decisions/transitlimit.h
@@ -29,7 +29,7 @@
     static constexpr int mostValue = 96;
 
 private:
-    void countLoad(core::TimePoint now);
+    void advanceWindow(core::TimePoint now);
 
     int m_value = initialValue;
     core::TimePoint m_windowBegan;
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -23,6 +23,15 @@
     m_triedAgainAt = now + refusedPause;
 }
 
+decisions::EndpointChoice EndpointFinder::choose(core::TimePoint now) const
+{
+    const std::vector<decisions::EndpointOption> candidates = options(now);
+    // A request that waits for an adapter asks fifty times a second, mostly without any option.
+    if (candidates.empty())
+        return {std::nullopt, decisions::NoChoice::NoEndpoint};
+    return decisions::chooseEndpoint(candidates, m_context.draw(), unseenPerEndpoint(now));
+}
+
 double EndpointFinder::unseenPerEndpoint(core::TimePoint now) const
 {
     const double otherDaemons = m_context.daemons - 1;
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -24,15 +24,16 @@
     void tried(const core::EndpointId &id) { m_tried.insert(id); }
     /// An endpoint refused; none is asked a second time until this has passed.
     void refused(core::TimePoint now);
-    /// The endpoints of the service that hold what is asked for and are not leaving.
-    std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
-    /// How many requests other daemons are likely to have sent to each endpoint of the service
-    /// since they were told of last.
-    double unseenPerEndpoint(core::TimePoint now) const;
+    /// Chooses among the endpoints of the service that hold what is asked for and are not leaving.
+    decisions::EndpointChoice choose(core::TimePoint now) const;
     /// The version of the adapter that an endpoint must hold; empty while any may be used.
     std::optional<int> expectedVersion(core::TimePoint now) const;
 
 private:
+    std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
+    /// How many requests other daemons are likely to have sent to each endpoint of the service
+    /// since they were told of last.
+    double unseenPerEndpoint(core::TimePoint now) const;
     std::optional<decisions::EndpointOption> optionFor(const fleet::Endpoint &endpoint,
                                                        int leastVersion, core::TimePoint now) const;
     bool holdsWanted(const fleet::Endpoint &endpoint, int leastVersion, core::TimePoint now) const;
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -35,33 +34,24 @@
     , m_handlers(std::move(handlers))
     , m_configurationFollower(store, timers, relay, platform::Kind::Configuration,
                               watchWait(bounds),
-                              {[this](const auto &objects) {
-                                   for (const platform::StoredObject &object : objects)
-                                       takeConfiguration(object);
-                               },
-                               [this](const platform::ObjectEvent &event) {
-                                   if (!event.isRemoved)
-                                       takeConfiguration(event.object);
-                                   return true;
-                               }})
+                              [this](const platform::ObjectEvent &event) {
+                                  if (!event.isRemoved)
+                                      takeConfiguration(event.object);
+                                  return true;
+                              })
     , m_endpointFollower(store, timers, relay, platform::Kind::Endpoints, watchWait(bounds),
-                         {[this](const auto &objects) { endpointsListed(objects); },
-                          [this](const platform::ObjectEvent &event) {
-                              if (!event.isRemoved)
-                                  return takeEndpoint(event.object);
-                              endpointMissing(core::EndpointId(event.object.name));
-                              return true;
-                          }})
-    , m_versionFollower(store, timers, relay, platform::Kind::AdapterVersions, watchWait(bounds),
-                        {[this](const auto &objects) {
-                             for (const platform::StoredObject &object : objects)
-                                 takeVersion(object);
-                         },
                          [this](const platform::ObjectEvent &event) {
                              if (!event.isRemoved)
-                                 takeVersion(event.object);
+                                 return takeEndpoint(event.object);
+                             endpointMissing(core::EndpointId(event.object.name));
                              return true;
-                         }})
+                         })
+    , m_versionFollower(store, timers, relay, platform::Kind::AdapterVersions, watchWait(bounds),
+                        [this](const platform::ObjectEvent &event) {
+                            if (!event.isRemoved)
+                                takeVersion(event.object);
+                            return true;
+                        })
 { }
 
 void FleetWatch::start()
@@ -166,26 +156,6 @@
     m_handlers.onVersion(*announced);
 }
 
-void FleetWatch::endpointsListed(const std::vector<platform::StoredObject> &objects)
-{
-    std::set<core::EndpointId> present;
-    for (const platform::StoredObject &object : objects) {
-        present.insert(core::EndpointId(object.name));
-        takeEndpoint(object);
-    }
-    if (!m_endpointFollower.isListed())
-        observability::log(
-            {.step = "endpoint",
-             .message = absl::StrCat(m_endpoints.size(), " endpoints are known at the start")});
-    std::vector<core::EndpointId> missing;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        if (!present.contains(id))
-            missing.push_back(id);
-    }
-    for (const core::EndpointId &id : missing)
-        endpointMissing(id);
-}
-
 void FleetWatch::endpointMissing(const core::EndpointId &id)
 {
     if (!m_endpoints.contains(id) || m_missing.contains(id))
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -57,7 +57,6 @@
     /// Returns whether anything but the contents changed; those are the coordinator's to tell.
     bool takeEndpoint(const platform::StoredObject &object);
     void takeVersion(const platform::StoredObject &object);
-    void endpointsListed(const std::vector<platform::StoredObject> &objects);
     void endpointMissing(const core::EndpointId &id);
     void dropOverdue();
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -72,8 +72,6 @@
                  .isLoadingPossible = [this] { return m_peers.isCoordinatorHeard(); },
                  .untilLoadsResume = [this] { return m_peers.untilNextCoordinator(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
-                 .daemons = 1,
-                 .reportPeriod = std::chrono::milliseconds(250),
                  .random = std::mt19937_64(std::random_device()()),
                  .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -67,6 +67,7 @@
 absl::Status PeerLink::start(Coordinator &coordinator)
 {
     m_coordinator = &coordinator;
+    m_context.reportPeriod = shortestReportPeriod;
     bindMethods(coordinator);
     m_server = std::make_unique<http::Server>(
         m_context.loop, m_context.timers,
@@ -112,7 +113,7 @@
         exchange.respond(StorePath::noRelay, {}, {});
     else
         exchange.respond(200, {{"Content-Type", "application/json"}},
-                         platform::writeObject(*record));
+                         platform::encodeObject(*record).dump());
 }
 
 void PeerLink::readLeaseRecord(LeaseKeeper::RecordHandler handler)
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -82,20 +82,12 @@
     return loads;
 }
 
-/// The adapters of a list by their model, whose name then stands once.
-std::map<core::ModelId, json> byModel(const std::vector<fleet::AdapterKey> &keys)
-{
-    std::map<core::ModelId, json> lists;
-    for (const fleet::AdapterKey &key : keys)
-        lists[key.model].push_back(key.adapter.value());
-    return lists;
-}
-
+/// The adapters by their model, whose name then stands once.
 json encodeKeys(const std::vector<fleet::AdapterKey> &keys)
 {
     json value = json::object();
-    for (auto &[model, list] : byModel(keys))
-        value[model.value()] = std::move(list);
+    for (const fleet::AdapterKey &key : keys)
+        value[key.model.value()].push_back(key.adapter.value());
     return value;
 }
 
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -48,7 +48,7 @@
     /// Daemons that report to the coordinator, as it last told; one while none is known.
     int daemons = 1;
     /// How often a daemon reports its load; what is known of the others' is about as old.
-    core::Duration reportPeriod = std::chrono::milliseconds(250);
+    core::Duration reportPeriod {};
     std::mt19937_64 random;
     /// When SIGTERM came, if it came.
     std::optional<core::TimePoint> stopBegan;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -88,20 +88,18 @@
 {
     m_exchange->setGoneHandler([this] { callerLeft(); });
     m_exchange->setDrainedHandler([this] { slowDown(); });
-    attempt([this] { startOnce(); });
+    attempt([this] {
+        m_fields = platform::readCallerFields(m_exchange->head);
+        resolveOrWait();
+    });
 }
 
-void RequestTask::startOnce()
+void RequestTask::resolveOrWait()
 {
-    m_fields = platform::readCallerFields(m_exchange->head);
-    if (m_context.watch.isComplete())
+    if (m_context.watch.isComplete()) {
         resolve();
-    else
-        waitForConfiguration();
-}
-
-void RequestTask::waitForConfiguration()
-{
+        return;
+    }
     m_isWaiting = !m_context.stopBegan && m_context.watch.isStarting()
         && now() - m_exchange->receivedAt < startWait;
     if (!m_isWaiting)
@@ -110,8 +108,6 @@
 
 void RequestTask::resolve()
 {
-    m_isWaiting = false;
-    m_isResolved = true;
     m_routes = m_context.watch.routes();
     m_route = m_routes->find(m_exchange->head.headers.value("Host"), m_exchange->head.target);
     if (m_route == nullptr) {
@@ -159,8 +155,7 @@
         refuse("no time is left", busyRetryAfter);
         return;
     }
-    const auto choice = decisions::chooseEndpoint(m_finder.options(now()), m_context.draw(),
-                                                  m_finder.unseenPerEndpoint(now()));
+    const auto choice = m_finder.choose(now());
     if (!choice.endpoint) {
         waitFor(choice.reason);
         return;
@@ -173,13 +168,11 @@
     if (m_isRelaying)
         return m_brokeAt + resumeWait;
     const core::TimePoint arrival = m_exchange->receivedAt;
-    const auto part = [](core::Duration whole, double share) {
-        return std::chrono::duration_cast<core::Duration>(whole * share);
-    };
-    const core::Duration mostOfDeadline = part(deadline() - arrival, deadlineWaitPart);
+    const core::Duration mostOfDeadline = core::scaled(deadline() - arrival, deadlineWaitPart);
     if (reason == decisions::NoChoice::NoEndpoint)
         return arrival + std::min(loadWait, mostOfDeadline);
-    return arrival + std::min(part(m_route->targetLatency, capacityWaitPart), mostOfDeadline);
+    return arrival
+        + std::min(core::scaled(m_route->targetLatency, capacityWaitPart), mostOfDeadline);
 }
 
 void RequestTask::waitFor(decisions::NoChoice reason)
@@ -219,12 +212,10 @@
     if (!m_isWaiting || m_isDone)
         return;
     attempt([this] {
-        if (m_isResolved)
+        if (m_routes)
             choose();
-        else if (m_context.watch.isComplete())
-            resolve();
         else
-            waitForConfiguration();
+            resolveOrWait();
     });
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -42,9 +42,9 @@
 
     /// Runs `work`; if it throws, this request alone fails.
     template <typename Work> void attempt(const Work &work);
-    void startOnce();
+    /// Waits for the first configuration for a while if none is known yet.
+    void resolveOrWait();
     void resolve();
-    void waitForConfiguration();
     bool canEndBeforeStop() const;
     void choose();
     void waitFor(decisions::NoChoice reason);
@@ -86,7 +86,8 @@
     std::shared_ptr<http::ServerExchange> m_exchange;
     DoneHandler m_onDone;
     platform::CallerFields m_fields;
-    std::shared_ptr<const decisions::RouteTable> m_routes; ///< Keeps m_route valid.
+    /// Keeps m_route valid; empty until the request is resolved.
+    std::shared_ptr<const decisions::RouteTable> m_routes;
     const fleet::Route *m_route = nullptr;
     core::ServiceId m_service;
     EndpointFinder m_finder;
@@ -99,7 +100,6 @@
     bool m_waitsForLoad = false; ///< Counted in what the daemon's requests wait for.
     bool m_isSent = false;       ///< An exchange is in progress.
     bool m_isDone = false;
-    bool m_isResolved = false; ///< The route and the service are known.
 
     int m_status = 0; ///< Given to the caller; zero if the answer was broken off.
     http::MessageHead m_answer;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -29,13 +29,13 @@
 
 StoreFollower::StoreFollower(platform::ObjectStore &store, net::TimerService &timers,
                              WatchRelay &relay, platform::Kind kind, core::Duration wait,
-                             Handlers handlers)
+                             EventHandler onEvent)
     : m_store(store)
     , m_timers(timers)
     , m_relay(relay)
     , m_kind(kind)
     , m_wait(wait)
-    , m_handlers(std::move(handlers))
+    , m_onEvent(std::move(onEvent))
     , m_random(std::random_device()())
 { }
 
@@ -82,16 +82,18 @@
 {
     // Watches of other daemons go on across a list, which would cost each of them one of its own.
     platform::ObjectEvents changes {m_objects.listed(m_listing), m_listRevision};
-    std::erase_if(changes.events, [this](const platform::ObjectEvent &event) {
-        return !event.isRemoved && !isNewsForOthers(event);
-    });
-    m_revision = m_listRevision;
-    net::runGuarded("follow store", [this] { m_handlers.onListed(m_listing); });
     m_listing.clear();
-    if (std::exchange(m_isListed, true))
+    m_revision = m_listRevision;
+    const std::size_t count = changes.events.size();
+    handle(changes.events);
+    if (std::exchange(m_isListed, true)) {
         m_relay.heard(m_kind, changes, {});
-    else
-        m_relay.listed(m_kind, m_revision);
+        return;
+    }
+    m_relay.listed(m_kind, m_revision);
+    observability::log({.step = "follow store",
+                        .message = absl::StrCat(count, " objects are known at the start"),
+                        .peer = platform::pathOf(m_kind)});
 }
 
 void StoreFollower::watchNext()
@@ -108,9 +110,7 @@
         m_revision = events->revision;
         m_objects.changed(events->events);
         const bool hasEvents = !events->events.empty();
-        std::erase_if(events->events, [this](const platform::ObjectEvent &event) {
-            return !isNewsForOthers(event);
-        });
+        handle(events->events);
         core::Duration pause {};
         if (hasEvents)
             pause = m_kind == platform::Kind::Endpoints ? endpointEventPause : eventPause;
@@ -124,11 +124,13 @@
 
 // An event that cannot be handled is left out; without the guard the store would not be followed
 // any further.
-bool StoreFollower::isNewsForOthers(const platform::ObjectEvent &event)
+void StoreFollower::handle(std::vector<platform::ObjectEvent> &events)
 {
-    bool isNews = false;
-    net::runGuarded("follow store", [&] { isNews = m_handlers.onEvent(event); });
-    return isNews;
+    std::erase_if(events, [this](const platform::ObjectEvent &event) {
+        bool isNews = false;
+        net::runGuarded("follow store", [&] { isNews = m_onEvent(event); });
+        return !isNews;
+    });
 }
 
 void StoreFollower::answered()
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -17,17 +17,13 @@
 class StoreFollower
 {
 public:
-    struct Handlers
-    {
-        /// The whole kind as it was read; what is not in it does not exist.
-        std::function<void(const std::vector<platform::StoredObject> &)> onListed;
-        /// Returns whether the event tells what other daemons need to know.
-        std::function<bool(const platform::ObjectEvent &)> onEvent;
-    };
+    /// Takes a change, seen by a watch or between two lists; all objects of the first list are
+    /// changes. Returns whether other daemons need to know it.
+    using EventHandler = std::function<bool(const platform::ObjectEvent &)>;
 
     /// `wait` is how long a watch waits; one that hears nothing of a change delays it as long.
     StoreFollower(platform::ObjectStore &store, net::TimerService &timers, WatchRelay &relay,
-                  platform::Kind kind, core::Duration wait, Handlers handlers);
+                  platform::Kind kind, core::Duration wait, EventHandler onEvent);
     ~StoreFollower();
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
@@ -46,14 +42,15 @@
     void watchNext();
     void failed(const absl::Status &status, bool isWatch);
     void answered();
-    bool isNewsForOthers(const platform::ObjectEvent &event);
+    /// Hands the events on and keeps those that other daemons need to know.
+    void handle(std::vector<platform::ObjectEvent> &events);
 
     platform::ObjectStore &m_store;
     net::TimerService &m_timers;
     WatchRelay &m_relay; ///< Told what the store says.
     platform::Kind m_kind;
     core::Duration m_wait;
-    Handlers m_handlers;
+    EventHandler m_onEvent;
     std::vector<platform::StoredObject> m_listing;
     ObjectIndex m_objects;
     platform::Revision m_listRevision = 0;
--- a/src/libs/gateway/storepath.cpp
+++ b/src/libs/gateway/storepath.cpp
@@ -27,8 +27,7 @@
 constexpr core::Duration relayPause = std::chrono::seconds(4);
 // The same for a relay that says that the store does not answer it.
 constexpr core::Duration lostStorePause = std::chrono::seconds(1);
-// A watch that another daemon passes on; four a second at most, while the store turns this one
-// away.
+// A watch that another daemon passes on is short, since the store may turn that one away as well.
 constexpr core::Duration peerWatchWait = std::chrono::milliseconds(600);
 // A daemon whose watch of the store failed asks relays only for this long. Less than half of the
 // stretch that an outage gives to the bounds, 6 s and more in all site files.
@@ -93,11 +92,6 @@
                         .peer = relay ? relay->toString() : std::string()});
 }
 
-std::optional<net::Address> StorePath::usableRelay() const
-{
-    return m_timers.now() < m_relay.leftUntil ? std::nullopt : m_relay.address;
-}
-
 bool StorePath::Relay::setAddress(const std::optional<net::Address> &next)
 {
     if (address == next)
@@ -111,7 +105,7 @@
                       http::Caller::Handler handler)
 {
     for (Relay *relay : {&m_relay, &m_spare}) {
-        if (relay->address && m_timers.now() >= relay->leftUntil) {
+        if (relay->usable(m_timers.now())) {
             watchThrough(*relay, watch, margin, std::move(handler));
             return;
         }
--- a/src/libs/gateway/storepath.h
+++ b/src/libs/gateway/storepath.h
@@ -34,7 +34,7 @@
                    const std::optional<net::Address> &spare);
     bool hasRelay() const { return m_relay.address.has_value(); }
     /// The relay of the failure domain, unless there is none or it failed lately.
-    std::optional<net::Address> usableRelay() const;
+    std::optional<net::Address> usableRelay() const { return m_relay.usable(m_timers.now()); }
     /// Whether other daemons watch through this one, so that its own watches must end earlier.
     void setIsRelay(bool isRelay) { m_isRelay = isRelay; }
     /// Passes a call of another daemon on, straight to the store only.
@@ -67,6 +67,11 @@
 
         /// Returns whether it is another one now.
         bool setAddress(const std::optional<net::Address> &next);
+        /// The address, unless there is none or it failed lately.
+        std::optional<net::Address> usable(core::TimePoint now) const
+        {
+            return now < leftUntil ? std::nullopt : address;
+        }
     };
 
     void watchThrough(Relay &relay, const platform::WatchRequest &watch, core::Duration margin,
--- a/src/libs/gateway/watchrelay.h
+++ b/src/libs/gateway/watchrelay.h
@@ -51,7 +51,7 @@
         platform::Revision oldest = 0; ///< Watches from here on can be answered.
         platform::Revision newest = 0;
         std::deque<platform::ObjectEvents> batches;
-        bool isHeard = false; ///< News came since this daemon became a relay.
+        bool isHeard = false; ///< What is known came straight from the store.
         bool isInTouch = false;
         core::TimePoint heardAt;
         core::Duration pause {};
--- a/src/libs/http/messageparser.cpp
+++ b/src/libs/http/messageparser.cpp
@@ -14,11 +14,13 @@
 }
 
 /// Calls the parser's handler `Handler`; an exception must not pass the C code of the library.
-template <int (*Handler)(http_parser *, const char *, std::size_t)>
-int guardedBytes(http_parser *parser, const char *data, std::size_t size)
+template <auto Handler, typename... Arguments>
+int guarded(http_parser *parser, Arguments... arguments)
 {
-    int result = 1;
-    net::runGuarded("message parser", [&] { result = Handler(parser, data, size); });
+    // Positive values have a meaning of their own at the end of the header.
+    constexpr int stopWithError = -1;
+    int result = stopWithError;
+    net::runGuarded("message parser", [&] { result = Handler(parser, arguments...); });
     return result;
 }
 
@@ -92,12 +94,12 @@
     static const http_parser_settings instance = [] {
         http_parser_settings callbacks;
         http_parser_settings_init(&callbacks);
-        callbacks.on_url = &guardedBytes<&MessageParser::onUrl>;
-        callbacks.on_header_field = &guardedBytes<&MessageParser::onField>;
-        callbacks.on_header_value = &guardedBytes<&MessageParser::onValue>;
-        callbacks.on_headers_complete = &MessageParser::onHeadersComplete;
-        callbacks.on_body = &guardedBytes<&MessageParser::onBody>;
-        callbacks.on_message_complete = &MessageParser::onMessageComplete;
+        callbacks.on_url = &guarded<&MessageParser::onUrl>;
+        callbacks.on_header_field = &guarded<&MessageParser::onField>;
+        callbacks.on_header_value = &guarded<&MessageParser::onValue>;
+        callbacks.on_headers_complete = &guarded<&MessageParser::onHeadersComplete>;
+        callbacks.on_body = &guarded<&MessageParser::onBody>;
+        callbacks.on_message_complete = &guarded<&MessageParser::onMessageComplete>;
         return callbacks;
     }();
     return instance;
@@ -154,14 +156,6 @@
 }
 
 int MessageParser::onHeadersComplete(http_parser *parser)
-{
-    constexpr int stopWithError = -1;
-    int result = stopWithError;
-    net::runGuarded("message parser", [&] { result = headComplete(parser); });
-    return result;
-}
-
-int MessageParser::headComplete(http_parser *parser)
 {
     MessageParser &owner = self(parser);
     owner.flushField();
--- a/src/libs/http/messageparser.h
+++ b/src/libs/http/messageparser.h
@@ -66,7 +66,6 @@
     static int onField(http_parser *parser, const char *data, std::size_t size);
     static int onValue(http_parser *parser, const char *data, std::size_t size);
     static int onHeadersComplete(http_parser *parser);
-    static int headComplete(http_parser *parser);
     static int onBody(http_parser *parser, const char *data, std::size_t size);
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &settings();
--- a/src/libs/platform/objectstore.cpp
+++ b/src/libs/platform/objectstore.cpp
@@ -102,11 +102,10 @@
     return absl::StrCat(wire::objectsPath, wire::leaseKind);
 }
 
-std::string writeObject(const StoredObject &object)
+json encodeObject(const StoredObject &object)
 {
-    const json value {{"metadata", {{"name", object.name}, {"revision", object.revision}}},
-                      {"spec", object.spec}};
-    return value.dump();
+    return {{"metadata", {{"name", object.name}, {"revision", object.revision}}},
+            {"spec", object.spec}};
 }
 
 absl::StatusOr<StoredObject> readObject(const std::string &text)
@@ -160,9 +159,7 @@
 
 void ObjectStore::replace(Kind kind, const StoredObject &object, Handler<WriteResult> handler)
 {
-    write(kind, "PUT", absl::StrCat(pathOf(kind), "/", object.name),
-          {{"metadata", {{"name", object.name}, {"revision", object.revision}}},
-           {"spec", object.spec}},
+    write(kind, "PUT", absl::StrCat(pathOf(kind), "/", object.name), encodeObject(object),
           std::move(handler));
 }
 
--- a/src/libs/platform/objectstore.h
+++ b/src/libs/platform/objectstore.h
@@ -101,8 +101,8 @@
     Watch m_watch;
 };
 
-/// An object as the store writes it, for daemons that tell each other what they read.
-std::string writeObject(const StoredObject &object);
+/// An object as the store has it in its answers and takes it in calls.
+nlohmann::json encodeObject(const StoredObject &object);
 /// Errors: kInvalidArgument, the text is no object.
 absl::StatusOr<StoredObject> readObject(const std::string &text);
 
--- a/src/libs/platform/watchcodec.cpp
+++ b/src/libs/platform/watchcodec.cpp
@@ -59,13 +59,8 @@
 std::string writeEvents(const ObjectEvents &events)
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const ObjectEvent &event : events.events) {
-        const StoredObject &object = event.object;
-        list.push_back({{"removed", event.isRemoved},
-                        {"object",
-                         {{"metadata", {{"name", object.name}, {"revision", object.revision}}},
-                          {"spec", object.spec}}}});
-    }
+    for (const ObjectEvent &event : events.events)
+        list.push_back({{"removed", event.isRemoved}, {"object", encodeObject(event.object)}});
     return nlohmann::json {{"events", list}, {"current_rev", events.revision}}.dump();
 }
 
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -57,6 +57,14 @@
         report(core::EndpointId(id), hasModel);
     }
 
+    /// Near endpoints, ready for orders.
+    void addEndpoints(int count, int adapterSlots, bool hasModel = true)
+    {
+        for (int index = 0; index < count; ++index)
+            addEndpoint("e" + std::to_string(index), near, adapterSlots, hasModel);
+        now += std::chrono::seconds(2);
+    }
+
     void report(const core::EndpointId &id, bool hasModel = true)
     {
         fleet::EndpointReport report;
@@ -97,9 +105,7 @@
 Test(adapterplanner, loadUnderWayCountsAsCopy)
 {
     Fixture fixture;
-    for (int index = 0; index < 4; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 22);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(4, 22);
     fixture.planner.demand().add(keyOf(1), near, 1, fixture.now);
     const auto first = fixture.planner.plan(fixture.now);
     cr_assert_eq(first.size(), 1U);
@@ -130,9 +136,7 @@
 Test(adapterplanner, limitsAdaptersInTransit)
 {
     Fixture fixture;
-    for (int index = 0; index < 12; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 22);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(12, 22);
     for (int number = 0; number < 100; ++number)
         fixture.planner.demand().add(keyOf(number), near, 2, fixture.now);
     int started = 0;
@@ -200,9 +204,7 @@
 Test(adapterplanner, modelLoadsKeepUnderTheCeiling)
 {
     Fixture fixture;
-    for (int index = 0; index < 60; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 22, false);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(60, 22, false);
     const core::TimePoint begin = fixture.now;
     std::vector<core::TimePoint> loads;
     while (fixture.now < begin + std::chrono::seconds(20)) {
@@ -248,9 +250,7 @@
 Test(adapterplanner, skewedDemandKeepsThePopularAdapters)
 {
     Fixture fixture;
-    for (int index = 0; index < 6; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 22);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(6, 22);
     std::mt19937 random(20261204);
     std::vector<double> weights;
     for (int rank = 1; rank <= 3000; ++rank)
@@ -294,9 +294,7 @@
 Test(adapterplanner, adapterThatIsAskedForAgainGoesBeforeFurtherCopies)
 {
     Fixture fixture;
-    for (int index = 0; index < 40; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 11);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(40, 11);
     fixture.planner.demand().add(keyOf(1), near, 1, fixture.now);
     fixture.planner.demand().add(keyOf(0), near, 1, fixture.now);
     fixture.now += std::chrono::seconds(6);
@@ -337,9 +335,7 @@
 {
     Fixture fixture;
     constexpr int endpoints = 40;
-    for (int index = 0; index < endpoints; ++index)
-        fixture.addEndpoint("e" + std::to_string(index), near, 11);
-    fixture.now += std::chrono::seconds(2);
+    fixture.addEndpoints(endpoints, 11);
     fixture.planner.demand().add(keyOf(0), near, 1, fixture.now);
     fixture.run(milliseconds(500));
     cr_assert_eq(fixture.loads, 1);
--- a/tests/auto/clientconnection/tst_clientconnection.cpp
+++ b/tests/auto/clientconnection/tst_clientconnection.cpp
@@ -94,7 +94,7 @@
         EndlessWriter writer(timers, repeated);
         onRequest = [&](http::Connection &open, std::string_view) {
             open.write(begin);
-            writer.start(peer, open);
+            writer.start(open, [this, &open] { return peer.isOpen(open); });
         };
         send("r1");
         cr_assert(waitForEnd());
@@ -230,7 +230,7 @@
     EndlessWriter writer(fixture.timers, std::string(4096, 'x'));
     fixture.onRequest = [&](http::Connection &open, std::string_view) {
         open.write("HTTP/1.1 200 OK\r\n\r\n");
-        writer.start(fixture.peer, open);
+        writer.start(open, [&] { return fixture.peer.isOpen(open); });
     };
     http::Caller caller(fixture.loop, fixture.timers);
     std::optional<absl::StatusCode> code;
--- a/tests/e2e/tst_platformtrouble.cpp
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -45,7 +45,7 @@
         EndlessWriter writer(timers, repeated);
         onRequest = [&](http::Connection &connection, std::string_view) {
             connection.write(begin);
-            writer.start(peer, connection);
+            writer.start(connection, [this, &connection] { return peer.isOpen(connection); });
         };
         const auto answer = start(path, "r1", model);
         // The request's own time is 4 s; the failure must not wait for it.
@@ -155,13 +155,16 @@
         {"", std::string(4096, '\0')},
     };
     for (const auto &[begin, repeated] : requests) {
-        net::TimerService::Subscription more;
-        std::size_t sent = 0;
+        EndlessWriter writer(fixture.timers, repeated);
         http::Connection raw(fixture.loop, {"127.0.0.1", fixture.callerPort}, limit);
         bool isClosed = false;
         std::string received;
         raw.setHandlers({
-            .onConnected = [&, first = begin] { raw.write(first); },
+            .onConnected =
+                [&, first = begin] {
+                    raw.write(first);
+                    writer.start(raw, [&isClosed] { return !isClosed; });
+                },
             .onData =
                 [&] {
                     received += raw.received();
@@ -170,16 +173,9 @@
             .onDrained = {},
             .onClosed = [&](http::CloseReason) { isClosed = true; },
         });
-        more = fixture.timers.every(milliseconds(2), [&, text = repeated] {
-            while (raw.isConnected() && !isClosed && raw.pendingOutput() < 256 * 1024) {
-                raw.write(text);
-                sent += text.size();
-            }
-        });
         cr_assert(fixture.waitUntil([&] { return isClosed || !received.empty(); }));
-        more.cancel();
         cr_assert(received.empty() || received.starts_with("HTTP/1.1 4"), "%s", received.c_str());
-        cr_assert_lt(sent, 16UL * 1024 * 1024);
+        cr_assert_lt(writer.written(), 16UL * 1024 * 1024);
     }
     constexpr double mostMegabytes = 60;
     cr_assert_lt(usageOf(fixture.daemon).residentMegabytes, mostMegabytes);
--- a/tests/support/rawpeer.cpp
+++ b/tests/support/rawpeer.cpp
@@ -69,23 +69,16 @@
     , m_bytes(std::move(bytes))
 { }
 
-void EndlessWriter::start(RawPeer &peer, http::Connection &connection)
+void EndlessWriter::start(http::Connection &connection, std::function<bool()> isOpen)
 {
     constexpr core::Duration period = std::chrono::milliseconds(2);
-    m_timer = m_timers.every(period, [this, &peer, &connection] { write(peer, connection); });
-}
-
-void EndlessWriter::write(RawPeer &peer, http::Connection &connection)
-{
     constexpr std::size_t mostPending = 1024 * 1024;
-    if (!peer.isOpen(connection)) {
-        m_timer.cancel();
-        return;
-    }
-    while (connection.pendingOutput() < mostPending) {
-        connection.write(m_bytes);
-        m_written += m_bytes.size();
-    }
+    m_timer = m_timers.every(period, [this, &connection, isOpen = std::move(isOpen)] {
+        while (isOpen() && connection.pendingOutput() < mostPending) {
+            connection.write(m_bytes);
+            m_written += m_bytes.size();
+        }
+    });
 }
 
 } // namespace jackdawlead::testsupport
--- a/tests/support/rawpeer.h
+++ b/tests/support/rawpeer.h
@@ -50,13 +50,11 @@
 public:
     EndlessWriter(net::TimerService &timers, std::string bytes);
 
-    /// Precondition: `peer` owns the connection.
-    void start(RawPeer &peer, http::Connection &connection);
+    /// `isOpen` is asked before the connection is used.
+    void start(http::Connection &connection, std::function<bool()> isOpen);
     std::size_t written() const { return m_written; }
 
 private:
-    void write(RawPeer &peer, http::Connection &connection);
-
     net::TimerService &m_timers;
     std::string m_bytes;
     std::size_t m_written = 0;
