Heed endpoints that say they leave or want nothing for a while

Cause: neither the field by which an endpoint says in its answers that it leaves nor the time for which a 503 asks for nothing more was read; requests went on until the store said so.

Change: both are decoded in platform/. An endpoint that leaves counts as leaving for its present life whatever the store says, at this daemon at once and at the others through the coordinator, which also reads the field in answers to orders and reports. An endpoint that wants nothing gets nothing from this daemon for that time (at most five minutes), counts as full when copies are planned, and a caller for whom only such endpoints are left is told when the first one is back. Connections that are still being opened to either are given up.

The stand-in of endpoints speaks both fields.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -25,12 +25,16 @@
 // A daemon reports every 750 ms at the latest; one of which three reports in a row are missing has
 // gone.
 constexpr core::Duration daemonTimeout = std::chrono::milliseconds(2500);
+// Longer than two reports of a daemon, which may miss one view.
+constexpr core::Duration leavingToldTime = std::chrono::seconds(3);
 // Endpoints answer within milliseconds, from another region after 60 ms.
 constexpr core::Duration orderTimeout = std::chrono::milliseconds(200);
 // An order without an answer is sent again with the same expected revision, so that only one of the
 // two is carried out.
 constexpr int maxOrderSends = 3;
 constexpr core::Duration reportTimeout = std::chrono::milliseconds(600);
+// An endpoint that wants nothing from some daemon counts as full, so that its adapters get copies.
+constexpr double fillOfResting = 2;
 // A request that comes before its adapter gets refused, so that it is held back a little longer.
 constexpr core::Duration loadMargin = std::chrono::milliseconds(30);
 
@@ -168,6 +172,8 @@
     const core::TimePoint now = m_timers.now();
     std::erase_if(m_daemons,
                   [now](const auto &entry) { return now - entry.second.heardAt > daemonTimeout; });
+    std::erase_if(m_leaving,
+                  [now](const auto &entry) { return now - entry.second.second > leavingToldTime; });
     m_load.clear();
     for (const auto &[host, daemon] : m_daemons) {
         for (const auto &[id, load] : daemon.load)
@@ -176,7 +182,10 @@
     for (const auto &[id, state] : m_planner.endpoints()) {
         const auto load = m_load.find(id);
         const double sum = load == m_load.end() ? 0 : load->second;
-        m_planner.setLoad(id, sum / state.endpoint.slots);
+        const bool isResting = std::ranges::any_of(m_daemons, [&id = id](const auto &daemon) {
+            return std::ranges::find(daemon.second.resting, id) != daemon.second.resting.end();
+        });
+        m_planner.setLoad(id, isResting ? fillOfResting : sum / state.endpoint.slots);
     }
     std::map<core::EndpointId, decisions::AdapterSet> inUse;
     for (const auto &[host, daemon] : m_daemons) {
@@ -229,6 +238,9 @@
     }
     for (const decisions::CrashFact &fact : report.crashes)
         m_crashes.told(fact, now);
+    daemon.resting = report.resting;
+    for (const auto &[id, born] : report.leaving)
+        leavingTold(id, born);
     for (const core::EndpointId &id : report.unreachable)
         m_planner.unreachable(id, now);
     if (!report.demand.empty())
@@ -237,6 +249,19 @@
     return viewFor(daemon);
 }
 
+void Coordinator::leavingTold(const core::EndpointId &id, fleet::BirthTime born)
+{
+    m_leaving[id] = {born, m_timers.now()};
+    m_watch.endpointLeaves(id, born);
+}
+
+void Coordinator::noteLeaving(const core::EndpointId &id, const http::Answer &answer)
+{
+    const fleet::Endpoint *endpoint = m_watch.endpoint(id);
+    if (endpoint != nullptr && platform::saysLeaving(answer.headers, id))
+        leavingTold(id, endpoint->born);
+}
+
 PeerView Coordinator::viewFor(Daemon &daemon)
 {
     PeerView view = changesFor(daemon);
@@ -269,6 +294,8 @@
     view.revision = m_planner.revision();
     view.daemons = static_cast<int>(m_daemons.size());
     view.crashes = m_crashes.recent(m_timers.now());
+    for (const auto &[id, life] : m_leaving)
+        view.leaving[id] = life.first;
     noteContents();
     view.since = daemon.knownRevision;
     view.contents = m_contents.since(daemon.knownRevision);
@@ -315,6 +342,8 @@
                           if (!*alive)
                               return;
                           m_reportsAsked.erase(id);
+                          if (answer.ok())
+                              noteLeaving(id, *answer);
                           if (!answer.ok() || answer->status != 200)
                               return;
                           const auto report = platform::decodeReport(answer->body);
@@ -384,6 +413,8 @@
                   [this, alive = m_isAlive, planned, sends](auto answer) {
                       if (!*alive)
                           return;
+                      if (answer.ok())
+                          noteLeaving(planned.endpoint, *answer);
                       const auto result = answer.ok() ? platform::readOrderResult(answer->status)
                                                       : platform::OrderResult::Unknown;
                       orderAnswered(planned, endOf(result), sends + 1);
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -60,8 +60,9 @@
         std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
         std::set<fleet::AdapterKey> waitedFor; ///< Their loads are told at once.
         std::uint64_t knownRevision = 0;
-        EndpointsDigest endpoints {}; ///< Of those that it knows.
-        bool isViewDue = false;       ///< An adapter is being loaded that it waits for.
+        EndpointsDigest endpoints {};          ///< Of those that it knows.
+        std::vector<core::EndpointId> resting; ///< Want nothing from it now.
+        bool isViewDue = false;                ///< An adapter is being loaded that it waits for.
     };
 
     void tick();
@@ -75,6 +76,8 @@
     void askReports();
     void tellLoad(const decisions::PlannedOrder &planned);
     void chooseRelays();
+    void noteLeaving(const core::EndpointId &id, const http::Answer &answer);
+    void leavingTold(const core::EndpointId &id, fleet::BirthTime born);
     std::string addressOf(const core::HostId *relay) const;
     void sendDueViews();
     /// What changed since the daemon was told last, without loads.
@@ -96,6 +99,8 @@
     std::map<core::HostId, Daemon> m_daemons;
     decisions::CrashSuspects m_crashes; ///< Collects what daemons tell, to tell it to all.
     std::map<core::EndpointId, double> m_load;
+    /// Endpoints that said lately that they leave, with when that was heard, to tell it to all.
+    std::map<core::EndpointId, std::pair<fleet::BirthTime, core::TimePoint>> m_leaving;
     decisions::RelayChoice m_relays;
     decisions::ContentsHistory m_contents;
     std::uint64_t m_notedRevision = 0; ///< Up to which m_contents follows the planner.
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -27,8 +27,11 @@
 {
     const std::vector<decisions::EndpointOption> candidates = options(now);
     // A request that waits for an adapter asks fifty times a second, mostly without any option.
-    if (candidates.empty())
-        return {std::nullopt, decisions::NoChoice::NoEndpoint};
+    if (candidates.empty()) {
+        const bool isHeld = firstRestEnd(now).has_value();
+        return {std::nullopt,
+                isHeld ? decisions::NoChoice::AllFull : decisions::NoChoice::NoEndpoint};
+    }
     return decisions::chooseEndpoint(candidates, m_context.draw(), unseenPerEndpoint(now));
 }
 
@@ -83,12 +86,30 @@
     return isSameRegion ? decisions::Distance::SameRegion : decisions::Distance::OtherRegion;
 }
 
+bool EndpointFinder::isUsable(const fleet::Endpoint &endpoint, int leastVersion,
+                              core::TimePoint now) const
+{
+    return endpoint.service == m_service && !endpoint.isLeaving
+        && holdsWanted(endpoint, leastVersion, now);
+}
+
+std::optional<core::TimePoint> EndpointFinder::firstRestEnd(core::TimePoint now) const
+{
+    const int leastVersion = expectedVersion(now).value_or(0);
+    std::optional<core::TimePoint> first;
+    for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
+        const core::TimePoint end = m_context.pool.restEnd(endpoint);
+        if (end > now && isUsable(endpoint, leastVersion, now))
+            first = std::min(first.value_or(end), end);
+    }
+    return first;
+}
+
 std::optional<decisions::EndpointOption> EndpointFinder::optionFor(const fleet::Endpoint &endpoint,
                                                                    int leastVersion,
                                                                    core::TimePoint now) const
 {
-    if (endpoint.service != m_service || endpoint.isLeaving
-        || !holdsWanted(endpoint, leastVersion, now))
+    if (m_context.pool.restEnd(endpoint) > now || !isUsable(endpoint, leastVersion, now))
         return std::nullopt;
     const bool wasTried = m_tried.contains(endpoint.id);
     if (wasTried && now < m_triedAgainAt)
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -26,6 +26,9 @@
     void refused(core::TimePoint now);
     /// Chooses among the endpoints of the service that hold what is asked for and are not leaving.
     decisions::EndpointChoice choose(core::TimePoint now) const;
+    /// When the first of the endpoints that hold what is asked for, but want nothing now, takes
+    /// requests again; empty if there is none.
+    std::optional<core::TimePoint> firstRestEnd(core::TimePoint now) const;
     /// The version of the adapter that an endpoint must hold; empty while any may be used.
     std::optional<int> expectedVersion(core::TimePoint now) const;
 
@@ -34,6 +37,7 @@
     /// How many requests other daemons are likely to have sent to each endpoint of the service
     /// since they were told of last.
     double unseenPerEndpoint(core::TimePoint now) const;
+    bool isUsable(const fleet::Endpoint &endpoint, int leastVersion, core::TimePoint now) const;
     std::optional<decisions::EndpointOption> optionFor(const fleet::Endpoint &endpoint,
                                                        int leastVersion, core::TimePoint now) const;
     bool holdsWanted(const fleet::Endpoint &endpoint, int leastVersion, core::TimePoint now) const;
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -83,10 +83,27 @@
     if (found == m_endpoints.end())
         return;
     found->second.idle.closeAll();
-    if (found->second.inProgress == 0)
+    const bool isResting = found->second.restEnd > m_timers.now();
+    if (found->second.inProgress == 0 && !isResting)
         m_endpoints.erase(found);
 }
 
+void EndpointPool::restUntil(const fleet::Endpoint &endpoint, core::TimePoint until)
+{
+    Entry &entry = entryOf(endpoint.id);
+    const bool isSameLife = entry.restBorn == endpoint.born;
+    entry.restEnd = isSameLife ? std::max(entry.restEnd, until) : until;
+    entry.restBorn = endpoint.born;
+}
+
+core::TimePoint EndpointPool::restEnd(const fleet::Endpoint &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint.id);
+    if (found == m_endpoints.end() || found->second.restBorn != endpoint.born)
+        return {};
+    return found->second.restEnd;
+}
+
 void EndpointPool::began(const core::EndpointId &id, const fleet::AdapterKey &key)
 {
     Entry &entry = entryOf(id);
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -61,6 +61,10 @@
     void heard(const core::EndpointId &id) { entryOf(id).heardAt = m_timers.now(); }
     /// When it last did; the start of time if it never did.
     core::TimePoint heardAt(const core::EndpointId &id) { return entryOf(id).heardAt; }
+    /// This life of the endpoint wants nothing from this daemon until then.
+    void restUntil(const fleet::Endpoint &endpoint, core::TimePoint until);
+    /// When it takes requests again; not in the future if it does now.
+    core::TimePoint restEnd(const fleet::Endpoint &endpoint) const;
     decisions::EndpointHealth &health(const core::EndpointId &id) { return entryOf(id).health; }
 
     /// Endpoints that broke several connections in a row and are passed over now.
@@ -79,6 +83,8 @@
         double recentTokens = 0; ///< Sent lately; decays.
         core::TimePoint recentAt;
         core::TimePoint heardAt;
+        core::TimePoint restEnd;
+        fleet::BirthTime restBorn {}; ///< The life that asked for it.
         decisions::EndpointHealth health;
     };
 
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -119,6 +119,8 @@
             m_handlers.onEndpointGone(core::EndpointId(object.name));
         return true;
     }
+    if (m_leaving.contains(endpoint->id, endpoint->born))
+        endpoint->isLeaving = true;
     const bool wasMissing = m_missing.erase(endpoint->id) > 0;
     const auto known = m_endpoints.find(endpoint->id);
     if (known == m_endpoints.end() || known->second.isLeaving != endpoint->isLeaving
@@ -138,6 +140,20 @@
     return isNews;
 }
 
+void FleetWatch::endpointLeaves(const core::EndpointId &id, fleet::BirthTime born)
+{
+    if (!m_leaving.mark(id, born))
+        return;
+    observability::log({.step = "endpoint",
+                        .message = absl::StrCat("says that it leaves, born ", born.count()),
+                        .peer = id.value()});
+    const auto known = m_endpoints.find(id);
+    if (known == m_endpoints.end() || known->second.born != born || known->second.isLeaving)
+        return;
+    known->second.isLeaving = true;
+    m_handlers.onEndpoint(known->second);
+}
+
 void FleetWatch::takeVersion(const platform::StoredObject &object)
 {
     const auto announced = platform::decodeVersion(object.spec);
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/leavingmarks.h"
 #include "decisions/routetable.h"
 #include "fleet/adapterkey.h"
 #include "fleet/endpoint.h"
@@ -50,6 +51,9 @@
     const std::shared_ptr<const decisions::RouteTable> &routes() const { return m_routes; }
     const std::map<core::EndpointId, fleet::Endpoint> &endpoints() const { return m_endpoints; }
     const fleet::Endpoint *endpoint(const core::EndpointId &id) const;
+    /// The endpoint said so itself, to this daemon or another one. From now on it counts as leaving
+    /// whatever the store says of this life.
+    void endpointLeaves(const core::EndpointId &id, fleet::BirthTime born);
     std::optional<Newest> newestVersion(const fleet::AdapterKey &key) const;
 
 private:
@@ -68,6 +72,7 @@
     std::shared_ptr<const decisions::RouteTable> m_routes;
     std::map<core::EndpointId, fleet::Endpoint> m_endpoints;
     std::unordered_map<fleet::AdapterKey, Newest> m_versions;
+    decisions::LeavingMarks m_leaving;
     /// Endpoints whose entry is missing after an outage of the store, with the end of the wait.
     std::map<core::EndpointId, core::TimePoint> m_missing;
     net::TimerService::Subscription m_sweep;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -20,6 +20,8 @@
 constexpr core::Duration leaveRotation = std::chrono::milliseconds(2600);
 // Left of the time until SIGKILL, for the last answers on their way.
 constexpr core::Duration stopMargin = std::chrono::milliseconds(400);
+constexpr std::string_view leftCause = "endpoint leaves before the connection is open";
+constexpr std::string_view restCause = "endpoint wants nothing more before the connection is open";
 
 // A relay's own watch may hear nothing until it ends; the rest is for the answer on its way.
 core::Duration mostAgeOfNews(const fleet::Bounds &bounds)
@@ -69,9 +71,12 @@
                  .demand = {},
                  .waitedFor = {},
                  .contradictions = {},
+                 .leaving = {},
                  .isLoadingPossible = [this] { return m_peers.isCoordinatorHeard(); },
                  .untilLoadsResume = [this] { return m_peers.untilNextCoordinator(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
+                 .onEndpointRests
+                 = [this](const core::EndpointId &id) { giveUpConnecting(id, restCause); },
                  .random = std::mt19937_64(std::random_device()()),
                  .stopBegan = {}}
     , m_lease(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
@@ -102,13 +107,13 @@
                 m_context.placement.recordSeen(endpoint);
                 m_coordinator.endpointChanged(endpoint);
                 if (endpoint.isLeaving)
-                    endpointLeft(endpoint.id);
+                    giveUpConnecting(endpoint.id, leftCause);
             },
         .onEndpointGone =
             [this](const core::EndpointId &id) {
                 m_context.placement.removed(id);
                 m_coordinator.endpointGone(id);
-                endpointLeft(id);
+                giveUpConnecting(id, leftCause);
                 m_pool.forget(id);
             },
         .onVersion
@@ -226,12 +231,12 @@
     }
 }
 
-void Gateway::endpointLeft(const core::EndpointId &id)
+void Gateway::giveUpConnecting(const core::EndpointId &id, std::string_view cause)
 {
     // A request may end and leave the map while it looks for another endpoint.
     const auto requests = m_requests;
     for (const auto &[number, task] : requests)
-        task->endpointLeft(id);
+        task->giveUpConnecting(id, cause);
 }
 
 void Gateway::viewArrived()
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
 
 namespace jackdawlead::gateway {
 
@@ -50,7 +51,8 @@
     void wakeWaiting();
     /// Divides the endpoints' limits of connections among the daemons.
     void shareConnections();
-    void endpointLeft(const core::EndpointId &id);
+    /// Requests that are not on their way to the endpoint yet go elsewhere.
+    void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
     /// Takes the bounds of changed settings; addresses last as long as the process.
     void reloadSettings();
     void stop();
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -250,12 +250,15 @@
             report.load[id] = load;
         if (auto inUse = m_context.pool.adaptersInUse(id); !inUse.empty())
             report.inUse[id] = std::move(inUse);
+        if (m_context.pool.restEnd(endpoint) > m_context.timers.now())
+            report.resting.push_back(id);
     }
     report.demand = std::exchange(m_context.demand, {});
     for (const auto &[key, requests] : m_context.waitedFor)
         report.waitedFor.push_back(key);
     report.endpoints = digestOf(m_context.watch.endpoints());
     report.contradictions = std::exchange(m_context.contradictions, {});
+    report.leaving = std::exchange(m_context.leaving, {});
     report.crashes = m_context.crashes.recent(m_context.timers.now());
     report.unreachable = m_context.pool.unreachable();
     report.knownRevision = m_knownRevision;
@@ -266,12 +269,14 @@
     }
     m_isReporting = true;
     m_caller.call(record->address, rpcRequest(reportMethod, encode(report)), callTimeout,
-                  [this, alive = m_isAlive](auto answer) {
+                  [this, alive = m_isAlive, leaving = report.leaving](auto answer) {
                       if (!*alive)
                           return;
                       m_isReporting = false;
-                      if (!answer.ok())
+                      if (!answer.ok()) {
+                          m_context.leaving.insert(leaving.begin(), leaving.end());
                           return;
+                      }
                       const rpc::RpcResult reply = rpc::decodeReply({answer->body});
                       if (!reply.ok())
                           return;
@@ -296,6 +301,8 @@
     takeRelays(view);
     for (const decisions::CrashFact &fact : view.crashes)
         m_context.crashes.told(fact, m_coordinatorHeardAt);
+    for (const auto &[id, born] : view.leaving)
+        m_context.watch.endpointLeaves(id, born);
     takeLoads(view);
     m_context.daemons = std::max(1, view.daemons);
     m_context.reportPeriod
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -160,6 +160,38 @@
     return facts;
 }
 
+json encodeIds(const std::vector<core::EndpointId> &ids)
+{
+    json value = json::array();
+    for (const core::EndpointId &id : ids)
+        value.push_back(id.value());
+    return value;
+}
+
+std::vector<core::EndpointId> decodeIds(const json &value)
+{
+    std::vector<core::EndpointId> ids;
+    for (const json &id : value)
+        ids.push_back(core::EndpointId(id.get<std::string>()));
+    return ids;
+}
+
+json encodeLives(const std::map<core::EndpointId, fleet::BirthTime> &lives)
+{
+    json value = json::object();
+    for (const auto &[id, born] : lives)
+        value[id.value()] = born.count();
+    return value;
+}
+
+std::map<core::EndpointId, fleet::BirthTime> decodeLives(const json &value)
+{
+    std::map<core::EndpointId, fleet::BirthTime> lives;
+    for (const auto &[id, born] : value.items())
+        lives[core::EndpointId(id)] = fleet::BirthTime(born.get<std::int64_t>());
+    return lives;
+}
+
 constexpr char payloadField[] = "cbor";
 
 std::string pack(const json &message)
@@ -206,9 +238,6 @@
     json inUse = json::object();
     for (const auto &[id, keys] : report.inUse)
         inUse[id.value()] = encodeKeys(keys);
-    json unreachable = json::array();
-    for (const core::EndpointId &id : report.unreachable)
-        unreachable.push_back(id.value());
     return pack({{"host", report.host.value()},
                  {"region", report.region.value()},
                  {"domain", report.domain.value()},
@@ -219,7 +248,9 @@
                  {"inUse", inUse},
                  {"demand", demand},
                  {"contradictions", contradictions},
-                 {"unreachable", unreachable},
+                 {"unreachable", encodeIds(report.unreachable)},
+                 {"resting", encodeIds(report.resting)},
+                 {"leaving", encodeLives(report.leaving)},
                  {"crashes", encodeCrashes(report.crashes)},
                  {"waitedFor", encodeKeys(report.waitedFor)},
                  {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
@@ -242,6 +273,7 @@
                  {"loads", encodeLoadsInOrder(view.loadsInOrder)},
                  {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
                  {"daemons", view.daemons},
+                 {"leaving", encodeLives(view.leaving)},
                  {"relay", view.relayAddress},
                  {"spare", view.spareAddress},
                  {"crashes", encodeCrashes(view.crashes)}});
@@ -266,8 +298,9 @@
         for (const auto &[id, key] : value.at("contradictions").items())
             report.contradictions[core::EndpointId(id)]
                 = fleet::adapterKeyFrom(key.get<std::string>());
-        for (const json &id : value.at("unreachable"))
-            report.unreachable.push_back(core::EndpointId(id.get<std::string>()));
+        report.unreachable = decodeIds(value.at("unreachable"));
+        report.resting = decodeIds(value.at("resting"));
+        report.leaving = decodeLives(value.at("leaving"));
         report.crashes = decodeCrashes(value.at("crashes"));
         report.waitedFor = decodeKeys(value.at("waitedFor"));
         report.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
@@ -296,6 +329,7 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeCrashes(value.at("crashes"));
         view.daemons = value.at("daemons").get<int>();
+        view.leaving = decodeLives(value.at("leaving"));
         view.relayAddress = value.at("relay").get<std::string>();
         view.spareAddress = value.at("spare").get<std::string>();
         return view;
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -38,10 +38,12 @@
     std::vector<fleet::AdapterKey> waitedFor; ///< Requests wait until an endpoint holds them.
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     std::vector<core::EndpointId> unreachable;
-    std::vector<decisions::CrashFact> crashes; ///< Learned lately.
-    std::uint64_t knownRevision = 0;           ///< Of the contents that it was told last.
-    core::FencingToken token;                  ///< Of the coordinator who told them.
-    EndpointsDigest endpoints {};              ///< Of the endpoints that the daemon knows.
+    std::vector<core::EndpointId> resting;                ///< Want nothing from this daemon now.
+    std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves, lately.
+    std::vector<decisions::CrashFact> crashes;            ///< Learned lately.
+    std::uint64_t knownRevision = 0; ///< Of the contents that it was told last.
+    core::FencingToken token;        ///< Of the coordinator who told them.
+    EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
 };
 
 /// What the coordinator tells a daemon: contents that changed, and the load of all endpoints.
@@ -60,6 +62,7 @@
     std::vector<double> loadsInOrder;
     EndpointsDigest endpoints {};
     int daemons = 0;
+    std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves to any daemon.
     std::string relayAddress; ///< Of the daemon to watch the store through; empty for none.
     std::string spareAddress; ///< Of the daemon for this when that one fails.
     std::vector<decisions::CrashFact> crashes; ///< Learned lately from any daemon.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -39,12 +39,16 @@
     std::unordered_map<fleet::AdapterKey, int> waitedFor;
     /// Endpoints that lacked what they were believed to hold, since the last report.
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
+    /// Endpoints that told this daemon that they leave, since the last report.
+    std::map<core::EndpointId, fleet::BirthTime> leaving;
     /// Whether some daemon gives orders, so that waiting for a load makes sense.
     std::function<bool()> isLoadingPossible;
     /// When loads go on, if no daemon gives orders now.
     std::function<core::Duration()> untilLoadsResume;
     /// Tells the coordinator at once about new demand.
     std::function<void()> onDemand;
+    /// An endpoint wants nothing more from this daemon for a while.
+    std::function<void(const core::EndpointId &)> onEndpointRests;
     /// Daemons that report to the coordinator, as it last told; one while none is known.
     int daemons = 1;
     /// How often a daemon reports its load; what is known of the others' is about as old.
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -52,6 +52,7 @@
 constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
 constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
 constexpr double spreadOfRetryAfter = 0.5;
+constexpr std::string_view noHolder = "no endpoint holds what is asked for";
 
 } // namespace
 
@@ -180,11 +181,15 @@
     const bool needsLoad = reason == decisions::NoChoice::NoEndpoint;
     const bool isHopeless
         = needsLoad && (m_fields.model.isEmpty() || !m_context.isLoadingPossible());
-    if (isHopeless || now() >= waitLimit(reason)) {
-        const core::Duration retryAfter
-            = isHopeless ? std::max(loadRetryAfter, m_context.untilLoadsResume()) : loadRetryAfter;
-        refuse(needsLoad ? "no endpoint holds what is asked for" : "all endpoints are full",
-               needsLoad ? retryAfter : busyRetryAfter);
+    if (isHopeless) {
+        refuse(noHolder, std::max(loadRetryAfter, m_context.untilLoadsResume()));
+        return;
+    }
+    const core::TimePoint restEnd
+        = needsLoad ? now() : m_finder.firstRestEnd(now()).value_or(now());
+    if (now() >= waitLimit(reason) || restEnd > waitLimit(reason)) {
+        refuse(needsLoad ? noHolder : "all endpoints are full",
+               needsLoad ? loadRetryAfter : std::max(busyRetryAfter, restEnd - now()));
         return;
     }
     m_isWaiting = true;
@@ -221,13 +226,13 @@
 
 // A connection may take a second to open, which is a third of the time after which an endpoint that
 // is leaving must get nothing more.
-void RequestTask::endpointLeft(const core::EndpointId &id)
+void RequestTask::giveUpConnecting(const core::EndpointId &id, std::string_view cause)
 {
     if (m_isDone || !m_isSent || m_endpoint != id || m_connection->hasSent())
         return;
-    attempt([this] {
+    attempt([this, cause] {
         dropConnection();
-        sendFailed(Failure::NotSent, "endpoint leaves before the connection is open");
+        sendFailed(Failure::NotSent, cause);
     });
 }
 
@@ -315,6 +320,7 @@
 void RequestTask::headArrived(http::MessageHead &head)
 {
     m_traits = platform::readAnswerTraits(head);
+    noteEndpointState(head);
     const bool isStream
         = m_route->isStream && head.status == 200 && m_traits.isStamped && !m_traits.isEncoded;
     if (isStream && !m_isRelaying) {
@@ -324,6 +330,25 @@
     m_answer = std::move(head);
 }
 
+// Other requests may end by what the endpoint says, so that it is taken from the loop.
+void RequestTask::noteEndpointState(const http::MessageHead &head)
+{
+    const bool isLeaving = platform::saysLeaving(head.headers, m_endpoint);
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_endpoint);
+    if (endpoint == nullptr || (!isLeaving && !m_traits.restFor))
+        return;
+    if (m_traits.restFor)
+        m_context.pool.restUntil(*endpoint, now() + *m_traits.restFor);
+    m_context.loop.post([&context = m_context, isLeaving, id = m_endpoint, born = endpoint->born] {
+        if (isLeaving) {
+            context.leaving[id] = born;
+            context.watch.endpointLeaves(id, born);
+        } else {
+            context.onEndpointRests(id);
+        }
+    });
+}
+
 void RequestTask::bodyArrived(std::string_view bytes)
 {
     const bool isRelayed = m_isRelaying && m_answer.status == 200;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -29,7 +29,7 @@
     /// Tries again to find an endpoint, if the request waits for one.
     void endpointsChanged();
     /// The endpoint takes no more requests: one that is not on its way to it yet goes elsewhere.
-    void endpointLeft(const core::EndpointId &id);
+    void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
     bool isWaiting() const { return m_isWaiting; }
 
 private:
@@ -53,6 +53,7 @@
     void send(const fleet::Endpoint &endpoint);
 
     void headArrived(http::MessageHead &head);
+    void noteEndpointState(const http::MessageHead &head);
     void bodyArrived(std::string_view bytes);
     /// Ends the present exchange as broken, from the loop: its connection is on the stack.
     void breakExchange();
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <vector>
 
@@ -48,6 +49,18 @@
     return number;
 }
 
+// Bounds how long an endpoint stays unused for one answer of its own.
+constexpr double mostRestSeconds = 300;
+
+std::optional<core::Duration> readRest(const http::MessageHead &head)
+{
+    double seconds = 0;
+    const bool isRead = absl::SimpleAtod(head.headers.value(wire::retryAfter), &seconds);
+    if (head.status != 503 || !isRead || !std::isfinite(seconds) || seconds <= 0)
+        return std::nullopt;
+    return core::scaled(std::chrono::seconds(1), std::min(seconds, mostRestSeconds));
+}
+
 } // namespace
 
 CallerFields readCallerFields(const http::MessageHead &head)
@@ -104,9 +117,16 @@
     traits.isNotRun
         = head.headers.contains(wire::notExecuted) || (traits.isOtherInstance && !traits.isStamped);
     traits.isEncoded = head.headers.contains("Content-Encoding");
+    traits.restFor = readRest(head);
     return traits;
 }
 
+bool saysLeaving(const net::Headers &headers, const core::EndpointId &endpoint)
+{
+    const std::string sender = headers.value(wire::instance);
+    return headers.value(wire::leaving) == "1" && (sender.empty() || sender == endpoint.value());
+}
+
 net::Headers answerFieldsForCaller(const http::MessageHead &head)
 {
     const std::set<std::string> dropped = droppedNames(head.headers);
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -49,9 +49,16 @@
     bool isStamped = false;       ///< Carries the endpoint's signature.
     bool isEncoded = false;       ///< The body is not the endpoint's own.
     bool isOtherInstance = false; ///< The endpoint is another one, or lacks the model or version.
+    /// The endpoint turned the request away and wants nothing more for so long.
+    std::optional<core::Duration> restFor;
 };
+/// What cannot be read counts as absent. Thread safety: any thread.
 AnswerTraits readAnswerTraits(const http::MessageHead &head);
 
+/// Whether an answer says that `endpoint` leaves and takes no new work; false if it comes from
+/// another endpoint that has its address now. Thread safety: any thread.
+bool saysLeaving(const net::Headers &headers, const core::EndpointId &endpoint);
+
 /// The fields of an endpoint's answer that go to the caller. Thread safety: any thread.
 net::Headers answerFieldsForCaller(const http::MessageHead &head);
 
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -31,6 +31,8 @@
     report.demand[key] = 3;
     report.contradictions[core::EndpointId("i-2")] = key;
     report.unreachable.push_back(core::EndpointId("i-3"));
+    report.resting.push_back(core::EndpointId("i-4"));
+    report.leaving[core::EndpointId("i-5")] = milliseconds(1733300000123);
     report.knownRevision = 17;
     report.token = core::FencingToken(4);
     report.waitedFor = {key, {core::ModelId("other"), core::AdapterId("a2")}};
@@ -44,6 +46,8 @@
     cr_assert(read->demand == report.demand);
     cr_assert(read->contradictions == report.contradictions);
     cr_assert_eq(read->unreachable.size(), 1U);
+    cr_assert(read->resting == report.resting);
+    cr_assert(read->leaving == report.leaving);
     cr_assert_eq(read->knownRevision, 17U);
     cr_assert_eq(read->token, core::FencingToken(4));
     cr_assert(read->waitedFor == report.waitedFor);
@@ -59,6 +63,7 @@
     view.since = 3;
     view.revision = 5;
     view.relayAddress = "10.0.0.2:7020";
+    view.leaving[core::EndpointId("i-5")] = milliseconds(1733300000123);
     decisions::ContentsChange &change = view.contents[core::EndpointId("i-1")];
     change.isWhole = false;
     change.contents.born = milliseconds(12345);
@@ -70,6 +75,7 @@
     cr_assert(read.ok());
     cr_assert_eq(read->since, 3U);
     cr_assert_eq(read->relayAddress, view.relayAddress);
+    cr_assert(read->leaving == view.leaving);
     const decisions::ContentsChange &got = read->contents.at(core::EndpointId("i-1"));
     cr_assert_not(got.isWhole);
     cr_assert(got.contents.born == milliseconds(12345));
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -165,3 +165,37 @@
     misdirected.headers.add("Response-Stamp", "x");
     cr_assert_not(readAnswerTraits(misdirected).isNotRun);
 }
+
+// Guards against an endpoint that goes on to get what it asked not to get, and against one that is
+// left unused because of a value that means nothing.
+Test(endpointcodec, restIsReadFromRefusalsAlone)
+{
+    const auto restOf = [](int status, const std::string &value) {
+        http::MessageHead head;
+        head.status = status;
+        head.headers.add("Retry-After", value);
+        return readAnswerTraits(head).restFor;
+    };
+    using std::chrono::milliseconds;
+    cr_assert(restOf(503, "2") == core::Duration(std::chrono::seconds(2)));
+    cr_assert(restOf(503, "0.25") == core::Duration(milliseconds(250)));
+    cr_assert(restOf(503, "1e9") == core::Duration(std::chrono::minutes(5)));
+    for (const char *value : {"", "-1", "0", "soon", "nan", "inf", "Fri, 04 Dec 2026 12:00:00 GMT"})
+        cr_assert_not(restOf(503, value).has_value(), "%s", value);
+    cr_assert_not(restOf(200, "2").has_value());
+    cr_assert_not(restOf(429, "2").has_value());
+    cr_assert_not(readAnswerTraits(http::MessageHead()).restFor.has_value());
+}
+
+// Guards against requests that reach an endpoint that leaves, and against an endpoint that is given
+// up because another one that has its address now leaves.
+Test(endpointcodec, leavingIsReadFromTheEndpointsOwnAnswers)
+{
+    const core::EndpointId endpoint("i-1");
+    cr_assert(saysLeaving({{"Server-Leaving", "1"}}, endpoint));
+    cr_assert(saysLeaving({{"server-leaving", "1"}, {"Instance-Id", "i-1"}}, endpoint));
+    cr_assert_not(saysLeaving({{"Server-Leaving", "1"}, {"Instance-Id", "i-2"}}, endpoint));
+    for (const char *value : {"", "0", "true", "-1", "11"})
+        cr_assert_not(saysLeaving({{"Server-Leaving", value}}, endpoint), "%s", value);
+    cr_assert_not(saysLeaving({}, endpoint));
+}
--- /dev/null
+++ b/tests/e2e/tst_platformnotices.cpp
@@ -0,0 +1,141 @@
+#include "support/platformfixture.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+struct NoticeFixture : PlatformFixture
+{
+    using PlatformFixture::PlatformFixture;
+
+    /// Asks until the first endpoint got more than `reached` requests, and all have ended.
+    void askUntilFirstGotMoreThan(std::size_t reached)
+    {
+        const core::TimePoint end = timers.now() + limit;
+        while (first.heads.size() <= reached && timers.now() < end) {
+            callMany("/get/a", 8);
+            pass(milliseconds(20));
+        }
+        cr_assert_gt(first.heads.size(), reached, "%s", output().c_str());
+    }
+
+    void callMany(const std::string &path, int count, const std::string &model = {})
+    {
+        std::vector<AnswerPtr> answers;
+        answers.reserve(static_cast<std::size_t>(count));
+        for (int number = 0; number < count; ++number)
+            answers.push_back(start(path, "many" + std::to_string(number), model));
+        cr_assert(waitUntil([&] {
+            return std::ranges::all_of(answers, [](const auto &answer) { return answer->isEnded; });
+        }));
+    }
+};
+
+/// The first endpoint says with `status` that it leaves; the store goes on to call it ready.
+void expectNothingAfterLeaving(int status)
+{
+    NoticeFixture fixture;
+    fixture.first.isLeaving = true;
+    fixture.first.run = [&, status](const EndpointStandIn::Exchange &exchange) {
+        auto fields = EndpointStandIn::stamped(exchange);
+        if (status == 503)
+            fields.add("Not-Executed", "1");
+        exchange->respond(status, fixture.first.withNotices(fields), "text");
+    };
+    fixture.askUntilFirstGotMoreThan(0);
+    const std::size_t reached = fixture.first.heads.size();
+    fixture.store.put("servers", fixture.first.id, fixture.first.record("plain"));
+    fixture.pass(milliseconds(300));
+    fixture.callMany("/get/a", 24);
+    cr_assert_eq(fixture.first.heads.size(), reached, "%s", fixture.output().c_str());
+    // Another life under the same id is used again.
+    fixture.first.isLeaving = false;
+    json record = fixture.first.record("plain");
+    record["born"] = 2;
+    fixture.store.put("servers", fixture.first.id, record);
+    fixture.askUntilFirstGotMoreThan(reached);
+}
+
+} // namespace
+
+// These guard against requests that reach an endpoint which said that it leaves while the store
+// still calls it ready.
+Test(platformnotices, endpointThatLeavesIsLeftAloneAfterASuccess, .timeout = 60)
+{
+    expectNothingAfterLeaving(200);
+}
+
+Test(platformnotices, endpointThatLeavesIsLeftAloneAfterAnError, .timeout = 60)
+{
+    expectNothingAfterLeaving(500);
+}
+
+Test(platformnotices, endpointThatLeavesIsLeftAloneAfterARefusal, .timeout = 60)
+{
+    expectNothingAfterLeaving(503);
+}
+
+// Guards against a stream whose head says that its endpoint leaves, and that is cut off for it.
+Test(platformnotices, streamOfALeavingEndpointGoesOnAndNoOtherBegins, .timeout = 60)
+{
+    NoticeFixture fixture("model");
+    EndpointStandIn::Exchange open;
+    const auto run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (open) {
+            stream(exchange, 2, false);
+            return;
+        }
+        open = exchange;
+        auto fields = EndpointStandIn::stamped(exchange);
+        fields.add("Server-Leaving", "1");
+        exchange->startChunked(200, fields);
+        exchange->writeChunk(event(1));
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return !answer->body.empty(); }));
+    EndpointStandIn &leaving = fixture.first.runs.empty() ? fixture.second : fixture.first;
+    fixture.callMany("/stream/a", 12, "base");
+    cr_assert_eq(leaving.runs.size(), 1U, "%s", fixture.output().c_str());
+    open->writeChunk(event(2));
+    open->finishChunked();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole);
+    cr_assert_eq(answer->body, events(1, 2));
+}
+
+// Guards against more than two requests to an endpoint that asked not to get any, and against one
+// that is never used again.
+Test(platformnotices, endpointThatWantsNothingRestsForThatTime, .timeout = 60)
+{
+    NoticeFixture fixture;
+    fixture.first.rest = "2";
+    fixture.askUntilFirstGotMoreThan(0);
+    const core::TimePoint began = fixture.timers.now();
+    fixture.pass(milliseconds(500));
+    const std::size_t reached = fixture.first.heads.size();
+    while (fixture.timers.now() - began < milliseconds(1700))
+        fixture.callMany("/get/a", 8);
+    cr_assert_eq(fixture.first.heads.size(), reached);
+    fixture.first.rest.clear();
+    fixture.askUntilFirstGotMoreThan(reached);
+}
+
+// Guards against a caller that is sent away for a shorter time than the only endpoint wants
+// nothing, or that waits for an end that comes too late for it.
+Test(platformnotices, callerIsToldWhenTheEndpointWantsRequestsAgain, .timeout = 60)
+{
+    NoticeFixture fixture;
+    fixture.first.rest = fixture.second.rest = "30";
+    fixture.call("/get/a", "r1");
+    const core::TimePoint began = fixture.timers.now();
+    const auto answer = fixture.call("/get/a", "r2");
+    cr_assert_eq(answer->head.status, 503);
+    cr_assert_lt((fixture.timers.now() - began).count(), core::Duration(milliseconds(400)).count());
+    cr_assert_geq(std::stod(answer->head.headers.value("Retry-After")), 25.0);
+}
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -205,8 +205,8 @@
     , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
 {
     listenOrThrow(m_server, port);
-    run = [](const Exchange &exchange) {
-        exchange->respond(200, stamped(exchange), "whole answer");
+    run = [this](const Exchange &exchange) {
+        exchange->respond(200, withNotices(stamped(exchange)), "whole answer");
     };
 }
 
@@ -232,6 +232,13 @@
             {"Keep-Alive", "timeout=20"}};
 }
 
+net::Headers EndpointStandIn::withNotices(net::Headers fields) const
+{
+    if (isLeaving)
+        fields.add("Server-Leaving", "1");
+    return fields;
+}
+
 void EndpointStandIn::serve(const Exchange &exchange)
 {
     const std::string &target = exchange->head.target;
@@ -254,10 +261,14 @@
         return;
     }
     heads.push_back(exchange->head);
+    if (!rest.empty()) {
+        exchange->respond(503, withNotices({{"Not-Executed", "1"}, {"Retry-After", rest}}), {});
+        return;
+    }
     const std::string asked = exchange->head.headers.value("Model");
     const std::size_t slash = asked.find('/');
     if (slash != std::string::npos && !m_adapters.contains(asked.substr(slash + 1))) {
-        exchange->respond(421, {{"Instance-Id", id}}, {});
+        exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
         return;
     }
     runs.push_back(exchange->head.headers.value("Request-Id"));
@@ -268,7 +279,7 @@
 {
     const json body = json::parse(exchange->body);
     if (body.at("expected_rev").get<int>() != m_orderRevision) {
-        exchange->respond(409, {}, {});
+        exchange->respond(409, withNotices({}), {});
         return;
     }
     ++m_orderRevision;
@@ -276,7 +287,7 @@
     if (body.at("operation") == "load") {
         ++loads;
         m_adapters[adapter] = true;
-        exchange->respond(202, {}, {});
+        exchange->respond(202, withNotices({}), {});
         return;
     }
     m_adapters.erase(adapter);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -102,11 +102,17 @@
     /// Request heads as they arrived.
     std::vector<http::MessageHead> heads;
     int loads = 0;
+    /// Says in every answer that it leaves.
+    bool isLeaving = false;
+    /// If not empty, requests are turned away with this as the time for which nothing is wanted.
+    std::string rest;
     std::string id;
     std::uint16_t port;
     std::string model = "base";
 
     static net::Headers stamped(const Exchange &exchange);
+    /// The fields with what every answer says.
+    net::Headers withNotices(net::Headers fields) const;
 
 private:
     void serve(const Exchange &exchange);
