Let further copies displace others only above 0.8 fill, and load what is in time first

Change: a further copy takes another adapter's place only when its region's copies would be filled to 0.8; where a place is free 0.5 is enough, as before. Spare copies and copies by the fill of the emptiest one are gone. Daemons report for each adapter how many waiting requests a load can still serve in time; those that can only be late count a tenth in the order of loads.

--- a/bench/peerbench.cpp
+++ b/bench/peerbench.cpp
@@ -61,11 +61,11 @@
     rpc::RpcDispatcher dispatcher;
     const PeerView answer = view(endpoints);
     dispatcher.bind({"report"}, [&answer](const rpc::JsonText &params) {
-        const auto report = decodePeerReport(params.text);
+        const auto report = decodePeerReport(params.text, now);
         benchmark::DoNotOptimize(report);
         return rpc::RpcResult {{}, {encode(answer, now)}};
     });
-    const rpc::JsonText call = rpc::encodeCall({"report"}, {encode(report(endpoints))}).value;
+    const rpc::JsonText call = rpc::encodeCall({"report"}, {encode(report(endpoints), now)}).value;
     std::size_t bytes = 0;
     for (auto step : state)
         bytes = dispatcher.dispatch(call).text.size();
--- a/bench/planningbench.cpp
+++ b/bench/planningbench.cpp
@@ -65,7 +65,7 @@
             const core::RegionId region = regionOf(static_cast<int>(m_random() % 2));
             m_planner.demand().add(key, region, 1, m_now);
             if (!m_held.contains(key))
-                m_waiting[key][region] = 1;
+                m_waiting[key][region] = {1, 0, m_now + milliseconds(600)};
         }
         m_planner.setWaiting(m_waiting);
         return m_planner.plan(m_now);
--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -248,27 +248,12 @@
         copies, [&region](const EndpointState *copy) { return copy->region == region; }));
 }
 
-// Loads are ordered by what they gain: while demand moves, a further copy of a crowded adapter
-// serves more requests than the first copy of one that a single caller asks for.
-double PlanningPass::gainOfCopy(const Copies &copies, const core::RegionId &region,
-                                const AdapterDemand::Decayed &demand) const
+double PlanningPass::excessRate(const Copies &copies, const core::RegionId &region,
+                                const AdapterDemand::Decayed &demand, double fill) const
 {
-    const double ofCopy = m_limits.fillPerCopy / m_cost.partOfEndpoint(m_slots);
-    const double rate = AdapterDemand::peakRateOf(demand, m_now);
-    int held = 0;
-    double leastFill = 0;
-    for (const EndpointState *copy : copies) {
-        if (copy->region != region)
-            continue;
-        leastFill = held == 0 ? copy->load : std::min(leastFill, copy->load);
-        ++held;
-    }
-    double gain = std::min(ofCopy, rate - held * ofCopy);
-    if (held == 1 && AdapterDemand::rateOf(demand, m_now) >= m_limits.sparedRate)
-        gain = std::max(gain, rate * m_limits.gainOfSpare);
-    if (held > 0 && leastFill > m_limits.crowdedFill)
-        gain = std::max(gain, std::min(ofCopy, rate / (held + 1)));
-    return gain * core::toSeconds(m_limits.expectedStay);
+    const double ofCopy = fill / m_cost.partOfEndpoint(m_slots);
+    return std::min(ofCopy,
+                    AdapterDemand::peakRateOf(demand, m_now) - countIn(copies, region) * ofCopy);
 }
 
 std::optional<PlanningPass::Wish> PlanningPass::wishFor(const fleet::AdapterKey &key,
@@ -283,20 +268,27 @@
     const Copies &copies = copiesOf(key);
     // The first copy of a new version is loaded before the older ones may not be used any more.
     if (copies.empty())
-        return m_outdated.contains(key) ? firstCopyFor(key, region, 0) : std::nullopt;
+        return m_outdated.contains(key) ? firstCopyFor(key, region, {}) : std::nullopt;
     if (rate < m_limits.regionalRate)
         return std::nullopt;
-    const double gain = gainOfCopy(copies, region, demand);
-    if (gain <= 0)
+    const double excess = excessRate(copies, region, demand, m_limits.fillPerCopy);
+    if (excess <= 0)
         return std::nullopt;
-    return Wish {key, region, &demand, rate / (countIn(copies, region) + 1), gain, false};
+    const bool mayDisplace = excessRate(copies, region, demand, m_limits.fillToDisplace) > 0;
+    return Wish {key,
+                 region,
+                 &demand,
+                 rate / (countIn(copies, region) + 1),
+                 excess * core::toSeconds(m_limits.expectedStay),
+                 false,
+                 mayDisplace};
 }
 
 // A first copy is loaded only while requests wait for it: an adapter that was asked for once is
 // rarely asked for again before its place is needed.
 std::optional<PlanningPass::Wish> PlanningPass::firstCopyFor(const fleet::AdapterKey &key,
                                                              const core::RegionId &region,
-                                                             int waiting) const
+                                                             const WaitingCount &waiting) const
 {
     if (!copiesOf(key).empty())
         return std::nullopt;
@@ -306,10 +298,14 @@
     const double rate = AdapterDemand::rateOf(*demand, m_now);
     // Who asks again for an adapter that was not loaded goes before further copies for a crowd.
     const double again = 1.0 + core::toSeconds(demand->at - demand->firstAt);
-    const double gain = waiting * again + rate * core::toSeconds(m_limits.expectedStay);
-    return Wish {key, region, demand, rate, gain, true};
+    const WaitingCount now = waiting.at(m_now);
+    const double served = now.inTime + now.late * m_limits.lateRequest;
+    const double gain = served * again + rate * core::toSeconds(m_limits.expectedStay);
+    return Wish {key, region, demand, rate, gain, true, true};
 }
 
+// Loads are ordered by what they gain: while demand moves, a further copy of a crowded adapter
+// serves more requests than the first copy of one that a single caller asks for.
 std::vector<PlanningPass::Wish> PlanningPass::wishes() const
 {
     std::vector<Wish> wishes;
@@ -371,7 +367,7 @@
     if (victim.key == nullptr)
         return std::nullopt;
     // A further copy must be worth more than what it displaces.
-    if (!wish.isFirstCopy && victim.value >= wish.rate)
+    if (!wish.mayDisplace || (!wish.isFirstCopy && victim.value >= wish.rate))
         return std::nullopt;
     place.victim = victim.key;
     place.cost += victim.value;
--- a/src/libs/decisions/planningpass.h
+++ b/src/libs/decisions/planningpass.h
@@ -39,6 +39,7 @@
         double rate = 0; ///< Of each copy, once there is one more.
         double gain = 0; ///< Requests a second that only a further copy can serve in time.
         bool isFirstCopy = false;
+        bool mayDisplace = false; ///< Or is loaded only where a place is free.
     };
     struct Victim
     {
@@ -64,8 +65,9 @@
     bool hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key) const;
     const Copies &copiesOf(const fleet::AdapterKey &key) const;
     static int countIn(const Copies &copies, const core::RegionId &region);
-    double gainOfCopy(const Copies &copies, const core::RegionId &region,
-                      const AdapterDemand::Decayed &demand) const;
+    /// Requests a second beyond what the region's copies serve, each filled up to `fill`.
+    double excessRate(const Copies &copies, const core::RegionId &region,
+                      const AdapterDemand::Decayed &demand, double fill) const;
 
     bool isModelLoadAllowed(const EndpointState &state);
     std::optional<PlannedOrder> planModel(EndpointState &state);
@@ -73,7 +75,7 @@
     std::optional<Wish> wishFor(const fleet::AdapterKey &key, const core::RegionId &region,
                                 const AdapterDemand::Decayed &demand) const;
     std::optional<Wish> firstCopyFor(const fleet::AdapterKey &key, const core::RegionId &region,
-                                     int waiting) const;
+                                     const WaitingCount &waiting) const;
     std::vector<Wish> wishes() const;
     double valueOf(const EndpointState &state, const fleet::AdapterKey &key) const;
     const Victim &victimOf(const EndpointState &state);
--- a/src/libs/decisions/planningtypes.h
+++ b/src/libs/decisions/planningtypes.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/waitinglist.h"
 #include "fleet/adapterkey.h"
 #include "fleet/configuration.h"
 #include "fleet/endpoint.h"
@@ -28,6 +29,9 @@
     core::Duration modelLoadWindow = std::chrono::seconds(5);
     /// The part of an endpoint that one adapter should fill before it gets another copy.
     double fillPerCopy = 0.5;
+    /// The same for a copy that takes the place of another adapter. While all places are taken, a
+    /// copy that others could do without keeps a waiting request from its adapter.
+    double fillToDisplace = 0.8;
     /// Below this rate a region uses another region's copy instead of loading its own: a load costs
     /// about as much as ten requests across the regions' link, and adapters stay for some 10 s.
     double regionalRate = 1.0;
@@ -40,6 +44,9 @@
     double idleRate = 0.05;
     /// An adapter that was loaded this recently is not evicted.
     core::Duration settling = std::chrono::milliseconds(350);
+    /// What a request that can only be answered late counts in the order of loads: the late answer
+    /// is worth less to its caller, and the load it takes makes others late.
+    double lateRequest = 0.1;
     /// About how long an adapter stays once it is loaded, to compare requests that wait now with
     /// requests that are expected.
     core::Duration expectedStay = std::chrono::seconds(2);
@@ -48,13 +55,6 @@
     core::Duration reportAge = std::chrono::milliseconds(600);
     /// How long what a daemon tells of an endpoint that it cannot reach counts.
     core::Duration unreachable = std::chrono::milliseconds(800);
-    /// Fill of the emptiest copy above which a further one is made, whatever the rate says.
-    double crowdedFill = 1.2;
-    /// From this rate on an adapter has two copies in a region, so that the loss of one endpoint
-    /// does not stop it.
-    double sparedRate = 2.0;
-    /// What the second copy gains, in parts of the rate: it serves while the first one is lost.
-    double gainOfSpare = 0.1;
     /// A load that ends later than predicted is given this much more time.
     core::Duration lateLoad = std::chrono::milliseconds(150);
     core::Duration lateLoadWindow = std::chrono::milliseconds(1000);
@@ -66,10 +66,6 @@
 
 using AdapterSet = std::unordered_set<fleet::AdapterKey>;
 
-/// Requests that wait until an endpoint holds their adapter, by adapter and by the region of the
-/// daemons that hold them back.
-using WaitingRequests = std::unordered_map<fleet::AdapterKey, std::map<core::RegionId, int>>;
-
 /// An order that the planner wants to be given now.
 struct PlannedOrder
 {
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -229,7 +229,7 @@
     daemon.load = report.load;
     daemon.inUse = report.inUse;
     daemon.endpoints = report.endpoints;
-    daemon.waitedFor = {report.waitedFor.begin(), report.waitedFor.end()};
+    daemon.waiting = report.waiting;
     for (const auto &[key, count] : report.demand)
         m_planner.demand().add(key, report.region, count, now);
     for (const auto &[id, key] : report.contradictions) {
@@ -386,8 +386,8 @@
 {
     decisions::WaitingRequests waiting;
     for (const auto &[host, daemon] : m_daemons) {
-        for (const fleet::AdapterKey &key : daemon.waitedFor)
-            ++waiting[key][daemon.region];
+        for (const auto &[key, count] : daemon.waiting)
+            waiting[key][daemon.region].add(count);
     }
     return waiting;
 }
@@ -451,7 +451,7 @@
 void Coordinator::tellLoad(const decisions::PlannedOrder &planned)
 {
     for (auto &[host, daemon] : m_daemons) {
-        if (daemon.waitedFor.contains({planned.model, planned.adapter}))
+        if (daemon.waiting.contains({planned.model, planned.adapter}))
             daemon.isViewDue = true;
     }
     if (!m_tell.isActive())
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -58,7 +58,8 @@
         core::TimePoint heardAt;
         std::map<core::EndpointId, double> load; ///< What it occupies there, in slots.
         std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
-        std::set<fleet::AdapterKey> waitedFor; ///< Their loads are told at once.
+        /// Loads of these adapters are told at once.
+        std::unordered_map<fleet::AdapterKey, decisions::WaitingCount> waiting;
         std::uint64_t knownRevision = 0;
         EndpointsDigest endpoints {};          ///< Of those that it knows.
         std::vector<core::EndpointId> resting; ///< Want nothing from it now.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -69,7 +69,7 @@
                  .crashes = decisions::CrashSuspects(),
                  .cost = {},
                  .demand = {},
-                 .waitedFor = {},
+                 .waiting = {},
                  .contradictions = {},
                  .leaving = {},
                  .isLoadingPossible = [this] { return m_peers.isCoordinatorHeard(); },
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -184,7 +184,7 @@
 void PeerLink::bindMethods(Coordinator &coordinator)
 {
     m_dispatcher.bind({reportMethod}, [this, &coordinator](const rpc::JsonText &params) {
-        const auto report = decodePeerReport(params.text);
+        const auto report = decodePeerReport(params.text, m_context.timers.now());
         if (!report.ok())
             return rpc::RpcResult {std::string(report.status().message()), {}};
         const PeerView view = coordinator.reported(*report);
@@ -254,8 +254,7 @@
             report.resting.push_back(id);
     }
     report.demand = std::exchange(m_context.demand, {});
-    for (const auto &[key, requests] : m_context.waitedFor)
-        report.waitedFor.push_back(key);
+    report.waiting = m_context.waiting.counts(m_context.timers.now());
     report.endpoints = digestOf(m_context.watch.endpoints());
     report.contradictions = std::exchange(m_context.contradictions, {});
     report.leaving = std::exchange(m_context.leaving, {});
@@ -268,8 +267,8 @@
         return;
     }
     m_isReporting = true;
-    m_caller.call(record->address, rpcRequest(reportMethod, encode(report)), callTimeout,
-                  [this, alive = m_isAlive, leaving = report.leaving](auto answer) {
+    m_caller.call(record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
+                  callTimeout, [this, alive = m_isAlive, leaving = report.leaving](auto answer) {
                       if (!*alive)
                           return;
                       m_isReporting = false;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -143,6 +143,34 @@
     return change;
 }
 
+using Waiting = std::unordered_map<fleet::AdapterKey, decisions::WaitingCount>;
+
+// Flat lists by model: the adapter, how many are in time and late, the time left to the former.
+json encodeWaiting(const Waiting &waiting, core::TimePoint now)
+{
+    json value = json::object();
+    for (const auto &[key, count] : waiting) {
+        json &list = value[key.model.value()];
+        list.push_back(key.adapter.value());
+        list.push_back(count.inTime);
+        list.push_back(count.late);
+        list.push_back(leftMilliseconds(count.inTimeUntil, now));
+    }
+    return value;
+}
+
+Waiting decodeWaiting(const json &value, core::TimePoint now)
+{
+    Waiting waiting;
+    for (const auto &[model, list] : value.items()) {
+        for (std::size_t at = 0; at < list.size(); at += 4)
+            waiting[{core::ModelId(model), core::AdapterId(list.at(at).get<std::string>())}]
+                = {list.at(at + 1).get<int>(), list.at(at + 2).get<int>(),
+                   inMilliseconds(now, list.at(at + 3))};
+    }
+    return waiting;
+}
+
 json encodeCrashes(const std::vector<decisions::CrashFact> &facts)
 {
     json value = json::array();
@@ -227,7 +255,7 @@
     return EndpointsDigest {XXH3_64bits(ids.data(), ids.size())};
 }
 
-std::string encode(const PeerReport &report)
+std::string encode(const PeerReport &report, core::TimePoint now)
 {
     json demand = json::object();
     for (const auto &[key, count] : report.demand)
@@ -252,7 +280,7 @@
                  {"resting", encodeIds(report.resting)},
                  {"leaving", encodeLives(report.leaving)},
                  {"crashes", encodeCrashes(report.crashes)},
-                 {"waitedFor", encodeKeys(report.waitedFor)},
+                 {"waiting", encodeWaiting(report.waiting, now)},
                  {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
                  {"revision", report.knownRevision},
                  {"token", report.token.value()}});
@@ -279,7 +307,7 @@
                  {"crashes", encodeCrashes(view.crashes)}});
 }
 
-absl::StatusOr<PeerReport> decodePeerReport(const std::string &text)
+absl::StatusOr<PeerReport> decodePeerReport(const std::string &text, core::TimePoint now)
 {
     try {
         const json value = unpack(text);
@@ -302,7 +330,7 @@
         report.resting = decodeIds(value.at("resting"));
         report.leaving = decodeLives(value.at("leaving"));
         report.crashes = decodeCrashes(value.at("crashes"));
-        report.waitedFor = decodeKeys(value.at("waitedFor"));
+        report.waiting = decodeWaiting(value.at("waiting"), now);
         report.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "decisions/crashsuspects.h"
 #include "decisions/placementview.h"
+#include "decisions/waitinglist.h"
 #include "fleet/adapterkey.h"
 #include "fleet/endpoint.h"
 
@@ -35,7 +36,8 @@
     /// Adapters that its requests use there now.
     std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
     std::unordered_map<fleet::AdapterKey, int> demand;
-    std::vector<fleet::AdapterKey> waitedFor; ///< Requests wait until an endpoint holds them.
+    /// Requests that wait until an endpoint holds their adapter.
+    std::unordered_map<fleet::AdapterKey, decisions::WaitingCount> waiting;
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     std::vector<core::EndpointId> unreachable;
     std::vector<core::EndpointId> resting;                ///< Want nothing from this daemon now.
@@ -72,10 +74,10 @@
 /// were read and written five times on the way through the library, half a millisecond for each
 /// report of a deployment of 60 endpoints. Times are sent as what is left, since the clocks of
 /// daemons differ.
-std::string encode(const PeerReport &report);
+std::string encode(const PeerReport &report, core::TimePoint now);
 std::string encode(const PeerView &view, core::TimePoint now);
 /// Errors: the message is malformed.
-absl::StatusOr<PeerReport> decodePeerReport(const std::string &text);
+absl::StatusOr<PeerReport> decodePeerReport(const std::string &text, core::TimePoint now);
 absl::StatusOr<PeerView> decodePeerView(const std::string &text, core::TimePoint now);
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -7,6 +7,7 @@
 #include "decisions/placementview.h"
 #include "decisions/requestcost.h"
 #include "decisions/retrybudget.h"
+#include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
@@ -36,7 +37,7 @@
     /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
     /// Requests that wait until an endpoint holds the adapter.
-    std::unordered_map<fleet::AdapterKey, int> waitedFor;
+    decisions::WaitingList waiting;
     /// Endpoints that lacked what they were believed to hold, since the last report.
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     /// Endpoints that told this daemon that they leave, since the last report.
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -22,6 +22,8 @@
 // An adapter takes 250 ms to load; the rest is room for orders in front of it. A caller that is
 // sent away comes back once, after the target latency, so that waiting longer serves it better.
 constexpr core::Duration loadWait = std::chrono::milliseconds(2500);
+// From the order of a load to the first event: the load, its margin, and reading a prompt.
+constexpr core::Duration timeFromLoadToAnswer = std::chrono::milliseconds(400);
 // Part of the target latency that a request may wait for a free slot and still be on time.
 constexpr double capacityWaitPart = 0.6;
 constexpr double deadlineWaitPart = 0.4;
@@ -204,12 +206,16 @@
         return;
     m_waitsForLoad = isWaiting;
     const fleet::AdapterKey key = adapterKey();
-    if (isWaiting) {
-        if (++m_context.waitedFor[key] == 1)
-            m_context.onDemand();
-    } else if (--m_context.waitedFor[key] == 0) {
-        m_context.waitedFor.erase(key);
+    const core::TimePoint latestStart
+        = m_exchange->receivedAt + m_route->targetLatency - timeFromLoadToAnswer;
+    if (!isWaiting) {
+        m_context.waiting.remove(key, latestStart);
+        return;
     }
+    const bool isFirst = !m_context.waiting.contains(key);
+    m_context.waiting.add(key, latestStart);
+    if (isFirst)
+        m_context.onDemand();
 }
 
 void RequestTask::endpointsChanged()
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -63,7 +63,7 @@
     {
         planner.demand().add(key, region, count, at);
         if (!isHeld(key))
-            waiting[key][region] += count;
+            waiting[key][region].add({count, 0, at + milliseconds(600)});
         planner.setWaiting(waiting);
     }
 
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -35,9 +35,10 @@
     report.leaving[core::EndpointId("i-5")] = milliseconds(1733300000123);
     report.knownRevision = 17;
     report.token = core::FencingToken(4);
-    report.waitedFor = {key, {core::ModelId("other"), core::AdapterId("a2")}};
+    report.waiting[key] = {2, 1, now + milliseconds(300)};
+    report.waiting[{core::ModelId("other"), core::AdapterId("a2")}] = {0, 4, now};
     report.endpoints = EndpointsDigest {77};
-    const auto read = decodePeerReport(encode(report));
+    const auto read = decodePeerReport(encode(report, now), now);
     cr_assert(read.ok());
     cr_assert_eq(read->domain, report.domain);
     cr_assert_eq(read->processorShare, 0.25);
@@ -50,7 +51,7 @@
     cr_assert(read->leaving == report.leaving);
     cr_assert_eq(read->knownRevision, 17U);
     cr_assert_eq(read->token, core::FencingToken(4));
-    cr_assert(read->waitedFor == report.waitedFor);
+    cr_assert(read->waiting == report.waiting);
     cr_assert(read->endpoints == report.endpoints);
 }
 
@@ -115,12 +116,12 @@
 // Guards against a daemon that ends, or believes half a message, when a peer sends something else.
 Test(peermessages, malformedMessagesAreErrors)
 {
-    std::string torn = encode(PeerReport {});
+    std::string torn = encode(PeerReport {}, now);
     torn.erase(torn.size() / 2, 8);
     for (const std::string &text :
          {std::string("{}"), std::string("{\"cbor\":\"%%\"}"), std::string("{\"cbor\":\"\"}"),
           std::string("{\"cbor\":7}"), std::string("not JSON"), torn}) {
-        cr_assert_not(decodePeerReport(text).ok(), "%s", text.c_str());
+        cr_assert_not(decodePeerReport(text, now).ok(), "%s", text.c_str());
         cr_assert_not(decodePeerView(text, now).ok(), "%s", text.c_str());
     }
 }
