Refuse for resting endpoints only when all holders rest

Cause: found on the last read: a request was refused at once for the rest of one endpoint although another one that holds its adapter was only full for a moment.

Change: the end of a rest counts only if every endpoint that holds what is asked for rests. The coordinator's news of leaving endpoints has a type of its own.

Test: platformnotices/requestWaitsForAnEndpointThatIsOnlyFull, which failed before.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -172,8 +172,9 @@
     const core::TimePoint now = m_timers.now();
     std::erase_if(m_daemons,
                   [now](const auto &entry) { return now - entry.second.heardAt > daemonTimeout; });
-    std::erase_if(m_leaving,
-                  [now](const auto &entry) { return now - entry.second.second > leavingToldTime; });
+    std::erase_if(m_leaving, [now](const auto &entry) {
+        return now - entry.second.heardAt > leavingToldTime;
+    });
     m_load.clear();
     for (const auto &[host, daemon] : m_daemons) {
         for (const auto &[id, load] : daemon.load)
@@ -298,8 +299,8 @@
     view.revision = m_planner.revision();
     view.daemons = static_cast<int>(m_daemons.size());
     view.crashes = m_crashes.recent(m_timers.now());
-    for (const auto &[id, life] : m_leaving)
-        view.leaving[id] = life.first;
+    for (const auto &[id, news] : m_leaving)
+        view.leaving[id] = news.born;
     noteContents();
     view.since = daemon.knownRevision;
     view.contents = m_contents.since(daemon.knownRevision);
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -66,6 +66,12 @@
         bool isViewDue = false;                ///< An adapter is being loaded that it waits for.
     };
 
+    struct LeavingNews
+    {
+        fleet::BirthTime born {}; ///< The life of the endpoint that leaves.
+        core::TimePoint heardAt;
+    };
+
     void tick();
     void becomeHolder();
     void sumLoads();
@@ -101,8 +107,7 @@
     std::map<core::HostId, Daemon> m_daemons;
     decisions::CrashSuspects m_crashes; ///< Collects what daemons tell, to tell it to all.
     std::map<core::EndpointId, double> m_load;
-    /// Endpoints that said lately that they leave, with when that was heard, to tell it to all.
-    std::map<core::EndpointId, std::pair<fleet::BirthTime, core::TimePoint>> m_leaving;
+    std::map<core::EndpointId, LeavingNews> m_leaving; ///< Heard lately, to tell it to all.
     decisions::RelayChoice m_relays;
     decisions::ContentsHistory m_contents;
     std::uint64_t m_notedRevision = 0; ///< Up to which m_contents follows the planner.
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -28,9 +28,9 @@
     const std::vector<decisions::EndpointOption> candidates = options(now);
     // A request that waits for an adapter asks fifty times a second, mostly without any option.
     if (candidates.empty()) {
-        const bool isHeld = firstRestEnd(now).has_value();
+        const bool allRest = firstRestEnd(now).has_value();
         return {std::nullopt,
-                isHeld ? decisions::NoChoice::AllFull : decisions::NoChoice::NoEndpoint};
+                allRest ? decisions::NoChoice::AllFull : decisions::NoChoice::NoEndpoint};
     }
     return decisions::chooseEndpoint(candidates, m_context.draw(), unseenPerEndpoint(now));
 }
@@ -98,9 +98,12 @@
     const int leastVersion = expectedVersion(now).value_or(0);
     std::optional<core::TimePoint> first;
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
+        if (!isUsable(endpoint, leastVersion, now))
+            continue;
         const core::TimePoint end = m_context.pool.restEnd(endpoint);
-        if (end > now && isUsable(endpoint, leastVersion, now))
-            first = std::min(first.value_or(end), end);
+        if (end <= now)
+            return std::nullopt;
+        first = std::min(first.value_or(end), end);
     }
     return first;
 }
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -26,8 +26,8 @@
     void refused(core::TimePoint now);
     /// Chooses among the endpoints of the service that hold what is asked for and are not leaving.
     decisions::EndpointChoice choose(core::TimePoint now) const;
-    /// When the first of the endpoints that hold what is asked for, but want nothing now, takes
-    /// requests again; empty if there is none.
+    /// When the first of the endpoints that hold what is asked for takes requests again, if all of
+    /// them want nothing now; else empty.
     std::optional<core::TimePoint> firstRestEnd(core::TimePoint now) const;
     /// The version of the adapter that an endpoint must hold; empty while any may be used.
     std::optional<int> expectedVersion(core::TimePoint now) const;
--- a/tests/e2e/tst_platformnotices.cpp
+++ b/tests/e2e/tst_platformnotices.cpp
@@ -126,6 +126,34 @@
     fixture.askUntilFirstGotMoreThan(reached);
 }
 
+// Guards against a request that is refused for the rest of one endpoint while another one is only
+// full for a moment.
+Test(platformnotices, requestWaitsForAnEndpointThatIsOnlyFull, .timeout = 60)
+{
+    NoticeFixture fixture;
+    fixture.first.rest = "30";
+    fixture.askUntilFirstGotMoreThan(0);
+    std::vector<EndpointStandIn::Exchange> held;
+    fixture.second.run
+        = [&](const EndpointStandIn::Exchange &exchange) { held.push_back(exchange); };
+    // One more than 1.6 times the slots of the second endpoint would be its thirteenth.
+    constexpr std::size_t most = 13;
+    std::vector<AnswerPtr> answers;
+    for (std::size_t number = 0; number < most; ++number)
+        answers.push_back(fixture.start("/get/a", "held" + std::to_string(number)));
+    cr_assert(fixture.waitUntil([&] { return held.size() == most; }));
+    const auto answer = fixture.start("/get/a", "r1");
+    fixture.pass(milliseconds(150));
+    cr_assert_not(answer->isEnded, "%s", fixture.output().c_str());
+    for (const auto &exchange : held)
+        exchange->respond(200, EndpointStandIn::stamped(exchange), "text");
+    fixture.second.run = [](const EndpointStandIn::Exchange &exchange) {
+        exchange->respond(200, EndpointStandIn::stamped(exchange), "text");
+    };
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert_eq(answer->head.status, 200);
+}
+
 // Guards against a caller that is sent away for a shorter time than the only endpoint wants
 // nothing, or that waits for an end that comes too late for it.
 Test(platformnotices, callerIsToldWhenTheEndpointWantsRequestsAgain, .timeout = 60)
