Tell what the coordinator is busy with, and how long each order took

The log of the large site could not tell endpoints that do not answer orders from a coordinator that is too late to take their answers, and 100 lines a second left out half of its orders.

The coordinator writes one line a second: the longest delay of a timer, the time of each kind of work, how orders ended, and how many endpoints wait for an order or a report. It is a warning when timers run more than two ticks late, so that it is never left out.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <cstdlib>
 #include <fstream>
@@ -52,7 +53,7 @@
 }
 
 // Serves the users' platform; its settings file is named by the platform's environment variable.
-int runGateway(bool checkOnly, std::uint16_t metricsPort)
+int runGateway(bool checkOnly, std::uint16_t metricsPort, double logLinesPerSecond)
 {
     using namespace jackdawlead;
     const char *path = std::getenv(platform::settingsVariable);
@@ -71,7 +72,10 @@
         return Stopped;
     }
     settings->metricsPort = metricsPort;
-    observability::startBoundedLogging("INFO", settings->host);
+    observability::LineBudgetLimits lines;
+    lines.burst = std::max(lines.burst, logLinesPerSecond);
+    lines.linesPerSecond = logLinesPerSecond;
+    observability::startBoundedLogging("INFO", settings->host, lines);
     gateway::Gateway gateway(*std::move(settings), read);
     if (const absl::Status status = gateway.start(); !status.ok()) {
         observability::logError(observability::LogLevel::Error, status);
@@ -92,6 +96,10 @@
         "check-settings", "check the settings file and exit")(
         "metrics-port", options::value<std::uint16_t>()->default_value(0),
         "with --platform: where /metrics is served; 0 serves none")(
+        "log-lines",
+        options::value<double>()->default_value(
+            jackdawlead::observability::LineBudgetLimits().linesPerSecond),
+        "with --platform: lines a second that are logged besides warnings")(
         "platform", "serve the users' platform; JACKDAWLEAD_SETTINGS names its settings file");
     options::variables_map values;
     try {
@@ -106,7 +114,8 @@
     }
     if (values.contains("platform"))
         return runGateway(values.contains("check-settings"),
-                          values["metrics-port"].as<std::uint16_t>());
+                          values["metrics-port"].as<std::uint16_t>(),
+                          values["log-lines"].as<double>());
     if (!values.contains("settings")) {
         std::cerr << "--settings is required\n" << description;
         return WrongUse;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+constexpr core::Duration summaryPeriod = std::chrono::seconds(1);
 // Joins what asks for a plan at nearly the same time: a pass over all endpoints costs some tenths
 // of a millisecond.
 constexpr core::Duration planDelay = std::chrono::milliseconds(5);
@@ -76,14 +77,15 @@
 
 Coordinator::Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
                          http::Caller &caller, FleetWatch &watch, LeaseKeeper &lease,
-                         observability::GatewayMetrics &metrics, const decisions::RequestCost &cost,
-                         ViewSender sendView)
+                         observability::GatewayMetrics &metrics, observability::WorkMeter &work,
+                         const decisions::RequestCost &cost, ViewSender sendView)
     : m_settings(settings)
     , m_timers(timers)
     , m_caller(caller)
     , m_watch(watch)
     , m_lease(lease)
     , m_metrics(metrics)
+    , m_work(work)
     , m_cost(cost)
     , m_sendView(std::move(sendView))
     , m_planner({})
@@ -96,7 +98,39 @@
 
 void Coordinator::start()
 {
-    m_timer = m_timers.every(tickPeriod, [this] { tick(); });
+    m_tickDueAt = m_timers.now() + tickPeriod;
+    m_timer = m_timers.every(tickPeriod, [this] {
+        m_work.timerRuns(m_tickDueAt);
+        m_tickDueAt = m_timers.now() + tickPeriod;
+        const observability::WorkMeter::Scope scope(m_work, "ticks");
+        tick();
+    });
+}
+
+// A coordinator that cannot keep up is told from endpoints that do not answer by the delay of its
+// timers, and what it is busy with by the times.
+void Coordinator::writeSummary()
+{
+    const core::TimePoint now = m_timers.now();
+    if (now - m_lastSummary < summaryPeriod)
+        return;
+    m_lastSummary = now;
+    std::size_t needingReport = 0;
+    std::size_t withOrder = 0;
+    for (const auto &[id, state] : m_planner.endpoints()) {
+        needingReport += state.needsReport ? 1 : 0;
+        withOrder += state.hasOrder ? 1 : 0;
+    }
+    const bool isOverloaded = m_work.longestLag() > tickPeriod * 2;
+    const auto level = isOverloaded ? observability::LogLevel::Warn : observability::LogLevel::Info;
+    observability::log(
+        {.level = level,
+         .step = "coordinator",
+         .message = absl::StrCat(m_work.takeSummary(), "; daemons ", m_daemons.size(),
+                                 ", endpoints ", m_planner.endpoints().size(),
+                                 ", of these with an order ", withOrder, ", without a report ",
+                                 needingReport, ", adapters waited for ", waitingRequests().size(),
+                                 ", transit limit ", m_planner.adaptersInTransit())});
 }
 
 void Coordinator::tick()
@@ -107,6 +141,7 @@
     }
     if (!m_wasHolder)
         becomeHolder();
+    writeSummary();
     sumLoads();
     chooseRelays();
     if (!m_lease.mayOrder())
@@ -222,6 +257,7 @@
         return {};
     if (!m_wasHolder)
         becomeHolder();
+    const observability::WorkMeter::Scope scope(m_work, "reports of daemons");
     const core::TimePoint now = m_timers.now();
     Daemon &daemon = m_daemons[report.host];
     if (auto address = platform::decodeAddress(report.peerAddress); address.ok())
@@ -342,24 +378,27 @@
         if (endpoint == nullptr || !m_reportsAsked.insert(id).second)
             continue;
         const core::TimePoint sentAt = m_timers.now();
-        m_caller.call(endpoint->address, platform::writeReportRequest(id), reportTimeout,
-                      [this, alive = m_isAlive, id, sentAt](auto answer) {
-                          if (!*alive)
-                              return;
-                          m_reportsAsked.erase(id);
-                          if (answer.ok())
-                              noteLeaving(id, *answer);
-                          if (!answer.ok() || answer->status != 200)
-                              return;
-                          const auto report = platform::decodeReport(answer->body);
-                          if (!report.ok()) {
-                              observability::logError(observability::LogLevel::Warn,
-                                                      report.status());
-                              return;
-                          }
-                          m_planner.reportSeen(id, *report, sentAt);
-                          planSoon();
-                      });
+        m_caller.call(
+            endpoint->address, platform::writeReportRequest(id), reportTimeout,
+            [this, alive = m_isAlive, id, sentAt](auto answer) {
+                if (!*alive)
+                    return;
+                const observability::WorkMeter::Scope scope(m_work, "reports of endpoints");
+                m_reportsAsked.erase(id);
+                if (answer.ok())
+                    noteLeaving(id, *answer);
+                if (!answer.ok() || answer->status != 200) {
+                    m_work.count("endpoints without a report");
+                    return;
+                }
+                const auto report = platform::decodeReport(answer->body);
+                if (!report.ok()) {
+                    observability::logError(observability::LogLevel::Warn, report.status());
+                    return;
+                }
+                m_planner.reportSeen(id, *report, sentAt);
+                planSoon();
+            });
     }
 }
 
@@ -376,6 +415,7 @@
 {
     if (!m_lease.mayOrder())
         return;
+    const observability::WorkMeter::Scope scope(m_work, "plans");
     const core::TimePoint begin = m_timers.now();
     m_planner.setRequestCost(m_cost);
     m_planner.setWaiting(waitingRequests());
@@ -415,26 +455,33 @@
     order.orderRevision = planned.orderRevision;
     order.holder = m_settings.host;
     order.token = m_lease.lease().record()->token;
+    const core::TimePoint sentAt = m_timers.now();
     m_caller.call(endpoint->address, platform::writeOrder(order), orderTimeout,
-                  [this, alive = m_isAlive, planned, sends](auto answer) {
+                  [this, alive = m_isAlive, planned, sentAt, sends](auto answer) {
                       if (!*alive)
                           return;
+                      const observability::WorkMeter::Scope scope(m_work, "answers to orders");
                       if (answer.ok())
                           noteLeaving(planned.endpoint, *answer);
                       const auto result = answer.ok() ? platform::readOrderResult(answer->status)
                                                       : platform::OrderResult::Unknown;
-                      orderAnswered(planned, endOf(result), sends + 1);
+                      orderAnswered(planned, endOf(result), answer.ok() ? answer->status : 0,
+                                    sentAt, sends + 1);
                   });
 }
 
 void Coordinator::orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end,
-                                int sends)
+                                int status, core::TimePoint sentAt, int sends)
 {
-    observability::log({.step = planned.isLoad ? "order load" : "order unload",
-                        .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(),
-                                                " ", nameOf(end), ", revision ",
-                                                planned.orderRevision, ", sends ", sends),
-                        .peer = planned.endpoint.value()});
+    const auto took
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - sentAt);
+    observability::log(
+        {.step = planned.isLoad ? "order load" : "order unload",
+         .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(), " ",
+                                 nameOf(end), ", status ", status, " after ", took.count(),
+                                 " ms, revision ", planned.orderRevision, ", sends ", sends),
+         .peer = planned.endpoint.value()});
+    m_work.count(nameOf(end));
     m_metrics.orderEnded(planned.isLoad ? "load" : "unload", nameOf(end));
     if (end == decisions::OrderEnd::Unknown && sends < maxOrderSends) {
         give(planned, sends);
@@ -466,6 +513,7 @@
 
 void Coordinator::sendDueViews()
 {
+    const observability::WorkMeter::Scope scope(m_work, "views sent at once");
     for (auto &[host, daemon] : m_daemons) {
         if (daemon.isViewDue)
             m_sendView(daemon.address, changesFor(daemon));
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -10,6 +10,7 @@
 #include "gateway/peermessages.h"
 #include "http/caller.h"
 #include "observability/gatewaymetrics.h"
+#include "observability/workmeter.h"
 #include "platform/endpointcodec.h"
 
 #include <functional>
@@ -31,8 +32,8 @@
 
     Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
                 http::Caller &caller, FleetWatch &watch, LeaseKeeper &lease,
-                observability::GatewayMetrics &metrics, const decisions::RequestCost &cost,
-                ViewSender sendView);
+                observability::GatewayMetrics &metrics, observability::WorkMeter &work,
+                const decisions::RequestCost &cost, ViewSender sendView);
     ~Coordinator();
     Coordinator(const Coordinator &) = delete;
     Coordinator &operator=(const Coordinator &) = delete;
@@ -73,6 +74,7 @@
     };
 
     void tick();
+    void writeSummary();
     void becomeHolder();
     void sumLoads();
     void joinInUse();
@@ -80,7 +82,8 @@
     void giveOrders();
     decisions::WaitingRequests waitingRequests() const;
     void give(const decisions::PlannedOrder &planned, int sends);
-    void orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end, int sends);
+    void orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end, int status,
+                       core::TimePoint sentAt, int sends);
     void askReports();
     void tellLoad(const decisions::PlannedOrder &planned);
     void chooseRelays();
@@ -101,6 +104,7 @@
     FleetWatch &m_watch;
     LeaseKeeper &m_lease;
     observability::GatewayMetrics &m_metrics;
+    observability::WorkMeter &m_work;
     const decisions::RequestCost &m_cost; ///< As this daemon's own requests tell.
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
@@ -117,6 +121,8 @@
     net::TimerService::Subscription m_timer;
     net::TimerService::Subscription m_soon;
     net::TimerService::Subscription m_tell;
+    core::TimePoint m_tickDueAt;
+    core::TimePoint m_lastSummary;
     core::TimePoint m_lastPlanEnded;
     core::Duration m_lastPlanTook {};
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -56,6 +56,7 @@
               m_storePath.watch(watch, margin, std::move(handler));
           })
     , m_relay(m_timers, mostAgeOfNews(m_settings.bounds))
+    , m_work([this] { return m_timers.now(); })
     , m_watch(m_store, m_timers, m_relay, m_settings.bounds, watchHandlers())
     , m_pool(m_loop, m_timers)
     , m_context {.settings = m_settings,
@@ -64,6 +65,7 @@
                  .watch = m_watch,
                  .pool = m_pool,
                  .metrics = m_metrics,
+                 .work = m_work,
                  .placement = {},
                  .budgets = {},
                  .crashes = decisions::CrashSuspects(),
@@ -83,7 +85,7 @@
               leaseLimits(m_settings), [this] { return m_peers.isCoordinatorHeard(); })
     , m_peers(m_context, m_caller, m_storePath, m_relay, m_lease, [this] { viewArrived(); })
     , m_coordinator(
-          m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics, m_context.cost,
+          m_settings, m_timers, m_caller, m_watch, m_lease, m_metrics, m_work, m_context.cost,
           [this](const net::Address &peer, const PeerView &view) { m_peers.sendView(peer, view); })
     , m_callers(
           m_loop, m_timers,
@@ -183,6 +185,7 @@
 
 void Gateway::serve(std::shared_ptr<http::ServerExchange> exchange)
 {
+    const observability::WorkMeter::Scope scope(m_work, "callers' requests");
     const std::uint64_t number = m_nextRequest++;
     const auto task = std::make_shared<RequestTask>(
         m_context, std::move(exchange), [this, number](const std::shared_ptr<RequestTask> &done) {
@@ -248,6 +251,7 @@
 
 void Gateway::wakeWaiting()
 {
+    const observability::WorkMeter::Scope scope(m_work, "looks for endpoints");
     std::vector<std::shared_ptr<RequestTask>> waiting;
     for (const auto &[number, task] : m_requests) {
         if (task->isWaiting())
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -68,6 +68,7 @@
     platform::ObjectStore m_store;
     WatchRelay m_relay;
     observability::GatewayMetrics m_metrics;
+    observability::WorkMeter m_work;
     FleetWatch m_watch;
     EndpointPool m_pool;
     RequestContext m_context;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -88,6 +88,7 @@
                 exchange->respond(404, {}, {});
                 return;
             }
+            const observability::WorkMeter::Scope scope(m_context.work, "calls of daemons");
             const rpc::JsonText reply = m_dispatcher.dispatch({exchange->body});
             exchange->respond(200, {{"Content-Type", "application/json"}}, reply.text);
         });
@@ -267,6 +268,7 @@
         return;
     }
     m_isReporting = true;
+    m_context.work.count("own reports");
     m_caller.call(record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
                   callTimeout, [this, alive = m_isAlive, leaving = report.leaving](auto answer) {
                       if (!*alive)
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -12,6 +12,7 @@
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "observability/gatewaymetrics.h"
+#include "observability/workmeter.h"
 
 #include <functional>
 #include <map>
@@ -30,6 +31,7 @@
     FleetWatch &watch;
     EndpointPool &pool;
     observability::GatewayMetrics &metrics;
+    observability::WorkMeter &work;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
     decisions::CrashSuspects crashes;
--- a/src/libs/observability/boundedappender.cpp
+++ b/src/libs/observability/boundedappender.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-BoundedAppender::BoundedAppender(int descriptor)
+BoundedAppender::BoundedAppender(int descriptor, LineBudgetLimits limits)
     : m_descriptor(descriptor)
+    , m_budget(limits)
 { }
 
 BoundedAppender::~BoundedAppender()
--- a/src/libs/observability/boundedappender.h
+++ b/src/libs/observability/boundedappender.h
@@ -14,7 +14,7 @@
 class BoundedAppender : public log4cplus::Appender
 {
 public:
-    explicit BoundedAppender(int descriptor);
+    BoundedAppender(int descriptor, LineBudgetLimits limits);
     ~BoundedAppender() override;
 
     void close() override { closed = true; }
--- a/src/libs/observability/log.cpp
+++ b/src/libs/observability/log.cpp
@@ -92,10 +92,11 @@
     startWith(new log4cplus::ConsoleAppender(logToStdErr, immediateFlush), level, host);
 }
 
-void startBoundedLogging(const std::string &level, const core::HostId &host)
+void startBoundedLogging(const std::string &level, const core::HostId &host,
+                         LineBudgetLimits limits)
 {
     initialize();
-    startWith(new BoundedAppender(STDOUT_FILENO), level, host);
+    startWith(new BoundedAppender(STDOUT_FILENO, limits), level, host);
 }
 
 void log(const LogEvent &event)
--- a/src/libs/observability/log.h
+++ b/src/libs/observability/log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "observability/linebudget.h"
 
 #include <absl/status/status.h>
 
@@ -27,7 +28,8 @@
 void startLogging(const std::string &level, const core::HostId &host);
 
 /// The same, with the lines on standard output and their volume bounded (BoundedAppender).
-void startBoundedLogging(const std::string &level, const core::HostId &host);
+void startBoundedLogging(const std::string &level, const core::HostId &host,
+                         LineBudgetLimits limits = {});
 
 /// Writes one line of JSON to where logging was started. It must carry no credential and no request
 /// body. Thread safety: any thread.
--- /dev/null
+++ b/tests/e2e/tst_brokenstreams.cpp
@@ -0,0 +1,116 @@
+#include "support/platformfixture.h"
+
+#include <criterion/criterion.h>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+void refuse(const EndpointStandIn::Exchange &exchange)
+{
+    exchange->respond(503, {{"Not-Executed", "1"}}, {});
+}
+
+/// Passes on the events up to `last` and ends without the end of the stream.
+void breakOff(const EndpointStandIn::Exchange &exchange, int last)
+{
+    exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+    if (last > 0)
+        exchange->writeChunk(events(1, last));
+    exchange->abort();
+}
+
+/// Endpoints of which the first one asked breaks its stream off behind event `last`; the other
+/// requests are answered as `run` says.
+void breakFirstRun(PlatformFixture &fixture, int last,
+                   const std::function<void(const EndpointStandIn::Exchange &)> &run)
+{
+    const auto count = std::make_shared<int>(0);
+    fixture.first.run = fixture.second.run
+        = [count, last, run](const EndpointStandIn::Exchange &exchange) {
+              if (++*count == 1)
+                  breakOff(exchange, last);
+              else
+                  run(exchange);
+          };
+}
+
+} // namespace
+
+// Guards against a request that ends without an answer: the head of the stream was passed on before
+// its first event, so that closing the connection was all that was left when its endpoint broke off
+// and no other one took the request.
+Test(brokenstreams, streamBrokenBeforeItsFirstEventIsAnswered, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    breakFirstRun(fixture, 0, refuse);
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    // It may have run, so that nothing else is true.
+    cr_assert_eq(answer->head.status, 502);
+}
+
+// Guards against the same for a stream that must not run again.
+Test(brokenstreams, unrepeatableStreamBrokenBeforeItsFirstEventIsAnswered, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    breakFirstRun(fixture, 0, refuse);
+    const auto answer = fixture.call("/once/a", "r1", "base");
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->head.status, 502);
+    cr_assert_eq(fixture.first.runs.size() + fixture.second.runs.size(), 1U);
+}
+
+// Guards against the head of an earlier endpoint standing over the events of a later one while
+// nothing of the earlier one was passed on, and against a stream without events losing its head.
+Test(brokenstreams, streamThatStartsAnewHasItsOwnHead, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    breakFirstRun(fixture, 0, [](const EndpointStandIn::Exchange &exchange) {
+        auto fields = EndpointStandIn::stamped(exchange);
+        fields.add("X-Run", "second");
+        exchange->startChunked(200, fields);
+        exchange->finishChunked();
+    });
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->head.status, 200);
+    cr_assert_eq(answer->head.headers.value("X-Run"), "second");
+}
+
+// Guards against a stream that broke off midway being ended at once because the budget of repeated
+// sends is used up at this moment: callers wait for the next event for seconds, and each new
+// request adds to the budget.
+Test(brokenstreams, brokenStreamWaitsForTheBudget, .timeout = 60)
+{
+    PlatformFixture fixture("model", true, 0);
+    breakFirstRun(fixture, 3,
+                  [](const EndpointStandIn::Exchange &exchange) { stream(exchange, 6, false); });
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return answer->body == events(1, 3); }));
+    fixture.pass(milliseconds(200));
+    cr_assert_not(answer->isEnded, "%s", fixture.output().c_str());
+    // A fifth of them, and three fifths of that, are at least one.
+    constexpr int requests = 10;
+    for (int number = 0; number < requests; ++number)
+        fixture.call("/stream/a", "more" + std::to_string(number), "base");
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 6));
+}
+
+// Guards against a stream that goes on being waited for without end: its caller has left by then.
+Test(brokenstreams, brokenStreamEndsWhenNoEndpointTakesIt, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    breakFirstRun(fixture, 3, refuse);
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return answer->body == events(1, 3); }));
+    const core::TimePoint brokenAt = fixture.timers.now();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert_not(answer->isWhole);
+    // Four times the target latency of 800 ms is the longest gap that callers bear.
+    cr_assert_lt(fixture.timers.now() - brokenAt, milliseconds(3200));
+    cr_assert_leq(fixture.first.runs.size() + fixture.second.runs.size(), 8U);
+}
