Answer streams that broke off before an event, let others wait for the budget

Cause: the head of a stream was passed on as it came, before any event. When its endpoint broke off then, a closed connection was the only end left. That end came at the first refusal, and at once if the budget of repeated sends was used up at that moment, although callers bear a gap of two seconds and more and each new request adds to the budget.

Change: the head goes on with the first whole event, so that a request without one is answered 502 or runs anew. A stream that began looks for an endpoint and for the budget until its caller would leave (two seconds, four target latencies or eight target pauses, less one target latency). Its sends are bounded by this time; the pause after a refusal doubles. The log says why a stream is aborted.

--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// An endpoint that refused while it replaces an adapter refuses again until its runs have ended.
-constexpr core::Duration refusedPause = std::chrono::milliseconds(150);
 // From then on an older version of an adapter is not used, to be inside the platform's bound also
 // when it was learned late (0.45 of the bound at most) and after a wait in the endpoint's queue.
 constexpr double versionGracePart = 0.45;
@@ -20,7 +18,8 @@
 
 void EndpointFinder::refused(core::TimePoint now)
 {
-    m_triedAgainAt = now + refusedPause;
+    m_triedAgainAt = now + m_refusedPause;
+    m_refusedPause *= 2;
 }
 
 decisions::EndpointChoice EndpointFinder::choose(core::TimePoint now) const
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -48,6 +48,9 @@
     core::ServiceId m_service;
     std::set<core::EndpointId> m_tried;
     core::TimePoint m_triedAgainAt;
+    /// An endpoint that refused while it replaces an adapter refuses again until its runs have
+    /// ended, and one that is full until one of them has; each refusal takes from the budget.
+    core::Duration m_refusedPause = std::chrono::milliseconds(150);
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -27,9 +27,11 @@
 // Part of the target latency that a request may wait for a free slot and still be on time.
 constexpr double capacityWaitPart = 0.6;
 constexpr double deadlineWaitPart = 0.4;
-// Callers leave a stream after a gap of two seconds; the rest is for the next endpoint's first
-// event.
-constexpr core::Duration resumeWait = std::chrono::milliseconds(1200);
+// Callers bear a gap of two seconds, four target latencies or eight target pauses, whichever is
+// longest, and leave then.
+constexpr core::Duration leastBearableGap = std::chrono::seconds(2);
+constexpr int bearableLatencies = 4;
+constexpr int bearablePauses = 8;
 // Sends that are certain not to have run do not use up the route's attempts, but they must end.
 constexpr int maxSends = 4;
 // An answer of more bytes is passed on only as a whole, so this bounds what a daemon holds for it.
@@ -40,7 +42,7 @@
 // Callers leave a stream after a gap of two seconds at least; a second run needs half of that.
 constexpr core::Duration leastStall = std::chrono::milliseconds(1100);
 constexpr int slowEndpointFactor = 2; ///< Callers of streams leave after 3.2 s and more.
-constexpr int stalledGaps = 4;        ///< Target pauses after which a stream counts as stalled.
+constexpr int stalledGaps = 4; ///< Target pauses after which a stream counts as stalled.
 constexpr core::Duration quarantineRetryAfter = std::chrono::minutes(5);
 constexpr core::Duration startRetryAfter = std::chrono::milliseconds(500);
 // A daemon that starts reads configuration and endpoints within some ten milliseconds while the
@@ -56,6 +58,11 @@
 constexpr double spreadOfRetryAfter = 0.5;
 constexpr std::string_view noHolder = "no endpoint holds what is asked for";
 
+long long inMilliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 RequestTask::RequestTask(RequestContext &context, std::shared_ptr<http::ServerExchange> exchange,
@@ -158,18 +165,40 @@
         refuse("no time is left", busyRetryAfter);
         return;
     }
+    if (m_isRelaying && now() >= waitLimit(decisions::NoChoice::AllFull)) {
+        refuse("no endpoint takes the stream that broke off", busyRetryAfter);
+        return;
+    }
     const auto choice = m_finder.choose(now());
     if (!choice.endpoint) {
         waitFor(choice.reason);
         return;
     }
+    if (m_needsBudget && !m_context.budgets[m_service].tryTake(now())) {
+        waitForBudget();
+        return;
+    }
+    m_needsBudget = false;
     send(*m_context.watch.endpoint(*choice.endpoint));
 }
 
+// The next endpoint needs up to a target latency for its first event.
+core::Duration RequestTask::resumeWait() const
+{
+    const core::Duration bearable
+        = std::max({leastBearableGap, m_route->targetLatency * bearableLatencies,
+                    m_route->targetGap * bearablePauses});
+    return bearable - m_route->targetLatency;
+}
+
 core::TimePoint RequestTask::waitLimit(decisions::NoChoice reason) const
 {
-    if (m_isRelaying)
-        return m_brokeAt + resumeWait;
+    const core::TimePoint limit = waitLimitFromArrival(reason);
+    return m_brokeAt ? std::max(limit, *m_brokeAt + resumeWait()) : limit;
+}
+
+core::TimePoint RequestTask::waitLimitFromArrival(decisions::NoChoice reason) const
+{
     const core::TimePoint arrival = m_exchange->receivedAt;
     const core::Duration mostOfDeadline = core::scaled(deadline() - arrival, deadlineWaitPart);
     if (reason == decisions::NoChoice::NoEndpoint)
@@ -181,8 +210,9 @@
 void RequestTask::waitFor(decisions::NoChoice reason)
 {
     const bool needsLoad = reason == decisions::NoChoice::NoEndpoint;
-    const bool isHopeless
-        = needsLoad && (m_fields.model.isEmpty() || !m_context.isLoadingPossible());
+    // The holders of a stream that broke off may only be full for a moment.
+    const bool isHopeless = needsLoad && !m_isRelaying
+        && (m_fields.model.isEmpty() || !m_context.isLoadingPossible());
     if (isHopeless) {
         refuse(noHolder, std::max(loadRetryAfter, m_context.untilLoadsResume()));
         return;
@@ -198,6 +228,15 @@
     setWaitsForLoad(needsLoad);
 }
 
+// Each request that comes adds to the budget.
+void RequestTask::waitForBudget()
+{
+    setWaitsForLoad(false);
+    m_isWaiting = now() < waitLimit(decisions::NoChoice::AllFull);
+    if (!m_isWaiting)
+        refuse("the budget of repeated sends is used up", busyRetryAfter);
+}
+
 // The coordinator is told at once, once for each wait: a request that waits looks for an endpoint
 // fifty times a second, and a report each time kept the coordinator of 195 daemons from its orders.
 void RequestTask::setWaitsForLoad(bool isWaiting)
@@ -253,6 +292,7 @@
     if (m_sends == 1)
         m_context.metrics.sentAfter(m_sentAt - m_exchange->receivedAt);
     m_answerBody.clear();
+    m_isStream = false;
     m_startLoad
         = m_context.pool.load(endpoint.id, endpoint.slots) + m_context.pool.others(endpoint.id);
     constexpr double fillOfFew = 0.5;
@@ -268,6 +308,8 @@
     if (m_isRelaying) {
         m_events.startNextRun();
         forward.lastEventId = m_events.lastId();
+    } else {
+        m_events = EventFilter();
     }
     http::OutgoingRequest request;
     request.bytes = platform::writeForwardedRequest(m_exchange->head, m_exchange->body, forward);
@@ -327,15 +369,21 @@
 {
     m_traits = platform::readAnswerTraits(head);
     noteEndpointState(head);
-    const bool isStream
+    m_isStream
         = m_route->isStream && head.status == 200 && m_traits.isStamped && !m_traits.isEncoded;
-    if (isStream && !m_isRelaying) {
-        m_isRelaying = true;
-        m_exchange->startChunked(head.status, platform::answerFieldsForCaller(head));
-    }
     m_answer = std::move(head);
 }
 
+// Not before the first event: until then an endpoint that breaks off leaves room for another answer
+// than a closed connection.
+void RequestTask::startRelaying()
+{
+    if (m_isRelaying)
+        return;
+    m_isRelaying = true;
+    m_exchange->startChunked(m_answer.status, platform::answerFieldsForCaller(m_answer));
+}
+
 // Other requests may end by what the endpoint says, so that it is taken from the loop.
 void RequestTask::noteEndpointState(const http::MessageHead &head)
 {
@@ -357,8 +405,7 @@
 
 void RequestTask::bodyArrived(std::string_view bytes)
 {
-    const bool isRelayed = m_isRelaying && m_answer.status == 200;
-    if (!isRelayed) {
+    if (!m_isStream) {
         if (m_answerBody.size() + bytes.size() > maxBufferedAnswer)
             breakExchange(); // Too large to be passed on whole, and perhaps without end.
         else if (!m_isDone)
@@ -380,6 +427,9 @@
         readingEnded();
         m_times.eventsCame(now());
     }
+    if (events.empty())
+        return;
+    startRelaying();
     m_exchange->writeChunk(events);
     slowDown();
 }
@@ -445,7 +495,7 @@
         notRun();
         return;
     }
-    if (m_isRelaying) {
+    if (m_isStream || m_isRelaying) {
         streamEnded(end);
         return;
     }
@@ -492,7 +542,7 @@
 
 void RequestTask::streamEnded(http::ExchangeEnd end)
 {
-    if (end == http::ExchangeEnd::Complete && m_answer.status == 200 && !m_isBrokenStream) {
+    if (end == http::ExchangeEnd::Complete && m_isStream && !m_isBrokenStream) {
         m_context.pool.health(m_endpoint).succeeded();
         logIfLate();
         if (m_times.hasEvents()) {
@@ -502,16 +552,21 @@
                 m_context.cost.streamEnded(m_times.lastAt() - m_times.firstAt());
         }
         m_status = m_answer.status;
+        startRelaying();
         m_exchange->writeChunk(m_events.rest());
         m_exchange->finishChunked();
         finish();
         return;
     }
     m_isBrokenStream = false;
-    m_brokeAt = now();
     connectionBroke(end);
-    sendFailed(end == http::ExchangeEnd::ConnectFailed ? Failure::NotSent : Failure::MayHaveRun,
-               "stream broke");
+    if (end == http::ExchangeEnd::ConnectFailed) {
+        m_finder.refused(now());
+        sendFailed(Failure::NotSent, "cannot connect");
+        return;
+    }
+    m_brokeAt = now();
+    sendFailed(Failure::MayHaveRun, "stream broke");
 }
 
 void RequestTask::answerBuffered()
@@ -557,13 +612,17 @@
         if (!m_route->mayRunAgain() || m_runs >= m_route->maxAttempts)
             return false;
     }
-    if (m_sends >= maxSends || !m_exchange->isOpen())
+    // A stream that broke off is bounded by the time that its caller waits.
+    if ((m_sends >= maxSends && !m_isRelaying) || !m_exchange->isOpen())
         return false;
     // A request that was running when two endpoints died is not carried to a third one by us.
     if (failure == Failure::MayHaveRun && m_context.crashes.deaths(fingerprint(), now()) > 1)
         return false;
     // The budget counts what arrives at endpoints.
-    return failure == Failure::NotSent || m_context.budgets[m_service].tryTake(now());
+    if (failure == Failure::NotSent)
+        return true;
+    m_needsBudget = m_isRelaying;
+    return m_needsBudget || m_context.budgets[m_service].tryTake(now());
 }
 
 void RequestTask::sendFailed(Failure failure, std::string_view cause)
@@ -582,8 +641,7 @@
         return;
     }
     if (m_isRelaying) {
-        m_exchange->abort();
-        finish();
+        abortStream(cause);
         return;
     }
     if (m_runs == 0)
@@ -597,8 +655,7 @@
     if (m_isDone)
         return;
     if (m_isRelaying) {
-        m_exchange->abort();
-        finish();
+        abortStream("the deadline has passed");
         return;
     }
     if (m_isSent || m_runs > 0)
@@ -623,8 +680,7 @@
 void RequestTask::refuse(std::string_view cause, core::Duration retryAfter)
 {
     if (m_isRelaying) {
-        m_exchange->abort();
-        finish();
+        abortStream(cause);
         return;
     }
     // A refusal promises that nothing ran.
@@ -632,14 +688,12 @@
         fail(502, cause);
         return;
     }
-    const auto held
-        = std::chrono::duration_cast<std::chrono::milliseconds>(now() - m_exchange->receivedAt);
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "refuse",
-         .message
-         = absl::StrCat(core::toAbsl(cause), ", model ", m_fields.model.value(), "/",
-                        m_fields.adapter.value(), ", held ", held.count(), " ms, sends ", m_sends),
+         .message = absl::StrCat(
+             core::toAbsl(cause), ", model ", m_fields.model.value(), "/", m_fields.adapter.value(),
+             ", held ", inMilliseconds(now() - m_exchange->receivedAt), " ms, sends ", m_sends),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
     const core::Duration delay
@@ -650,6 +704,22 @@
     finish();
 }
 
+void RequestTask::abortStream(std::string_view cause)
+{
+    const core::TimePoint brokeAt = m_brokeAt.value_or(now());
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "abort stream",
+         .message = absl::StrCat(
+             core::toAbsl(cause), ", ", inMilliseconds(now() - m_exchange->receivedAt),
+             " ms after its arrival and ", inMilliseconds(now() - brokeAt),
+             " ms after an endpoint broke off, sends ", m_sends, ", may have run ", m_runs),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
+    m_exchange->abort();
+    finish();
+}
+
 void RequestTask::fail(int status, std::string_view cause)
 {
     observability::log({.level = observability::LogLevel::Info,
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -8,6 +8,7 @@
 #include "platform/endpointcodec.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,10 +50,16 @@
     void choose();
     void waitFor(decisions::NoChoice reason);
     void setWaitsForLoad(bool isWaiting);
+    void waitForBudget();
+    /// How long a request that broke off waits for its next endpoint.
+    core::Duration resumeWait() const;
     core::TimePoint waitLimit(decisions::NoChoice reason) const;
+    core::TimePoint waitLimitFromArrival(decisions::NoChoice reason) const;
     void send(const fleet::Endpoint &endpoint);
 
     void headArrived(http::MessageHead &head);
+    /// Passes the head of the stream on, if that is not done.
+    void startRelaying();
     void noteEndpointState(const http::MessageHead &head);
     void bodyArrived(std::string_view bytes);
     /// Ends the present exchange as broken, from the loop: its connection is on the stack.
@@ -74,6 +81,8 @@
     void callerLeft();
     void refuse(std::string_view cause, core::Duration retryAfter);
     void fail(int status, std::string_view cause);
+    /// Ends an answer of which the caller has a part.
+    void abortStream(std::string_view cause);
     void finish();
     void dropConnection();
     void slowDown();
@@ -107,15 +116,17 @@
     http::MessageHead m_answer;
     platform::AnswerTraits m_traits;
     std::string m_answerBody;
-    bool m_isRelaying = false; ///< The answer is a stream and is passed on as it arrives.
+    bool m_isStream = false;    ///< The present endpoint answers with a stream.
+    bool m_isRelaying = false;  ///< The caller has the head of a stream and is given its events.
+    bool m_needsBudget = false; ///< The next send has to be taken from the budget first.
     bool m_isBrokenStream = false;
     EventFilter m_events;
     StreamTimes m_times;
     core::TimePoint m_sentAt;
-    core::TimePoint m_brokeAt; ///< When the stream that is being passed on broke off last.
-    double m_startLoad = 0;    ///< Slots occupied at the endpoint when the request was sent.
-    int m_readingTokens = 0;   ///< Of the present send, until its first event.
-    bool m_isAlone = false;    ///< The endpoint had nothing to read and few streams then.
+    std::optional<core::TimePoint> m_brokeAt; ///< When an endpoint broke off last.
+    double m_startLoad = 0;  ///< Slots occupied at the endpoint when the request was sent.
+    int m_readingTokens = 0; ///< Of the present send, until its first event.
+    bool m_isAlone = false;  ///< The endpoint had nothing to read and few streams then.
     net::TimerService::Subscription m_deadlineTimer;
     net::TimerService::Subscription m_stallTimer;
 };
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -100,8 +100,12 @@
     std::uint16_t peerPort = ports[5];
     std::string folder;
     Process daemon;
+    /// Repeated sends of a service in ten seconds beyond a fifth of its requests.
+    int budgetSlack = 400;
 
-    explicit PlatformFixture(const char *service = "plain", bool isStarted = true)
+    explicit PlatformFixture(const char *service = "plain", bool isStarted = true,
+                             int repeatedSends = 400)
+        : budgetSlack(repeatedSends)
     {
         char pattern[] = "/tmp/jackdawlead-XXXXXX";
         folder = mkdtemp(pattern);
@@ -137,7 +141,8 @@
                             << "\nbounds.stable_window_ms=4000\nbounds.drain_ms=3000\n"
                                "bounds.grace_s=8\nbounds.config_ms=3000\nbounds.version_ms=5000\n"
                                "bounds.lease_ms=3000\nbounds.budget_window_s=10\n"
-                               "bounds.budget_ratio=0.2\nbounds.budget_slack=400\n";
+                               "bounds.budget_ratio=0.2\nbounds.budget_slack="
+                            << budgetSlack << "\n";
         setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
         daemon = Process({JACKDAWLEADD, "--platform"}, folder + "/output");
     }
