Give a silent endpoint up only for one that takes the request

Cause: a stream without an event for two target latencies was cut off at its endpoint before it was known whether it could be sent elsewhere.

Change: the request stays where it is until the budget has a repeated send and an endpoint can be chosen, and looks again each 100 ms.

Evidence: silentEndpointIsKeptWithoutABudgetForAnother and silentEndpointIsKeptWhileAllOthersAreGone fail on the daemon before.

--- a/src/libs/decisions/retrybudget.cpp
+++ b/src/libs/decisions/retrybudget.cpp
@@ -30,12 +30,17 @@
         / core::toSeconds(std::max(shortest, now - m_requests.front()));
 }
 
-bool RetryBudget::tryTake(core::TimePoint now)
+bool RetryBudget::has(core::TimePoint now)
 {
     forget(now);
     const double granted = m_limits.usedPart
         * (m_limits.ratio * static_cast<double>(m_requests.size()) + m_limits.slack / m_sharers);
-    if (static_cast<double>(m_repeats.size()) + 1.0 > granted)
+    return static_cast<double>(m_repeats.size()) + 1.0 <= granted;
+}
+
+bool RetryBudget::tryTake(core::TimePoint now)
+{
+    if (!has(now))
         return false;
     m_repeats.push_back(now);
     return true;
--- a/src/libs/decisions/retrybudget.h
+++ b/src/libs/decisions/retrybudget.h
@@ -28,6 +28,8 @@
     void requestCame(core::TimePoint now);
     /// Requests a second over the window, or since the first one.
     double requestRate(core::TimePoint now);
+    /// Whether the budget has one more repeated send.
+    bool has(core::TimePoint now);
     /// Takes one repeated send if the budget has it.
     bool tryTake(core::TimePoint now);
 
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -42,6 +42,8 @@
 // Callers leave a stream after a gap of two seconds at least; a second run needs half of that.
 constexpr core::Duration leastStall = std::chrono::milliseconds(1100);
 constexpr int slowEndpointFactor = 2; ///< Callers of streams leave after 3.2 s and more.
+/// Until it is looked again for an endpoint in place of a silent one.
+constexpr core::Duration replacementPause = std::chrono::milliseconds(100);
 constexpr int stalledGaps = 4; ///< Target pauses after which a stream counts as stalled.
 constexpr core::Duration quarantineRetryAfter = std::chrono::minutes(5);
 constexpr core::Duration startRetryAfter = std::chrono::milliseconds(500);
@@ -353,12 +355,27 @@
     });
 }
 
+// A request that only waits in the endpoint's queue is better off there than without any endpoint.
+bool RequestTask::canBeReplaced()
+{
+    return m_exchange->isOpen() && m_context.budgets[m_service].has(now())
+        && m_context.crashes.deaths(fingerprint(), now()) <= 1
+        && m_finder.choose(now()).endpoint.has_value();
+}
+
 void RequestTask::endpointStalled()
 {
     // Without a further run to be had, waiting is all that is left.
     const bool isLastRun = m_runs + 1 >= m_route->maxAttempts || m_sends >= maxSends;
     if (isLastRun || deadline() - now() < leastTimeLeft)
         return;
+    if (!canBeReplaced()) {
+        m_stallTimer = m_context.timers.once(replacementPause, [this] {
+            if (m_isSent && !m_isDone)
+                attempt([this] { armStallTimer(); });
+        });
+        return;
+    }
     dropConnection();
     m_brokeAt = now();
     m_context.pool.health(m_endpoint).answeredFailure(now());
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -77,6 +77,8 @@
     core::Duration stallLimit() const;
     void armStallTimer();
     void endpointStalled();
+    /// Whether the request can be sent to an endpoint in place of the present one now.
+    bool canBeReplaced();
     void deadlinePassed();
     void callerLeft();
     void refuse(std::string_view cause, core::Duration retryAfter);
--- a/tests/e2e/tst_brokenstreams.cpp
+++ b/tests/e2e/tst_brokenstreams.cpp
@@ -114,3 +114,49 @@
     cr_assert_lt(fixture.timers.now() - brokenAt, milliseconds(3200));
     cr_assert_leq(fixture.first.runs.size() + fixture.second.runs.size(), 8U);
 }
+
+// Guards against a request that waits in an endpoint's queue being taken from there for its silence
+// while nothing else can take it: its work was cut off as it began, and its caller got a failure or
+// a broken stream in place of the answer.
+Test(brokenstreams, silentEndpointIsKeptWithoutABudgetForAnother, .timeout = 60)
+{
+    PlatformFixture fixture("model", true, 0);
+    std::vector<EndpointStandIn::Exchange> queued;
+    fixture.first.run = fixture.second.run
+        = [&](const EndpointStandIn::Exchange &exchange) { queued.push_back(exchange); };
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    // Twice the target latency is when silence is noticed; the head comes just before.
+    fixture.pass(milliseconds(1500));
+    cr_assert_eq(queued.size(), 1U);
+    queued[0]->startChunked(200, EndpointStandIn::stamped(queued[0]));
+    fixture.pass(milliseconds(400));
+    cr_assert_not(answer->isEnded, "%s", fixture.output().c_str());
+    queued[0]->writeChunk(events(1, 3));
+    queued[0]->finishChunked();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 3));
+}
+
+// Guards against the same where the budget would allow it and no other endpoint holds the adapter
+// or has room.
+Test(brokenstreams, silentEndpointIsKeptWhileAllOthersAreGone, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    fixture.store.remove("servers", fixture.second.id);
+    fixture.pass(milliseconds(1500));
+    std::vector<EndpointStandIn::Exchange> queued;
+    fixture.first.run
+        = [&](const EndpointStandIn::Exchange &exchange) { queued.push_back(exchange); };
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return queued.size() == 1; }));
+    // It takes nothing new from here on, and goes on with what it has.
+    fixture.store.put("servers", fixture.first.id, fixture.first.record("model", "draining"));
+    fixture.pass(milliseconds(2200));
+    cr_assert_not(answer->isEnded, "%s", fixture.output().c_str());
+    queued[0]->startChunked(200, EndpointStandIn::stamped(queued[0]));
+    queued[0]->writeChunk(events(1, 3));
+    queued[0]->finishChunked();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+}
