Do not count the time for which the loop is held up against a call

Cause: a call takes some turns of the loop: to connect, to send, to read. While turns took 250 ms and more, the 200 ms of an order were over before its request was written, and the second and third send made the turns longer.

Change: the time of a call grows by the delay of its timer, by three times its timeout at most.

Evidence: callIsAnsweredWhileTheLoopIsHeldUp fails without the change ("no answer in time").

--- a/src/libs/http/caller.cpp
+++ b/src/libs/http/caller.cpp
@@ -17,6 +17,10 @@
 // For the rest of an answer that has begun: a configuration of half a megabyte takes over a second
 // from another region while other daemons fetch it as well.
 constexpr core::Duration bodyTimeout = std::chrono::seconds(3);
+// A timer that runs later than this was held up by other work of the loop.
+constexpr core::Duration usualDelay = std::chrono::milliseconds(10);
+// Bounds how long a call may last in a process that is always late, in times of its timeout.
+constexpr int longestExtension = 3;
 // The store's answers have about a megabyte, the views of the largest deployment half of one; a
 // peer that sends more may never end.
 constexpr std::size_t maxAnswerBytes = 8 * 1024 * 1024;
@@ -43,6 +47,7 @@
     Answer answer;
     Handler handler;
     net::TimerService::Subscription timeout;
+    core::Duration extension {}; ///< Of the present timeout.
 };
 
 Caller::Caller(net::EventLoop &loop, net::TimerService &timers)
@@ -117,12 +122,32 @@
 
 void Caller::setTimeout(const std::shared_ptr<Call> &call, core::Duration timeout)
 {
-    call->timeout = m_timers.once(timeout, [this, weak = std::weak_ptr<Call>(call)] {
-        if (const auto held = weak.lock())
-            finish(held,
-                   core::makeError(absl::StatusCode::kDeadlineExceeded, "call",
-                                   held->peer.toString(), "no answer in time"));
-    });
+    call->extension = {};
+    waitUntil(call, m_timers.now() + timeout, timeout * longestExtension);
+}
+
+// Time for which the loop was busy elsewhere is not the peer's: connecting, sending and reading
+// take a turn of the loop each, and while turns took 250 ms every call ended unanswered.
+void Caller::waitUntil(const std::shared_ptr<Call> &call, core::TimePoint dueAt,
+                       core::Duration mostExtension)
+{
+    const core::Duration left = std::max(core::Duration::zero(), dueAt - m_timers.now());
+    call->timeout
+        = m_timers.once(left, [this, dueAt, mostExtension, weak = std::weak_ptr<Call>(call)] {
+              const auto held = weak.lock();
+              if (!held)
+                  return;
+              const core::TimePoint now = m_timers.now();
+              const core::Duration delay = now - dueAt;
+              if (delay > usualDelay && held->extension < mostExtension) {
+                  held->extension += delay;
+                  waitUntil(held, now + delay, mostExtension);
+                  return;
+              }
+              finish(held,
+                     core::makeError(absl::StatusCode::kDeadlineExceeded, "call",
+                                     held->peer.toString(), "no answer in time"));
+          });
 }
 
 void Caller::finish(const std::shared_ptr<Call> &call, absl::StatusOr<Answer> result)
--- a/src/libs/http/caller.h
+++ b/src/libs/http/caller.h
@@ -40,7 +40,8 @@
     Caller &operator=(const Caller &) = delete;
 
     /// Sends `request` and calls `handler` once, from the loop. The answer must begin within
-    /// `timeout` and end within three seconds more. Destroying the caller drops the call.
+    /// `timeout` and end within three seconds more; both grow by the time for which the loop was
+    /// held up, four times at most. Destroying the caller drops the call.
     void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
               Handler handler);
     std::uint64_t callCount() const { return m_callCount; }
@@ -50,6 +51,8 @@
 
     IdleConnections &idleTo(const net::Address &peer);
     void setTimeout(const std::shared_ptr<Call> &call, core::Duration timeout);
+    void waitUntil(const std::shared_ptr<Call> &call, core::TimePoint dueAt,
+                   core::Duration mostExtension);
     void finish(const std::shared_ptr<Call> &call, absl::StatusOr<Answer> result);
 
     net::EventLoop &m_loop;
--- a/tests/auto/clientconnection/tst_clientconnection.cpp
+++ b/tests/auto/clientconnection/tst_clientconnection.cpp
@@ -6,7 +6,9 @@
 
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <optional>
+#include <thread>
 
 using namespace jackdawlead;
 using testsupport::EndlessWriter;
@@ -245,3 +247,41 @@
     cr_assert(testsupport::waitUntil(
         fixture.loop, fixture.timers, [&] { return fixture.peer.open() == 1; }, testLimit));
 }
+
+// Guards against calls that end unanswered because this process is late: while each turn of its
+// loop took 250 ms, a coordinator took every order for lost, whose answers had come after 60 ms,
+// and sent it again.
+Test(clientconnection, callIsAnsweredWhileTheLoopIsHeldUp, .timeout = 60)
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    testsupport::PortPicker ports;
+    const net::Address address {"127.0.0.1", ports.take()};
+    net::EventLoop peerLoop;
+    RawPeer peer(peerLoop, address, [](http::Connection &open, std::string_view) {
+        open.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
+    });
+    std::atomic<bool> isOver = false;
+    net::TimerService peerTimers {peerLoop};
+    const auto check = peerTimers.every(std::chrono::milliseconds(10), [&] {
+        if (isOver)
+            peerLoop.stop();
+    });
+    std::thread peerThread([&peerLoop] { peerLoop.run(); });
+    http::Caller caller(loop, timers);
+    std::optional<absl::StatusOr<http::Answer>> result;
+    const auto busy = timers.once(core::Duration::zero(), [&] {
+        net::HttpRequest request;
+        request.path = "/";
+        caller.call(address, request, std::chrono::milliseconds(200),
+                    [&result](auto answer) { result = std::move(answer); });
+        std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    });
+    const bool isEnded = testsupport::waitUntil(
+        loop, timers, [&] { return result.has_value(); }, testLimit);
+    isOver = true;
+    peerThread.join();
+    cr_assert(isEnded);
+    cr_assert(result->ok(), "%s", std::string(result->status().message()).c_str());
+    cr_assert_eq((*result)->body, "fine");
+}
