Bound the part of the coordinator's time that reports of daemons take

Cause: the period of reports was computed in whole seconds, so that it stayed at 250 ms for every number of daemons under 300, where 650 ms were meant for 195. Requests that wait for a load are reported at once, so that late loads made more reports: from the twelfth second on orders were answered after their timeout, and half of the time no adapter was loaded.

Change: ReportPace learns what a report takes the coordinator and gives the least pause between two reports of a daemon, for whatever reason, so that all of them take four tenths of its time at most. The pause goes with the views; a report of new demand stands for the next regular one.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -73,6 +73,11 @@
     return "unknown";
 }
 
+long long inMilliseconds(core::Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
 Coordinator::Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
@@ -123,14 +128,15 @@
     }
     const bool isOverloaded = m_work.longestLag() > tickPeriod * 2;
     const auto level = isOverloaded ? observability::LogLevel::Warn : observability::LogLevel::Info;
-    observability::log(
-        {.level = level,
-         .step = "coordinator",
-         .message = absl::StrCat(m_work.takeSummary(), "; daemons ", m_daemons.size(),
-                                 ", endpoints ", m_planner.endpoints().size(),
-                                 ", of these with an order ", withOrder, ", without a report ",
-                                 needingReport, ", adapters waited for ", waitingRequests().size(),
-                                 ", transit limit ", m_planner.adaptersInTransit())});
+    observability::log({.level = level,
+                        .step = "coordinator",
+                        .message = absl::StrCat(
+                            m_work.takeSummary(), "; daemons ", m_daemons.size(), ", endpoints ",
+                            m_planner.endpoints().size(), ", of these with an order ", withOrder,
+                            ", without a report ", needingReport, ", adapters waited for ",
+                            waitingRequests().size(), ", pause between reports ",
+                            inMilliseconds(m_pace.leastPause(static_cast<int>(m_daemons.size()))),
+                            " ms, transit limit ", m_planner.adaptersInTransit())});
 }
 
 void Coordinator::tick()
@@ -334,6 +340,7 @@
     view.token = m_token;
     view.revision = m_planner.revision();
     view.daemons = static_cast<int>(m_daemons.size());
+    view.reportPause = m_pace.leastPause(view.daemons);
     view.crashes = m_crashes.recent(m_timers.now());
     for (const auto &[id, news] : m_leaving)
         view.leaving[id] = news.born;
@@ -473,14 +480,12 @@
 void Coordinator::orderAnswered(const decisions::PlannedOrder &planned, decisions::OrderEnd end,
                                 int status, core::TimePoint sentAt, int sends)
 {
-    const auto took
-        = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - sentAt);
-    observability::log(
-        {.step = planned.isLoad ? "order load" : "order unload",
-         .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(), " ",
-                                 nameOf(end), ", status ", status, " after ", took.count(),
-                                 " ms, revision ", planned.orderRevision, ", sends ", sends),
-         .peer = planned.endpoint.value()});
+    observability::log({.step = planned.isLoad ? "order load" : "order unload",
+                        .message = absl::StrCat(
+                            planned.model.value(), "/", planned.adapter.value(), " ", nameOf(end),
+                            ", status ", status, " after ", inMilliseconds(m_timers.now() - sentAt),
+                            " ms, revision ", planned.orderRevision, ", sends ", sends),
+                        .peer = planned.endpoint.value()});
     m_work.count(nameOf(end));
     m_metrics.orderEnded(planned.isLoad ? "load" : "unload", nameOf(end));
     if (end == decisions::OrderEnd::Unknown && sends < maxOrderSends) {
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -3,6 +3,7 @@
 #include "decisions/adapterplanner.h"
 #include "decisions/contentshistory.h"
 #include "decisions/relaychoice.h"
+#include "decisions/reportpace.h"
 #include "decisions/requestcost.h"
 #include "fleet/hostsettings.h"
 #include "gateway/fleetwatch.h"
@@ -41,6 +42,8 @@
     void start();
     /// Takes a report and returns what its sender does not know yet.
     PeerView reported(const PeerReport &report);
+    /// Reading and answering a report took this long.
+    void reportTook(core::Duration time) { m_pace.reportTook(time); }
     /// The address of a daemon that reported lately; none if there is none but this one.
     std::optional<net::Address> someDaemon() const;
     void endpointChanged(const fleet::Endpoint &endpoint);
@@ -113,6 +116,7 @@
     std::map<core::EndpointId, double> m_load;
     std::map<core::EndpointId, LeavingNews> m_leaving; ///< Heard lately, to tell it to all.
     decisions::RelayChoice m_relays;
+    decisions::ReportPace m_pace;
     decisions::ContentsHistory m_contents;
     std::uint64_t m_notedRevision = 0; ///< Up to which m_contents follows the planner.
     std::set<core::EndpointId> m_reportsAsked;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "gateway/peerlink.h"
 
+#include "decisions/reportpace.h"
 #include "observability/log.h"
 #include "platform/decoder.h"
 #include "platform/watchcodec.h"
@@ -11,11 +12,6 @@
 
 namespace {
 
-// Load of endpoints is useful for some hundred milliseconds; each report costs bytes between zones,
-// and the coordinator about half a millisecond of a half core. Demand is reported at once.
-constexpr core::Duration shortestReportPeriod = std::chrono::milliseconds(250);
-constexpr core::Duration longestReportPeriod = std::chrono::milliseconds(750);
-constexpr int reportsPerSecond = 300; ///< Of all daemons together: 0.15 of a core.
 constexpr core::Duration demandDelay = std::chrono::milliseconds(5); ///< Joins what comes together.
 constexpr core::Duration callTimeout = std::chrono::milliseconds(500);
 // Beyond two reports in a row without an answer.
@@ -67,7 +63,7 @@
 absl::Status PeerLink::start(Coordinator &coordinator)
 {
     m_coordinator = &coordinator;
-    m_context.reportPeriod = shortestReportPeriod;
+    m_context.reportPeriod = decisions::ReportPace::shortestPeriod;
     bindMethods(coordinator);
     m_server = std::make_unique<http::Server>(
         m_context.loop, m_context.timers,
@@ -89,7 +85,10 @@
                 return;
             }
             const observability::WorkMeter::Scope scope(m_context.work, "calls of daemons");
+            const core::TimePoint begin = m_context.timers.now();
             const rpc::JsonText reply = m_dispatcher.dispatch({exchange->body});
+            if (m_lease.isHolder())
+                m_coordinator->reportTook(m_context.timers.now() - begin);
             exchange->respond(200, {{"Content-Type", "application/json"}}, reply.text);
         });
     m_lease.setReader([this](auto handler) { readLeaseRecord(std::move(handler)); });
@@ -204,7 +203,8 @@
 {
     if (m_soon.isActive())
         return;
-    m_soon = m_context.timers.once(demandDelay, [this] { report(); });
+    const core::Duration rest = m_reportedAt + m_reportPause - m_context.timers.now();
+    m_soon = m_context.timers.once(std::max(demandDelay, rest), [this] { report(); });
 }
 
 bool PeerLink::isCoordinatorHeard() const
@@ -238,6 +238,9 @@
         m_isReportDue = true;
         return;
     }
+    m_reportedAt = m_context.timers.now();
+    // A report of new demand stands for the next regular one.
+    reportLater();
     PeerReport report;
     report.host = m_context.settings.host;
     report.region = m_context.settings.region;
@@ -285,7 +288,7 @@
                       if (view.ok())
                           takeView(*view);
                       if (std::exchange(m_isReportDue, false) && !m_context.demand.empty())
-                          this->report();
+                          reportSoon();
                   });
 }
 
@@ -306,9 +309,8 @@
         m_context.watch.endpointLeaves(id, born);
     takeLoads(view);
     m_context.daemons = std::max(1, view.daemons);
-    m_context.reportPeriod
-        = std::clamp<core::Duration>(std::chrono::seconds(m_context.daemons) / reportsPerSecond,
-                                     shortestReportPeriod, longestReportPeriod);
+    m_reportPause = std::min(view.reportPause, decisions::ReportPace::longestPeriod);
+    m_context.reportPeriod = decisions::ReportPace::period(m_reportPause);
     for (auto &[service, budget] : m_context.budgets)
         budget.setSharers(view.daemons);
     m_onView();
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -65,6 +65,8 @@
     bool m_isReporting = false;
     bool m_isReportDue = false;
     core::TimePoint m_coordinatorHeardAt;
+    core::TimePoint m_reportedAt;    ///< When the last report was sent.
+    core::Duration m_reportPause {}; ///< The least time until the next one.
     std::uint64_t m_knownRevision = 0;
     core::FencingToken m_coordinatorToken;
     net::TimerService::Subscription m_timer;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -26,6 +26,11 @@
     return std::chrono::ceil<std::chrono::milliseconds>(left).count();
 }
 
+long long wholeMilliseconds(core::Duration duration)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration).count();
+}
+
 core::TimePoint inMilliseconds(core::TimePoint now, const json &value)
 {
     return now + std::chrono::milliseconds(value.get<long long>());
@@ -301,6 +306,7 @@
                  {"loads", encodeLoadsInOrder(view.loadsInOrder)},
                  {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
                  {"daemons", view.daemons},
+                 {"reportPause", wholeMilliseconds(view.reportPause)},
                  {"leaving", encodeLives(view.leaving)},
                  {"relay", view.relayAddress},
                  {"spare", view.spareAddress},
@@ -357,6 +363,8 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeCrashes(value.at("crashes"));
         view.daemons = value.at("daemons").get<int>();
+        // Daemons of the release before do not tell it.
+        view.reportPause = std::chrono::milliseconds(value.value("reportPause", 0LL));
         view.leaving = decodeLives(value.at("leaving"));
         view.relayAddress = value.at("relay").get<std::string>();
         view.spareAddress = value.at("spare").get<std::string>();
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -64,6 +64,7 @@
     std::vector<double> loadsInOrder;
     EndpointsDigest endpoints {};
     int daemons = 0;
+    core::Duration reportPause {}; ///< The least time between two reports of the receiver.
     std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves to any daemon.
     std::string relayAddress; ///< Of the daemon to watch the store through; empty for none.
     std::string spareAddress; ///< Of the daemon for this when that one fails.
