Answer reports of new demand without a view

Cause: each report was answered with all that had changed, which took 1.4 ms, although the load that a request waits for is told by a message of its own.

Change: a report of new demand carries neither loads nor adapters in use, is answered without contents, and has a part and a learned cost of its own. Regular reports keep to their period.

Evidence: viewsDoNotDelayReportsOfDemand.

--- a/src/libs/decisions/reportpace.cpp
+++ b/src/libs/decisions/reportpace.cpp
@@ -9,22 +9,27 @@
 // Some hundred reports come in a second, so that the average follows within one.
 constexpr double weightOfOne = 0.01;
 
+core::Duration pauseFor(std::chrono::duration<double> time, int daemons, double part)
+{
+    return std::chrono::duration_cast<core::Duration>(time * daemons / part);
+}
+
 } // namespace
 
-void ReportPace::reportTook(core::Duration time)
+void ReportPace::reportTook(Kind kind, core::Duration time)
 {
-    m_time += (time - m_time) * weightOfOne;
+    Seconds &average = kind == Kind::Regular ? m_regular : m_demand;
+    average += (time - average) * weightOfOne;
 }
 
-core::Duration ReportPace::leastPause(int daemons) const
+core::Duration ReportPace::period(int daemons) const
 {
-    const auto pause = std::chrono::duration_cast<core::Duration>(m_time * daemons / reportsPart);
-    return std::min(pause, longestPeriod);
+    return std::clamp(pauseFor(m_regular, daemons, regularPart), shortestPeriod, longestPeriod);
 }
 
-core::Duration ReportPace::period(core::Duration leastPause)
+core::Duration ReportPace::demandPause(int daemons) const
 {
-    return std::clamp(leastPause * 2, shortestPeriod, longestPeriod);
+    return std::min(pauseFor(m_demand, daemons, demandPart), longestPeriod);
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/reportpace.h
+++ b/src/libs/decisions/reportpace.h
@@ -11,22 +11,31 @@
 class ReportPace
 {
 public:
+    enum class Kind {
+        Regular, ///< Answered with a view of what changed.
+        Demand,  ///< Tells of requests that began to wait, and is answered without a view.
+    };
+
     /// Reading and answering a report took the coordinator this long.
-    void reportTook(core::Duration time);
-    /// The least time between two reports of one of `daemons` daemons, for whatever reason.
-    core::Duration leastPause(int daemons) const;
-    /// How often a daemon reports without a reason of its own.
-    static core::Duration period(core::Duration leastPause);
-
-    /// The part of the coordinator's time that reports may take; planning may take a fifth.
-    static constexpr double reportsPart = 0.4;
+    void reportTook(Kind kind, core::Duration time);
+    /// How often each of `daemons` daemons reports regularly.
+    core::Duration period(int daemons) const;
+    /// The least time between two reports of demand of one of `daemons` daemons.
+    core::Duration demandPause(int daemons) const;
+
+    /// The parts of the coordinator's time that reports may take; planning may take a fifth.
+    static constexpr double regularPart = 0.35;
+    static constexpr double demandPart = 0.15;
     /// The load of endpoints is useful for some hundred milliseconds.
     static constexpr core::Duration shortestPeriod = std::chrono::milliseconds(250);
     /// A daemon of which three reports are missing counts as gone.
     static constexpr core::Duration longestPeriod = std::chrono::milliseconds(750);
 
 private:
-    std::chrono::duration<double> m_time {0.0002}; ///< Of one report; a first guess, learned.
+    using Seconds = std::chrono::duration<double>;
+
+    Seconds m_regular {0.0002}; ///< Time of one report; a first guess, learned.
+    Seconds m_demand {0.0001};  ///< The same.
 };
 
 } // namespace jackdawlead::decisions
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -126,17 +126,20 @@
         needingReport += state.needsReport ? 1 : 0;
         withOrder += state.hasOrder ? 1 : 0;
     }
+    const int daemons = static_cast<int>(m_daemons.size());
     const bool isOverloaded = m_work.longestLag() > tickPeriod * 2;
     const auto level = isOverloaded ? observability::LogLevel::Warn : observability::LogLevel::Info;
-    observability::log({.level = level,
-                        .step = "coordinator",
-                        .message = absl::StrCat(
-                            m_work.takeSummary(), "; daemons ", m_daemons.size(), ", endpoints ",
-                            m_planner.endpoints().size(), ", of these with an order ", withOrder,
-                            ", without a report ", needingReport, ", adapters waited for ",
-                            waitingRequests().size(), ", pause between reports ",
-                            inMilliseconds(m_pace.leastPause(static_cast<int>(m_daemons.size()))),
-                            " ms, transit limit ", m_planner.adaptersInTransit())});
+    observability::log(
+        {.level = level,
+         .step = "coordinator",
+         .message = absl::StrCat(m_work.takeSummary(), "; daemons ", daemons, ", endpoints ",
+                                 m_planner.endpoints().size(), ", of these with an order ",
+                                 withOrder, ", without a report ", needingReport,
+                                 ", adapters waited for ", waitingRequests().size(),
+                                 ", period of reports ", inMilliseconds(m_pace.period(daemons)),
+                                 " ms, pause between reports of demand ",
+                                 inMilliseconds(m_pace.demandPause(daemons)), " ms, transit limit ",
+                                 m_planner.adaptersInTransit())});
 }
 
 void Coordinator::tick()
@@ -273,10 +276,13 @@
     daemon.processorShare = report.processorShare;
     daemon.heardAt = now;
     daemon.isInTouch = report.isInTouch;
-    daemon.load = report.load;
-    daemon.inUse = report.inUse;
-    daemon.endpoints = report.endpoints;
     daemon.waiting = report.waiting;
+    if (report.wantsView) {
+        daemon.load = report.load;
+        daemon.inUse = report.inUse;
+        daemon.endpoints = report.endpoints;
+        daemon.resting = report.resting;
+    }
     for (const auto &[key, count] : report.demand)
         m_planner.demand().add(key, report.region, count, now);
     for (const auto &[id, key] : report.contradictions) {
@@ -285,7 +291,6 @@
     }
     for (const decisions::CrashFact &fact : report.crashes)
         m_crashes.told(fact, now);
-    daemon.resting = report.resting;
     for (const auto &[id, born] : report.leaving)
         leavingTold(id, born);
     for (const core::EndpointId &id : report.unreachable)
@@ -293,7 +298,9 @@
     if (!report.demand.empty())
         planSoon();
     daemon.knownRevision = report.token == m_token ? report.knownRevision : 0;
-    return viewFor(daemon);
+    m_lastReport = report.wantsView ? decisions::ReportPace::Kind::Regular
+                                    : decisions::ReportPace::Kind::Demand;
+    return report.wantsView ? viewFor(daemon) : noticesFor(daemon);
 }
 
 void Coordinator::leavingTold(const core::EndpointId &id, fleet::BirthTime born)
@@ -328,24 +335,32 @@
     return view;
 }
 
-/// Counts the view as taken; a daemon that did not get it says so with its next report.
-PeerView Coordinator::changesFor(Daemon &daemon)
+PeerView Coordinator::noticesFor(const Daemon &daemon) const
 {
-    daemon.isViewDue = false;
     PeerView view;
     view.hasLoad = false;
     view.relayAddress = addressOf(m_relays.relayOf(daemon.domain));
     view.spareAddress = addressOf(m_relays.spareOf(daemon.domain, m_settings.regions));
     view.isCoordinator = true;
     view.token = m_token;
-    view.revision = m_planner.revision();
+    view.since = daemon.knownRevision;
+    view.revision = daemon.knownRevision;
     view.daemons = static_cast<int>(m_daemons.size());
-    view.reportPause = m_pace.leastPause(view.daemons);
+    view.reportPeriod = m_pace.period(view.daemons);
+    view.demandPause = m_pace.demandPause(view.daemons);
     view.crashes = m_crashes.recent(m_timers.now());
     for (const auto &[id, news] : m_leaving)
         view.leaving[id] = news.born;
+    return view;
+}
+
+/// Counts the view as taken; a daemon that did not get it says so with its next report.
+PeerView Coordinator::changesFor(Daemon &daemon)
+{
+    daemon.isViewDue = false;
+    PeerView view = noticesFor(daemon);
+    view.revision = m_planner.revision();
     noteContents();
-    view.since = daemon.knownRevision;
     view.contents = m_contents.since(daemon.knownRevision);
     daemon.knownRevision = view.revision;
     return view;
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -42,8 +42,8 @@
     void start();
     /// Takes a report and returns what its sender does not know yet.
     PeerView reported(const PeerReport &report);
-    /// Reading and answering a report took this long.
-    void reportTook(core::Duration time) { m_pace.reportTook(time); }
+    /// Reading and answering the last report took this long.
+    void reportTook(core::Duration time) { m_pace.reportTook(m_lastReport, time); }
     /// The address of a daemon that reported lately; none if there is none but this one.
     std::optional<net::Address> someDaemon() const;
     void endpointChanged(const fleet::Endpoint &endpoint);
@@ -94,6 +94,8 @@
     void leavingTold(const core::EndpointId &id, fleet::BirthTime born);
     std::string addressOf(const core::HostId *relay) const;
     void sendDueViews();
+    /// Who gives orders, who reports how often, and what endpoints and requests did lately.
+    PeerView noticesFor(const Daemon &daemon) const;
     /// What changed since the daemon was told last, without loads.
     PeerView changesFor(Daemon &daemon);
     /// The same with loads.
@@ -117,6 +119,7 @@
     std::map<core::EndpointId, LeavingNews> m_leaving; ///< Heard lately, to tell it to all.
     decisions::RelayChoice m_relays;
     decisions::ReportPace m_pace;
+    decisions::ReportPace::Kind m_lastReport = decisions::ReportPace::Kind::Regular;
     decisions::ContentsHistory m_contents;
     std::uint64_t m_notedRevision = 0; ///< Up to which m_contents follows the planner.
     std::set<core::EndpointId> m_reportsAsked;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -203,8 +203,8 @@
 {
     if (m_soon.isActive())
         return;
-    const core::Duration rest = m_reportedAt + m_reportPause - m_context.timers.now();
-    m_soon = m_context.timers.once(std::max(demandDelay, rest), [this] { report(); });
+    const core::Duration rest = m_reportedAt + m_demandPause - m_context.timers.now();
+    m_soon = m_context.timers.once(std::max(demandDelay, rest), [this] { report(false); });
 }
 
 bool PeerLink::isCoordinatorHeard() const
@@ -225,29 +225,29 @@
 {
     m_timer = m_context.timers.once(m_context.reportPeriod, [this] {
         reportLater();
-        report();
+        report(true);
     });
 }
 
-void PeerLink::report()
+PeerReport PeerLink::takeReport(bool wantsView)
 {
-    const auto &record = m_lease.lease().record();
-    if (!record || record->isReleased)
-        return;
-    if (m_isReporting) {
-        m_isReportDue = true;
-        return;
-    }
-    m_reportedAt = m_context.timers.now();
-    // A report of new demand stands for the next regular one.
-    reportLater();
     PeerReport report;
+    report.wantsView = wantsView;
     report.host = m_context.settings.host;
     report.region = m_context.settings.region;
     report.domain = m_context.settings.domain;
     report.processorShare = m_context.settings.processorShare;
     report.isInTouch = m_context.watch.isInTouch();
     report.peerAddress = addressOf(m_context.settings).toString();
+    report.demand = std::exchange(m_context.demand, {});
+    report.waiting = m_context.waiting.counts(m_context.timers.now());
+    report.contradictions = std::exchange(m_context.contradictions, {});
+    report.leaving = std::exchange(m_context.leaving, {});
+    report.crashes = m_context.crashes.recent(m_context.timers.now());
+    report.knownRevision = m_knownRevision;
+    report.token = m_coordinatorToken;
+    if (!wantsView)
+        return report;
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
         const double load = m_context.pool.load(id, endpoint.slots);
         if (load > 0)
@@ -257,15 +257,22 @@
         if (m_context.pool.restEnd(endpoint) > m_context.timers.now())
             report.resting.push_back(id);
     }
-    report.demand = std::exchange(m_context.demand, {});
-    report.waiting = m_context.waiting.counts(m_context.timers.now());
     report.endpoints = digestOf(m_context.watch.endpoints());
-    report.contradictions = std::exchange(m_context.contradictions, {});
-    report.leaving = std::exchange(m_context.leaving, {});
-    report.crashes = m_context.crashes.recent(m_context.timers.now());
     report.unreachable = m_context.pool.unreachable();
-    report.knownRevision = m_knownRevision;
-    report.token = m_coordinatorToken;
+    return report;
+}
+
+void PeerLink::report(bool wantsView)
+{
+    const auto &record = m_lease.lease().record();
+    if (!record || record->isReleased)
+        return;
+    if (m_isReporting) {
+        (wantsView ? m_isViewDue : m_isDemandDue) = true;
+        return;
+    }
+    m_reportedAt = m_context.timers.now();
+    const PeerReport report = takeReport(wantsView);
     if (record->holder == m_context.settings.host) {
         takeView(m_coordinator->reported(report));
         return;
@@ -277,21 +284,34 @@
                       if (!*alive)
                           return;
                       m_isReporting = false;
-                      if (!answer.ok()) {
+                      if (answer.ok())
+                          takeReply(answer->body);
+                      else
                           m_context.leaving.insert(leaving.begin(), leaving.end());
-                          return;
-                      }
-                      const rpc::RpcResult reply = rpc::decodeReply({answer->body});
-                      if (!reply.ok())
-                          return;
-                      const auto view = decodePeerView(reply.value.text, m_context.timers.now());
-                      if (view.ok())
-                          takeView(*view);
-                      if (std::exchange(m_isReportDue, false) && !m_context.demand.empty())
-                          reportSoon();
+                      reportWhatIsDue();
                   });
 }
 
+void PeerLink::takeReply(const std::string &body)
+{
+    const rpc::RpcResult reply = rpc::decodeReply({body});
+    if (!reply.ok())
+        return;
+    const auto view = decodePeerView(reply.value.text, m_context.timers.now());
+    if (view.ok())
+        takeView(*view);
+}
+
+// What became due while another report was on its way.
+void PeerLink::reportWhatIsDue()
+{
+    const bool isDemandDue = std::exchange(m_isDemandDue, false);
+    if (std::exchange(m_isViewDue, false))
+        report(true);
+    else if (isDemandDue && !m_context.demand.empty())
+        reportSoon();
+}
+
 void PeerLink::takeView(const PeerView &view)
 {
     // A predecessor's late view must not replace what its successor told.
@@ -309,8 +329,10 @@
         m_context.watch.endpointLeaves(id, born);
     takeLoads(view);
     m_context.daemons = std::max(1, view.daemons);
-    m_reportPause = std::min(view.reportPause, decisions::ReportPace::longestPeriod);
-    m_context.reportPeriod = decisions::ReportPace::period(m_reportPause);
+    using decisions::ReportPace;
+    m_demandPause = std::min(view.demandPause, ReportPace::longestPeriod);
+    m_context.reportPeriod
+        = std::clamp(view.reportPeriod, ReportPace::shortestPeriod, ReportPace::longestPeriod);
     for (auto &[service, budget] : m_context.budgets)
         budget.setSharers(view.daemons);
     m_onView();
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -49,7 +49,11 @@
     void takeRelays(const PeerView &view);
     void passOnToStore(const std::shared_ptr<http::ServerExchange> &exchange);
     void bindMethods(Coordinator &coordinator);
-    void report();
+    /// What this daemon has to tell; what is told once is taken from the context.
+    PeerReport takeReport(bool wantsView);
+    void report(bool wantsView);
+    void takeReply(const std::string &body);
+    void reportWhatIsDue();
     void reportLater();
     void takeView(const PeerView &view);
 
@@ -63,10 +67,11 @@
     std::unique_ptr<http::Server> m_server;
     rpc::RpcDispatcher m_dispatcher;
     bool m_isReporting = false;
-    bool m_isReportDue = false;
+    bool m_isViewDue = false;   ///< A regular report waits for the answer to another one.
+    bool m_isDemandDue = false; ///< The same for one of new demand.
     core::TimePoint m_coordinatorHeardAt;
     core::TimePoint m_reportedAt;    ///< When the last report was sent.
-    core::Duration m_reportPause {}; ///< The least time until the next one.
+    core::Duration m_demandPause {}; ///< The least time until one of new demand.
     std::uint64_t m_knownRevision = 0;
     core::FencingToken m_coordinatorToken;
     net::TimerService::Subscription m_timer;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -288,7 +288,8 @@
                  {"waiting", encodeWaiting(report.waiting, now)},
                  {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
                  {"revision", report.knownRevision},
-                 {"token", report.token.value()}});
+                 {"token", report.token.value()},
+                 {"wantsView", report.wantsView}});
 }
 
 std::string encode(const PeerView &view, core::TimePoint now)
@@ -306,7 +307,8 @@
                  {"loads", encodeLoadsInOrder(view.loadsInOrder)},
                  {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
                  {"daemons", view.daemons},
-                 {"reportPause", wholeMilliseconds(view.reportPause)},
+                 {"reportPeriod", wholeMilliseconds(view.reportPeriod)},
+                 {"demandPause", wholeMilliseconds(view.demandPause)},
                  {"leaving", encodeLives(view.leaving)},
                  {"relay", view.relayAddress},
                  {"spare", view.spareAddress},
@@ -340,6 +342,7 @@
         report.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
+        report.wantsView = value.value("wantsView", true);
         return report;
     } catch (const json::exception &error) {
         return malformed(error);
@@ -363,8 +366,9 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeCrashes(value.at("crashes"));
         view.daemons = value.at("daemons").get<int>();
-        // Daemons of the release before do not tell it.
-        view.reportPause = std::chrono::milliseconds(value.value("reportPause", 0LL));
+        // Daemons of the release before do not tell these.
+        view.reportPeriod = std::chrono::milliseconds(value.value("reportPeriod", 0LL));
+        view.demandPause = std::chrono::milliseconds(value.value("demandPause", 0LL));
         view.leaving = decodeLives(value.at("leaving"));
         view.relayAddress = value.at("relay").get<std::string>();
         view.spareAddress = value.at("spare").get<std::string>();
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -46,6 +46,7 @@
     std::uint64_t knownRevision = 0; ///< Of the contents that it was told last.
     core::FencingToken token;        ///< Of the coordinator who told them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
+    bool wantsView = true;           ///< False if only new demand is told.
 };
 
 /// What the coordinator tells a daemon: contents that changed, and the load of all endpoints.
@@ -64,7 +65,8 @@
     std::vector<double> loadsInOrder;
     EndpointsDigest endpoints {};
     int daemons = 0;
-    core::Duration reportPause {}; ///< The least time between two reports of the receiver.
+    core::Duration reportPeriod {}; ///< How often the receiver reports.
+    core::Duration demandPause {};  ///< The least time between two of its reports of demand.
     std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves to any daemon.
     std::string relayAddress; ///< Of the daemon to watch the store through; empty for none.
     std::string spareAddress; ///< Of the daemon for this when that one fails.
--- a/tests/auto/reportpace/tst_reportpace.cpp
+++ b/tests/auto/reportpace/tst_reportpace.cpp
@@ -9,20 +9,21 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using Kind = ReportPace::Kind;
 
-ReportPace paceOf(core::Duration timeOfReport)
+ReportPace paceOf(Kind kind, core::Duration timeOfReport)
 {
     ReportPace pace;
     for (int number = 0; number < 1000; ++number)
-        pace.reportTook(timeOfReport);
+        pace.reportTook(kind, timeOfReport);
     return pace;
 }
 
-/// The part of a coordinator's time that the reports of all daemons take if each sends as often as
-/// it may.
-double mostPart(const ReportPace &pace, int daemons, core::Duration timeOfReport)
+/// The part of a coordinator's time that takes `time` for each of `daemons` daemons once in
+/// `pause`.
+double partOf(core::Duration time, int daemons, core::Duration pause)
 {
-    return core::toSeconds(timeOfReport) * daemons / core::toSeconds(pace.leastPause(daemons));
+    return core::toSeconds(time) * daemons / core::toSeconds(pause);
 }
 
 } // namespace
@@ -31,12 +32,17 @@
 // each second, so that orders were answered after their timeout and sent again.
 Test(reportpace, reportsTakeABoundedPartOfTheTime)
 {
+    constexpr double tolerance = 1.02; // The average has not wholly reached the time.
     for (const int daemons : {7, 36, 85, 195, 360}) {
         for (const core::Duration time :
              {microseconds(100), microseconds(300), microseconds(700)}) {
-            const ReportPace pace = paceOf(time);
-            if (pace.leastPause(daemons) < ReportPace::longestPeriod)
-                cr_assert_leq(mostPart(pace, daemons, time), ReportPace::reportsPart * 1.02,
+            const core::Duration period = paceOf(Kind::Regular, time).period(daemons);
+            if (period < ReportPace::longestPeriod)
+                cr_assert_leq(partOf(time, daemons, period), ReportPace::regularPart * tolerance,
+                              "%d daemons", daemons);
+            const core::Duration pause = paceOf(Kind::Demand, time).demandPause(daemons);
+            if (pause < ReportPace::longestPeriod)
+                cr_assert_leq(partOf(time, daemons, pause), ReportPace::demandPart * tolerance,
                               "%d daemons", daemons);
         }
     }
@@ -46,17 +52,22 @@
 // number of daemons under 300.
 Test(reportpace, periodGrowsWithDaemonsAndCost)
 {
-    const ReportPace pace = paceOf(microseconds(700));
-    const auto periodOf
-        = [&pace](int daemons) { return ReportPace::period(pace.leastPause(daemons)); };
-    cr_assert_eq(periodOf(7), ReportPace::shortestPeriod);
-    cr_assert_gt(periodOf(85), ReportPace::shortestPeriod);
-    cr_assert_gt(periodOf(195), periodOf(85));
-    cr_assert_eq(periodOf(1000), ReportPace::longestPeriod);
+    const ReportPace pace = paceOf(Kind::Regular, microseconds(1400));
+    cr_assert_eq(pace.period(7), ReportPace::shortestPeriod);
+    cr_assert_gt(pace.period(85), ReportPace::shortestPeriod);
+    cr_assert_gt(pace.period(160), pace.period(85));
+    cr_assert_eq(pace.period(1000), ReportPace::longestPeriod);
 }
 
 // Guards against small deployments being slowed down: their reports of new demand go at once.
 Test(reportpace, fewDaemonsReportDemandAtOnce)
 {
-    cr_assert_lt(paceOf(microseconds(300)).leastPause(7), milliseconds(10));
+    cr_assert_lt(paceOf(Kind::Demand, microseconds(200)).demandPause(7), milliseconds(10));
+}
+
+// Guards against views, which grow with what changes, delaying the reports of waiting requests.
+Test(reportpace, viewsDoNotDelayReportsOfDemand)
+{
+    const ReportPace pace = paceOf(Kind::Regular, microseconds(2000));
+    cr_assert_lt(pace.demandPause(195), milliseconds(200));
 }
