Split the tests of the adapter planner by subject

It keeps the tests of what is loaded where; tst_endpointreports.cpp has those of answers, reports and use of endpoints.

The set-up of an endpoint that holds one adapter, which stood in three tests, and the report of one held adapter, which stood in two, are functions of the fixture.

--- /dev/null
+++ b/tests/auto/adapterplanner/plannerfixture.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "decisions/adapterplanner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jackdawlead::tests {
+
+inline const core::ModelId model {"base"};
+inline const core::RegionId near {"near"};
+inline const core::RegionId far {"far"};
+
+inline fleet::EngineSpec engineSpec(int adapterSlots)
+{
+    fleet::EngineSpec engine;
+    engine.slots = 32;
+    engine.adapterSlots = adapterSlots;
+    engine.weightsMegabytes = 45000;
+    engine.loadsPerSecond = 5.7;
+    engine.models.push_back({model, 42700, 66, std::chrono::seconds(2)});
+    return engine;
+}
+
+inline fleet::Endpoint endpointOf(const std::string &id, int born = 1)
+{
+    fleet::Endpoint endpoint;
+    endpoint.id = core::EndpointId(id);
+    endpoint.slots = 32;
+    endpoint.born = std::chrono::milliseconds(born);
+    return endpoint;
+}
+
+inline fleet::AdapterKey keyOf(int number)
+{
+    return {model, core::AdapterId("a" + std::to_string(number))};
+}
+
+/// Plays the endpoints of a planner: they carry out each order at once and count what they hold.
+struct PlannerFixture
+{
+    decisions::AdapterPlanner planner {decisions::AdapterPlannerLimits {}};
+    core::TimePoint now {std::chrono::seconds(100)};
+    int loads = 0;
+    std::map<core::EndpointId, std::set<fleet::AdapterKey>> held;
+    decisions::WaitingRequests waiting; ///< For adapters that no endpoint holds.
+
+    bool isHeld(const fleet::AdapterKey &key) const
+    {
+        return std::ranges::any_of(
+            held, [&key](const auto &entry) { return entry.second.contains(key); });
+    }
+
+    /// Requests come, and wait if no endpoint holds their adapter.
+    void ask(const fleet::AdapterKey &key, const core::RegionId &region, int count,
+             core::TimePoint at)
+    {
+        planner.demand().add(key, region, count, at);
+        if (!isHeld(key))
+            waiting[key][region].add({count, 0, at + std::chrono::milliseconds(600)});
+        planner.setWaiting(waiting);
+    }
+
+    /// The requests that waited for the adapter do not wait any more.
+    void stopWaiting(const fleet::AdapterKey &key)
+    {
+        waiting.erase(key);
+        planner.setWaiting(waiting);
+    }
+
+    void addEndpoint(const std::string &id, const core::RegionId &region, int adapterSlots,
+                     bool hasModel = true)
+    {
+        planner.setEndpoint(endpointOf(id), region, engineSpec(adapterSlots));
+        report(core::EndpointId(id), hasModel);
+    }
+
+    /// Near endpoints, ready for orders.
+    void addEndpoints(int count, int adapterSlots, bool hasModel = true)
+    {
+        for (int index = 0; index < count; ++index)
+            addEndpoint("e" + std::to_string(index), near, adapterSlots, hasModel);
+        now += std::chrono::seconds(2);
+    }
+
+    /// Adds the near endpoint e0 with one place, which holds the adapter and may give it up again.
+    void addEndpointWithOneHeld(const fleet::AdapterKey &key)
+    {
+        addEndpoints(1, 1);
+        ask(key, near, 1, now);
+        carryOut(planner.plan(now));
+        now += std::chrono::seconds(3);
+    }
+
+    /// The endpoint tells that it holds its model, or nothing, and no adapter.
+    void report(const core::EndpointId &id, bool hasModel = true)
+    {
+        if (hasModel)
+            reportModels(id, {{model, 1, {}}});
+        else
+            reportModels(id, {});
+    }
+
+    /// The endpoint tells that it holds version 1 of this adapter and no other one.
+    void reportOneHeld(const core::EndpointId &id, const fleet::AdapterKey &key)
+    {
+        reportModels(id, {{model, 1, {key.adapter.value() + "@1"}}});
+    }
+
+    void carryOut(const std::vector<decisions::PlannedOrder> &orders)
+    {
+        for (const decisions::PlannedOrder &order : orders) {
+            const fleet::AdapterKey key {order.model, order.adapter};
+            if (order.isLoad) {
+                ++loads;
+                held[order.endpoint].insert(key);
+                stopWaiting(key);
+            } else {
+                held[order.endpoint].erase(key);
+            }
+            planner.orderEnded(
+                order, order.isLoad ? decisions::OrderEnd::Accepted : decisions::OrderEnd::Holds,
+                now);
+        }
+    }
+
+    void run(core::Duration span)
+    {
+        const core::TimePoint end = now + span;
+        while (now < end) {
+            carryOut(planner.plan(now));
+            now += std::chrono::milliseconds(20);
+        }
+    }
+
+private:
+    void reportModels(const core::EndpointId &id, std::vector<fleet::HeldModel> models)
+    {
+        fleet::EndpointReport report;
+        report.born = planner.endpoints().at(id).endpoint.born;
+        report.models = std::move(models);
+        planner.reportSeen(id, report, now);
+    }
+};
+
+} // namespace jackdawlead::tests
