Share the set-up of planned endpoints between tests and planningbench

The Zipf weights stood in three places and the set-up of an empty endpoint in two. Both are in tests/support/planning.h now. planningbench includes tests/, as bench/daemon includes tests/fakes, so that no test depends on the benchmarks. Engines, demand and the carrying out of orders stay where they are: planningbench answers each order at once and plans for two regions, adapterturnover models load times, uses and patience.

--- a/bench/planningbench.cpp
+++ b/bench/planningbench.cpp
@@ -1,8 +1,8 @@
 #include "decisions/adapterplanner.h"
+#include "support/planning.h"
 
 #include <benchmark/benchmark.h>
 
-#include <cmath>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,11 +29,8 @@
     explicit Deployment(int endpoints)
         : m_endpoints(endpoints)
         , m_random(seed)
+        , m_popularity(testsupport::skewedRanks(adapters, skew))
     {
-        std::vector<double> weights;
-        for (int rank = 1; rank <= adapters; ++rank)
-            weights.push_back(std::pow(rank, -skew));
-        m_popularity = std::discrete_distribution<int>(weights.begin(), weights.end());
         fleet::EngineSpec engine;
         engine.slots = 24;
         engine.adapterSlots = adapterSlots;
@@ -41,13 +38,8 @@
         engine.loadsPerSecond = 22;
         engine.models.push_back({model, 72700, 66, std::chrono::seconds(2)});
         for (int index = 0; index < endpoints; ++index) {
-            fleet::Endpoint endpoint;
-            endpoint.id = core::EndpointId("i-" + std::to_string(index));
-            endpoint.slots = engine.slots;
-            m_planner.setEndpoint(endpoint, regionOf(index), engine);
-            fleet::EndpointReport report;
-            report.models.push_back({model, 1, {}});
-            m_planner.reportSeen(endpoint.id, report, m_now);
+            const core::EndpointId id("i-" + std::to_string(index));
+            testsupport::addEmptyEndpoint(m_planner, id, regionOf(index), engine, m_now);
         }
         m_now += std::chrono::seconds(1);
         for (int step = 0; step < 1000; ++step)
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -1,9 +1,9 @@
 #include "auto/adapterplanner/plannerfixture.h"
+#include "support/planning.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <cmath>
 #include <random>
 
 using namespace jackdawlead;
@@ -127,10 +127,7 @@
     Fixture fixture;
     fixture.addEndpoints(6, 22);
     std::mt19937 random(20261204);
-    std::vector<double> weights;
-    for (int rank = 1; rank <= 3000; ++rank)
-        weights.push_back(std::pow(rank, -1.2));
-    std::discrete_distribution<int> draw(weights.begin(), weights.end());
+    std::discrete_distribution<int> draw = testsupport::skewedRanks(3000, 1.2);
     int missed = 0;
     constexpr int requests = 2000;
     for (int request = 0; request < requests; ++request) {
--- a/tests/auto/adapterturnover/tst_adapterturnover.cpp
+++ b/tests/auto/adapterturnover/tst_adapterturnover.cpp
@@ -1,9 +1,9 @@
 #include "decisions/adapterplanner.h"
+#include "support/planning.h"
 
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <cmath>
 #include <optional>
 #include <random>
 #include <vector>
@@ -46,10 +46,6 @@
     Deployment(int engines, double requestsPerSecond)
         : m_requestsPerSecond(requestsPerSecond)
     {
-        std::vector<double> weights;
-        for (int rank = 1; rank <= 3000; ++rank)
-            weights.push_back(std::pow(rank, -1.2));
-        m_popularity = std::discrete_distribution<int>(weights.begin(), weights.end());
         fleet::EngineSpec spec;
         spec.slots = 64;
         spec.adapterSlots = places;
@@ -57,12 +53,9 @@
         spec.loadsPerSecond = 2.2;
         spec.models.push_back({model, 65100, 12, std::chrono::seconds(1)});
         for (int number = 0; number < engines; ++number) {
-            fleet::Endpoint endpoint;
-            endpoint.id = core::EndpointId("i-" + std::to_string(number));
-            endpoint.slots = spec.slots;
-            m_planner.setEndpoint(endpoint, region, spec);
-            m_engines[endpoint.id] = {};
-            report(endpoint.id);
+            const core::EndpointId id("i-" + std::to_string(number));
+            testsupport::addEmptyEndpoint(m_planner, id, region, spec, m_now);
+            m_engines[id] = {};
         }
         m_now += std::chrono::seconds(1);
     }
@@ -213,7 +206,7 @@
 
     double m_requestsPerSecond;
     std::mt19937 m_random {seed};
-    std::discrete_distribution<int> m_popularity;
+    std::discrete_distribution<int> m_popularity = testsupport::skewedRanks(3000, 1.2);
     AdapterPlanner m_planner {AdapterPlannerLimits {}};
     std::map<core::EndpointId, Engine> m_engines;
     std::vector<Request> m_requests;
--- /dev/null
+++ b/tests/support/planning.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "decisions/adapterplanner.h"
+
+#include <cmath>
+#include <random>
+#include <vector>
+
+namespace jackdawlead::testsupport {
+
+/// Draws ranks from 0 up to `count` - 1 by Zipf's law: the weight of rank r is (r + 1) ^ -`skew`.
+/// Precondition: `count` is greater than 0.
+inline std::discrete_distribution<int> skewedRanks(int count, double skew)
+{
+    std::vector<double> weights;
+    for (int rank = 1; rank <= count; ++rank)
+        weights.push_back(std::pow(rank, -skew));
+    return {weights.begin(), weights.end()};
+}
+
+/// Adds an endpoint to the planner and its first report: it holds the models of its engine and no
+/// adapter. Thread safety: one thread at a time, as for the planner.
+inline void addEmptyEndpoint(decisions::AdapterPlanner &planner, const core::EndpointId &id,
+                             const core::RegionId &region, const fleet::EngineSpec &engine,
+                             core::TimePoint now)
+{
+    fleet::Endpoint endpoint;
+    endpoint.id = id;
+    endpoint.slots = engine.slots;
+    planner.setEndpoint(endpoint, region, engine);
+    fleet::EndpointReport report;
+    for (const fleet::ModelSpec &spec : engine.models)
+        report.models.push_back({spec.model, 1, {}});
+    planner.reportSeen(id, report, now);
+}
+
+} // namespace jackdawlead::testsupport
