Format a log line only when the budget takes it

log() made the JSON of every line before BoundedAppender left it out. It hands over a LogLine now, which makes its JSON when the appender asks for the message; BoundedAppender asks for it after it has decided. The decision stays in the appender, under the lock of log4cplus.

Behaviour stays: the lines that are written, the count of those left out, and warnings and errors outside the budget. A written line is now formatted under the lock of the appender, instead of before it.

Evidence: lineOverTheBudgetIsNotFormatted goes through log() and fails if log() makes the JSON at once, and if the appender formats before it looks at the budget.

--- a/src/libs/observability/boundedappender.h
+++ b/src/libs/observability/boundedappender.h
@@ -10,7 +10,8 @@
 
 /// Writes log lines to a descriptor without ever waiting for its reader, and within a budget of
 /// lines. Warnings and errors are outside the budget. What was left out is counted and told with a
-/// later line. Thread safety: log4cplus calls it under its own lock.
+/// later line. The message of a line over the budget is not asked for, so that a LogLine is not
+/// formatted. Thread safety: log4cplus calls it under its own lock.
 class BoundedAppender : public log4cplus::Appender
 {
 public:
--- a/src/libs/observability/log.cpp
+++ b/src/libs/observability/log.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "net/guard.h"
 #include "observability/boundedappender.h"
+#include "observability/logline.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -10,8 +11,6 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <nlohmann/json.hpp>
-
 #include <unistd.h>
 
 namespace jackdawlead::observability {
@@ -30,20 +29,6 @@
     return instance;
 }
 
-std::string jsonFields(const LogEvent &event)
-{
-    nlohmann::ordered_json line;
-    line["host"] = hostName();
-    line["step"] = event.step;
-    if (!event.peer.empty())
-        line["peer"] = event.peer;
-    if (!event.request.empty())
-        line["request"] = event.request;
-    line["message"] = event.message;
-    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    return text.substr(1);
-}
-
 log4cplus::LogLevel levelOf(LogLevel level)
 {
     switch (level) {
@@ -103,7 +88,7 @@
 {
     const log4cplus::LogLevel level = levelOf(event.level);
     if (logger().isEnabledFor(level))
-        logger().forcedLog(level, jsonFields(event));
+        logger().forcedLog(LogLine(logger().getName(), level, event, hostName()));
 }
 
 void logError(LogLevel level, const absl::Status &status, std::string_view request)
