Ask endpoints that do not tell what they hold after a pause

Cause: an endpoint whose report is needed was asked in every turn of 50 ms, also right after it had refused the connection. The pause between reports held for those that had answered only.

Evidence: endpointWithoutAReportIsAskedAgainAfterAPause fails with the condition taken out.

--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -78,7 +78,7 @@
         const bool isDue = state.needsReport
             ? isSettled
             : age > m_limits.resync || (state.wantsReport && age > m_limits.reportPause);
-        if (isDue)
+        if (isDue && now - state.reportFailedAt > m_limits.reportPause)
             ids.push_back(id);
     }
     return ids;
@@ -121,6 +121,12 @@
     changed(id);
 }
 
+void AdapterPlanner::reportFailed(const core::EndpointId &id, core::TimePoint now)
+{
+    if (const auto found = m_endpoints.find(id); found != m_endpoints.end())
+        found->second.reportFailedAt = now;
+}
+
 void AdapterPlanner::takeContents(EndpointState &state, const fleet::EndpointReport &report,
                                   core::TimePoint sentAt)
 {
--- a/src/libs/decisions/adapterplanner.h
+++ b/src/libs/decisions/adapterplanner.h
@@ -42,6 +42,8 @@
     std::vector<core::EndpointId> reportsNeeded(core::TimePoint now) const;
     void reportSeen(const core::EndpointId &id, const fleet::EndpointReport &report,
                     core::TimePoint sentAt);
+    /// The endpoint did not tell what it holds.
+    void reportFailed(const core::EndpointId &id, core::TimePoint now);
     /// An endpoint said that it does not hold what was believed.
     void contradicted(const core::EndpointId &id, const fleet::AdapterKey &key,
                       core::TimePoint now);
--- a/src/libs/decisions/planningtypes.h
+++ b/src/libs/decisions/planningtypes.h
@@ -111,6 +111,7 @@
     std::uint64_t orderRevision = 0;
     core::TimePoint lastOrder;
     core::TimePoint lastReport;
+    core::TimePoint reportFailedAt; ///< When it did not answer the question for one last.
     std::map<core::ModelId, core::TimePoint> models; ///< With the time of their end of load.
     std::unordered_map<fleet::AdapterKey, PlacedAdapter> adapters;
     std::set<fleet::AdapterKey> heldBefore;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -411,6 +411,7 @@
                     noteLeaving(id, *answer);
                 if (!answer.ok() || answer->status != 200) {
                     m_work.count("endpoints without a report");
+                    m_planner.reportFailed(id, m_timers.now());
                     return;
                 }
                 const auto report = platform::decodeReport(answer->body);
--- a/tests/auto/adapterplanner/tst_endpointreports.cpp
+++ b/tests/auto/adapterplanner/tst_endpointreports.cpp
@@ -158,3 +158,17 @@
     cr_assert_not(adapters.contains(keyOf(1)));
     cr_assert_eq(fixture.planner.endpoints().at(endpoint).orderRevision, 4U);
 }
+
+// Guards against endpoints that have crashed being asked for a report in every turn: 29 of them
+// were asked 260 times a second, and each question is priced and takes time from orders.
+Test(adapterplanner, endpointWithoutAReportIsAskedAgainAfterAPause)
+{
+    Fixture fixture;
+    fixture.addEndpoint("e0", near, 22);
+    const core::EndpointId endpoint {"e0"};
+    fixture.now += std::chrono::seconds(10);
+    cr_assert_eq(fixture.planner.reportsNeeded(fixture.now).size(), 1U);
+    fixture.planner.reportFailed(endpoint, fixture.now);
+    cr_assert(fixture.planner.reportsNeeded(fixture.now + milliseconds(50)).empty());
+    cr_assert_eq(fixture.planner.reportsNeeded(fixture.now + milliseconds(350)).size(), 1U);
+}
