Let requests wait for the first coordinator after a start

Cause: a daemon that had not heard of a coordinator since its start took loads for impossible and refused at once what no endpoint was known to hold. A wait alone did not serve all of them, as the tests showed: a report to a daemon without the right to give orders, or to one that was not up yet, lost its demand, and an adapter that is waited for without demand is not loaded; and with a report each 250 ms a coordinator that started 0.2 s after the others was heard 0.5 s after their start.

Change: until 0.5 s after its start a daemon that has heard no coordinator takes loads for possible (PeerLink::isLoadingPossibleSoon). In this time it keeps demand that no coordinator took, and reports each 125 ms: four reports at most where there were two. What is held only by endpoints that cannot be reached waits as well then. Later a request is refused at once as before.

The fixture of the platform's tests starts daemons at several places.

Conclusion: requests of the first half second are served where the coordinator's machine is back by then.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -74,7 +74,7 @@
                  .waiting = {},
                  .contradictions = {},
                  .leaving = {},
-                 .isLoadingPossible = [this] { return m_peers.isCoordinatorHeard(); },
+                 .isLoadingPossible = [this] { return m_peers.isLoadingPossibleSoon(); },
                  .untilLoadsResume = [this] { return m_peers.untilNextCoordinator(); },
                  .onDemand = [this] { m_peers.reportSoon(); },
                  .onEndpointRests
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -16,6 +16,12 @@
 constexpr core::Duration callTimeout = std::chrono::milliseconds(500);
 // Beyond two reports in a row without an answer.
 constexpr core::Duration coordinatorMargin = std::chrono::milliseconds(300);
+// After all daemons were killed, a former holder takes its record after 0.1 s and the others hear
+// it with their next report. It is the time for which a request waits for the first configuration.
+constexpr core::Duration firstCoordinatorWait = std::chrono::milliseconds(500);
+// Daemons of a system start within 0.2 s of each other, so that the first report often comes before
+// the coordinator has its right; the next one has to be well inside the wait.
+constexpr core::Duration firstReportPeriod = firstCoordinatorWait / 4;
 // From the loss of the coordinator to the end of its right, as others can know it, beside the
 // silence that its successor keeps; seen in the log of quiet-1 with the coordinator cut off.
 constexpr core::Duration takeOverTime = std::chrono::milliseconds(3000);
@@ -63,6 +69,7 @@
 absl::Status PeerLink::start(Coordinator &coordinator)
 {
     m_coordinator = &coordinator;
+    m_startedAt = m_context.timers.now();
     m_context.reportPeriod = decisions::ReportPace::shortestPeriod;
     bindMethods(coordinator);
     m_server = std::make_unique<http::Server>(
@@ -214,6 +221,17 @@
         && m_coordinatorHeardAt != core::TimePoint();
 }
 
+bool PeerLink::isFirstCoordinatorAwaited() const
+{
+    return m_coordinatorHeardAt == core::TimePoint()
+        && m_context.timers.now() - m_startedAt < firstCoordinatorWait;
+}
+
+bool PeerLink::isLoadingPossibleSoon() const
+{
+    return isCoordinatorHeard() || isFirstCoordinatorAwaited();
+}
+
 core::Duration PeerLink::untilNextCoordinator() const
 {
     const core::Duration takeOver = m_context.settings.bounds.lease + takeOverTime;
@@ -223,7 +241,9 @@
 
 void PeerLink::reportLater()
 {
-    m_timer = m_context.timers.once(m_context.reportPeriod, [this] {
+    const core::Duration period
+        = isFirstCoordinatorAwaited() ? firstReportPeriod : m_context.reportPeriod;
+    m_timer = m_context.timers.once(period, [this] {
         reportLater();
         report(true);
     });
@@ -274,32 +294,47 @@
     m_reportedAt = m_context.timers.now();
     const PeerReport report = takeReport(wantsView);
     if (record->holder == m_context.settings.host) {
-        takeView(m_coordinator->reported(report));
+        const PeerView view = m_coordinator->reported(report);
+        takeView(view);
+        if (!view.isCoordinator)
+            keepDemand(report.demand);
         return;
     }
     m_isReporting = true;
     m_context.work.count("own reports");
-    m_caller.call(record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
-                  callTimeout, [this, alive = m_isAlive, leaving = report.leaving](auto answer) {
-                      if (!*alive)
-                          return;
-                      m_isReporting = false;
-                      if (answer.ok())
-                          takeReply(answer->body);
-                      else
-                          m_context.leaving.insert(leaving.begin(), leaving.end());
-                      reportWhatIsDue();
-                  });
+    m_caller.call(
+        record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
+        callTimeout,
+        [this, alive = m_isAlive, leaving = report.leaving, demand = report.demand](auto answer) {
+            if (!*alive)
+                return;
+            m_isReporting = false;
+            if (!answer.ok())
+                m_context.leaving.insert(leaving.begin(), leaving.end());
+            if (!answer.ok() || !takeReply(answer->body))
+                keepDemand(demand);
+            reportWhatIsDue();
+        });
 }
 
-void PeerLink::takeReply(const std::string &body)
+void PeerLink::keepDemand(const std::unordered_map<fleet::AdapterKey, int> &demand)
+{
+    if (!isFirstCoordinatorAwaited())
+        return;
+    for (const auto &[key, count] : demand)
+        m_context.demand[key] += count;
+}
+
+bool PeerLink::takeReply(const std::string &body)
 {
     const rpc::RpcResult reply = rpc::decodeReply({body});
     if (!reply.ok())
-        return;
+        return true;
     const auto view = decodePeerView(reply.value.text, m_context.timers.now());
-    if (view.ok())
-        takeView(*view);
+    if (!view.ok())
+        return true;
+    takeView(*view);
+    return view->isCoordinator;
 }
 
 // What became due while another report was on its way.
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -32,6 +32,9 @@
     void reportSoon();
     /// Whether the coordinator answered lately.
     bool isCoordinatorHeard() const;
+    /// Whether loads are possible or, shortly after the start, may be as soon as the first
+    /// coordinator is heard. Precondition: start() was called.
+    bool isLoadingPossibleSoon() const;
     /// A daemon that is in touch with this one; none if there is none.
     std::optional<net::Address> otherDaemon() const;
     /// How long it takes until a successor of the coordinator may give its first order.
@@ -40,6 +43,11 @@
     void sendView(const net::Address &peer, const PeerView &view);
 
 private:
+    /// Whether the daemon started lately and has heard no coordinator yet.
+    bool isFirstCoordinatorAwaited() const;
+    /// Adds demand that no coordinator took to the next report, since adapters without demand are
+    /// not loaded. Only until the first coordinator is due, which bounds what is collected.
+    void keepDemand(const std::unordered_map<fleet::AdapterKey, int> &demand);
     void serveWatch(const std::shared_ptr<http::ServerExchange> &exchange);
     void serveLeaseRecord(http::ServerExchange &exchange) const;
     /// Reads the record of the lease at the relay if there is one that has it, else at the store.
@@ -52,7 +60,8 @@
     /// What this daemon has to tell; what is told once is taken from the context.
     PeerReport takeReport(bool wantsView);
     void report(bool wantsView);
-    void takeReply(const std::string &body);
+    /// Takes the view of a reply; returns false if its sender is not the coordinator.
+    bool takeReply(const std::string &body);
     void reportWhatIsDue();
     void reportLater();
     void takeView(const PeerView &view);
@@ -67,11 +76,12 @@
     std::unique_ptr<http::Server> m_server;
     rpc::RpcDispatcher m_dispatcher;
     bool m_isReporting = false;
-    bool m_isViewDue = false;   ///< A regular report waits for the answer to another one.
-    bool m_isDemandDue = false; ///< The same for one of new demand.
-    core::TimePoint m_coordinatorHeardAt;
+    bool m_isViewDue = false;        ///< A regular report waits for the answer to another one.
+    bool m_isDemandDue = false;      ///< The same for one of new demand.
     core::TimePoint m_reportedAt;    ///< When the last report was sent.
     core::Duration m_demandPause {}; ///< The least time until one of new demand.
+    core::TimePoint m_startedAt;
+    core::TimePoint m_coordinatorHeardAt; ///< The clock's epoch until one was heard.
     std::uint64_t m_knownRevision = 0;
     core::FencingToken m_coordinatorToken;
     net::TimerService::Subscription m_timer;
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -44,7 +44,8 @@
     std::map<core::EndpointId, fleet::AdapterKey> contradictions;
     /// Endpoints that told this daemon that they leave, since the last report.
     std::map<core::EndpointId, fleet::BirthTime> leaving;
-    /// Whether some daemon gives orders, so that waiting for a load makes sense.
+    /// Whether some daemon gives orders, or may soon after the start, so that waiting for a load
+    /// makes sense.
     std::function<bool()> isLoadingPossible;
     /// When loads go on, if no daemon gives orders now.
     std::function<core::Duration()> untilLoadsResume;
--- /dev/null
+++ b/tests/e2e/tst_platformstart.cpp
@@ -0,0 +1,266 @@
+#include "support/platformfixture.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+constexpr char leaseKind[] = "jackdawlead-leases";
+constexpr char leaseName[] = "orders";
+// As in peerlink.cpp.
+constexpr core::Duration startWait = milliseconds(500);
+// For starting a process and for timers of a busy machine. A request that waits for a load in vain
+// ends 1.6 s after its arrival, its deadline is 4 s.
+constexpr core::Duration slack = milliseconds(500);
+
+void answerWithStream(const EndpointStandIn::Exchange &exchange)
+{
+    stream(exchange, 2, false);
+}
+
+/// Endpoints that serve adapters with streams.
+struct AdapterFixture : PlatformFixture
+{
+    AdapterFixture()
+        : PlatformFixture("model")
+    {
+        first.run = second.run = answerWithStream;
+    }
+
+    /// Starts a request as soon as the daemon takes connections.
+    AnswerPtr startWhenListening(const std::string &id, const std::string &model)
+    {
+        AnswerPtr answer;
+        core::TimePoint startedAt;
+        // A connection to a port without a listener ends within a millisecond.
+        constexpr core::Duration connectTime = milliseconds(10);
+        cr_assert(waitUntil([&] {
+            if (!answer || (answer->isEnded && answer->head.status == 0)) {
+                answer = start("/stream/a", id, model);
+                startedAt = loop.now();
+                return false;
+            }
+            return answer->isEnded || loop.now() - startedAt >= connectTime;
+        }));
+        return answer;
+    }
+};
+
+/// A daemon that serves adapters, and is killed and started again.
+struct RestartFixture : AdapterFixture
+{
+    RestartFixture()
+    {
+        cr_assert(waitUntil([this] { return !store.spec(leaseKind, leaseName).is_null(); }));
+        pass(std::chrono::seconds(1));
+    }
+
+    void killDaemon()
+    {
+        daemon.kill();
+        cr_assert(waitUntil([this] { return readiness() == 0; }));
+    }
+
+    void expectServedAfterStart(const std::string &model)
+    {
+        startDaemon();
+        const AnswerPtr answer = startWhenListening("early", model);
+        cr_assert(waitUntil([&answer] { return answer->isEnded; }));
+        cr_assert_eq(answer->head.status, 200, "%d\n%s", answer->head.status, output().c_str());
+        cr_assert_eq(answer->body, events(1, 2));
+    }
+
+    /// Makes the record name a holder that no request reaches.
+    void nameUnreachableHolder()
+    {
+        json record = store.spec(leaseKind, leaseName);
+        record["holder"] = "h9";
+        record["address"] = "127.0.0.1:" + std::to_string(picker.take());
+        store.put(leaseKind, leaseName, record);
+    }
+};
+
+/// Three daemons with a caller each that asks for adapters all the time.
+struct ThreeDaemons : AdapterFixture
+{
+    struct Member
+    {
+        DaemonPlace place;
+        std::string folder;
+        Process process;
+    };
+    std::vector<Member> members;
+    std::vector<AnswerPtr> answers;
+    net::TimerService::Subscription load;
+
+    ThreeDaemons()
+    {
+        daemon.kill();
+        for (const char *host : {"h1", "h2", "h3"}) {
+            Member member {
+                {host, picker.take(), picker.take(), picker.take()}, folder + "/" + host, {}};
+            std::filesystem::create_directory(member.folder);
+            members.push_back(std::move(member));
+        }
+    }
+
+    void startMember(Member &member)
+    {
+        member.process = startDaemonAt(member.place, member.folder);
+        callerPort = member.place.callerPort;
+    }
+
+    void startAll()
+    {
+        for (Member &member : members)
+            startMember(member);
+    }
+
+    void killAll()
+    {
+        for (Member &member : members)
+            member.process.kill();
+    }
+
+    /// Each daemon is asked for one of six adapters every `period`.
+    void startLoad(core::Duration period)
+    {
+        load = timers.every(period, [this] {
+            constexpr std::size_t adapters = 6;
+            for (const Member &member : members) {
+                callerPort = member.place.callerPort;
+                const std::size_t number = answers.size();
+                answers.push_back(start("/stream/a", "r" + std::to_string(number),
+                                        "base/a" + std::to_string(number % adapters)));
+            }
+        });
+    }
+
+    /// Answers from `begin` on with this status; zero stands for none.
+    long count(std::size_t begin, int status) const
+    {
+        return std::count_if(
+            answers.begin() + static_cast<std::ptrdiff_t>(begin), answers.end(),
+            [status](const AnswerPtr &answer) { return answer->head.status == status; });
+    }
+
+    std::string outputs() const
+    {
+        std::string text;
+        for (const Member &member : members) {
+            std::ifstream file(member.folder + "/output");
+            text.append(std::istreambuf_iterator<char>(file), {});
+        }
+        return text;
+    }
+};
+
+} // namespace
+
+// Guards against requests being refused while the first coordinator is some hundred milliseconds
+// away: 28 were after all daemons had been killed (incident inc-ae9f). The record of orders names
+// the former life of the daemon itself.
+Test(platformstart, requestWaitsForTheFormerHolder, .timeout = 60)
+{
+    RestartFixture fixture;
+    cr_assert_eq(fixture.call("/stream/a", "before", "base/a7")->head.status, 200);
+    fixture.killDaemon();
+    fixture.expectServedAfterStart("base/a7");
+}
+
+// The same for an adapter that nobody holds yet.
+Test(platformstart, requestForANewAdapterWaitsForTheFormerHolder, .timeout = 60)
+{
+    RestartFixture fixture;
+    fixture.killDaemon();
+    fixture.expectServedAfterStart("base/a8");
+}
+
+// The same when there is no record of orders.
+Test(platformstart, requestWaitsForTheFirstHolder, .timeout = 60)
+{
+    RestartFixture fixture;
+    cr_assert_eq(fixture.call("/stream/a", "before", "base/a7")->head.status, 200);
+    fixture.killDaemon();
+    fixture.store.remove(leaseKind, leaseName);
+    fixture.expectServedAfterStart("base/a7");
+}
+
+// Guards against requests that wait to the end of their time for a coordinator that does not come:
+// the caller is better off elsewhere or later.
+Test(platformstart, requestIsRefusedWithoutACoordinator, .timeout = 60)
+{
+    RestartFixture fixture;
+    fixture.killDaemon();
+    fixture.nameUnreachableHolder();
+    const core::TimePoint begin = fixture.loop.now();
+    fixture.startDaemon();
+    const AnswerPtr early = fixture.startWhenListening("early", "base/a7");
+    const core::TimePoint arrival = fixture.loop.now();
+    cr_assert(fixture.waitUntil([&] { return early->isEnded; }));
+    const core::TimePoint refusal = fixture.loop.now();
+    cr_assert_eq(early->head.status, 503, "%s", fixture.output().c_str());
+    cr_assert_geq(refusal - begin, startWait, "%s", fixture.output().c_str());
+    cr_assert_leq(refusal - arrival, startWait + slack, "%s", fixture.output().c_str());
+    // The record is taken over 1.3 s after the start; until then a request does not wait.
+    const AnswerPtr late = fixture.start("/stream/a", "late", "base/a7");
+    cr_assert(fixture.waitUntil([&] { return late->isEnded; }));
+    cr_assert_eq(late->head.status, 503, "%s", fixture.output().c_str());
+    constexpr core::Duration atOnce = milliseconds(200);
+    cr_assert_leq(fixture.loop.now() - refusal, atOnce, "%s", fixture.output().c_str());
+}
+
+// The same when the record names a daemon that starts later: the first one has to ask often enough
+// to hear it in time.
+Test(platformstart, requestWaitsForAHolderThatStartsLater, .timeout = 60)
+{
+    ThreeDaemons fixture;
+    ThreeDaemons::Member &early = fixture.members[0];
+    ThreeDaemons::Member &holder = fixture.members[1];
+    fixture.store.put(leaseKind, leaseName,
+                      {{"holder", holder.place.host},
+                       {"token", 7},
+                       {"address", "127.0.0.1:" + std::to_string(holder.place.peerPort)},
+                       {"released", false},
+                       {"sent", 1}});
+    fixture.startMember(early);
+    const AnswerPtr answer = fixture.startWhenListening("early", "base/a7");
+    // It takes its record 0.1 s after its start.
+    fixture.pass(milliseconds(150));
+    fixture.startMember(holder);
+    cr_assert(fixture.waitUntil([&answer] { return answer->isEnded; }));
+    cr_assert_eq(answer->head.status, 200, "%s", fixture.outputs().c_str());
+}
+
+// Guards against the same refusals when all daemons of a system are killed under load and come back
+// together: all but one have to hear who coordinates.
+Test(platformstart, allKilledDaemonsRefuseNoneForWantOfACoordinator, .timeout = 60)
+{
+    ThreeDaemons fixture;
+    fixture.startAll();
+    fixture.pass(std::chrono::seconds(5));
+    fixture.startLoad(milliseconds(20));
+    fixture.pass(std::chrono::seconds(3));
+    fixture.killAll();
+    fixture.pass(milliseconds(200));
+    const std::size_t begin = fixture.answers.size();
+    fixture.startAll();
+    fixture.pass(std::chrono::seconds(3));
+    fixture.load.cancel();
+    cr_assert(fixture.waitUntil([&fixture] {
+        return std::ranges::all_of(fixture.answers,
+                                   [](const AnswerPtr &answer) { return answer->isEnded; });
+    }));
+    const std::string outputs = fixture.outputs();
+    // Connections that come before a daemon listens have no answer.
+    const auto all = static_cast<long>(fixture.answers.size() - begin);
+    const long failures = all - fixture.count(begin, 200) - fixture.count(begin, 0);
+    cr_assert_eq(failures, 0, "%ld of %ld were refused or failed\n%s", failures, all,
+                 outputs.c_str());
+    constexpr long fewest = 100;
+    cr_assert_gt(fixture.count(begin, 200), fewest, "%s", outputs.c_str());
+}
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -84,6 +84,15 @@
     return ports;
 }
 
+/// Where one daemon runs: its host's name and the ports that it listens on.
+struct DaemonPlace
+{
+    std::string host;
+    std::uint16_t callerPort = 0;
+    std::uint16_t readyPort = 0;
+    std::uint16_t peerPort = 0;
+};
+
 /// The store and endpoints on this test's loop, and daemons as processes.
 struct PlatformFixture
 {
@@ -130,13 +139,19 @@
         return {std::istreambuf_iterator<char>(file), {}};
     }
 
-    void startDaemon()
+    void startDaemon() { daemon = startDaemonAt({"h1", callerPort, readyPort, peerPort}, folder); }
+
+    /// Starts a daemon with its settings and output in `itsFolder`, which exists and is not that of
+    /// another daemon.
+    Process startDaemonAt(const DaemonPlace &place, const std::string &itsFolder) const
     {
-        const std::string path = folder + "/settings.conf";
+        const std::string path = itsFolder + "/settings.conf";
         const auto address = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
-        std::ofstream(path) << "node=h1\nzone=z1\nregion=r1\nzones.z1=r1\nlisten.front="
-                            << address(callerPort) << "\nlisten.ready=" << address(readyPort)
-                            << "\ninternal_ports=" << peerPort << "," << peerPort
+        std::ofstream(path) << "node=" << place.host
+                            << "\nzone=z1\nregion=r1\nzones.z1=r1\nlisten.front="
+                            << address(place.callerPort)
+                            << "\nlisten.ready=" << address(place.readyPort)
+                            << "\ninternal_ports=" << place.peerPort << "," << place.peerPort
                             << "\nplatform.address=" << address(storePort)
                             << "\nbounds.stable_window_ms=4000\nbounds.drain_ms=3000\n"
                                "bounds.grace_s=8\nbounds.config_ms=3000\nbounds.version_ms=5000\n"
@@ -144,7 +159,7 @@
                                "bounds.budget_ratio=0.2\nbounds.budget_slack="
                             << budgetSlack << "\n";
         setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
-        daemon = Process({JACKDAWLEADD, "--platform"}, folder + "/output");
+        return Process({JACKDAWLEADD, "--platform"}, itsFolder + "/output");
     }
 
     bool waitUntil(const std::function<bool()> &condition, core::Duration most = limit)
