Leave work at an endpoint that has begun it, or is the only one to hold its adapter

A comment passed the head on as an event does. A broken stream was waited for up to 3.9 s after its last event, where callers leave after 3.2 s.

Change: the head counts as a sign of life; the same endpoint is asked again only if the connection had been used before and may have gone silent; the head goes on with the first event that has data, and comments before it are held; the gap counts from the last event; eight sends bound a stream.

--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -34,6 +34,8 @@
 constexpr int bearablePauses = 8;
 // Sends that are certain not to have run do not use up the route's attempts, but they must end.
 constexpr int maxSends = 4;
+// A stream that broke off goes on for as long as its caller waits; each send takes from the budget.
+constexpr int maxSendsOfStream = 8;
 // An answer of more bytes is passed on only as a whole, so this bounds what a daemon holds for it.
 constexpr std::size_t maxBufferedAnswer = 4 * 1024 * 1024;
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
@@ -58,6 +60,7 @@
 constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
 constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
 constexpr double spreadOfRetryAfter = 0.5;
+constexpr std::string_view dataField = "data:"; ///< Of an event; comments have none.
 constexpr std::string_view noHolder = "no endpoint holds what is asked for";
 
 long long inMilliseconds(core::Duration duration)
@@ -196,7 +199,9 @@
 core::TimePoint RequestTask::waitLimit(decisions::NoChoice reason) const
 {
     const core::TimePoint limit = waitLimitFromArrival(reason);
-    return m_brokeAt ? std::max(limit, *m_brokeAt + resumeWait()) : limit;
+    if (!m_brokeAt)
+        return limit;
+    return std::max(limit, (m_isRelaying ? m_times.lastAt() : *m_brokeAt) + resumeWait());
 }
 
 core::TimePoint RequestTask::waitLimitFromArrival(decisions::NoChoice reason) const
@@ -295,6 +300,8 @@
         m_context.metrics.sentAfter(m_sentAt - m_exchange->receivedAt);
     m_answerBody.clear();
     m_isStream = false;
+    m_headAt = {};
+    m_heldEvents.clear();
     m_startLoad
         = m_context.pool.load(endpoint.id, endpoint.slots) + m_context.pool.others(endpoint.id);
     constexpr double fillOfFew = 0.5;
@@ -339,7 +346,7 @@
 {
     if (!m_route->mayRunAgain())
         return;
-    const core::TimePoint heardAt = std::max(m_sentAt, m_times.lastAt());
+    const core::TimePoint heardAt = std::max({m_sentAt, m_headAt, m_times.lastAt()});
     // An endpoint that answers others is slow; only this connection may have gone silent.
     const bool isEndpointSilent = now() - m_context.pool.heardAt(m_endpoint) >= stallLimit();
     const core::Duration limit
@@ -355,18 +362,22 @@
     });
 }
 
-// A request that only waits in the endpoint's queue is better off there than without any endpoint.
+// A request that only waits in the endpoint's queue is better off there than without any endpoint,
+// or at the end of the same queue. A connection that was open before may have gone silent.
 bool RequestTask::canBeReplaced()
 {
-    return m_exchange->isOpen() && m_context.budgets[m_service].has(now())
-        && m_context.crashes.deaths(fingerprint(), now()) <= 1
-        && m_finder.choose(now()).endpoint.has_value();
+    if (!m_exchange->isOpen() || !m_context.budgets[m_service].has(now())
+        || m_context.crashes.deaths(fingerprint(), now()) > 1)
+        return false;
+    const auto choice = m_finder.choose(now());
+    return choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->wasUsed());
 }
 
 void RequestTask::endpointStalled()
 {
     // Without a further run to be had, waiting is all that is left.
-    const bool isLastRun = m_runs + 1 >= m_route->maxAttempts || m_sends >= maxSends;
+    const bool isLastRun = m_runs + 1 >= m_route->maxAttempts
+        || m_sends >= (m_isRelaying ? maxSendsOfStream : maxSends);
     if (isLastRun || deadline() - now() < leastTimeLeft)
         return;
     if (!canBeReplaced()) {
@@ -385,6 +396,8 @@
 void RequestTask::headArrived(http::MessageHead &head)
 {
     m_traits = platform::readAnswerTraits(head);
+    m_headAt = now();
+    m_context.pool.heard(m_endpoint);
     noteEndpointState(head);
     m_isStream
         = m_route->isStream && head.status == 200 && m_traits.isStamped && !m_traits.isEncoded;
@@ -437,17 +450,21 @@
     if (m_isBrokenStream)
         breakExchange(); // What follows may be without end.
     // Comments, which an endpoint in trouble may go on to send, are no progress.
-    const bool hasProgress = m_events.lastId() != lastId || !m_events.lastId();
-    if (!events.empty() && hasProgress) {
+    const bool hasProgress = m_events.lastId() != lastId
+        || (!m_events.lastId() && events.find(dataField) != std::string::npos);
+    if (hasProgress) {
         m_context.pool.heard(m_endpoint);
         learnCost();
         readingEnded();
         m_times.eventsCame(now());
+        startRelaying();
     }
-    if (events.empty())
+    m_heldEvents += events;
+    if (!m_isRelaying && m_heldEvents.size() > maxUnsentBytes)
+        breakExchange(); // Comments without end, and no event.
+    if (!m_isRelaying || m_heldEvents.empty())
         return;
-    startRelaying();
-    m_exchange->writeChunk(events);
+    m_exchange->writeChunk(std::exchange(m_heldEvents, {}));
     slowDown();
 }
 
@@ -570,7 +587,7 @@
         }
         m_status = m_answer.status;
         startRelaying();
-        m_exchange->writeChunk(m_events.rest());
+        m_exchange->writeChunk(m_heldEvents + m_events.rest());
         m_exchange->finishChunked();
         finish();
         return;
@@ -615,7 +632,7 @@
     if (m_traits.isOtherInstance) {
         const fleet::AdapterKey key = adapterKey();
         m_context.placement.contradicted(m_endpoint, key);
-        m_context.contradictions[m_endpoint] = key;
+        m_context.contradictions[m_endpoint].insert(key);
     }
     sendFailed(Failure::NotRun,
                m_traits.isOtherInstance ? "endpoint lacks model, adapter or version"
@@ -629,8 +646,7 @@
         if (!m_route->mayRunAgain() || m_runs >= m_route->maxAttempts)
             return false;
     }
-    // A stream that broke off is bounded by the time that its caller waits.
-    if ((m_sends >= maxSends && !m_isRelaying) || !m_exchange->isOpen())
+    if (m_sends >= (m_isRelaying ? maxSendsOfStream : maxSends) || !m_exchange->isOpen())
         return false;
     // A request that was running when two endpoints died is not carried to a third one by us.
     if (failure == Failure::MayHaveRun && m_context.crashes.deaths(fingerprint(), now()) > 1)
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -125,6 +125,8 @@
     EventFilter m_events;
     StreamTimes m_times;
     core::TimePoint m_sentAt;
+    core::TimePoint m_headAt; ///< When the head of the present endpoint's answer came.
+    std::string m_heldEvents; ///< Comments that came before the first event.
     std::optional<core::TimePoint> m_brokeAt; ///< When an endpoint broke off last.
     double m_startLoad = 0;  ///< Slots occupied at the endpoint when the request was sent.
     int m_readingTokens = 0; ///< Of the present send, until its first event.
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -33,6 +33,7 @@
 void ClientConnection::send(const OutgoingRequest &request, ExchangeObserver observer)
 {
     m_isBusy = true;
+    ++m_exchanges;
     m_isReusable = false;
     m_isHeadDelivered = false;
     m_isForeign = false;
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -51,6 +51,8 @@
     void send(const OutgoingRequest &request, ExchangeObserver observer);
     /// Whether the next exchange may use this connection.
     bool isReusable() const { return m_isReusable && !m_isBusy; }
+    /// Whether an exchange before the present one used the connection.
+    bool wasUsed() const { return m_exchanges > 1; }
     /// Whether bytes of the present request may have arrived at the peer; before the connection is
     /// open none are handed to it.
     bool hasSent() const { return m_pendingRequest.empty(); }
@@ -79,6 +81,7 @@
     std::string m_id;
     bool m_isHeadRequest = false;
     bool m_isBusy = false;
+    int m_exchanges = 0;
     bool m_isReusable = true;
     bool m_isHeadDelivered = false;
     bool m_isForeign = false;
--- a/tests/e2e/tst_brokenstreams.cpp
+++ b/tests/e2e/tst_brokenstreams.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// After its start a daemon uses some repeated sends until it knows how many daemons share them.
+constexpr core::Duration budgetKnown = milliseconds(1500);
+
 void refuse(const EndpointStandIn::Exchange &exchange)
 {
     exchange->respond(503, {{"Not-Executed", "1"}}, {});
@@ -36,6 +39,22 @@
           };
 }
 
+/// Keeps the requests that it gets, until a test answers them.
+struct Queue
+{
+    std::vector<EndpointStandIn::Exchange> exchanges;
+
+    std::function<void(const EndpointStandIn::Exchange &)> run()
+    {
+        return [this](const EndpointStandIn::Exchange &exchange) { exchanges.push_back(exchange); };
+    }
+    void answerFirst() const
+    {
+        exchanges[0]->writeChunk(events(1, 3));
+        exchanges[0]->finishChunked();
+    }
+};
+
 } // namespace
 
 // Guards against a request that ends without an answer: the head of the stream was passed on before
@@ -85,6 +104,7 @@
 Test(brokenstreams, brokenStreamWaitsForTheBudget, .timeout = 60)
 {
     PlatformFixture fixture("model", true, 0);
+    fixture.pass(budgetKnown);
     breakFirstRun(fixture, 3,
                   [](const EndpointStandIn::Exchange &exchange) { stream(exchange, 6, false); });
     const auto answer = fixture.start("/stream/a", "r1", "base");
@@ -121,6 +141,7 @@
 Test(brokenstreams, silentEndpointIsKeptWithoutABudgetForAnother, .timeout = 60)
 {
     PlatformFixture fixture("model", true, 0);
+    fixture.pass(budgetKnown);
     std::vector<EndpointStandIn::Exchange> queued;
     fixture.first.run = fixture.second.run
         = [&](const EndpointStandIn::Exchange &exchange) { queued.push_back(exchange); };
@@ -160,3 +181,105 @@
     cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
     cr_assert(answer->isWhole, "%s", fixture.output().c_str());
 }
+
+// Guards against a request being cut from the queue of the only endpoint that holds its adapter, to
+// be put at the end of the same queue.
+Test(brokenstreams, requestKeepsItsPlaceAtItsOnlyHolder, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    fixture.store.remove("servers", fixture.second.id);
+    fixture.pass(milliseconds(1500));
+    Queue queue;
+    fixture.first.run = queue.run();
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    fixture.pass(milliseconds(2200));
+    cr_assert_eq(queue.exchanges.size(), 1U, "%s", fixture.output().c_str());
+    queue.exchanges[0]->startChunked(200, EndpointStandIn::stamped(queue.exchanges[0]));
+    queue.answerFirst();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole);
+}
+
+// Guards against a run being cut off in the moment in which it begins: the head of its answer had
+// come, and silence was counted from the send.
+Test(brokenstreams, headIsASignOfLife, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    Queue queue;
+    fixture.first.run = fixture.second.run = queue.run();
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    fixture.pass(milliseconds(1450));
+    cr_assert_eq(queue.exchanges.size(), 1U);
+    queue.exchanges[0]->startChunked(200, EndpointStandIn::stamped(queue.exchanges[0]));
+    fixture.pass(milliseconds(600));
+    cr_assert_eq(queue.exchanges.size(), 1U, "%s", fixture.output().c_str());
+    queue.answerFirst();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isWhole);
+}
+
+// Guards against a comment that passes the head on, and leaves a closed connection as the only end.
+Test(brokenstreams, commentIsNoEvent, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    int runs = 0;
+    const auto run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (++runs > 1) {
+            refuse(exchange);
+            return;
+        }
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk(": still here\n\n");
+        exchange->abort();
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->head.status, 502);
+}
+
+// Guards against a part of an event of one run that stands before the events of the next one.
+Test(brokenstreams, tornFirstEventIsNotJoinedToTheNextRun, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    int runs = 0;
+    const auto run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (++runs > 1) {
+            stream(exchange, 4, false);
+            return;
+        }
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk("id: 1\nda");
+        exchange->abort();
+    };
+    fixture.first.run = fixture.second.run = run;
+    const auto answer = fixture.call("/stream/a", "r1", "base");
+    cr_assert(answer->isWhole, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 4));
+}
+
+// Guards against a stream that is waited for after its caller has left: the gap that callers bear
+// begins with the last event, not with the break that is noticed later.
+Test(brokenstreams, gapIsCountedFromTheLastEvent, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    EndpointStandIn::Exchange broken;
+    fixture.first.run = fixture.second.run = [&](const EndpointStandIn::Exchange &exchange) {
+        if (broken) {
+            refuse(exchange);
+            return;
+        }
+        broken = exchange;
+        exchange->startChunked(200, EndpointStandIn::stamped(exchange));
+        exchange->writeChunk(events(1, 3));
+    };
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitUntil([&] { return answer->body == events(1, 3); }));
+    const core::TimePoint lastEventAt = fixture.timers.now();
+    fixture.pass(milliseconds(900));
+    broken->abort();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    // Four target latencies less one, and some turns of the loop.
+    cr_assert_lt(fixture.timers.now() - lastEventAt, milliseconds(2700), "%s",
+                 fixture.output().c_str());
+}
