Keep what a report tells once until a coordinator has taken it

Review of the incident: since reports of endpoints tell only what they change, a daemon that dropped an adapter after an endpoint's denial never learned of it again if its report was lost, or if two adapters were denied at one endpoint between two reports.

Change: all denied adapters of an endpoint are reported, and what no coordinator took is told with the next regular report, which is not sent earlier for that. A coordinator of the release before gets regular reports only: it would take one of demand for a daemon that uses nothing.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -117,7 +117,7 @@
 void Coordinator::writeSummary()
 {
     const core::TimePoint now = m_timers.now();
-    if (now - m_lastSummary < summaryPeriod)
+    if (now - m_lastSummary < summaryPeriod || m_planner.endpoints().empty())
         return;
     m_lastSummary = now;
     std::size_t needingReport = 0;
@@ -285,9 +285,11 @@
     }
     for (const auto &[key, count] : report.demand)
         m_planner.demand().add(key, report.region, count, now);
-    for (const auto &[id, key] : report.contradictions) {
-        m_planner.contradicted(id, key, now);
-        m_contents.restate(id, key);
+    for (const auto &[id, keys] : report.contradictions) {
+        for (const fleet::AdapterKey &key : keys) {
+            m_planner.contradicted(id, key, now);
+            m_contents.restate(id, key);
+        }
     }
     for (const decisions::CrashFact &fact : report.crashes)
         m_crashes.told(fact, now);
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -292,29 +292,37 @@
         return;
     }
     m_reportedAt = m_context.timers.now();
-    const PeerReport report = takeReport(wantsView);
+    // Coordinators of the release before take each report for a regular one.
+    const PeerReport report = takeReport(wantsView || !m_takesDemand);
     if (record->holder == m_context.settings.host) {
         const PeerView view = m_coordinator->reported(report);
         takeView(view);
         if (!view.isCoordinator)
-            keepDemand(report.demand);
+            keep(report);
         return;
     }
     m_isReporting = true;
     m_context.work.count("own reports");
-    m_caller.call(
-        record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
-        callTimeout,
-        [this, alive = m_isAlive, leaving = report.leaving, demand = report.demand](auto answer) {
-            if (!*alive)
-                return;
-            m_isReporting = false;
-            if (!answer.ok())
-                m_context.leaving.insert(leaving.begin(), leaving.end());
-            if (!answer.ok() || !takeReply(answer->body))
-                keepDemand(demand);
-            reportWhatIsDue();
-        });
+    m_caller.call(record->address, rpcRequest(reportMethod, encode(report, m_context.timers.now())),
+                  callTimeout, [this, alive = m_isAlive, report](auto answer) {
+                      if (!*alive)
+                          return;
+                      m_isReporting = false;
+                      if (!answer.ok() || !takeReply(answer->body))
+                          keep(report);
+                      if (answer.ok())
+                          reportWhatIsDue();
+                  });
+}
+
+// What is told once is lost with a report that no coordinator took. The next regular one is soon
+// enough: reports that are sent again at once make a late coordinator later.
+void PeerLink::keep(const PeerReport &report)
+{
+    m_context.leaving.insert(report.leaving.begin(), report.leaving.end());
+    for (const auto &[id, keys] : report.contradictions)
+        m_context.contradictions[id].insert(keys.begin(), keys.end());
+    keepDemand(report.demand);
 }
 
 void PeerLink::keepDemand(const std::unordered_map<fleet::AdapterKey, int> &demand)
@@ -329,10 +337,10 @@
 {
     const rpc::RpcResult reply = rpc::decodeReply({body});
     if (!reply.ok())
-        return true;
+        return false;
     const auto view = decodePeerView(reply.value.text, m_context.timers.now());
     if (!view.ok())
-        return true;
+        return false;
     takeView(*view);
     return view->isCoordinator;
 }
@@ -365,6 +373,7 @@
     takeLoads(view);
     m_context.daemons = std::max(1, view.daemons);
     using decisions::ReportPace;
+    m_takesDemand = view.reportPeriod > core::Duration::zero();
     m_demandPause = std::min(view.demandPause, ReportPace::longestPeriod);
     m_context.reportPeriod
         = std::clamp(view.reportPeriod, ReportPace::shortestPeriod, ReportPace::longestPeriod);
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -60,9 +60,11 @@
     /// What this daemon has to tell; what is told once is taken from the context.
     PeerReport takeReport(bool wantsView);
     void report(bool wantsView);
-    /// Takes the view of a reply; returns false if its sender is not the coordinator.
+    /// Takes the view of a reply; returns false if no coordinator took the report.
     bool takeReply(const std::string &body);
     void reportWhatIsDue();
+    /// Adds what a report that no coordinator took has told to the next one.
+    void keep(const PeerReport &report);
     void reportLater();
     void takeView(const PeerView &view);
 
@@ -76,6 +78,7 @@
     std::unique_ptr<http::Server> m_server;
     rpc::RpcDispatcher m_dispatcher;
     bool m_isReporting = false;
+    bool m_takesDemand = false;      ///< The coordinator tells reports of demand from regular ones.
     bool m_isViewDue = false;        ///< A regular report waits for the answer to another one.
     bool m_isDemandDue = false;      ///< The same for one of new demand.
     core::TimePoint m_reportedAt;    ///< When the last report was sent.
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -266,8 +266,10 @@
     for (const auto &[key, count] : report.demand)
         demand[key.toString()] = count;
     json contradictions = json::object();
-    for (const auto &[id, key] : report.contradictions)
-        contradictions[id.value()] = key.toString();
+    for (const auto &[id, keys] : report.contradictions) {
+        for (const fleet::AdapterKey &key : keys)
+            contradictions[id.value()].push_back(key.toString());
+    }
     json inUse = json::object();
     for (const auto &[id, keys] : report.inUse)
         inUse[id.value()] = encodeKeys(keys);
@@ -331,9 +333,11 @@
             report.inUse[core::EndpointId(id)] = decodeKeys(keys);
         for (const auto &[key, count] : value.at("demand").items())
             report.demand[fleet::adapterKeyFrom(key)] = count.get<int>();
-        for (const auto &[id, key] : value.at("contradictions").items())
-            report.contradictions[core::EndpointId(id)]
-                = fleet::adapterKeyFrom(key.get<std::string>());
+        for (const auto &[id, keys] : value.at("contradictions").items()) {
+            for (const json &key : keys)
+                report.contradictions[core::EndpointId(id)].insert(
+                    fleet::adapterKeyFrom(key.get<std::string>()));
+        }
         report.unreachable = decodeIds(value.at("unreachable"));
         report.resting = decodeIds(value.at("resting"));
         report.leaving = decodeLives(value.at("leaving"));
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,7 +39,7 @@
     std::unordered_map<fleet::AdapterKey, int> demand;
     /// Requests that wait until an endpoint holds their adapter.
     std::unordered_map<fleet::AdapterKey, decisions::WaitingCount> waiting;
-    std::map<core::EndpointId, fleet::AdapterKey> contradictions;
+    std::map<core::EndpointId, std::set<fleet::AdapterKey>> contradictions;
     std::vector<core::EndpointId> unreachable;
     std::vector<core::EndpointId> resting;                ///< Want nothing from this daemon now.
     std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves, lately.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace jackdawlead::gateway {
@@ -41,7 +42,7 @@
     /// Requests that wait until an endpoint holds the adapter.
     decisions::WaitingList waiting;
     /// Endpoints that lacked what they were believed to hold, since the last report.
-    std::map<core::EndpointId, fleet::AdapterKey> contradictions;
+    std::map<core::EndpointId, std::set<fleet::AdapterKey>> contradictions;
     /// Endpoints that told this daemon that they leave, since the last report.
     std::map<core::EndpointId, fleet::BirthTime> leaving;
     /// Whether some daemon gives orders, or may soon after the start, so that waiting for a load
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -29,7 +29,8 @@
     report.load[core::EndpointId("i-2")] = 0.1;
     report.inUse[core::EndpointId("i-1")] = {key};
     report.demand[key] = 3;
-    report.contradictions[core::EndpointId("i-2")] = key;
+    report.contradictions[core::EndpointId("i-2")]
+        = {key, {core::ModelId("m"), core::AdapterId("a8")}};
     report.unreachable.push_back(core::EndpointId("i-3"));
     report.resting.push_back(core::EndpointId("i-4"));
     report.leaving[core::EndpointId("i-5")] = milliseconds(1733300000123);
