Use the slack of repeated sends only when its sharers are known

Cause, from the code: a daemon that did not know how many share the slack took an eighth of it, which is too much for 195 of them; and a new coordinator that had heard of one daemon told it that it had all of it.

Change: until a coordinator has held its right for longer than the period of reports, a daemon uses three repeated sends besides its part for its own requests, as many as one request needs.

Evidence: slackIsNotUsedBeforeItsSharersAreKnown.

--- a/src/libs/decisions/retrybudget.cpp
+++ b/src/libs/decisions/retrybudget.cpp
@@ -33,8 +33,11 @@
 bool RetryBudget::has(core::TimePoint now)
 {
     forget(now);
-    const double granted = m_limits.usedPart
-        * (m_limits.ratio * static_cast<double>(m_requests.size()) + m_limits.slack / m_sharers);
+    const double ownPart
+        = m_limits.usedPart * m_limits.ratio * static_cast<double>(m_requests.size());
+    const double slack
+        = m_sharers > 0 ? m_limits.usedPart * m_limits.slack / m_sharers : sendsOfUnknown;
+    const double granted = ownPart + slack;
     return static_cast<double>(m_repeats.size()) + 1.0 <= granted;
 }
 
--- a/src/libs/decisions/retrybudget.h
+++ b/src/libs/decisions/retrybudget.h
@@ -23,11 +23,13 @@
 {
 public:
     void setLimits(const RetryBudgetLimits &limits) { m_limits = limits; }
-    /// The number of daemons that share the slack.
-    void setSharers(int count) { m_sharers = count > 0 ? count : 1; }
+    /// The number of daemons that share the slack; until it is known, sendsOfUnknown are used.
+    void setSharers(int count) { m_sharers = count; }
     void requestCame(core::TimePoint now);
     /// Requests a second over the window, or since the first one.
     double requestRate(core::TimePoint now);
+    /// As many as one request may need: small enough for hundreds of daemons that start together.
+    static constexpr double sendsOfUnknown = 3;
     /// Whether the budget has one more repeated send.
     bool has(core::TimePoint now);
     /// Takes one repeated send if the budget has it.
@@ -37,7 +39,7 @@
     void forget(core::TimePoint now);
 
     RetryBudgetLimits m_limits;
-    int m_sharers = 8; ///< More daemons than the smaller deployments have, until it is known.
+    int m_sharers = 0;
     std::deque<core::TimePoint> m_requests;
     std::deque<core::TimePoint> m_repeats;
 };
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+// Beyond the period of reports, for those that are on their way.
+constexpr core::Duration countMargin = std::chrono::milliseconds(250);
 constexpr core::Duration summaryPeriod = std::chrono::seconds(1);
 // Joins what asks for a plan at nearly the same time: a pass over all endpoints costs some tenths
 // of a millisecond.
@@ -164,6 +166,7 @@
 void Coordinator::becomeHolder()
 {
     m_wasHolder = true;
+    m_holderSince = m_timers.now();
     m_token = m_lease.lease().record()->token;
     for (const auto &[id, endpoint] : m_watch.endpoints())
         endpointChanged(endpoint);
@@ -348,6 +351,8 @@
     view.since = daemon.knownRevision;
     view.revision = daemon.knownRevision;
     view.daemons = static_cast<int>(m_daemons.size());
+    view.isCounted
+        = m_timers.now() - m_holderSince > decisions::ReportPace::longestPeriod + countMargin;
     view.reportPeriod = m_pace.period(view.daemons);
     view.demandPause = m_pace.demandPause(view.daemons);
     view.crashes = m_crashes.recent(m_timers.now());
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -125,6 +125,7 @@
     std::set<core::EndpointId> m_reportsAsked;
     bool m_wasHolder = false;
     core::FencingToken m_token;
+    core::TimePoint m_holderSince;
     net::TimerService::Subscription m_timer;
     net::TimerService::Subscription m_soon;
     net::TimerService::Subscription m_tell;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -377,8 +377,10 @@
     m_demandPause = std::min(view.demandPause, ReportPace::longestPeriod);
     m_context.reportPeriod
         = std::clamp(view.reportPeriod, ReportPace::shortestPeriod, ReportPace::longestPeriod);
-    for (auto &[service, budget] : m_context.budgets)
-        budget.setSharers(view.daemons);
+    if (view.isCounted) {
+        for (auto &[service, budget] : m_context.budgets)
+            budget.setSharers(view.daemons);
+    }
     m_onView();
 }
 
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -309,6 +309,7 @@
                  {"loads", encodeLoadsInOrder(view.loadsInOrder)},
                  {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
                  {"daemons", view.daemons},
+                 {"isCounted", view.isCounted},
                  {"reportPeriod", wholeMilliseconds(view.reportPeriod)},
                  {"demandPause", wholeMilliseconds(view.demandPause)},
                  {"leaving", encodeLives(view.leaving)},
@@ -370,6 +371,7 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeCrashes(value.at("crashes"));
         view.daemons = value.at("daemons").get<int>();
+        view.isCounted = value.value("isCounted", true);
         // Daemons of the release before do not tell these.
         view.reportPeriod = std::chrono::milliseconds(value.value("reportPeriod", 0LL));
         view.demandPause = std::chrono::milliseconds(value.value("demandPause", 0LL));
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -66,6 +66,7 @@
     std::vector<double> loadsInOrder;
     EndpointsDigest endpoints {};
     int daemons = 0;
+    bool isCounted = false;         ///< Every daemon has had the time to report to the sender.
     core::Duration reportPeriod {}; ///< How often the receiver reports.
     core::Duration demandPause {};  ///< The least time between two of its reports of demand.
     std::map<core::EndpointId, fleet::BirthTime> leaving; ///< Said so themselves to any daemon.
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -100,6 +100,27 @@
     cr_assert_gt(repeats, requests / 20);
 }
 
+// Guards against more repeated sends than allowed after all daemons were killed: each of 195 took
+// an eighth of the slack, or all of it while its coordinator had heard of it alone.
+Test(retrybudget, slackIsNotUsedBeforeItsSharersAreKnown)
+{
+    RetryBudget budget;
+    RetryBudgetLimits limits;
+    limits.slack = 430;
+    budget.setLimits(limits);
+    for (int number = 0; number < 3; ++number)
+        cr_assert(budget.tryTake(start));
+    cr_assert_not(budget.tryTake(start));
+    // A part of a fifth of its own requests is its own.
+    for (int number = 0; number < 20; ++number)
+        budget.requestCame(start);
+    cr_assert(budget.tryTake(start));
+    budget.setSharers(2);
+    constexpr int half = 100;
+    for (int number = 0; number < half; ++number)
+        cr_assert(budget.tryTake(start));
+}
+
 // Guards against a budget that is never given back.
 Test(retrybudget, oldRepeatsAreForgotten)
 {
