Add a fault soak of real daemons with checks that run beside it

What the tests play is one fault at a time on one daemon.

A soak that made no check of some kind fails. The stand-ins get watches that hear again, and endpoints that begin another life.

--- /dev/null
+++ b/soak/daemons.cpp
@@ -0,0 +1,218 @@
+#include "daemons.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <fstream>
+#include <utility>
+
+namespace jackdawlead::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr core::Duration watchPeriod = milliseconds(20); ///< Ends are noticed about this late.
+constexpr std::size_t logTail = 30;                      ///< Lines shown of a log.
+constexpr std::size_t logMatches = 20;                   ///< Lines shown that name a request.
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+std::int64_t inMilliseconds(core::Duration time)
+{
+    return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+} // namespace
+
+Daemons::Daemons(Schedule &schedule, Checker &checker, const Bounds &bounds, int count,
+                 std::uint16_t storePort, std::string folder)
+    : m_schedule(schedule)
+    , m_checker(checker)
+    , m_bounds(bounds)
+    , m_folder(std::move(folder))
+{
+    m_daemons.resize(static_cast<std::size_t>(count));
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        Daemon &daemon = m_daemons[index];
+        daemon.callerPort = m_picker.take();
+        daemon.readyPort = m_picker.take();
+        daemon.settings = m_folder + "/settings" + std::to_string(index) + ".conf";
+        daemon.log = m_folder + "/daemon" + std::to_string(index) + ".log";
+        writeSettings(index, storePort, m_picker.take());
+        start(index);
+    }
+    watch();
+}
+
+void Daemons::writeSettings(std::size_t index, std::uint16_t storePort,
+                            std::uint16_t peerPort) const
+{
+    const Daemon &daemon = m_daemons[index];
+    // Two failure domains, so that daemons of the same and of another one exist.
+    const std::string zone = index % 2 == 0 ? "z1" : "z2";
+    std::ofstream(daemon.settings)
+        << "node=h" << index << "\nzone=" << zone << "\nregion=r1\nzones.z1=r1\nzones.z2=r1"
+        << "\nlisten.front=" << loopback(daemon.callerPort)
+        << "\nlisten.ready=" << loopback(daemon.readyPort) << "\ninternal_ports=" << peerPort << ","
+        << peerPort << "\nplatform.address=" << loopback(storePort)
+        << "\nbounds.stable_window_ms=" << inMilliseconds(m_bounds.stableWindow)
+        << "\nbounds.drain_ms=" << inMilliseconds(m_bounds.drain)
+        << "\nbounds.grace_s=" << core::toSeconds(m_bounds.grace)
+        << "\nbounds.config_ms=" << inMilliseconds(m_bounds.configuration)
+        << "\nbounds.version_ms=5000\nbounds.lease_ms=3000\nbounds.budget_window_s=10\n"
+           "bounds.budget_ratio=0.2\nbounds.budget_slack=400\n";
+}
+
+void Daemons::start(std::size_t index)
+{
+    if (m_isOver)
+        return;
+    Daemon &daemon = m_daemons[index];
+    setenv("JACKDAWLEAD_SETTINGS", daemon.settings.c_str(), 1);
+    daemon.process = testsupport::Process({JACKDAWLEADD, "--platform"}, daemon.log);
+    daemon.state = State::Running;
+    daemon.life = m_lastLife = m_lastLife.next();
+    daemon.lives.push_back(daemon.life);
+    m_checker.processStarted(daemon.life, m_schedule.now());
+}
+
+std::optional<ProcessLife> Daemons::life(std::size_t index) const
+{
+    const Daemon &daemon = m_daemons[index];
+    return daemon.state == State::Down ? std::nullopt : std::optional(daemon.life);
+}
+
+void Daemons::stop(Daemon &daemon)
+{
+    daemon.state = State::Stopping;
+    m_checker.stopAsked(daemon.life, m_schedule.now());
+    daemon.process.signal(SIGTERM);
+}
+
+bool Daemons::terminate(std::size_t index, core::Duration pause)
+{
+    const State state = m_daemons[index].state;
+    if (state != State::Running && state != State::Frozen)
+        return false;
+    stop(m_daemons[index]);
+    awaitEnd(index, m_schedule.now() + m_bounds.grace, pause);
+    return true;
+}
+
+void Daemons::awaitEnd(std::size_t index, core::TimePoint killAt, core::Duration pause)
+{
+    Daemon &daemon = m_daemons[index];
+    if (daemon.state == State::Down)
+        return;
+    // What the end of the grace time cuts off is the daemon's fault, so it is not told as a kill.
+    if (m_schedule.now() >= killAt)
+        daemon.process.kill();
+    if (const auto code = daemon.process.exitCode()) {
+        m_checker.processEnded(daemon.life, *code);
+        daemon.state = State::Down;
+        m_schedule.after(pause, [this, index] { start(index); });
+        return;
+    }
+    m_schedule.after(watchPeriod, [this, index, killAt, pause] { awaitEnd(index, killAt, pause); });
+}
+
+bool Daemons::kill(std::size_t index, core::Duration pause)
+{
+    Daemon &daemon = m_daemons[index];
+    if (daemon.state == State::Down)
+        return false;
+    m_checker.processKilled(daemon.life);
+    daemon.process.kill();
+    daemon.state = State::Down;
+    m_schedule.after(pause, [this, index] { start(index); });
+    return true;
+}
+
+bool Daemons::freeze(std::size_t index, core::Duration time)
+{
+    Daemon &daemon = m_daemons[index];
+    if (daemon.state != State::Running)
+        return false;
+    daemon.state = State::Frozen;
+    m_checker.processFrozen(daemon.life, true, m_schedule.now());
+    daemon.process.signal(SIGSTOP);
+    m_schedule.after(time, [this, index, life = daemon.life] {
+        Daemon &frozen = m_daemons[index];
+        if (frozen.life != life || frozen.state == State::Down)
+            return;
+        frozen.process.signal(SIGCONT);
+        if (frozen.state == State::Frozen)
+            frozen.state = State::Running;
+        m_checker.processFrozen(life, false, m_schedule.now());
+    });
+    return true;
+}
+
+bool Daemons::hangUp(std::size_t index)
+{
+    if (m_daemons[index].state != State::Running)
+        return false;
+    m_daemons[index].process.signal(SIGHUP);
+    return true;
+}
+
+void Daemons::terminateAll()
+{
+    m_isOver = true;
+    for (std::size_t index = 0; index < m_daemons.size(); ++index)
+        terminate(index, {});
+}
+
+bool Daemons::areAllEnded() const
+{
+    return std::ranges::all_of(m_daemons,
+                               [](const Daemon &daemon) { return daemon.state == State::Down; });
+}
+
+void Daemons::watch()
+{
+    for (std::size_t index = 0; index < m_daemons.size(); ++index) {
+        Daemon &daemon = m_daemons[index];
+        if (daemon.state != State::Running)
+            continue;
+        if (const auto code = daemon.process.exitCode()) {
+            m_checker.processEnded(daemon.life, *code);
+            daemon.state = State::Down;
+            m_schedule.after(watchPeriod, [this, index] { start(index); });
+        }
+    }
+    m_schedule.after(watchPeriod, [this] { watch(); });
+}
+
+std::string Daemons::logOf(ProcessLife life, const std::string &text) const
+{
+    const auto daemon = std::ranges::find_if(m_daemons, [&](const Daemon &candidate) {
+        return std::ranges::find(candidate.lives, life) != candidate.lives.end();
+    });
+    if (daemon == m_daemons.end())
+        return {};
+    std::ifstream file(daemon->log);
+    std::deque<std::string> tail;
+    std::string matches;
+    std::size_t matched = 0;
+    for (std::string line; std::getline(file, line);) {
+        if (!text.empty() && matched < logMatches && line.find(text) != std::string::npos) {
+            matches += line + "\n";
+            ++matched;
+        }
+        tail.push_back(std::move(line));
+        if (tail.size() > logTail)
+            tail.pop_front();
+    }
+    std::string result = "lines that name it:\n" + matches + "last lines:\n";
+    for (const std::string &line : tail)
+        result += line + "\n";
+    return result;
+}
+
+} // namespace jackdawlead::soak
--- /dev/null
+++ b/soak/endpoints.cpp
@@ -0,0 +1,314 @@
+#include "endpoints.h"
+
+#include <algorithm>
+
+namespace jackdawlead::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+using testsupport::EndpointStandIn;
+
+constexpr int endpointsOfService = 3; ///< One may be away, and a request still has a choice.
+/// Share of requests that meet each kind of fault of their endpoint. All of them together stay
+/// below the budget of repeated sends, a fifth of the requests.
+constexpr double faultShare = 0.025;
+/// How long an endpoint that leaves still serves: longer than the bound of 3 s, so that requests
+/// sent to it too late are seen.
+constexpr milliseconds leastLeaving {7000};
+constexpr milliseconds mostLeaving {9000};
+
+} // namespace
+
+LateEndpoint::LateEndpoint(net::EventLoop &loop, Schedule &schedule, Checker &checker,
+                           std::string id, const net::Address &address, std::uint64_t seed,
+                           FaultCounts &faults)
+    : m_schedule(schedule)
+    , m_checker(checker)
+    , m_id(std::move(id))
+    , m_draw(seed)
+    , m_faults(faults)
+    , m_peer(loop, address, [this](http::Connection &connection, std::string_view bytes) {
+        read(connection, bytes);
+    })
+{ }
+
+void LateEndpoint::read(http::Connection &connection, std::string_view bytes)
+{
+    // The address of a closed connection may be that of a later one.
+    std::erase_if(m_parsers, [this](const auto &entry) { return !m_peer.isOpen(*entry.first); });
+    auto &parser = m_parsers[&connection];
+    if (!parser)
+        parser = std::make_unique<http::MessageParser>(http::MessageParser::Kind::Request);
+    while (!bytes.empty() && parser->failure() == http::MessageParser::Failure::None) {
+        bytes.remove_prefix(parser->feed(bytes));
+        if (!parser->isComplete())
+            return;
+        const http::MessageHead head = parser->head();
+        parser->takeBody();
+        parser->reset();
+        serve(connection, head);
+    }
+}
+
+void LateEndpoint::serve(http::Connection &connection, const http::MessageHead &head)
+{
+    const core::RequestId id(head.headers.value("Request-Id"));
+    if (head.headers.value("Expect-Instance") != m_id || id.isEmpty()) {
+        connection.write("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: " + m_id
+                         + "\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
+    m_checker.reached(id, core::EndpointId(m_id), m_schedule.now());
+    m_checker.ran(id, core::EndpointId(m_id));
+    const std::string body = expectedBody(id);
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id.value()
+        + "\r\nResponse-Stamp: " + expectedStamp(id, 200)
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const core::Duration delay = m_draw.time(milliseconds(0), milliseconds(60));
+    writeLater(connection, delay, answer);
+    if (!m_draw.chance(faultShare * 4))
+        return;
+    ++m_faults["endpoint: late second answer"];
+    writeLater(connection, delay + m_draw.time(milliseconds(0), milliseconds(200)), answer);
+}
+
+void LateEndpoint::writeLater(http::Connection &connection, core::Duration delay,
+                              const std::string &bytes)
+{
+    m_schedule.after(delay, [this, to = &connection, bytes] {
+        if (m_peer.isOpen(*to))
+            to->write(bytes);
+    });
+}
+
+Endpoints::Endpoints(net::EventLoop &loop, net::TimerService &timers, Schedule &schedule,
+                     Checker &checker, testsupport::StoreStandIn &store, std::uint64_t seed,
+                     FaultCounts &faults)
+    : m_schedule(schedule)
+    , m_checker(checker)
+    , m_store(store)
+    , m_draw(seed)
+    , m_lifeDraw(seed + 1)
+    , m_faults(faults)
+{
+    for (const std::string service : {"plain", "model"}) {
+        for (int number = 0; number < endpointsOfService; ++number) {
+            auto endpoint = std::make_unique<Endpoint>();
+            endpoint->name = service + std::to_string(number);
+            endpoint->service = service;
+            endpoint->standIn = std::make_unique<EndpointStandIn>(
+                loop, timers, endpoint->name + "-1", m_picker.take());
+            endpoint->standIn->run
+                = [this, raw = endpoint.get()](const Exchange &exchange) { serve(*raw, exchange); };
+            m_store.put("servers", endpoint->standIn->id, endpoint->standIn->record(service));
+            m_endpoints.push_back(std::move(endpoint));
+        }
+    }
+    const net::Address address {"127.0.0.1", m_picker.take()};
+    m_late = std::make_unique<LateEndpoint>(loop, schedule, checker, "late", address, seed + 2,
+                                            faults);
+    nlohmann::json record = m_endpoints.front()->standIn->record("plain");
+    record["address"] = address.toString();
+    m_store.put("servers", "late", record);
+}
+
+net::Headers Endpoints::fields(const Endpoint &endpoint, const core::RequestId &id, int status)
+{
+    return endpoint.standIn->withNotices({{"Request-Id", id.value()},
+                                          {"Response-Stamp", expectedStamp(id, status)},
+                                          {"Keep-Alive", "timeout=20"}});
+}
+
+Endpoints::Endpoint *Endpoints::pick()
+{
+    std::vector<Endpoint *> possible;
+    for (const auto &endpoint : m_endpoints) {
+        const bool isOneAway = std::ranges::any_of(m_endpoints, [&](const auto &other) {
+            return other->isAway && other->service == endpoint->service;
+        });
+        if (!isOneAway)
+            possible.push_back(endpoint.get());
+    }
+    if (possible.empty())
+        return nullptr;
+    return possible[static_cast<std::size_t>(
+        m_lifeDraw.number(0, static_cast<int>(possible.size()) - 1))];
+}
+
+bool Endpoints::leave()
+{
+    Endpoint *const endpoint = pick();
+    if (endpoint == nullptr)
+        return false;
+    endpoint->isAway = true;
+    EndpointStandIn &standIn = *endpoint->standIn;
+    const auto leaveStore = [this, endpoint](bool isRemoved) {
+        const std::string id = endpoint->standIn->id;
+        if (isRemoved)
+            m_store.remove("servers", id);
+        else
+            m_store.put("servers", id, endpoint->standIn->record(endpoint->service, "draining"));
+        m_checker.endpointLeft(core::EndpointId(id), m_schedule.now());
+    };
+    const int way = m_lifeDraw.number(0, 2);
+    if (way == 0) {
+        ++m_faults["endpoint: says in its answers that it leaves"];
+        standIn.isLeaving = true;
+        m_schedule.after(milliseconds(800), [leaveStore] { leaveStore(false); });
+    } else {
+        ++m_faults[way == 1 ? "endpoint: leaves as draining" : "endpoint: leaves by removal"];
+        leaveStore(way == 2);
+    }
+    const bool hasNewId = m_lifeDraw.chance(0.7);
+    m_schedule.after(m_lifeDraw.time(leastLeaving, mostLeaving), [this, endpoint, hasNewId] {
+        const std::string id = endpoint->standIn->id;
+        if (!m_store.spec("servers", id).is_null())
+            m_store.remove("servers", id);
+        m_checker.endpointGone(core::EndpointId(id));
+        m_schedule.after(m_lifeDraw.time(milliseconds(50), milliseconds(1000)),
+                         [this, endpoint, hasNewId] { comeBack(*endpoint, hasNewId); });
+    });
+    return true;
+}
+
+bool Endpoints::crash()
+{
+    Endpoint *const endpoint = pick();
+    if (endpoint == nullptr)
+        return false;
+    ++m_faults["endpoint: crashes and comes back"];
+    endpoint->isAway = endpoint->isDown = true;
+    for (const auto &[id, weak] : std::exchange(endpoint->open, {})) {
+        if (const Exchange exchange = weak.lock()) {
+            m_checker.brokeOff(id);
+            exchange->abort();
+        }
+    }
+    m_schedule.after(m_lifeDraw.time(milliseconds(300), milliseconds(2000)),
+                     [this, endpoint] { comeBack(*endpoint, false); });
+    return true;
+}
+
+void Endpoints::comeBack(Endpoint &endpoint, bool hasNewId)
+{
+    if (hasNewId)
+        ++endpoint.life;
+    endpoint.standIn->restart(endpoint.name + "-" + std::to_string(endpoint.life));
+    endpoint.isAway = endpoint.isDown = false;
+    m_store.put("servers", endpoint.standIn->id, endpoint.standIn->record(endpoint.service));
+}
+
+void Endpoints::serve(Endpoint &endpoint, const Exchange &exchange)
+{
+    const core::RequestId id(exchange->head.headers.value("Request-Id"));
+    const core::EndpointId endpointId(endpoint.standIn->id);
+    m_checker.reached(id, endpointId, m_schedule.now());
+    if (endpoint.isDown) {
+        m_checker.brokeOff(id);
+        exchange->abort();
+        return;
+    }
+    if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: refuses, not executed"];
+        net::Headers refusal {{"Not-Executed", "1"}};
+        if (m_draw.chance(0.2))
+            refusal.add("Retry-After", "0.3");
+        exchange->respond(503, endpoint.standIn->withNotices(refusal), {});
+        return;
+    }
+    m_checker.ran(id, endpointId);
+    std::erase_if(endpoint.open, [](const auto &entry) { return entry.second.expired(); });
+    endpoint.open.emplace_back(id, exchange);
+    if (exchange->head.headers.contains("Model"))
+        startStream(endpoint, exchange, id);
+    else
+        answer(endpoint, exchange, id);
+}
+
+void Endpoints::answer(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
+{
+    const core::Duration delay = m_draw.time(milliseconds(0), milliseconds(60));
+    if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: breaks off, no byte sent"];
+        m_checker.brokeOff(id);
+        m_schedule.after(delay, [exchange] { exchange->abort(); });
+    } else if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: breaks off midway"];
+        m_checker.brokeOff(id);
+        exchange->startChunked(200, fields(endpoint, id, 200));
+        exchange->writeChunk(expectedBody(id).substr(0, 100));
+        m_schedule.after(delay, [exchange] { exchange->abort(); });
+    } else if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: silent"];
+        m_checker.brokeOff(id);
+    } else if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: own failure"];
+        exchange->respond(500, fields(endpoint, id, 500), "failed");
+    } else {
+        const bool isSlow = m_draw.chance(faultShare * 2);
+        if (isSlow)
+            ++m_faults["endpoint: slow"];
+        const core::Duration time
+            = isSlow ? m_draw.time(milliseconds(300), milliseconds(1500)) : delay;
+        m_schedule.after(time, [&endpoint, exchange, id] {
+            exchange->respond(200, fields(endpoint, id, 200), expectedBody(id));
+        });
+    }
+}
+
+void Endpoints::startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
+{
+    static const std::vector<std::string> ends {
+        "stream ends before its first event", "stream breaks off midway",
+        "stream breaks off inside an event", "stream stalls"};
+    const std::string after = exchange->head.headers.value("Last-Event-Id");
+    const auto stream = std::make_shared<Stream>();
+    stream->exchange = exchange;
+    stream->id = id;
+    stream->next = after.empty() ? 1 : std::stoi(after) + 1;
+    stream->last = eventCount(id);
+    stream->pause = m_draw.time(milliseconds(5), milliseconds(50));
+    if (m_draw.chance(faultShare * 3)) {
+        stream->end = ends[static_cast<std::size_t>(m_draw.number(0, 3))];
+        ++m_faults["endpoint: " + stream->end];
+        m_checker.brokeOff(id);
+        const int first = stream->next;
+        stream->last = stream->end == ends[0] ? first - 1 : m_draw.number(first, stream->last) - 1;
+    }
+    exchange->startChunked(200, fields(endpoint, id, 200));
+    continueStream(stream);
+}
+
+void Endpoints::continueStream(const std::shared_ptr<Stream> &stream)
+{
+    if (!stream->exchange->isOpen())
+        return;
+    if (stream->next > stream->last) {
+        endStream(*stream);
+        return;
+    }
+    stream->exchange->writeChunk(expectedEvents(stream->id, stream->next, stream->next));
+    ++stream->next;
+    core::Duration pause = stream->pause;
+    if (m_draw.chance(faultShare)) {
+        ++m_faults["endpoint: slow event"];
+        pause = m_draw.time(milliseconds(300), milliseconds(700));
+    }
+    m_schedule.after(pause, [this, stream] { continueStream(stream); });
+}
+
+void Endpoints::endStream(const Stream &stream)
+{
+    if (stream.end.empty()) {
+        stream.exchange->finishChunked();
+        return;
+    }
+    if (stream.end == "stream stalls")
+        return;
+    if (stream.end == "stream breaks off inside an event")
+        stream.exchange->writeChunk("id: " + std::to_string(stream.next) + "\nda");
+    stream.exchange->abort();
+}
+
+} // namespace jackdawlead::soak
--- a/tests/support/platformstandin.cpp
+++ b/tests/support/platformstandin.cpp
@@ -95,8 +95,18 @@
 void StoreStandIn::changed(const std::string &kind, const json &body)
 {
     m_events.push_back({++m_revision, kind, body});
-    if (m_isMute)
-        return;
+    if (!m_isMute)
+        answerWatches();
+}
+
+void StoreStandIn::unmuteWatches()
+{
+    m_isMute = false;
+    answerWatches();
+}
+
+void StoreStandIn::answerWatches()
+{
     for (auto watch = m_watches.begin(); watch != m_watches.end();)
         watch = answer(*watch, false) ? m_watches.erase(watch) : std::next(watch);
 }
@@ -220,11 +230,20 @@
         {"slots", 8},
         {"state", state},
         {"cold_left_ms", 0},
-        {"born", 1},
+        {"born", m_born},
         {"seq", m_orderRevision},
         {"models", json::array({{{"name", model}, {"version", 1}, {"adapters", json::array()}}})}};
 }
 
+void EndpointStandIn::restart(const std::string &newId)
+{
+    id = newId;
+    ++m_born;
+    m_orderRevision = 0;
+    m_adapters.clear();
+    isLeaving = false;
+}
+
 net::Headers EndpointStandIn::stamped(const Exchange &exchange)
 {
     return {{"Request-Id", exchange->head.headers.value("Request-Id")},
@@ -256,8 +275,9 @@
             adapters.push_back(adapter + "@1");
         const json models
             = json::array({{{"name", model}, {"version", 1}, {"adapters", adapters}}});
-        respondJson(*exchange, 200,
-                    {{"born", 1}, {"seq", m_orderRevision}, {"busy", false}, {"models", models}});
+        respondJson(
+            *exchange, 200,
+            {{"born", m_born}, {"seq", m_orderRevision}, {"busy", false}, {"models", models}});
         return;
     }
     heads.push_back(exchange->head);
--- a/tests/support/platformstandin.h
+++ b/tests/support/platformstandin.h
@@ -28,6 +28,8 @@
     void setMode(Mode mode) { m_mode = mode; }
     /// Watches that wait now, and those to come, hear nothing until their time is over.
     void muteWatches() { m_isMute = true; }
+    /// Watches hear of changes again, also of those that they missed.
+    void unmuteWatches();
     /// Watches that were asked for so far.
     int watches() const { return m_watchCount; }
     /// Lists of a kind that were asked for so far.
@@ -67,6 +69,7 @@
     void write(const std::string &kind, const std::string &name, http::ServerExchange &exchange);
     bool answer(const Watch &watch, bool isOver);
     void changed(const std::string &kind, const nlohmann::json &body);
+    void answerWatches();
     static nlohmann::json encode(const std::string &name, const Object &object);
 
     net::TimerService &m_timers;
@@ -93,6 +96,8 @@
     EndpointStandIn(net::EventLoop &loop, net::TimerService &timers, std::string id,
                     std::uint16_t port);
 
+    /// Begins another life, under another id or the same one: nothing of before is held.
+    void restart(const std::string &newId);
     /// The entry that the endpoint writes to the store.
     nlohmann::json record(const std::string &service, const std::string &state = "ready") const;
     /// What to do with a request that runs; a whole stamped answer unless a test says otherwise.
@@ -119,6 +124,7 @@
     void order(const Exchange &exchange);
 
     http::Server m_server;
+    int m_born = 1;
     int m_orderRevision = 0;
     std::map<std::string, bool> m_adapters;
 };
