Check callers who left, deadlines and answers that are cut off in the soak

Three faults would have passed: a request that reaches an endpoint long after its caller left, one that is handed on with more time than its caller has, and a plain request that ends without an answer because its endpoint broke off.

Change: Check::LeftCaller and Check::Deadline. Only a stream that began may end incomplete, when its endpoint broke off or its time is over; docs/platform.md promises a failure for all else.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -98,8 +98,12 @@
 {
     const core::Duration deadline = m_draw.time(milliseconds(2500), milliseconds(4000));
     const Kept &kept = caller.kept[caller.daemon];
-    const SentRequest request {core::RequestId(m_prefix + std::to_string(++m_sent)), route.kind,
-                               route.prefix, kept.life, std::min(deadline, route.timeout)};
+    const SentRequest request {core::RequestId(m_prefix + std::to_string(++m_sent)),
+                               route.kind,
+                               route.prefix,
+                               kept.life,
+                               std::min(deadline, route.timeout),
+                               deadline};
     caller.isBusy = true;
     caller.request = request.id;
     caller.answer = {};
@@ -137,7 +141,7 @@
     if (!m_draw.chance(leavingShare))
         return;
     ifStillBusy(m_draw.time(milliseconds(1), milliseconds(200)), [this, &caller] {
-        m_checker.abandoned(caller.request);
+        m_checker.abandoned(caller.request, m_schedule.now());
         ++m_outcomes[-1];
         caller.kept.erase(caller.daemon);
         endTurn(caller);
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-/// How much later than its time an answer may come.
+/// How much later than its time an answer, or than its caller's end a request, may come.
 constexpr core::Duration answerSlack = milliseconds(500);
 /// A connection that a stopping process closes crosses requests that it has not read; later than
 /// this after its sending a request counts as read.
@@ -37,6 +37,8 @@
         {Check::NotRun, "not-run"},
         {Check::StreamEvents, "stream-events"},
         {Check::LeftEndpoint, "left-endpoint"},
+        {Check::LeftCaller, "left-caller"},
+        {Check::Deadline, "deadline"},
         {Check::ConfigurationOrder, "configuration-order"},
         {Check::PlannedStop, "planned-stop"},
         {Check::OneHolder, "one-holder"},
@@ -181,13 +183,30 @@
 }
 
 void Checker::reached(const core::RequestId &id, const core::EndpointId &endpoint,
-                      core::TimePoint at)
+                      core::Duration deadline, core::TimePoint at)
 {
-    const auto request = m_requests.find(id);
-    if (request == m_requests.end())
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
         return;
-    if (!isInTouch(m_lives.at(request->second.sent.life), at))
+    const Request &request = found->second;
+    if (!isInTouch(m_lives.at(request.sent.life), at))
         return;
+    checkEndpoint(request, endpoint, at);
+    if (request.abandonedAt && at - *request.abandonedAt > answerSlack)
+        violate(Check::LeftCaller, request,
+                "reached " + endpoint.value() + " after its caller left");
+    count(Check::Deadline);
+    if (deadline > request.sentAt + request.sent.deadline - at + answerSlack)
+        violate(Check::Deadline, request,
+                "was handed on with " + std::to_string(core::toSeconds(deadline)) + " s, "
+                    + std::to_string(core::toSeconds(at - request.sentAt))
+                    + " s after it was sent with "
+                    + std::to_string(core::toSeconds(request.sent.deadline)));
+}
+
+void Checker::checkEndpoint(const Request &request, const core::EndpointId &endpoint,
+                            core::TimePoint at)
+{
     // The bound is shorter than the stable window, so that a daemon in touch has had it in full.
     const bool isCheck = std::ranges::any_of(
         m_left, [&](const auto &left) { return at - left.second > m_bounds.drain; });
@@ -195,7 +214,7 @@
         count(Check::LeftEndpoint);
     const auto left = m_left.find(endpoint);
     if (left != m_left.end() && at - left->second > m_bounds.drain)
-        violate(Check::LeftEndpoint, request->second,
+        violate(Check::LeftEndpoint, request,
                 "reached " + endpoint.value() + " "
                     + std::to_string(core::toSeconds(at - left->second)) + " s after it left");
 }
@@ -249,10 +268,10 @@
     highest = std::max(highest, token);
 }
 
-void Checker::abandoned(const core::RequestId &id)
+void Checker::abandoned(const core::RequestId &id, core::TimePoint at)
 {
-    // It may still run once, which stays checked.
-    m_requests.at(id).isBrokenOff = true;
+    count(Check::LeftCaller);
+    m_requests.at(id).abandonedAt = at;
 }
 
 void Checker::ended(const core::RequestId &id, const CallerAnswer &answer, core::TimePoint at)
@@ -267,6 +286,8 @@
         checkSuccess(request, answer);
     if (answer.status == 404)
         checkNotFound(request);
+    else if (answer.status >= 300 && answer.status < 500 && !isPromiseNotRun(answer.status))
+        violate(Check::OwnAnswer, request, std::to_string(answer.status) + " to a proper request");
     if (isPromiseNotRun(answer.status) && answer.isWhole) {
         count(Check::NotRun);
         request.isPromisedNotRun = true;
@@ -322,7 +343,11 @@
 void Checker::checkEnd(const Request &request, const CallerAnswer &answer, core::TimePoint at)
 {
     const Life &life = m_lives.at(request.sent.life);
-    const bool isAnswered = answer.status != 0 && answer.isWhole;
+    const bool isTimeOver = at - request.sentAt >= request.sent.timeLeft;
+    // A stream that began can only be left incomplete; all else can still be answered as failed.
+    const bool mayBeCut
+        = isStream(request.sent.kind) && answer.status != 0 && (request.isBrokenOff || isTimeOver);
+    const bool isCut = !mayBeCut && (answer.status == 0 || !answer.isWhole);
     if (life.isKilled || !answer.wasConnected || wasDisturbed(life, request.sentAt))
         return;
     count(Check::InTime);
@@ -331,26 +356,24 @@
                 "ended after " + std::to_string(core::toSeconds(at - request.sentAt)) + " s of "
                     + std::to_string(core::toSeconds(request.sent.timeLeft)));
     if (life.stoppedAt) {
-        checkStop(request, isAnswered, at);
+        checkStop(request, isCut, at);
         return;
     }
-    const bool isTimeOver = at - request.sentAt >= request.sent.timeLeft;
-    if (!isAnswered && !request.isBrokenOff && !isTimeOver)
+    if (isCut)
         violate(Check::InTime, request,
                 "cut off with " + std::to_string(answer.body.size()) + " bytes of status "
                     + std::to_string(answer.status) + " after "
                     + std::to_string(core::toSeconds(at - request.sentAt)) + " s");
 }
 
-void Checker::checkStop(const Request &request, bool isAnswered, core::TimePoint at)
+void Checker::checkStop(const Request &request, bool isCut, core::TimePoint at)
 {
     const core::TimePoint stoppedAt = *m_lives.at(request.sent.life).stoppedAt;
     count(Check::PlannedStop);
     const bool isLateInGrace = request.sentAt - stoppedAt <= earlyInStop
         && at - stoppedAt >= core::scaled(m_bounds.grace, lastPartOfGrace);
     const bool crossedTheClose = request.runs == 0 && at - request.sentAt <= closeSlack;
-    const bool isTimeOver = at - request.sentAt >= request.sent.timeLeft;
-    if (!isAnswered && !request.isBrokenOff && !isLateInGrace && !crossedTheClose && !isTimeOver)
+    if (isCut && !isLateInGrace && !crossedTheClose)
         violate(Check::PlannedStop, request,
                 "cut off " + std::to_string(core::toSeconds(at - stoppedAt)) + " s after SIGTERM, "
                     + std::to_string(core::toSeconds(at - request.sentAt))
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -28,12 +28,14 @@
 
 /// What is checked; each kind is counted by itself.
 enum class Check {
-    OwnAnswer,          ///< A success carries the id and the stamp of its own request.
-    WholeAnswer,        ///< A success that looks complete has the endpoint's whole body.
-    RunOnce,            ///< Unrepeatable work runs at most once, and no unknown request runs.
-    NotRun,             ///< An answer that promises that nothing ran is true.
-    StreamEvents,       ///< Events come once, in order, and all of them in a complete stream.
-    LeftEndpoint,       ///< Nothing reaches an endpoint longer than the bound after it left.
+    OwnAnswer,    ///< A success carries the id and the stamp of its own request.
+    WholeAnswer,  ///< A success that looks complete has the endpoint's whole body.
+    RunOnce,      ///< Unrepeatable work runs at most once, and no unknown request runs.
+    NotRun,       ///< An answer that promises that nothing ran is true.
+    StreamEvents, ///< Events come once, in order, and all of them in a complete stream.
+    LeftEndpoint, ///< Nothing reaches an endpoint longer than the bound after it left.
+    LeftCaller,   ///< Nothing reaches an endpoint longer than half a second after its caller left.
+    Deadline,     ///< Endpoints are not handed more time than the caller has left.
     ConfigurationOrder, ///< A process never goes back, and takes up a version within the bound.
     PlannedStop,        ///< A planned stop cuts off no request that was read.
     OneHolder,          ///< Orders come from one holder at a time; its token never goes back.
@@ -42,16 +44,9 @@
 };
 
 inline constexpr Check allChecks[] {
-    Check::OwnAnswer,
-    Check::WholeAnswer,
-    Check::RunOnce,
-    Check::NotRun,
-    Check::StreamEvents,
-    Check::LeftEndpoint,
-    Check::ConfigurationOrder,
-    Check::PlannedStop,
-    Check::OneHolder,
-    Check::InTime,
+    Check::OwnAnswer,          Check::WholeAnswer,  Check::RunOnce,    Check::NotRun,
+    Check::StreamEvents,       Check::LeftEndpoint, Check::LeftCaller, Check::Deadline,
+    Check::ConfigurationOrder, Check::PlannedStop,  Check::OneHolder,  Check::InTime,
     Check::ProcessUp,
 };
 
@@ -73,6 +68,7 @@
     std::string route;
     ProcessLife life;           ///< The process that the caller is connected to.
     core::Duration timeLeft {}; ///< The smaller one of its deadline and its route's time.
+    core::Duration deadline {}; ///< As the caller states it.
 };
 
 /// What a caller got when its exchange ended.
@@ -131,8 +127,9 @@
     void endpointGone(const core::EndpointId &endpoint);
 
     void sent(const SentRequest &request, core::TimePoint at);
-    /// A request has come to an endpoint, whether it runs or is refused.
-    void reached(const core::RequestId &id, const core::EndpointId &endpoint, core::TimePoint at);
+    /// A request has come to an endpoint with `deadline`, whether it runs or is refused.
+    void reached(const core::RequestId &id, const core::EndpointId &endpoint,
+                 core::Duration deadline, core::TimePoint at);
     void ran(const core::RequestId &id, const core::EndpointId &endpoint);
     /// The endpoint breaks its answer off or falls silent.
     void brokeOff(const core::RequestId &id);
@@ -142,7 +139,7 @@
                  core::FencingToken token, core::TimePoint at);
     void ended(const core::RequestId &id, const CallerAnswer &answer, core::TimePoint at);
     /// The caller leaves before the end; nothing is owed to it.
-    void abandoned(const core::RequestId &id);
+    void abandoned(const core::RequestId &id, core::TimePoint at);
 
     const std::map<Check, int> &counts() const { return m_counts; }
     const std::vector<Violation> &violations() const { return m_violations; }
@@ -167,6 +164,7 @@
         SentRequest sent;
         core::TimePoint sentAt;
         ConfigurationVersion least; ///< The oldest version that its daemon may follow.
+        std::optional<core::TimePoint> abandonedAt {};
         int runs = 0;
         bool isBrokenOff = false;
         bool isPromisedNotRun = false;
@@ -177,11 +175,13 @@
     bool isInTouch(const Life &life, core::TimePoint at) const;
     /// Whether the process or the soak stood still shortly before or after `from`.
     bool wasDisturbed(const Life &life, core::TimePoint from) const;
+    void checkEndpoint(const Request &request, const core::EndpointId &endpoint,
+                       core::TimePoint at);
     void checkSuccess(const Request &request, const CallerAnswer &answer);
     void checkEvents(const Request &request, const CallerAnswer &answer);
     void checkNotFound(const Request &request);
     void checkEnd(const Request &request, const CallerAnswer &answer, core::TimePoint at);
-    void checkStop(const Request &request, bool isAnswered, core::TimePoint at);
+    void checkStop(const Request &request, bool isCut, core::TimePoint at);
 
     Bounds m_bounds;
     std::map<ProcessLife, Life> m_lives;
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -18,6 +18,13 @@
 constexpr milliseconds leastLeaving {7000};
 constexpr milliseconds mostLeaving {9000};
 
+/// The time that the daemon leaves the endpoint; longer than any if it states none.
+core::Duration deadlineOf(const http::MessageHead &head)
+{
+    const std::string text = head.headers.value("Deadline-Ms");
+    return text.empty() ? std::chrono::hours(1) : core::Duration(milliseconds(std::stoi(text)));
+}
+
 } // namespace
 
 LateEndpoint::LateEndpoint(net::EventLoop &loop, Schedule &schedule, Checker &checker,
@@ -59,7 +66,7 @@
                          + "\r\nContent-Length: 0\r\n\r\n");
         return;
     }
-    m_checker.reached(id, core::EndpointId(m_id), m_schedule.now());
+    m_checker.reached(id, core::EndpointId(m_id), deadlineOf(head), m_schedule.now());
     m_checker.ran(id, core::EndpointId(m_id));
     const std::string body = expectedBody(id);
     const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id.value()
@@ -210,7 +217,7 @@
 {
     const core::RequestId id(exchange->head.headers.value("Request-Id"));
     const core::EndpointId endpointId(endpoint.standIn->id);
-    m_checker.reached(id, endpointId, m_schedule.now());
+    m_checker.reached(id, endpointId, deadlineOf(exchange->head), m_schedule.now());
     if (endpoint.isDown) {
         m_checker.brokeOff(id);
         exchange->abort();
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,6 +14,7 @@
 
 constexpr int leastSeconds = 15; ///< A shorter soak has no calm in which bounds are checked.
 constexpr int mostDaemons = 16;
+constexpr int mostCallers = 500; ///< Their connections stay below the usual limit of open files.
 
 int play(const jackdawlead::soak::SoakOptions &soakOptions)
 {
@@ -41,7 +42,8 @@
     known.add_options()("help", "print this text")("seed", options::value(&soakOptions.seed),
                                                    "the seed that faults are drawn from")(
         "seconds", options::value(&seconds), "how long faults are played")(
-        "daemons", options::value(&soakOptions.daemons), "how many daemons run");
+        "daemons", options::value(&soakOptions.daemons), "how many daemons run")(
+        "callers", options::value(&soakOptions.callers), "how many callers send at once");
     try {
         options::variables_map given;
         options::store(options::parse_command_line(argc, argv, known), given);
@@ -54,9 +56,10 @@
         std::cerr << error.what() << "\n" << known;
         return WrongUse;
     }
-    if (seconds < leastSeconds || soakOptions.daemons < 1 || soakOptions.daemons > mostDaemons) {
-        std::cerr << "at least " << leastSeconds << " seconds and 1 to " << mostDaemons
-                  << " daemons\n";
+    if (seconds < leastSeconds || soakOptions.daemons < 1 || soakOptions.daemons > mostDaemons
+        || soakOptions.callers < 1 || soakOptions.callers > mostCallers) {
+        std::cerr << "at least " << leastSeconds << " seconds, 1 to " << mostDaemons
+                  << " daemons and 1 to " << mostCallers << " callers\n";
         return WrongUse;
     }
     soakOptions.time = std::chrono::seconds(seconds);
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -15,7 +15,6 @@
 using std::chrono::seconds;
 using testsupport::StoreStandIn;
 
-constexpr int callerCount = 24;
 constexpr core::Duration firstSeries = seconds(2);
 /// Faults are played in the first part of it. The rest is longer than the stable window, so that
 /// the bounds of daemons in touch are checked as well.
@@ -53,7 +52,7 @@
     : m_options(options)
     , m_endpoints(m_loop, m_timers, m_schedule, m_checker, m_store, options.seed * 10, m_faults)
     , m_daemons(m_schedule, m_checker, m_bounds, options.daemons, m_storePort, folder)
-    , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, callerCount)
+    , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers)
     , m_faultDraw(options.seed * 10 + 5)
     , m_configurationDraw(options.seed * 10 + 6)
     , m_kinds(faultKinds())
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -17,6 +17,7 @@
     std::uint64_t seed = 1;
     std::chrono::seconds time {60}; ///< Until the last planned stop.
     int daemons = 3;
+    int callers = 24;
 };
 
 /// One soak: daemons as processes, stand-ins for the store and the endpoints, callers, and faults
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -37,12 +37,12 @@
 
     core::RequestId send(const std::string &id, RequestKind kind, const std::string &route)
     {
-        checker.sent({core::RequestId(id), kind, route, life, seconds(4)}, now);
+        checker.sent({core::RequestId(id), kind, route, life, seconds(4), seconds(4)}, now);
         return core::RequestId(id);
     }
     void run(const core::RequestId &id)
     {
-        checker.reached(id, endpoint, now);
+        checker.reached(id, endpoint, seconds(4), now);
         checker.ran(id, endpoint);
     }
     void succeed(const core::RequestId &id, const std::string &body)
@@ -201,6 +201,26 @@
     fixture.expectOnly(Check::LeftEndpoint);
 }
 
+Test(soakchecker, requestWhoseCallerLeftLongAgoIsFound)
+{
+    CheckerFixture fixture;
+    const auto id = fixture.send("r1", RequestKind::Repeatable, "/get/");
+    fixture.checker.abandoned(id, fixture.now);
+    fixture.now += milliseconds(600);
+    // Less than the time that the caller had.
+    fixture.checker.reached(id, endpoint, seconds(3), fixture.now);
+    fixture.expectOnly(Check::LeftCaller);
+}
+
+Test(soakchecker, moreTimeThanTheCallerHasLeftIsFound)
+{
+    CheckerFixture fixture;
+    const auto id = fixture.send("r1", RequestKind::Repeatable, "/get/");
+    fixture.now += seconds(1);
+    fixture.checker.reached(id, endpoint, seconds(4), fixture.now);
+    fixture.expectOnly(Check::Deadline);
+}
+
 Test(soakchecker, daemonOutOfTouchIsNotHeldToTheBounds)
 {
     CheckerFixture fixture;
@@ -244,6 +264,31 @@
     fixture.expectOnly(Check::InTime);
 }
 
+Test(soakchecker, onlyABegunStreamMayEndWithItsEndpoint)
+{
+    CheckerFixture fixture;
+    const auto begun = fixture.send("r1", RequestKind::SingleStream, "/get/");
+    fixture.run(begun);
+    fixture.checker.brokeOff(begun);
+    fixture.checker.ended(
+        begun,
+        {200, begun.value(), expectedStamp(begun, 200), expectedEvents(begun, 1, 2), false, true},
+        fixture.now);
+    fixture.expectNone();
+    const auto plain = fixture.send("r2", RequestKind::Unrepeatable, "/get/");
+    fixture.run(plain);
+    fixture.checker.brokeOff(plain);
+    fixture.cut(plain);
+    fixture.expectOnly(Check::InTime);
+}
+
+Test(soakchecker, refusalOfAProperRequestIsFound)
+{
+    CheckerFixture fixture;
+    fixture.fail(fixture.send("r1", RequestKind::Repeatable, "/get/"), 400);
+    fixture.expectOnly(Check::OwnAnswer);
+}
+
 Test(soakchecker, cutRequestIsFoundUnlessItsProcessWasKilled)
 {
     CheckerFixture fixture;
