Keep sockets out of started programs, and report a stop that cuts requests

Found in the daemon, not mended here: a request that is read late in a planned stop is passed on, and cut off without an answer when the process ends 0.4 s before the end of the grace time.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -9,6 +9,10 @@
 
 using std::chrono::milliseconds;
 
+/// A turn of the soak's own loop that is later than this makes the times of all others inexact.
+constexpr core::Duration longestGap = milliseconds(250);
+/// What stopped the soak for a while may hold daemons up a little longer.
+constexpr core::Duration gapSlack = milliseconds(1000);
 /// How much later than its time an answer, or than its caller's end a request, may come.
 constexpr core::Duration answerSlack = milliseconds(500);
 /// A connection that a stopping process closes crosses requests that it has not read; later than
@@ -123,9 +127,13 @@
     m_storeDisturbedUntil = at;
 }
 
-void Checker::heldUp(core::TimePoint at)
+void Checker::alive(core::TimePoint at)
 {
-    m_heldUpUntil = at;
+    if (m_aliveAt != core::TimePoint {} && at - m_aliveAt > longestGap) {
+        m_heldUpUntil = at;
+        ++m_gaps;
+    }
+    m_aliveAt = at;
 }
 
 void Checker::configured(ConfigurationVersion version, const std::vector<std::string> &added,
@@ -158,8 +166,8 @@
 
 bool Checker::wasDisturbed(const Life &life, core::TimePoint from) const
 {
-    return life.isFrozen
-        || std::max(life.frozenUntil, m_heldUpUntil) + m_bounds.stableWindow > from;
+    return life.isFrozen || life.frozenUntil + m_bounds.stableWindow > from
+        || m_heldUpUntil + gapSlack > from;
 }
 
 void Checker::violate(Check check, const Request &request, const std::string &what)
@@ -276,6 +284,8 @@
 
 void Checker::ended(const core::RequestId &id, const CallerAnswer &answer, core::TimePoint at)
 {
+    if (m_aliveAt != core::TimePoint {})
+        alive(at);
     Request &request = m_requests.at(id);
     if (!answer.requestId.empty() && answer.requestId != id.value())
         violate(Check::OwnAnswer, request, "got the answer to " + answer.requestId);
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -115,8 +115,11 @@
     void processEnded(ProcessLife life, int code);
     /// The store begins to fail, or works again.
     void storeDisturbed(bool isDisturbed, core::TimePoint at);
-    /// The soak itself did not run for a while, so that everyone's times are inexact.
-    void heldUp(core::TimePoint at);
+    /// Called again and again. After a gap the soak itself did not run for a while, so that
+    /// everyone's times are inexact; answers that wait then may be read before the next call.
+    void alive(core::TimePoint at);
+    /// How many gaps there were.
+    int gaps() const { return m_gaps; }
 
     /// The store has acknowledged a version that adds `added` and removes `removed`.
     void configured(ConfigurationVersion version, const std::vector<std::string> &added,
@@ -194,7 +197,9 @@
     core::TimePoint m_thawedAt;
     core::TimePoint m_storeDisturbedUntil;
     bool m_isStoreDisturbed = false;
+    core::TimePoint m_aliveAt;
     core::TimePoint m_heldUpUntil;
+    int m_gaps = 0;
     std::map<Check, int> m_counts;
     std::vector<Violation> m_violations;
 };
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -26,8 +26,6 @@
 constexpr std::size_t mostAddedRoutes = 3;
 constexpr std::size_t mostRemovedRoutes = 2; ///< That callers still ask for.
 constexpr core::Duration ownPeriod = milliseconds(50);
-/// A turn of the own loop that is later than this makes the times of all others inexact.
-constexpr core::Duration ownDelay = milliseconds(250);
 constexpr std::size_t shownViolations = 10;
 
 KnownRoute lastingRoute(const std::string &prefix, RequestKind kind, milliseconds timeout)
@@ -62,7 +60,6 @@
                  lastingRoute("/stream/", RequestKind::ResumableStream, milliseconds(4000)),
                  lastingRoute("/once/", RequestKind::SingleStream, milliseconds(4000))}
     , m_startedAt(m_loop.now())
-    , m_lastSeen(m_startedAt)
 {
     std::vector<std::string> added;
     for (const KnownRoute &route : m_lasting)
@@ -217,12 +214,7 @@
 
 void SoakRun::watchOwnTime()
 {
-    const core::TimePoint now = m_loop.now();
-    if (now - m_lastSeen > ownDelay) {
-        ++m_heldUp;
-        m_checker.heldUp(now);
-    }
-    m_lastSeen = now;
+    m_checker.alive(m_loop.now());
     m_schedule.after(ownPeriod, [this] { watchOwnTime(); });
 }
 
@@ -252,7 +244,7 @@
         std::cout << "  " << count << "  " << nameOf(check) << (count == 0 ? ": NONE" : "") << "\n";
         isPassed = isPassed && count > 0;
     }
-    std::cout << "the soak itself was held up " << m_heldUp << " times\n";
+    std::cout << "the soak itself was held up " << m_checker.gaps() << " times\n";
     std::size_t shown = 0;
     for (const Violation &violation : m_checker.violations()) {
         if (shown++ == shownViolations)
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -78,8 +78,6 @@
     bool m_isStoreCalm = true;
     bool m_areWatchesMute = false;
     core::TimePoint m_startedAt;
-    core::TimePoint m_lastSeen;
-    int m_heldUp = 0;
 };
 
 } // namespace jackdawlead::soak
--- a/tests/e2e/tst_platformtrouble.cpp
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -317,3 +318,28 @@
                   != std::string::npos,
               "%s", fixture.output().c_str());
 }
+
+// Guards against a request that is read late in a planned stop, passed on, and cut off without an
+// answer when the process ends: its endpoint is silent and its time is longer than what is left.
+// Found by scripts/soak --seed 301 --seconds 30 --callers 100.
+Test(platformtrouble, requestReadLateInAStopIsAnswered, .timeout = 60)
+{
+    Fixture fixture;
+    std::vector<EndpointStandIn::Exchange> silent;
+    fixture.first.run = fixture.second.run
+        = [&](const EndpointStandIn::Exchange &exchange) { silent.push_back(exchange); };
+    fixture.daemon.signal(SIGTERM);
+    fixture.pass(milliseconds(2000));
+    // The process does not end while it is open.
+    const auto earlier = fixture.start("/order/a", "earlier");
+    fixture.pass(milliseconds(3300));
+    // A new connection may be closed as idle before its request is read, which is no loss.
+    AnswerPtr answer;
+    cr_assert(fixture.waitUntil([&] {
+        if (!answer || (answer->isEnded && !answer->isWhole && silent.size() < 2))
+            answer = fixture.start("/order/a", "late");
+        return answer->isEnded && (answer->isWhole || silent.size() == 2);
+    }));
+    // Whether it is refused or runs, it is answered.
+    cr_assert(answer->isWhole, "cut off; the daemon wrote:\n%s", fixture.output().c_str());
+}
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -322,6 +322,19 @@
     fixture.expectOnly(Check::OneHolder);
 }
 
+// Guards against daemons being blamed for the time in which the soak itself did not run: answers
+// are read before its timer fires. The soak with seed 307 failed for it while a build ran beside.
+Test(soakchecker, answerThatWaitedForTheSoakIsNoViolation)
+{
+    CheckerFixture fixture;
+    fixture.checker.alive(fixture.now);
+    const auto id = fixture.send("r1", RequestKind::Repeatable, "/get/");
+    fixture.run(id);
+    fixture.now += milliseconds(4600);
+    fixture.succeed(id, expectedBody(id));
+    fixture.expectNone();
+}
+
 Test(soakchecker, processThatEndsByItselfIsFound)
 {
     CheckerFixture fixture;
--- a/tests/support/process.cpp
+++ b/tests/support/process.cpp
@@ -42,6 +42,9 @@
     const int output = open(outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
+    // An inherited socket would stay open in the program when this process closes it, so that its
+    // peer would not see the end of the connection.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments.front(), arguments.data());
     _exit(127);
 }
