Show that an abandoned request is sent when its connection opens

Cause: ClientConnection::abandon() keeps the request that waits for the connection, and onConnected writes it.

--- a/tests/auto/clientconnection/tst_clientconnection.cpp
+++ b/tests/auto/clientconnection/tst_clientconnection.cpp
@@ -245,3 +245,18 @@
     cr_assert(testsupport::waitUntil(
         fixture.loop, fixture.timers, [&] { return fixture.peer.open() == 1; }, testLimit));
 }
+
+// Guards against a request that was given up as not sent being sent all the same: its connection
+// opened after that and before it was destroyed, so that unrepeatable work ran twice. Found by
+// scripts/soak --seed 303 --seconds 30 --callers 100, where a frozen daemon went on.
+Test(clientconnection, abandonedRequestIsNotSentWhenTheConnectionOpens, .timeout = 60)
+{
+    Fixture fixture;
+    std::string received;
+    fixture.onRequest = [&](http::Connection &, std::string_view bytes) { received += bytes; };
+    fixture.send("r1");
+    cr_assert_not(fixture.connection.hasSent());
+    fixture.connection.abandon();
+    testsupport::runFor(fixture.loop, fixture.timers, std::chrono::milliseconds(200));
+    cr_assert(received.empty(), "%s", received.c_str());
+}
