Do not send a request that was given up before its connection opened

Cause: ClientConnection::abandon() kept the request that waits for the connection to open. If it opened before the connection was destroyed from the loop, the request was written.

Change: abandon() drops it.

--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -167,6 +167,8 @@
 {
     m_isBusy = false;
     m_isReusable = false;
+    // The connection may still open before it is destroyed.
+    m_pendingRequest.clear();
     m_observer = {};
     m_onIdleEnd = nullptr;
 }
