Answer requests that are still open before a planned stop ends the process

Cause: the loop was stopped 0.4 s before the end of the grace time with requests still open.

Change: 150 ms before that, what is open is answered: 504 if an endpoint may have run it, else a refusal; a stream that began ends incomplete, and the log says so.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -20,6 +20,8 @@
 constexpr core::Duration leaveRotation = std::chrono::milliseconds(2600);
 // Left of the time until SIGKILL, for the last answers on their way.
 constexpr core::Duration stopMargin = std::chrono::milliseconds(400);
+// For answers to requests that are still open then; they need one turn of the loop.
+constexpr core::Duration lastAnswersTime = std::chrono::milliseconds(150);
 constexpr std::string_view leftCause = "endpoint leaves before the connection is open";
 constexpr std::string_view restCause = "endpoint wants nothing more before the connection is open";
 
@@ -294,8 +296,17 @@
         return;
     m_callers.closeIdle();
     const bool isDone = m_requests.empty() && m_callers.openConnections() == 0;
-    if (isDone || spent > m_settings.bounds.grace - stopMargin)
+    const core::Duration end = m_settings.bounds.grace - stopMargin;
+    if (isDone || spent > end) {
         m_loop.stop();
+        return;
+    }
+    if (spent <= end - lastAnswersTime)
+        return;
+    // A request may end and leave the map.
+    const auto requests = m_requests;
+    for (const auto &[number, task] : requests)
+        task->endBeforeStop();
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -697,6 +697,21 @@
         refuse("no endpoint within the deadline", busyRetryAfter);
 }
 
+void RequestTask::endBeforeStop()
+{
+    if (m_isDone)
+        return;
+    attempt([this] {
+        constexpr std::string_view cause = "the daemon stops";
+        if (m_isRelaying)
+            abortStream(cause);
+        else if (m_isSent || m_runs > 0)
+            fail(504, cause);
+        else
+            refuse(cause, busyRetryAfter);
+    });
+}
+
 void RequestTask::callerLeft()
 {
     if (m_isDone)
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -31,6 +31,8 @@
     void endpointsChanged();
     /// The endpoint takes no more requests: one that is not on its way to it yet goes elsewhere.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
+    /// Answers the request as far as that is possible, because the process ends.
+    void endBeforeStop();
     bool isWaiting() const { return m_isWaiting; }
 
 private:
