Start the daemons of a test within the time that they promise

requestWaitsForAHolderThatStartsLater failed twice in 18 runs beside other builds; the log that was kept shows a second daemon that took 0.25 s to start, later than what its test is about.

The two tests with several daemons check that these started within 0.22 s of each other, start them anew otherwise, eight times at most, and fail then. What they check of the requests is unchanged.

--- a/tests/e2e/tst_platformstart.cpp
+++ b/tests/e2e/tst_platformstart.cpp
@@ -17,6 +17,12 @@
 // ends 1.6 s after its arrival, its deadline is 4 s.
 constexpr core::Duration slack = milliseconds(500);
 
+// A daemon takes its own record 0.1 s after its start, and others hear it 0.125 s later at most.
+// One that starts later than this after the others is not heard within their wait; a busy machine
+// may need longer to start a process.
+constexpr core::Duration mostSpread = milliseconds(220);
+constexpr int mostTrials = 8;
+
 void answerWithStream(const EndpointStandIn::Exchange &exchange)
 {
     stream(exchange, 2, false);
@@ -114,16 +120,36 @@
         callerPort = member.place.callerPort;
     }
 
-    void startAll()
+    /// Returns as soon as the daemon takes connections.
+    void awaitListening(const Member &member)
     {
+        AnswerPtr probe;
+        cr_assert(waitUntil([&] {
+            if (probe && probe->head.status != 0)
+                return true;
+            if (!probe || probe->isEnded)
+                probe
+                    = send(member.place.readyPort, "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n");
+            return false;
+        }));
+    }
+
+    /// Whether all took connections within `mostSpread`.
+    bool startAll()
+    {
+        const core::TimePoint begin = loop.now();
         for (Member &member : members)
             startMember(member);
+        for (const Member &member : members)
+            awaitListening(member);
+        return loop.now() - begin <= mostSpread;
     }
 
     void killAll()
     {
         for (Member &member : members)
             member.process.kill();
+        pass(milliseconds(200));
     }
 
     /// Each daemon is asked for one of six adapters every `period`.
@@ -214,24 +240,32 @@
     cr_assert_leq(fixture.loop.now() - refusal, atOnce, "%s", fixture.output().c_str());
 }
 
-// The same when the record names a daemon that starts later: the first one has to ask often enough
-// to hear it in time.
+// Guards against a coordinator that is heard too late because it started later: the daemon has to
+// ask for it often enough.
 Test(platformstart, requestWaitsForAHolderThatStartsLater, .timeout = 60)
 {
     ThreeDaemons fixture;
     ThreeDaemons::Member &early = fixture.members[0];
     ThreeDaemons::Member &holder = fixture.members[1];
-    fixture.store.put(leaseKind, leaseName,
-                      {{"holder", holder.place.host},
+    const json record {{"holder", holder.place.host},
                        {"token", 7},
                        {"address", "127.0.0.1:" + std::to_string(holder.place.peerPort)},
                        {"released", false},
-                       {"sent", 1}});
-    fixture.startMember(early);
-    const AnswerPtr answer = fixture.startWhenListening("early", "base/a7");
-    // It takes its record 0.1 s after its start.
-    fixture.pass(milliseconds(150));
-    fixture.startMember(holder);
+                       {"sent", 1}};
+    AnswerPtr answer;
+    bool isInTime = false;
+    for (int trial = 0; trial < mostTrials && !isInTime; ++trial) {
+        fixture.killAll();
+        fixture.store.put(leaseKind, leaseName, record);
+        fixture.startMember(early);
+        answer = fixture.startWhenListening("early", "base/a7");
+        const core::TimePoint begin = fixture.loop.now();
+        fixture.pass(milliseconds(150));
+        fixture.startMember(holder);
+        fixture.awaitListening(holder);
+        isInTime = fixture.loop.now() - begin <= mostSpread;
+    }
+    cr_assert(isInTime, "the second daemon never started in time");
     cr_assert(fixture.waitUntil([&answer] { return answer->isEnded; }));
     cr_assert_eq(answer->head.status, 200, "%s", fixture.outputs().c_str());
 }
@@ -245,10 +279,14 @@
     fixture.pass(std::chrono::seconds(5));
     fixture.startLoad(milliseconds(20));
     fixture.pass(std::chrono::seconds(3));
-    fixture.killAll();
-    fixture.pass(milliseconds(200));
-    const std::size_t begin = fixture.answers.size();
-    fixture.startAll();
+    std::size_t begin = 0;
+    bool isTogether = false;
+    for (int trial = 0; trial < mostTrials && !isTogether; ++trial) {
+        fixture.killAll();
+        begin = fixture.answers.size();
+        isTogether = fixture.startAll();
+    }
+    cr_assert(isTogether, "the daemons did not start together");
     fixture.pass(std::chrono::seconds(3));
     fixture.load.cancel();
     cr_assert(fixture.waitUntil([&fixture] {
