Split the file of RequestTask by the steps of a request

It keeps the steps until the request is sent; requestanswer.cpp has those of the endpoint's answer, requestend.cpp those that end a request. Behaviour stays: the lines are moved, and attempt() takes a std::function.

--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "platform/endpointcodec.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,8 +16,9 @@
 namespace jackdawlead::gateway {
 
 /// Serves one request of a caller: chooses an endpoint, sends the request, passes the answer on,
-/// and sends again where that is allowed. It owns the connection to the endpoint.
-/// Thread safety: the loop's thread only.
+/// and sends again where that is allowed. It owns the connection to the endpoint. Its steps stand
+/// in requesttask.cpp (until the request is sent), requestanswer.cpp and requestend.cpp. Thread
+/// safety: the loop's thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -44,7 +46,7 @@
     };
 
     /// Runs `work`; if it throws, this request alone fails.
-    template <typename Work> void attempt(const Work &work);
+    void attempt(const std::function<void()> &work);
     /// Waits for the first configuration for a while if none is known yet.
     void resolveOrWait();
     void resolve();
