Read the request limit that endpoints name, and log it

The metrics jackdawlead_limited_endpoints and jackdawlead_limited_sends_total count the endpoints and the requests that are sent to them. Nothing is limited yet.

--- a/src/libs/fleet/endpoint.h
+++ b/src/libs/fleet/endpoint.h
@@ -24,6 +24,14 @@
 /// The wall-clock millisecond at which an endpoint started; distinguishes incarnations of one id.
 using StartTime = std::chrono::milliseconds;
 
+/// Requests per second that an endpoint accepts from all daemons together.
+struct RequestRate
+{
+    double perSecond = 0;
+
+    auto operator<=>(const RequestRate &) const = default;
+};
+
 /// One incarnation of an endpoint, from its own record. Thread safety: a value type.
 struct Endpoint
 {
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -65,11 +65,13 @@
     , m_profiler([this] { return m_timers.now(); })
     , m_watch(m_store, m_timers, m_relay, m_settings.bounds, watchHandlers())
     , m_pool(m_loop, m_timers)
+    , m_limits(m_timers, m_metrics)
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
                  .watch = m_watch,
                  .pool = m_pool,
+                 .limits = m_limits,
                  .metrics = m_metrics,
                  .work = m_profiler,
                  .placement = {},
@@ -126,6 +128,7 @@
                 m_coordinator.removeEndpoint(id);
                 giveUpConnecting(id, leavingCause);
                 m_pool.removeEndpoint(id);
+                m_limits.removeEndpoint(id);
             },
         .onVersionAnnounced =
             [this](const fleet::AnnouncedVersion &version) {
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -72,6 +72,7 @@
     observability::EventLoopProfiler m_profiler;
     FleetWatch m_watch;
     EndpointPool m_pool;
+    RateLimits m_limits;
     RequestContext m_context;
     CoordinatorElection m_election;
     PeerLink m_peerLink;
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -11,6 +11,7 @@
 #include "fleet/hostsettings.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
+#include "gateway/ratelimits.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
 
@@ -31,6 +32,7 @@
     net::TimerService &timers;
     FleetWatch &watch;
     EndpointPool &pool;
+    RateLimits &limits;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
     decisions::PlacementView placement;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -272,6 +272,7 @@
     setWaitsForLoad(false);
     ++m_sends;
     m_endpoint = endpoint.id;
+    m_incarnation = endpoint.startTime;
     m_finder.markTried(endpoint.id);
     m_isSent = true;
     m_sentAt = now();
@@ -287,6 +288,8 @@
     m_wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
         && m_loadAtSend < lowUtilization * endpoint.slots;
     m_context.pool.beginRequest(endpoint.id, adapterKey());
+    if (m_context.limits.known().find(endpoint.id, endpoint.startTime) != nullptr)
+        m_context.metrics.recordLimitedSend();
     m_pendingPrefillTokens = m_fields.promptTokens;
     m_context.pool.beginPrefill(endpoint.id, m_pendingPrefillTokens);
     platform::ForwardFields forward;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -120,6 +120,7 @@
 
     std::unique_ptr<http::ClientConnection> m_connection;
     core::EndpointId m_endpoint;
+    fleet::StartTime m_incarnation {}; ///< Of the endpoint, when the request was sent.
     int m_sends = 0;
     int m_runs = 0; ///< Sends that may have run.
     bool m_isWaiting = false;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -63,6 +63,11 @@
                                  "Requests of callers that are not answered yet"))
     , m_controlCalls(gauge(*m_registry, "jackdawlead_control_calls",
                            "Calls to store, endpoints and daemons since the start"))
+    , m_limitedEndpoints(gauge(*m_registry, "jackdawlead_limited_endpoints",
+                               "Endpoints whose request limit is in force"))
+    , m_limitedSends(counters(*m_registry, "jackdawlead_limited_sends_total",
+                              "Requests sent to endpoints whose request limit is in force")
+                         .Add({}))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -39,6 +39,8 @@
     void setStoreReachable(bool isReachable) { m_storeReachable.Set(isReachable ? 1 : 0); }
     void setIsCoordinator(bool isCoordinator) { m_isCoordinator.Set(isCoordinator ? 1 : 0); }
     void setRequestsInProgress(double count) { m_requestsInProgress.Set(count); }
+    void setLimitedEndpoints(double count) { m_limitedEndpoints.Set(count); }
+    void recordLimitedSend() { m_limitedSends.Increment(); }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
 
     /// All metrics in the Prometheus text format.
@@ -62,6 +64,8 @@
     prometheus::Gauge &m_isCoordinator;
     prometheus::Gauge &m_requestsInProgress;
     prometheus::Gauge &m_controlCalls;
+    prometheus::Gauge &m_limitedEndpoints;
+    prometheus::Counter &m_limitedSends;
 };
 
 } // namespace jackdawlead::observability
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -61,6 +61,23 @@
     return core::scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
 }
 
+// Larger values have the same effect as no limit; the bound keeps computed times finite.
+constexpr double maxRequestsPerSecond = 1e6;
+
+std::optional<fleet::RequestRate> parseRequestRate(const std::string &text)
+{
+    double perSecond = 0;
+    if (!absl::SimpleAtod(text, &perSecond) || !std::isfinite(perSecond) || perSecond < 0)
+        return std::nullopt;
+    return fleet::RequestRate {std::min(perSecond, maxRequestsPerSecond)};
+}
+
+bool isFromOtherEndpoint(const net::Headers &headers, const core::EndpointId &endpoint)
+{
+    const std::string sender = headers.value(wire::instanceId);
+    return !sender.empty() && sender != endpoint.value();
+}
+
 } // namespace
 
 RequestFields parseRequestFields(const http::MessageHead &head)
@@ -123,9 +140,24 @@
 
 bool announcesLeaving(const net::Headers &headers, const core::EndpointId &endpoint)
 {
-    const std::string sender = headers.value(wire::instanceId);
-    return headers.value(wire::serverLeaving) == "1"
-        && (sender.empty() || sender == endpoint.value());
+    return headers.value(wire::serverLeaving) == "1" && !isFromOtherEndpoint(headers, endpoint);
+}
+
+NamedLimit parseRequestLimit(const net::Headers &headers, const core::EndpointId &endpoint)
+{
+    NamedLimit limit;
+    if (!headers.contains(wire::serverLimit) || isFromOtherEndpoint(headers, endpoint))
+        return limit;
+    const std::string fieldName = absl::AsciiStrToLower(wire::serverLimit);
+    for (const auto &[name, value] : headers.fields()) {
+        if (absl::AsciiStrToLower(name) != fieldName)
+            continue;
+        const auto rate = parseRequestRate(value);
+        if (rate && (!limit.rate || *rate < *limit.rate))
+            limit.rate = rate;
+    }
+    limit.isMalformed = !limit.rate;
+    return limit;
 }
 
 net::Headers forwardedResponseHeaders(const http::MessageHead &head)
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -21,6 +21,8 @@
 inline constexpr char retryAfter[] = "Retry-After";
 /// "1" if the endpoint that responds takes no new work.
 inline constexpr char serverLeaving[] = "Server-Leaving";
+/// Requests per second that the endpoint accepts from all daemons together; a decimal number.
+inline constexpr char serverLimit[] = "Server-Limit";
 /// Id of the endpoint that responds.
 inline constexpr char instanceId[] = "Instance-Id";
 /// MODEL or MODEL/ADAPTER.
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -199,3 +199,29 @@
         cr_assert_not(announcesLeaving({{"Server-Leaving", value}}, endpoint), "%s", value);
     cr_assert_not(announcesLeaving({}, endpoint));
 }
+
+// Guards against a limit that is not recognized, against one that is taken from a malformed field,
+// and against the limit of another endpoint that has the address now.
+Test(endpointcodec, requestLimitIsReadFromOwnResponsesOnly)
+{
+    const core::EndpointId endpoint("i-1");
+    const auto limitOf
+        = [&](const net::Headers &headers) { return parseRequestLimit(headers, endpoint); };
+    cr_assert_eq(limitOf({{"Server-Limit", "1.5"}}).rate->perSecond, 1.5);
+    cr_assert_eq(limitOf({{"server-limit", "2"}, {"Instance-Id", "i-1"}}).rate->perSecond, 2.0);
+    cr_assert_eq(limitOf({{"Server-Limit", "0"}}).rate->perSecond, 0.0);
+    cr_assert_eq(limitOf({{"Server-Limit", "1e300"}}).rate->perSecond, 1e6);
+    for (const char *value : {"", "-1", "soon", "nan", "inf", "1 2", "1,5"}) {
+        const NamedLimit limit = limitOf({{"Server-Limit", value}});
+        cr_assert_not(limit.rate.has_value(), "%s", value);
+        cr_assert(limit.isMalformed, "%s", value);
+    }
+    const NamedLimit several
+        = limitOf({{"Server-Limit", "x"}, {"Server-Limit", "3"}, {"server-limit", "2"}});
+    cr_assert_eq(several.rate->perSecond, 2.0);
+    cr_assert_not(several.isMalformed);
+    const NamedLimit other = limitOf({{"Server-Limit", "1"}, {"Instance-Id", "i-2"}});
+    cr_assert_not(other.rate.has_value());
+    cr_assert_not(other.isMalformed);
+    cr_assert_not(limitOf({}).rate.has_value());
+}
