--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -131,9 +131,9 @@
 net::Headers Endpoints::answerHeaders(const Endpoint &endpoint, const core::RequestId &id,
                                       int status)
 {
-    return endpoint.fake->withServerLeaving({{"Request-Id", id.value()},
-                                             {"Response-Stamp", expectedStamp(id, status)},
-                                             {"Keep-Alive", "timeout=20"}});
+    return endpoint.fake->withNotices({{"Request-Id", id.value()},
+                                       {"Response-Stamp", expectedStamp(id, status)},
+                                       {"Keep-Alive", "timeout=20"}});
 }
 
 Endpoints::Endpoint *Endpoints::pickAvailable()
@@ -231,7 +231,7 @@
         net::Headers refusal {{"Not-Executed", "1"}};
         if (m_random.chance(0.2))
             refusal.add("Retry-After", "0.3");
-        exchange->respond(503, endpoint.fake->withServerLeaving(refusal), {});
+        exchange->respond(503, endpoint.fake->withNotices(refusal), {});
         return;
     }
     m_checker.requestRan(id, endpointId);
--- a/tests/e2e/tst_platformnotices.cpp
+++ b/tests/e2e/tst_platformnotices.cpp
@@ -46,7 +46,7 @@
         auto fields = FakeEndpoint::stamped(exchange);
         if (status == 503)
             fields.add("Not-Executed", "1");
-        exchange->respond(status, fixture.first.withServerLeaving(fields), "text");
+        exchange->respond(status, fixture.first.withNotices(fields), "text");
     };
     fixture.callUntilFirstReceivesMoreThan(0);
     const std::size_t received = fixture.first.heads.size();
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -212,11 +212,12 @@
                            std::uint16_t listenPort)
     : id(std::move(name))
     , port(listenPort)
+    , m_timers(timers)
     , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
 {
     listenOrThrow(m_server, port);
     run = [this](const Exchange &exchange) {
-        exchange->respond(200, withServerLeaving(stamped(exchange)), "whole answer");
+        exchange->respond(200, withNotices(stamped(exchange)), "whole answer");
     };
 }
 
@@ -242,6 +243,7 @@
     m_orderRevision = 0;
     m_adapters.clear();
     isLeaving = false;
+    requestLimit.clear();
 }
 
 net::Headers FakeEndpoint::stamped(const Exchange &exchange)
@@ -251,10 +253,12 @@
             {"Keep-Alive", "timeout=20"}};
 }
 
-net::Headers FakeEndpoint::withServerLeaving(net::Headers fields) const
+net::Headers FakeEndpoint::withNotices(net::Headers fields) const
 {
     if (isLeaving)
         fields.add("Server-Leaving", "1");
+    if (!requestLimit.empty())
+        fields.add("Server-Limit", requestLimit);
     return fields;
 }
 
@@ -265,6 +269,7 @@
         exchange->respond(421, {{"Instance-Id", id}}, {});
         return;
     }
+    arrivals.push_back(m_timers.now());
     if (target == "/-/order") {
         order(exchange);
         return;
@@ -282,14 +287,14 @@
     }
     heads.push_back(exchange->head);
     if (!retryAfter.empty()) {
-        exchange->respond(
-            503, withServerLeaving({{"Not-Executed", "1"}, {"Retry-After", retryAfter}}), {});
+        exchange->respond(503, withNotices({{"Not-Executed", "1"}, {"Retry-After", retryAfter}}),
+                          {});
         return;
     }
     const std::string requestedModel = exchange->head.headers.value("Model");
     const std::size_t slash = requestedModel.find('/');
     if (slash != std::string::npos && !m_adapters.contains(requestedModel.substr(slash + 1))) {
-        exchange->respond(421, withServerLeaving({{"Instance-Id", id}}), {});
+        exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
         return;
     }
     runs.push_back(exchange->head.headers.value("Request-Id"));
@@ -302,7 +307,7 @@
     if (onOrder)
         onOrder(body);
     if (body.at("expected_rev").get<int>() != m_orderRevision) {
-        exchange->respond(409, withServerLeaving({}), {});
+        exchange->respond(409, withNotices({}), {});
         return;
     }
     ++m_orderRevision;
@@ -310,7 +315,7 @@
     if (body.at("operation") == "load") {
         ++loads;
         m_adapters[adapter] = true;
-        exchange->respond(202, withServerLeaving({}), {});
+        exchange->respond(202, withNotices({}), {});
         return;
     }
     m_adapters.erase(adapter);
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -115,18 +115,23 @@
     bool isLeaving = false;
     /// If not empty, requests are rejected with this value of Retry-After.
     std::string retryAfter;
+    /// If not empty, the responses name this request limit.
+    std::string requestLimit;
+    /// Times of all messages for this endpoint, including orders and report requests.
+    std::vector<core::TimePoint> arrivals;
     std::string id;
     std::uint16_t port;
     std::string model = "base";
 
     static net::Headers stamped(const Exchange &exchange);
-    /// The fields, with Server-Leaving added while isLeaving is set.
-    net::Headers withServerLeaving(net::Headers fields) const;
+    /// The fields, with Server-Leaving added while isLeaving is set, and the request limit.
+    net::Headers withNotices(net::Headers fields) const;
 
 private:
     void serve(const Exchange &exchange);
     void order(const Exchange &exchange);
 
+    net::TimerService &m_timers;
     http::Server m_server;
     int m_startTime = 1;
     int m_orderRevision = 0;
