--- a/src/libs/decisions/adapterplanner.cpp
+++ b/src/libs/decisions/adapterplanner.cpp
@@ -8,6 +8,13 @@
 
 namespace jackdawlead::decisions {
 
+namespace {
+
+// Report requests count against an endpoint's request limit.
+constexpr int limitedResyncFactor = 4;
+
+} // namespace
+
 std::pair<core::AdapterId, int> parseHeldAdapter(const std::string &text)
 {
     const std::size_t separator = text.find('@');
@@ -49,6 +56,16 @@
         found->second.load = load;
 }
 
+void AdapterPlanner::setRateLimited(const core::EndpointId &id, bool isRateLimited,
+                                    bool isOrderAllowed)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return;
+    found->second.isRateLimited = isRateLimited;
+    found->second.isOrderAllowed = isOrderAllowed;
+}
+
 void AdapterPlanner::setInUse(std::map<core::EndpointId, AdapterSet> inUse)
 {
     for (auto &[id, state] : m_endpoints) {
@@ -76,8 +93,10 @@
         const bool isSettled
             = now - state.lastOrderAt > m_parameters.maxReportLag && !state.hasPendingOrder;
         const core::Duration age = now - state.lastReportAt;
+        const core::Duration resyncInterval
+            = m_parameters.resyncInterval * (state.isRateLimited ? limitedResyncFactor : 1);
         const bool isDue = state.needsReport ? isSettled
-                                             : age > m_parameters.resyncInterval
+                                             : age > resyncInterval
                 || (state.hasUnconfirmedContents && age > m_parameters.minReportInterval);
         if (isDue && now - state.reportFailedAt > m_parameters.minReportInterval)
             ids.push_back(id);
--- a/src/libs/decisions/adapterplanner.h
+++ b/src/libs/decisions/adapterplanner.h
@@ -32,6 +32,8 @@
                      const fleet::EngineSpec &engine);
     void removeEndpoint(const core::EndpointId &id);
     void setLoad(const core::EndpointId &id, double load);
+    /// Sets whether the endpoint has a request limit, and whether that allows an order now.
+    void setRateLimited(const core::EndpointId &id, bool isRateLimited, bool isOrderAllowed);
     /// Replaces the sets of adapters that requests in progress use.
     void setInUse(std::map<core::EndpointId, AdapterSet> inUse);
     void recordAnnouncedVersion(const fleet::AnnouncedVersion &version);
--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -95,20 +95,35 @@
     return candidates.front().option;
 }
 
+const EndpointOption *chooseOption(const std::vector<EndpointOption> &options, double draw,
+                                   double unreportedPerEndpoint,
+                                   const EndpointChooserLimits &limits)
+{
+    const EndpointOption *chosen
+        = drawCandidate(candidatesOf(options, true, limits), draw, unreportedPerEndpoint);
+    return chosen != nullptr
+        ? chosen
+        : drawCandidate(candidatesOf(options, false, limits), draw, unreportedPerEndpoint);
+}
+
 } // namespace
 
 EndpointChoice chooseEndpoint(const std::vector<EndpointOption> &options, double draw,
                               double unreportedPerEndpoint, const EndpointChooserLimits &limits)
 {
     if (options.empty())
-        return {std::nullopt, NoEndpointReason::NoCandidates};
-    const EndpointOption *chosen
-        = drawCandidate(candidatesOf(options, true, limits), draw, unreportedPerEndpoint);
-    if (chosen == nullptr)
-        chosen = drawCandidate(candidatesOf(options, false, limits), draw, unreportedPerEndpoint);
+        return {std::nullopt, NoEndpointReason::NoCandidates, {}};
+    const EndpointOption *preferred = chooseOption(options, draw, unreportedPerEndpoint, limits);
+    if (preferred == nullptr)
+        return {std::nullopt, NoEndpointReason::AllFull, {}};
+    if (!preferred->needsPermit)
+        return {preferred->endpoint, {}, {}};
+    std::vector<EndpointOption> usable = options;
+    std::erase_if(usable, &EndpointOption::needsPermit);
+    const EndpointOption *chosen = chooseOption(usable, draw, unreportedPerEndpoint, limits);
     if (chosen == nullptr)
-        return {std::nullopt, NoEndpointReason::AllFull};
-    return {chosen->endpoint, {}};
+        return {std::nullopt, NoEndpointReason::RateLimited, preferred->endpoint};
+    return {chosen->endpoint, {}, preferred->endpoint};
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -18,9 +18,10 @@
     double load = 0;              ///< Slots that all daemons' known requests occupy.
     int pendingPrefillTokens = 0; ///< Prompt tokens sent by this daemon and not prefilled yet.
     Distance distance = Distance::SameDomain;
-    bool isConnected = true; ///< An idle connection is open.
-    bool isEjected = false;  ///< See EndpointHealth.
-    bool wasTried = false;   ///< This request was sent to it before.
+    bool isConnected = true;  ///< An idle connection is open.
+    bool isEjected = false;   ///< See EndpointHealth.
+    bool wasTried = false;    ///< This request was sent to it before.
+    bool needsPermit = false; ///< Its request limit allows no request of this daemon now.
 };
 
 struct EndpointChooserLimits
@@ -44,20 +45,26 @@
 };
 
 /// Why no endpoint was chosen.
-enum class NoEndpointReason { NoCandidates, AllFull };
+enum class NoEndpointReason {
+    NoCandidates,
+    AllFull,
+    RateLimited, ///< The endpoint that would be chosen needs a permit, and all others are full.
+};
 
 struct EndpointChoice
 {
     std::optional<core::EndpointId> endpoint;
     NoEndpointReason reason = NoEndpointReason::NoCandidates; ///< Only if there is no endpoint.
+    /// The endpoint that would be chosen if it did not need a permit; empty if it is the same.
+    std::optional<core::EndpointId> preferred;
 };
 
-/// Chooses an endpoint by utilization and distance. Endpoints that are ejected or were tried
-/// already are chosen only if there are no others. `unreportedPerEndpoint` is the estimated number
-/// of requests that other daemons have sent to each endpoint since the loads were reported. At zero
-/// the least utilized endpoint is chosen; the higher it is, the more evenly the choice is spread,
-/// because many daemons that all choose the least utilized endpoint overload it. `draw` is uniform
-/// in [0, 1). Thread safety: any thread.
+/// Chooses an endpoint by utilization and distance. Endpoints that need a permit are not chosen;
+/// those that are ejected or were tried already are chosen only if there are no others.
+/// `unreportedPerEndpoint` is the estimated number of requests that other daemons have sent to each
+/// endpoint since the loads were reported. At zero the least utilized endpoint is chosen; the
+/// higher it is, the more evenly the choice is spread, because many daemons that all choose the
+/// least utilized endpoint overload it. `draw` is uniform in [0, 1). Thread safety: any thread.
 EndpointChoice chooseEndpoint(const std::vector<EndpointOption> &options, double draw,
                               double unreportedPerEndpoint = 0,
                               const EndpointChooserLimits &limits = {});
--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -24,10 +24,14 @@
 
 void PlanningPass::indexCopies()
 {
+    m_hasUnlimitedEndpoint = std::ranges::any_of(m_endpoints, [this](const auto &entry) {
+        const EndpointState &state = entry.second;
+        return !state.isRateLimited && !state.endpoint.isLeaving && m_now >= state.unreachableUntil;
+    });
     for (const auto &[id, state] : m_endpoints) {
         m_remainingLoads -= loadsInFlight(state);
         m_maxSlots = std::max(m_maxSlots, state.endpoint.slots);
-        if (state.endpoint.isLeaving || m_now < state.unreachableUntil)
+        if (state.endpoint.isLeaving || m_now < state.unreachableUntil || isAvoided(state))
             continue;
         for (const auto &[key, placed] : state.adapters) {
             if (isOutdated(key, placed))
@@ -80,7 +84,7 @@
 void PlanningPass::listAvailableEndpoints()
 {
     for (auto &[id, state] : m_endpoints) {
-        if (canTakeOrder(state) && !state.reservedFor
+        if (canTakeOrder(state) && !isAvoided(state) && !state.reservedFor
             && loadsInFlight(state) < m_parameters.maxConcurrentLoadsPerEndpoint)
             m_availableEndpoints.push_back(&state);
     }
@@ -88,8 +92,8 @@
 
 bool PlanningPass::canTakeOrder(const EndpointState &state) const
 {
-    return !state.needsReport && !state.hasPendingOrder && !state.endpoint.isLeaving
-        && m_now >= state.unreachableUntil && !isUnloading(state);
+    return !state.needsReport && !state.hasPendingOrder && state.isOrderAllowed
+        && !state.endpoint.isLeaving && m_now >= state.unreachableUntil && !isUnloading(state);
 }
 
 // An endpoint accepts no other order while an unload waits for its running requests.
--- a/src/libs/decisions/planningpass.h
+++ b/src/libs/decisions/planningpass.h
@@ -61,6 +61,11 @@
     int loadsInFlight(const EndpointState &state) const;
     static bool isUnloading(const EndpointState &state);
     bool canTakeOrder(const EndpointState &state) const;
+    /// Whether the endpoint's copies serve too few requests to count, and loads go elsewhere.
+    bool isAvoided(const EndpointState &state) const
+    {
+        return state.isRateLimited && m_hasUnlimitedEndpoint;
+    }
     bool fitsWithoutEviction(const EndpointState &state, const core::ModelId &model) const;
     bool isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const;
     bool hasNewestElsewhere(const EndpointState &state, const fleet::AdapterKey &key) const;
@@ -100,6 +105,7 @@
     AdapterSet m_outdated; ///< At least one endpoint holds an older version than the newest.
     std::unordered_map<const EndpointState *, EvictionVictim> m_evictionVictims;
     std::vector<EndpointState *> m_availableEndpoints; ///< Can take an order for an adapter.
+    bool m_hasUnlimitedEndpoint = false;               ///< That is reachable and not leaving.
     int m_remainingLoads = 0;
     int m_maxSlots = 1; ///< Slots of the largest endpoint.
 };
--- a/src/libs/decisions/planningtypes.h
+++ b/src/libs/decisions/planningtypes.h
@@ -127,6 +127,8 @@
     std::optional<fleet::AdapterKey> reservedFor;
     double load = 0; ///< Requests in progress per slot.
     core::TimePoint unreachableUntil;
+    bool isRateLimited = false; ///< Accepts only a limited number of requests per second.
+    bool isOrderAllowed = true; ///< The request limit allows an order now.
 };
 
 using EndpointStates = std::map<core::EndpointId, EndpointState>;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -39,6 +39,8 @@
 // An endpoint that is in back-off for any daemon counts as overloaded, so that its adapters are
 // copied to other endpoints.
 constexpr double backoffUtilization = 2;
+// Several report intervals: a limit that is used is confirmed by the responses to its requests.
+constexpr core::Duration limitConfirmationTime = std::chrono::seconds(10);
 // An endpoint refuses a request that arrives before its adapter is loaded, so requests are held
 // back for this time after the expected end of the load.
 constexpr core::Duration loadMargin = std::chrono::milliseconds(30);
@@ -85,7 +87,7 @@
 } // namespace
 
 Coordinator::Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
-                         http::ControlClient &controlClient, FleetWatch &watch,
+                         http::ControlClient &controlClient, FleetWatch &watch, RateLimits &limits,
                          CoordinatorElection &election, observability::GatewayMetrics &metrics,
                          observability::EventLoopProfiler &profiler,
                          const decisions::RequestCostEstimator &requestCost, ViewSender sendView)
@@ -93,6 +95,7 @@
     , m_timers(timers)
     , m_controlClient(controlClient)
     , m_watch(watch)
+    , m_limits(limits)
     , m_election(election)
     , m_metrics(metrics)
     , m_profiler(profiler)
@@ -157,6 +160,7 @@
         becomeHolder();
     writeSummary();
     updateLoads();
+    updateRequestLimits();
     updateRelays();
     if (!m_election.canIssueOrders())
         return;
@@ -172,6 +176,7 @@
     m_wasHolder = true;
     m_holderSince = m_timers.now();
     m_token = m_election.lease().record()->token;
+    m_permitIssuer.reset();
     for (const auto &[id, endpoint] : m_watch.endpoints())
         updateEndpoint(endpoint);
     for (const auto &[id, state] : m_planner.endpoints())
@@ -305,6 +310,7 @@
         m_crashes.applyUpdate(crash, now);
     for (const auto &[id, startTime] : report.leaving)
         recordLeavingEndpoint(id, startTime);
+    m_limits.applyUpdates(report.limits, report.host.value());
     for (const core::EndpointId &id : report.unreachable)
         m_planner.markUnreachable(id, now);
     if (!report.demand.empty())
@@ -312,7 +318,9 @@
     daemon.knownRevision = report.token == m_token ? report.knownRevision : 0;
     m_lastReportKind = report.isViewRequested ? decisions::ReportPace::Kind::Regular
                                               : decisions::ReportPace::Kind::Demand;
-    return report.isViewRequested ? fullViewFor(daemon) : baseViewFor(daemon);
+    PeerView view = report.isViewRequested ? fullViewFor(daemon) : baseViewFor(daemon);
+    view.grants = issuePermits(report);
+    return view;
 }
 
 void Coordinator::recordLeavingEndpoint(const core::EndpointId &id, fleet::StartTime startTime)
@@ -321,11 +329,47 @@
     m_watch.markEndpointLeaving(id, startTime);
 }
 
-void Coordinator::detectLeaving(const core::EndpointId &id, const http::Response &response)
+void Coordinator::applyEndpointState(const core::EndpointId &id, const http::Response &response,
+                                     core::TimePoint sentAt)
 {
     const fleet::Endpoint *endpoint = m_watch.endpoint(id);
-    if (endpoint != nullptr && platform::announcesLeaving(response.headers, id))
+    if (endpoint == nullptr)
+        return;
+    if (platform::announcesLeaving(response.headers, id))
         recordLeavingEndpoint(id, endpoint->startTime);
+    m_limits.recordResponse(id, endpoint->startTime,
+                            platform::parseRequestLimit(response.headers, id), false, sentAt);
+}
+
+// Permits of a limit that no response has confirmed for some time are issued as before, but the
+// planner may use the endpoint again: requests to it show whether the limit still holds.
+void Coordinator::updateRequestLimits()
+{
+    const core::TimePoint now = m_timers.now();
+    for (const auto &[id, endpoint] : m_watch.endpoints()) {
+        const decisions::EndpointLimit *limit = m_limits.known().find(id, endpoint.startTime);
+        const bool isConfirmed = limit != nullptr && now - limit->statedAt < limitConfirmationTime;
+        if (limit == nullptr)
+            m_permitIssuer.removeLimit(id);
+        else
+            m_permitIssuer.setLimit(id, limit->incarnation, *limit->rate, now);
+        m_planner.setRateLimited(id, isConfirmed, m_permitIssuer.canCharge(id, now));
+    }
+}
+
+std::map<core::EndpointId, decisions::PermitGrant>
+Coordinator::issuePermits(const PeerReport &report)
+{
+    std::map<core::EndpointId, decisions::PermitGrant> grants;
+    for (const auto &[id, demand] : report.permitDemand) {
+        const fleet::Endpoint *endpoint = m_watch.endpoint(id);
+        const auto limit = endpoint == nullptr ? std::nullopt : m_limits.limitOf(*endpoint);
+        if (!limit)
+            continue;
+        m_permitIssuer.setLimit(id, endpoint->startTime, *limit, m_timers.now());
+        grants[id] = m_permitIssuer.issue(id, report.host, demand, m_timers.now());
+    }
+    return grants;
 }
 
 PeerView Coordinator::fullViewFor(Daemon &daemon)
@@ -365,6 +409,8 @@
     view.crashes = m_crashes.recentCrashes(m_timers.now());
     for (const auto &[id, leavingEndpoint] : m_leavingEndpoints)
         view.leaving[id] = leavingEndpoint.startTime;
+    view.limits = m_limits.known().all();
+    view.areIssuingPermits = true;
     return view;
 }
 
@@ -412,8 +458,11 @@
 {
     for (const core::EndpointId &id : m_planner.endpointsNeedingReport(m_timers.now())) {
         const fleet::Endpoint *endpoint = m_watch.endpoint(id);
-        if (endpoint == nullptr || !m_pendingReports.insert(id).second)
+        if (endpoint == nullptr || m_pendingReports.contains(id)
+            || !m_permitIssuer.canCharge(id, m_timers.now()))
             continue;
+        m_pendingReports.insert(id);
+        m_permitIssuer.charge(id);
         const core::TimePoint sentAt = m_timers.now();
         m_controlClient.call(
             endpoint->address, platform::makeReportRequest(id), reportTimeout,
@@ -423,7 +472,7 @@
                 const observability::EventLoopProfiler::Scope scope(m_profiler, "endpoint reports");
                 m_pendingReports.erase(id);
                 if (response.ok())
-                    detectLeaving(id, *response);
+                    applyEndpointState(id, *response, sentAt);
                 if (!response.ok() || response->status != 200) {
                     m_profiler.count("failed endpoint reports");
                     m_planner.recordReportFailure(id, m_timers.now());
@@ -494,6 +543,7 @@
     order.holder = m_settings.host;
     order.token = m_election.lease().record()->token;
     const core::TimePoint sentAt = m_timers.now();
+    m_permitIssuer.charge(planned.endpoint);
     m_controlClient.call(
         endpoint->address, platform::makeOrderRequest(order), orderTimeout,
         [this, alive = m_isAlive, planned, sentAt, sends](auto response) {
@@ -501,7 +551,7 @@
                 return;
             const observability::EventLoopProfiler::Scope scope(m_profiler, "order responses");
             if (response.ok())
-                detectLeaving(planned.endpoint, *response);
+                applyEndpointState(planned.endpoint, *response, sentAt);
             const auto result = response.ok() ? platform::orderResultFromStatus(response->status)
                                               : platform::OrderResult::Unknown;
             handleOrderResponse(planned, outcomeOf(result), response.ok() ? response->status : 0,
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -2,6 +2,7 @@
 
 #include "decisions/adapterplanner.h"
 #include "decisions/contentshistory.h"
+#include "decisions/permitissuer.h"
 #include "decisions/relayselector.h"
 #include "decisions/reportpace.h"
 #include "decisions/requestcostestimator.h"
@@ -9,6 +10,7 @@
 #include "gateway/coordinatorelection.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
+#include "gateway/ratelimits.h"
 #include "http/controlclient.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -33,7 +35,7 @@
     using ViewSender = std::function<void(const net::Address &, const PeerView &)>;
 
     Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
-                http::ControlClient &controlClient, FleetWatch &watch,
+                http::ControlClient &controlClient, FleetWatch &watch, RateLimits &limits,
                 CoordinatorElection &election, observability::GatewayMetrics &metrics,
                 observability::EventLoopProfiler &profiler,
                 const decisions::RequestCostEstimator &requestCost, ViewSender sendView);
@@ -96,7 +98,11 @@
     void requestReports();
     void scheduleViewsForLoad(const decisions::PlannedOrder &planned);
     void updateRelays();
-    void detectLeaving(const core::EndpointId &id, const http::Response &response);
+    /// Applies what a response says about the endpoint itself.
+    void applyEndpointState(const core::EndpointId &id, const http::Response &response,
+                            core::TimePoint sentAt);
+    void updateRequestLimits();
+    std::map<core::EndpointId, decisions::PermitGrant> issuePermits(const PeerReport &report);
     void recordLeavingEndpoint(const core::EndpointId &id, fleet::StartTime startTime);
     std::string addressOf(const core::HostId *relay) const;
     void sendDueViews();
@@ -114,6 +120,8 @@
     net::TimerService &m_timers;
     http::ControlClient &m_controlClient;
     FleetWatch &m_watch;
+    RateLimits &m_limits; ///< Known to this daemon from any source.
+    decisions::PermitIssuer m_permitIssuer;
     CoordinatorElection &m_election;
     observability::GatewayMetrics &m_metrics;
     observability::EventLoopProfiler &m_profiler;
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -32,7 +32,8 @@
         const bool areAllBackingOff = earliestBackoffEnd(now).has_value();
         return {std::nullopt,
                 areAllBackingOff ? decisions::NoEndpointReason::AllFull
-                                 : decisions::NoEndpointReason::NoCandidates};
+                                 : decisions::NoEndpointReason::NoCandidates,
+                {}};
     }
     return decisions::chooseEndpoint(candidates, m_context.uniformRandom(),
                                      unreportedPerEndpoint(now));
@@ -96,6 +97,15 @@
         && holdsRequested(endpoint, minVersion, now);
 }
 
+bool EndpointFinder::hasUnlimitedEndpoint() const
+{
+    return std::ranges::any_of(m_context.watch.endpoints(), [this](const auto &entry) {
+        const fleet::Endpoint &endpoint = entry.second;
+        return endpoint.service == m_service && !endpoint.isLeaving
+            && !m_context.limits.limitOf(endpoint);
+    });
+}
+
 std::optional<core::TimePoint> EndpointFinder::earliestBackoffEnd(core::TimePoint now) const
 {
     const int minVersion = expectedVersion(now).value_or(0);
@@ -130,6 +140,7 @@
     option.wasTried = wasTried;
     option.distance = distanceTo(endpoint.domain);
     option.isConnected = pool.hasIdleConnection(endpoint.id);
+    option.needsPermit = !m_context.limits.hasPermit(endpoint);
     return option;
 }
 
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -28,6 +28,8 @@
     /// Chooses among the endpoints of the service that hold the model and adapter and aren't
     /// leaving.
     decisions::EndpointChoice choose(core::TimePoint now) const;
+    /// Whether any endpoint of the service has no request limit, whatever it holds.
+    bool hasUnlimitedEndpoint() const;
     /// When the first back-off ends, if all endpoints that hold the model and adapter requested
     /// one; else empty.
     std::optional<core::TimePoint> earliestBackoffEnd(core::TimePoint now) const;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 // For answers to requests that are still open then; they need one event loop iteration.
 constexpr core::Duration finalAnswersTime = std::chrono::milliseconds(150);
 constexpr std::string_view leavingCause = "endpoint leaves before the connection is open";
+constexpr std::string_view limitCause
+    = "endpoint names a request limit before the connection is open";
 constexpr std::string_view backoffCause
     = "endpoint wants nothing more before the connection is open";
 
@@ -65,7 +67,7 @@
     , m_profiler([this] { return m_timers.now(); })
     , m_watch(m_store, m_timers, m_relay, m_settings.bounds, watchHandlers())
     , m_pool(m_loop, m_timers)
-    , m_limits(m_timers, m_metrics)
+    , m_limits(m_timers, m_metrics, limitHandlers())
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
@@ -93,7 +95,7 @@
                  leaseLimits(m_settings), [this] { return m_peerLink.isCoordinatorReachable(); })
     , m_peerLink(m_context, m_controlClient, m_storeTransport, m_relay, m_election,
                  [this] { handleView(); })
-    , m_coordinator(m_settings, m_timers, m_controlClient, m_watch, m_election, m_metrics,
+    , m_coordinator(m_settings, m_timers, m_controlClient, m_watch, m_limits, m_election, m_metrics,
                     m_profiler, m_context.cost,
                     [this](const net::Address &peer, const PeerView &view) {
                         m_peerLink.sendView(peer, view);
@@ -137,6 +139,22 @@
     };
 }
 
+// The handlers run in the next event loop iteration because they may end other requests.
+RateLimits::Handlers Gateway::limitHandlers()
+{
+    return {
+        .onLimitNamed =
+            [this](const core::EndpointId &id) {
+                m_loop.post([this, id] { giveUpConnecting(id, limitCause); });
+            },
+        .onReportDue = [this] { m_peerLink.scheduleDemandReport(); },
+        .isCoordinatorReachable = [this] { return m_peerLink.isCoordinatorReachable(); },
+        .isKnownEndpoint
+        = [this](const core::EndpointId &id) { return m_watch.endpoint(id) != nullptr; },
+        .uniformRandom = [this] { return m_context.uniformRandom(); },
+    };
+}
+
 absl::Status Gateway::start()
 {
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -59,6 +59,7 @@
     void stop();
     void checkStopped();
     FleetWatch::Handlers watchHandlers();
+    RateLimits::Handlers limitHandlers();
 
     fleet::HostSettings m_settings;
     SettingsReader m_readSettings;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -273,6 +273,8 @@
     report.placementMisses = std::exchange(m_context.placementMisses, {});
     report.leaving = std::exchange(m_context.leaving, {});
     report.crashes = m_context.crashes.recentCrashes(m_context.timers.now());
+    report.limits = m_context.limits.takeLearned();
+    report.permitDemand = m_context.limits.takeDemand();
     report.knownRevision = m_knownRevision;
     report.token = m_coordinatorToken;
     if (!isViewRequested)
@@ -331,6 +333,7 @@
 void PeerLink::restoreReport(const PeerReport &report)
 {
     m_context.leaving.insert(report.leaving.begin(), report.leaving.end());
+    m_context.limits.restoreLearned(report.limits);
     for (const auto &[id, keys] : report.placementMisses)
         m_context.placementMisses[id].insert(keys.begin(), keys.end());
     restoreDemand(report.demand);
@@ -362,7 +365,7 @@
     const bool isDemandDue = std::exchange(m_isDemandDue, false);
     if (std::exchange(m_isViewDue, false))
         sendReport(true);
-    else if (isDemandDue && !m_context.demand.empty())
+    else if (isDemandDue && (!m_context.demand.empty() || m_context.limits.isReportDue()))
         scheduleDemandReport();
 }
 
@@ -381,6 +384,10 @@
         m_context.crashes.applyUpdate(crash, m_lastViewAt);
     for (const auto &[id, startTime] : view.leaving)
         m_context.watch.markEndpointLeaving(id, startTime);
+    m_context.limits.applyUpdates(view.limits, "the coordinator");
+    m_context.limits.applyGrants(view.grants, m_lastReportAt);
+    m_context.limits.setAreIssued(view.areIssuingPermits);
+    m_context.limits.setDaemonCount(std::max(1, view.daemonCount));
     applyLoads(view);
     m_context.daemonCount = std::max(1, view.daemonCount);
     using decisions::ReportPace;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -226,6 +226,36 @@
     return startTimes;
 }
 
+constexpr double liftedLimit = -1;
+
+// Flat lists: the incarnation, the limit or -1 if it was lifted, the age of the statement.
+json encodeLimits(const std::map<core::EndpointId, decisions::EndpointLimit> &limits,
+                  core::TimePoint now)
+{
+    json value = json::object();
+    for (const auto &[id, limit] : limits)
+        value[id.value()]
+            = {limit.incarnation.count(), limit.rate ? limit.rate->perSecond : liftedLimit,
+               roundUpToMilliseconds(std::max(core::Duration::zero(), now - limit.statedAt))};
+    return value;
+}
+
+std::map<core::EndpointId, decisions::EndpointLimit> decodeLimits(const json &value,
+                                                                  core::TimePoint now)
+{
+    std::map<core::EndpointId, decisions::EndpointLimit> limits;
+    for (const auto &[id, entry] : value.items()) {
+        decisions::EndpointLimit limit;
+        limit.incarnation = fleet::StartTime(entry.at(0).get<std::int64_t>());
+        const auto perSecond = entry.at(1).get<double>();
+        if (std::isfinite(perSecond) && perSecond >= 0)
+            limit.rate = fleet::RequestRate {perSecond};
+        limit.statedAt = now - std::chrono::milliseconds(entry.at(2).get<std::uint32_t>());
+        limits[core::EndpointId(id)] = limit;
+    }
+    return limits;
+}
+
 constexpr char payloadField[] = "cbor";
 
 std::string pack(const json &message)
@@ -274,6 +304,9 @@
     json inUse = json::object();
     for (const auto &[id, keys] : report.inUse)
         inUse[id.value()] = encodeKeys(keys);
+    json permitDemand = json::object();
+    for (const auto &[id, wanted] : report.permitDemand)
+        permitDemand[id.value()] = {wanted.waiting, wanted.preferred};
     return pack({{"host", report.host.value()},
                  {"region", report.region.value()},
                  {"domain", report.domain.value()},
@@ -289,6 +322,8 @@
                  {"leaving", encodeStartTimes(report.leaving)},
                  {"crashes", encodeCrashes(report.crashes)},
                  {"waiting", encodeWaiting(report.waiting, now)},
+                 {"limits", encodeLimits(report.limits, now)},
+                 {"permitDemand", permitDemand},
                  {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
                  {"revision", report.knownRevision},
                  {"token", report.token.value()},
@@ -300,6 +335,9 @@
     json contents = json::object();
     for (const auto &[id, entry] : view.contents)
         contents[id.value()] = encodeChange(entry, now);
+    json grants = json::object();
+    for (const auto &[id, grant] : view.grants)
+        grants[id.value()] = {grant.count, grant.waitingElsewhere};
     return pack({{"isCoordinator", view.isCoordinator},
                  {"token", view.token.value()},
                  {"since", view.since},
@@ -314,6 +352,9 @@
                  {"reportPeriod", roundUpToMilliseconds(view.reportPeriod)},
                  {"demandPause", roundUpToMilliseconds(view.demandPause)},
                  {"leaving", encodeStartTimes(view.leaving)},
+                 {"limits", encodeLimits(view.limits, now)},
+                 {"grants", grants},
+                 {"issuesPermits", view.areIssuingPermits},
                  {"relay", view.relayAddress},
                  {"spare", view.spareRelayAddress},
                  {"crashes", encodeCrashes(view.crashes)}});
@@ -345,6 +386,12 @@
         report.leaving = decodeStartTimes(value.at("leaving"));
         report.crashes = decodeCrashes(value.at("crashes"));
         report.waiting = decodeWaiting(value.at("waiting"), now);
+        // Daemons of the previous release do not send these.
+        report.limits = decodeLimits(value.value("limits", json::object()), now);
+        const json permitDemand = value.value("permitDemand", json::object());
+        for (const auto &[id, wanted] : permitDemand.items())
+            report.permitDemand[core::EndpointId(id)]
+                = {wanted.at(0).get<int>(), wanted.at(1).get<int>()};
         report.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
@@ -376,6 +423,11 @@
         // Daemons of the previous release do not send these.
         view.reportPeriod = std::chrono::milliseconds(value.value("reportPeriod", 0LL));
         view.demandPause = std::chrono::milliseconds(value.value("demandPause", 0LL));
+        view.limits = decodeLimits(value.value("limits", json::object()), now);
+        const json grants = value.value("grants", json::object());
+        for (const auto &[id, grant] : grants.items())
+            view.grants[core::EndpointId(id)] = {grant.at(0).get<int>(), grant.at(1).get<int>()};
+        view.areIssuingPermits = value.value("issuesPermits", false);
         view.leaving = decodeStartTimes(value.at("leaving"));
         view.relayAddress = value.at("relay").get<std::string>();
         view.spareRelayAddress = value.at("spare").get<std::string>();
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -3,6 +3,8 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decisions/crashtracker.h"
+#include "decisions/endpointlimits.h"
+#include "decisions/permitissuer.h"
 #include "decisions/placementview.h"
 #include "decisions/waitinglist.h"
 #include "fleet/adapterkey.h"
@@ -44,6 +46,8 @@
     std::vector<core::EndpointId> endpointsInBackoff;     ///< Accept no requests from this daemon.
     std::map<core::EndpointId, fleet::StartTime> leaving; ///< Recently announced by themselves.
     std::vector<decisions::CrashReport> crashes;          ///< Recently observed or received.
+    std::map<core::EndpointId, decisions::EndpointLimit> limits; ///< Learned since the last report.
+    std::map<core::EndpointId, decisions::PermitDemand> permitDemand;
     std::uint64_t knownRevision = 0; ///< Of the contents that it received last.
     core::FencingToken token;        ///< Of the coordinator that sent them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
@@ -69,9 +73,12 @@
     bool isCounted = false;         ///< Every daemon had enough time to report to the sender.
     core::Duration reportPeriod {}; ///< Interval of the receiver's regular reports.
     core::Duration demandPause {};  ///< Minimum interval of the receiver's demand reports.
-    std::map<core::EndpointId, fleet::StartTime> leaving; ///< Announced to any daemon.
-    std::string relayAddress;      ///< Daemon through which to watch the store; empty for none.
-    std::string spareRelayAddress; ///< Daemon to use when the relay fails.
+    std::map<core::EndpointId, fleet::StartTime> leaving;        ///< Announced to any daemon.
+    std::map<core::EndpointId, decisions::EndpointLimit> limits; ///< Known to any daemon.
+    std::map<core::EndpointId, decisions::PermitGrant> grants;   ///< For the demand of the report.
+    bool areIssuingPermits = false; ///< False for coordinators of the previous release.
+    std::string relayAddress;       ///< Daemon through which to watch the store; empty for none.
+    std::string spareRelayAddress;  ///< Daemon to use when the relay fails.
     std::vector<decisions::CrashReport> crashes; ///< Recently reported by any daemon.
 };
 
--- a/src/libs/gateway/ratelimits.cpp
+++ b/src/libs/gateway/ratelimits.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace jackdawlead::gateway {
 
@@ -14,6 +16,10 @@
 constexpr core::Duration sweepPeriod = std::chrono::seconds(1);
 // An endpoint may send a malformed value in each of its responses.
 constexpr observability::LogRateLimits malformedLineLimits {.linesPerSecond = 0.2, .burst = 3};
+// An older count of requests that wait elsewhere would refuse requests without need.
+constexpr core::Duration maxWaitingAge = std::chrono::seconds(1);
+// Until a coordinator has stated the number of daemons; hundreds may have started together.
+constexpr int assumedDaemonCount = 100;
 
 constexpr const char *nameOf(decisions::LimitChange change)
 {
@@ -32,12 +38,15 @@
 
 } // namespace
 
-RateLimits::RateLimits(net::TimerService &timers, observability::GatewayMetrics &metrics)
+RateLimits::RateLimits(net::TimerService &timers, observability::GatewayMetrics &metrics,
+                       Handlers handlers)
     : m_timers(timers)
     , m_metrics(metrics)
+    , m_handlers(std::move(handlers))
+    , m_daemonCount(assumedDaemonCount)
     , m_malformedLines(malformedLineLimits)
 {
-    m_sweepTimer = timers.every(sweepPeriod, [this] { m_known.removeExpired(m_timers.now()); });
+    m_sweepTimer = timers.every(sweepPeriod, [this] { removeExpired(); });
 }
 
 void RateLimits::recordResponse(const core::EndpointId &id, fleet::StartTime incarnation,
@@ -53,34 +62,80 @@
         return;
     }
     if (limit.rate)
-        logChange(id, m_known.recordNamed(id, incarnation, *limit.rate, sentAt, m_timers.now()),
-                  "its own response");
-    else if (isStamped)
-        logChange(id, m_known.recordUnlimited(id, incarnation, sentAt), "its own response");
+        recordOwnStatement(
+            id, m_known.recordNamed(id, incarnation, *limit.rate, sentAt, m_timers.now()));
+    else if (isStamped && m_known.find(id, incarnation) != nullptr)
+        recordOwnStatement(id, m_known.recordUnlimited(id, incarnation, sentAt));
 }
 
-void RateLimits::removeEndpoint(const core::EndpointId &id)
+void RateLimits::recordOwnStatement(const core::EndpointId &id, decisions::LimitChange change)
 {
-    m_known.remove(id);
-    updateMetrics();
+    m_learned[id] = m_known.all().at(id);
+    handleChange(id, change, "its own response");
+    if (change != decisions::LimitChange::None)
+        scheduleReport();
+}
+
+void RateLimits::scheduleReport()
+{
+    m_isReportDue = true;
+    m_handlers.onReportDue();
+}
+
+void RateLimits::applyUpdates(const Limits &limits, std::string_view source)
+{
+    for (const auto &[id, limit] : limits)
+        handleChange(id, m_known.applyUpdate(id, limit), source);
 }
 
-void RateLimits::logChange(const core::EndpointId &id, decisions::LimitChange change,
-                           std::string_view source)
+void RateLimits::handleChange(const core::EndpointId &id, decisions::LimitChange change,
+                              std::string_view source)
 {
     if (change == decisions::LimitChange::None)
         return;
     const decisions::EndpointLimit &limit = m_known.all().at(id);
-    const std::string rate
-        = limit.rate ? absl::StrCat(", ", limit.rate->perSecond, " requests per second") : "";
     const auto age
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - limit.statedAt);
+    std::string rate;
+    if (limit.rate)
+        rate = absl::StrCat(", ", limit.rate->perSecond, " requests per second, without a ",
+                            "coordinator one in ", core::toSeconds(ownInterval(*limit.rate)),
+                            " s from this daemon");
     observability::log(
         {.step = "request limit",
          .message = absl::StrCat(nameOf(change), rate, ", from ", core::toAbsl(source), ", stated ",
                                  age.count(), " ms ago"),
          .peer = id.value()});
     updateMetrics();
+    if (change == decisions::LimitChange::Changed)
+        return;
+    m_permits.clear(id);
+    if (change == decisions::LimitChange::Named)
+        m_handlers.onLimitNamed(id);
+}
+
+void RateLimits::removeEndpoint(const core::EndpointId &id)
+{
+    m_known.remove(id);
+    m_learned.erase(id);
+    m_waitingElsewhere.erase(id);
+    m_permits.clear(id);
+    updateMetrics();
+}
+
+// Another daemon may still report a limit of an endpoint that is gone here already.
+void RateLimits::removeExpired()
+{
+    const core::TimePoint now = m_timers.now();
+    m_known.removeExpired(now);
+    std::vector<core::EndpointId> gone;
+    for (const auto &[id, limit] : m_known.all()) {
+        if (!m_handlers.isKnownEndpoint(id)
+            && now - limit.statedAt > decisions::EndpointLimits::liftedRetention)
+            gone.push_back(id);
+    }
+    for (const core::EndpointId &id : gone)
+        removeEndpoint(id);
 }
 
 void RateLimits::updateMetrics()
@@ -90,4 +145,80 @@
     m_metrics.setLimitedEndpoints(static_cast<double>(limited));
 }
 
+std::optional<fleet::RequestRate> RateLimits::limitOf(const fleet::Endpoint &endpoint) const
+{
+    const decisions::EndpointLimit *limit = m_known.find(endpoint.id, endpoint.startTime);
+    return limit == nullptr ? std::nullopt : limit->rate;
+}
+
+core::Duration RateLimits::ownInterval(fleet::RequestRate rate) const
+{
+    const fleet::RequestRate used = std::max(rate, decisions::PermitIssuer::minRate);
+    return core::scaled(std::chrono::seconds(1), m_daemonCount / used.perSecond);
+}
+
+bool RateLimits::hasPermit(const fleet::Endpoint &endpoint)
+{
+    const auto limit = limitOf(endpoint);
+    if (!limit || m_permits.hasIssued(endpoint.id, m_timers.now()))
+        return true;
+    return usesOwnPermits()
+        && m_permits.hasOwn(endpoint.id, ownInterval(*limit), m_handlers.uniformRandom(),
+                            m_timers.now());
+}
+
+void RateLimits::takePermit(const fleet::Endpoint &endpoint)
+{
+    const auto limit = limitOf(endpoint);
+    if (!limit)
+        return;
+    m_permits.take(endpoint.id, ownInterval(*limit), m_timers.now());
+    m_metrics.recordLimitedSend();
+}
+
+void RateLimits::addWaiting(const core::EndpointId &id)
+{
+    m_permits.addWaiting(id);
+    scheduleReport();
+}
+
+core::Duration RateLimits::expectedWait(const fleet::Endpoint &endpoint) const
+{
+    const auto limit = limitOf(endpoint);
+    if (!limit)
+        return core::Duration::zero();
+    const core::Duration interval = ownInterval(*limit) / (usesOwnPermits() ? 1 : m_daemonCount);
+    const auto elsewhere = m_waitingElsewhere.find(endpoint.id);
+    const bool isCurrent = elsewhere != m_waitingElsewhere.end()
+        && m_timers.now() - elsewhere->second.knownAt < maxWaitingAge;
+    const bool isShared = !usesOwnPermits() && isCurrent;
+    const int ahead = m_permits.waiting(endpoint.id) + (isShared ? elsewhere->second.requests : 0);
+    return interval * (ahead + 1);
+}
+
+RateLimits::Limits RateLimits::takeLearned()
+{
+    return std::exchange(m_learned, {});
+}
+
+void RateLimits::restoreLearned(const Limits &limits)
+{
+    m_learned.insert(limits.begin(), limits.end());
+}
+
+std::map<core::EndpointId, decisions::PermitDemand> RateLimits::takeDemand()
+{
+    m_isReportDue = false;
+    return m_permits.takeDemand(m_timers.now());
+}
+
+void RateLimits::applyGrants(const std::map<core::EndpointId, decisions::PermitGrant> &grants,
+                             core::TimePoint reportedAt)
+{
+    for (const auto &[id, grant] : grants) {
+        m_permits.addIssued(id, grant.count, reportedAt + decisions::RequestPermits::lifetime);
+        m_waitingElsewhere[id] = {grant.waitingElsewhere, m_timers.now()};
+    }
+}
+
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -186,6 +186,7 @@
     m_isDone = true;
     m_isWaiting = false;
     setWaitsForLoad(false);
+    setWaitsForPermit({});
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
     m_context.metrics.recordResponse(m_status, now() - m_exchange->receivedAt);
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -40,6 +40,7 @@
 constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
 constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
 constexpr std::string_view noHolderCause = "no endpoint holds what is asked for";
+constexpr std::string_view permitCause = "request limits of the endpoints are reached";
 
 } // namespace
 
@@ -151,10 +152,17 @@
         return;
     }
     const auto choice = m_finder.choose(now());
+    if (choice.reason == decisions::NoEndpointReason::RateLimited && !choice.endpoint) {
+        waitForPermit(*choice.preferred);
+        return;
+    }
+    setWaitsForPermit({});
     if (!choice.endpoint) {
         waitOrRefuse(choice.reason);
         return;
     }
+    if (choice.preferred && !std::exchange(m_isPreferenceRecorded, true))
+        m_context.limits.recordPreference(*choice.preferred);
     if (m_needsRetryBudget && !m_context.budgets[m_service].tryTake(now())) {
         waitForRetryBudget();
         return;
@@ -213,6 +221,46 @@
     setWaitsForLoad(needsLoad);
 }
 
+void RequestTask::waitForPermit(const core::EndpointId &id)
+{
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(id);
+    // A permit is worth as long a wait as a load: the request is late, but served.
+    const core::TimePoint end = waitDeadline(decisions::NoEndpointReason::NoCandidates);
+    const bool isFirstCheck = !m_awaitedPermit;
+    const core::Duration expectedWait = m_context.limits.expectedWait(*endpoint);
+    const bool canOthersServe = m_finder.hasUnlimitedEndpoint();
+    const bool isTooLate = isFirstCheck && !canOthersServe && now() + expectedWait > end;
+    if (now() >= end || isTooLate) {
+        m_context.limits.recordPreference(id);
+        refuse(permitCause, std::max(busyRetryAfter, expectedWait));
+        return;
+    }
+    if (isFirstCheck) {
+        m_context.metrics.recordHeldRequest();
+        observability::log(
+            {.step = "wait for permit",
+             .message = absl::StrCat("request limit reached, expected wait ",
+                                     std::lround(core::toSeconds(expectedWait) * 1000), " ms"),
+             .peer = id.value(),
+             .request = m_fields.id.value()});
+    }
+    m_isWaiting = true;
+    setWaitsForPermit(id);
+    // An endpoint without a limit can load the adapter meanwhile.
+    setWaitsForLoad(canOthersServe && !m_fields.adapter.isEmpty() && m_context.isLoadingPossible());
+}
+
+void RequestTask::setWaitsForPermit(const std::optional<core::EndpointId> &id)
+{
+    if (m_awaitedPermit == id)
+        return;
+    if (m_awaitedPermit)
+        m_context.limits.removeWaiting(*m_awaitedPermit);
+    m_awaitedPermit = id;
+    if (id)
+        m_context.limits.addWaiting(*id);
+}
+
 // Waiting helps because each new request adds to the retry budget.
 void RequestTask::waitForRetryBudget()
 {
@@ -288,8 +336,7 @@
     m_wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
         && m_loadAtSend < lowUtilization * endpoint.slots;
     m_context.pool.beginRequest(endpoint.id, adapterKey());
-    if (m_context.limits.known().find(endpoint.id, endpoint.startTime) != nullptr)
-        m_context.metrics.recordLimitedSend();
+    m_context.limits.takePermit(endpoint);
     m_pendingPrefillTokens = m_fields.promptTokens;
     m_context.pool.beginPrefill(endpoint.id, m_pendingPrefillTokens);
     platform::ForwardFields forward;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -59,6 +59,11 @@
     /// Waits for an endpoint, or refuses the request if waiting is pointless or took too long.
     void waitOrRefuse(decisions::NoEndpointReason reason);
     void setWaitsForLoad(bool isWaiting);
+    /// Waits for a permit of the endpoint; empty ends the wait.
+    void setWaitsForPermit(const std::optional<core::EndpointId> &id);
+    /// Waits for a permit of the endpoint or for another endpoint, or refuses the request at once
+    /// if there will be none in time.
+    void waitForPermit(const core::EndpointId &id);
     void waitForRetryBudget();
     /// How long an interrupted request waits for its next endpoint.
     core::Duration maxResumeWait() const;
@@ -124,8 +129,10 @@
     int m_sends = 0;
     int m_runs = 0; ///< Sends that may have run.
     bool m_isWaiting = false;
-    bool m_waitsForLoad = false; ///< Is counted in RequestContext::waiting.
-    bool m_isSent = false;       ///< An exchange is in progress.
+    bool m_waitsForLoad = false;                     ///< Is counted in RequestContext::waiting.
+    std::optional<core::EndpointId> m_awaitedPermit; ///< Is counted in RequestContext::limits.
+    bool m_isPreferenceRecorded = false;             ///< See RateLimits::recordPreference().
+    bool m_isSent = false;                           ///< An exchange is in progress.
     bool m_isDone = false;
 
     int m_status = 0; ///< Sent to the client; zero if the answer was aborted.
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -68,6 +68,9 @@
     , m_limitedSends(counters(*m_registry, "jackdawlead_limited_sends_total",
                               "Requests sent to endpoints whose request limit is in force")
                          .Add({}))
+    , m_heldRequests(counters(*m_registry, "jackdawlead_limit_waits_total",
+                              "Requests that waited for a permit because of a request limit")
+                         .Add({}))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/tests/e2e/tst_platformlimits.cpp
+++ b/tests/e2e/tst_platformlimits.cpp
@@ -32,16 +32,30 @@
     explicit LimitFixture(const char *service = "plain")
         : PlatformFixture(service)
     {
-        std::filesystem::create_directory(secondFolder);
-        secondDaemon = startDaemonAt(secondAddress, secondFolder);
-        cr_assert(waitUntil([this] {
-            const json lease = store.spec("jackdawlead-leases", "orders");
-            return !lease.is_null();
-        }));
+        startSecondDaemon();
+        cr_assert(waitUntil([this] { return !coordinator().empty(); }));
         runLoopFor(seconds(2));
     }
     ~LimitFixture() { secondDaemon.kill(); }
 
+    void startSecondDaemon()
+    {
+        std::filesystem::create_directory(secondFolder);
+        secondDaemon = startDaemonAt(secondAddress, secondFolder);
+    }
+
+    std::string coordinator() const
+    {
+        const json lease = store.spec("jackdawlead-leases", "orders");
+        return lease.is_null() ? std::string() : lease.value("holder", std::string());
+    }
+
+    std::string secondOutput() const
+    {
+        std::ifstream file(secondFolder + "/output");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
     /// Sends a request every `interval` to the daemons in turn.
     void startLoad(core::Duration interval)
     {
@@ -81,13 +95,24 @@
         return limitFactor * perSecond * core::toSeconds(limitWindow) + limitSlack;
     }
 
-    std::string outputs() const
+    bool waitUntilAllEnded()
     {
-        std::ifstream file(secondFolder + "/output");
-        return output() + std::string(std::istreambuf_iterator<char>(file), {});
+        return waitUntil([this] {
+            return std::ranges::all_of(answers, [](const auto &answer) { return answer->isEnded; });
+        });
     }
+
+    std::string outputs() const { return output() + secondOutput(); }
 };
 
+std::size_t countOf(const std::string &text, const std::string &phrase)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(phrase); at != std::string::npos; at = text.find(phrase, at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 // Guards against daemons that each send as many requests as an endpoint's limit allows for all of
@@ -100,10 +125,7 @@
     const core::TimePoint namedAt = fixture.timers.now();
     fixture.runLoopFor(stableWindow + seconds(6));
     fixture.load.cancel();
-    cr_assert(fixture.waitUntil([&] {
-        return std::ranges::all_of(fixture.answers,
-                                   [](const auto &answer) { return answer->isEnded; });
-    }));
+    cr_assert(fixture.waitUntilAllEnded());
     const int worst = LimitFixture::worstWindow(fixture.first, namedAt + stableWindow);
     cr_expect_leq(worst, LimitFixture::maxPerWindow(2), "%d in one window\n%s", worst,
                   fixture.outputs().c_str());
@@ -131,3 +153,147 @@
         cr_expect_geq(static_cast<double>(served), minUsedShare * 4 * 6);
     }
 }
+
+// Guards against an endpoint that stays limited after it no longer names a limit.
+Test(platformlimits, answerWithoutLimitLiftsIt, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = "2";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(seconds(2));
+    fixture.first.requestLimit.clear();
+    const std::size_t before = fixture.first.heads.size();
+    // At the limit this many requests would take 50 s.
+    constexpr std::size_t manyRequests = 100;
+    cr_assert(fixture.waitUntil([&] { return fixture.first.heads.size() > before + manyRequests; },
+                                seconds(8)),
+              "%s", fixture.outputs().c_str());
+    cr_assert_neq(fixture.outputs().find("lifted"), std::string::npos);
+}
+
+// Guards against a new incarnation that inherits the limit of its predecessor.
+Test(platformlimits, newIncarnationHasNoLimit, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = "0";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(seconds(2));
+    fixture.first.restart(fixture.first.id);
+    fixture.store.put("servers", fixture.first.id, fixture.first.record("plain"));
+    const std::size_t before = fixture.first.heads.size();
+    cr_assert(
+        fixture.waitUntil([&] { return fixture.first.heads.size() > before + 100; }, seconds(8)),
+        "%s", fixture.outputs().c_str());
+}
+
+// Guards against a daemon that learns of a limit only from its own requests.
+Test(platformlimits, daemonThatStartsLaterLearnsTheLimit, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.secondDaemon.kill();
+    std::filesystem::remove(fixture.secondFolder + "/output");
+    fixture.first.requestLimit = fixture.second.requestLimit = "3";
+    cr_assert(fixture.waitUntil([&] { return fixture.coordinator() == "h1"; }));
+    cr_assert(fixture.waitUntil([&] {
+        if (fixture.answers.empty() || fixture.answers.back()->isEnded)
+            fixture.answers.push_back(fixture.start("/get/a", "r"));
+        return fixture.output().find("named, 3") != std::string::npos;
+    }));
+    fixture.startSecondDaemon();
+    cr_assert(fixture.waitUntil([&] {
+        return fixture.secondOutput().find("from the coordinator") != std::string::npos;
+    }),
+              "%s", fixture.secondOutput().c_str());
+}
+
+// Guards against requests that wait until their deadline although no permit can come in time, and
+// against work that runs although its caller was told that it did not.
+Test(platformlimits, requestsBeyondTheLimitAreRefusedAtOnce, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = fixture.second.requestLimit = "2";
+    fixture.path = "/order/a";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(seconds(3));
+    fixture.load.cancel();
+    const core::TimePoint endedAt = fixture.timers.now();
+    cr_assert(fixture.waitUntilAllEnded());
+    // A request waits for at most 0.4 of its deadline of 4 s.
+    cr_expect_lt((fixture.timers.now() - endedAt).count(),
+                 core::Duration(milliseconds(2000)).count());
+    const auto refused = std::ranges::count_if(fixture.answers, [](const AnswerPtr &answer) {
+        return answer->head.status == 503
+            && std::stod("0" + answer->head.headers.value("Retry-After")) >= 0.4;
+    });
+    cr_expect_eq(refused + fixture.answersWith(200), static_cast<long>(fixture.answers.size()),
+                 "%s", fixture.outputs().c_str());
+    cr_expect_eq(static_cast<int>(fixture.first.runs.size() + fixture.second.runs.size()),
+                 fixture.answersWith(200));
+    // Two endpoints serve four requests per second, so that at most some ten can wait in time.
+    constexpr std::size_t maxWaits = 60;
+    cr_expect_leq(countOf(fixture.outputs(), "wait for permit"), maxWaits);
+}
+
+// Guards against refusing or delaying requests for an adapter whose only endpoint has a limit,
+// while another endpoint could load it.
+Test(platformlimits, adapterOfALimitedEndpointIsLoadedElsewhere, .timeout = 60)
+{
+    LimitFixture fixture("model");
+    const auto run = [](FakeEndpoint &endpoint) {
+        return [&endpoint](const FakeEndpoint::Exchange &exchange) {
+            exchange->startChunked(200, endpoint.withNotices(FakeEndpoint::stamped(exchange)));
+            exchange->writeChunk(event(1));
+            exchange->finishChunked();
+        };
+    };
+    fixture.first.run = run(fixture.first);
+    fixture.second.run = run(fixture.second);
+    cr_assert_eq(fixture.call("/stream/a", "r1", "base/a1")->head.status, 200);
+    FakeEndpoint &holder = fixture.first.runs.empty() ? fixture.second : fixture.first;
+    FakeEndpoint &other = fixture.first.runs.empty() ? fixture.first : fixture.second;
+    holder.requestLimit = "0";
+    cr_assert_eq(fixture.call("/stream/a", "r2", "base/a1")->head.status, 200);
+    for (int number = 3; number < 10; ++number)
+        cr_assert_eq(
+            fixture.call("/stream/a", "r" + std::to_string(number), "base/a1")->head.status, 200,
+            "%s", fixture.outputs().c_str());
+    cr_expect_gt(other.runs.size(), 0U);
+}
+
+// Guards against a limit that is taken from a field without a valid number, and against a log line
+// for each such field.
+Test(platformlimits, malformedLimitIsIgnored, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = fixture.second.requestLimit = "soon";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(seconds(2));
+    fixture.load.cancel();
+    cr_assert(fixture.waitUntilAllEnded());
+    cr_expect_eq(fixture.answersWith(200), static_cast<int>(fixture.answers.size()));
+    const std::size_t lines = countOf(fixture.outputs(), "malformed value ignored");
+    cr_expect_gt(lines, 0U);
+    cr_expect_leq(lines, 8U);
+}
+
+// Guards against a limit that is exceeded, or an endpoint that is no longer used, while the
+// coordinator is replaced after it was killed.
+Test(platformlimits, limitIsKeptWithoutACoordinator, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = fixture.second.requestLimit = "4";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(stableWindow);
+    const core::TimePoint from = fixture.timers.now();
+    (fixture.coordinator() == "h1" ? fixture.daemon : fixture.secondDaemon).kill();
+    fixture.runLoopFor(seconds(10));
+    for (const FakeEndpoint *endpoint : {&fixture.first, &fixture.second}) {
+        const int worst = LimitFixture::worstWindow(*endpoint, from);
+        cr_expect_leq(worst, LimitFixture::maxPerWindow(4), "%d in one window\n%s", worst,
+                      fixture.outputs().c_str());
+        // The remaining daemon's share of the limit without a coordinator is 2 a second.
+        const auto served
+            = endpoint->arrivals.end() - std::ranges::lower_bound(endpoint->arrivals, from);
+        cr_expect_geq(served, 15, "%s", fixture.outputs().c_str());
+    }
+}
