Serve requests of limited endpoints in time

Callers saw: while the demand exceeds the limits of all endpoints of a service, nearly all requests that were served had waited 1.6 to 2.5 s, so they were late, and refused ones had waited as well.

Cause: a request waited for a permit whenever one was expected within the time for which requests wait for a load. Under overload that queue is always full, and each served request has gone through all of it.

Change: while no endpoint without a limit can serve it, a request waits only if the expected permit allows an answer within the target latency, or if no other request waits; else it is refused at once with the time until a permit is expected. A wait keeps its endpoint, and only the first request that waits for an endpoint causes a report at once.

--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -106,6 +106,15 @@
     });
 }
 
+bool EndpointFinder::needsPermit(const core::EndpointId &id, core::TimePoint now) const
+{
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(id);
+    if (endpoint == nullptr)
+        return false;
+    const auto option = optionFor(*endpoint, expectedVersion(now).value_or(0), now);
+    return option && option->needsPermit;
+}
+
 std::optional<core::TimePoint> EndpointFinder::earliestBackoffEnd(core::TimePoint now) const
 {
     const int minVersion = expectedVersion(now).value_or(0);
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -30,6 +30,8 @@
     decisions::EndpointChoice choose(core::TimePoint now) const;
     /// Whether any endpoint of the service has no request limit, whatever it holds.
     bool hasUnlimitedEndpoint() const;
+    /// Whether the endpoint could be chosen if it did not need a permit.
+    bool needsPermit(const core::EndpointId &id, core::TimePoint now) const;
     /// When the first back-off ends, if all endpoints that hold the model and adapter requested
     /// one; else empty.
     std::optional<core::TimePoint> earliestBackoffEnd(core::TimePoint now) const;
--- a/src/libs/gateway/ratelimits.cpp
+++ b/src/libs/gateway/ratelimits.cpp
@@ -178,22 +178,29 @@
 
 void RateLimits::addWaiting(const core::EndpointId &id)
 {
+    const bool isFirst = m_permits.waiting(id) == 0;
     m_permits.addWaiting(id);
-    scheduleReport();
+    if (isFirst)
+        scheduleReport();
 }
 
-core::Duration RateLimits::expectedWait(const fleet::Endpoint &endpoint) const
+RateLimits::Queue RateLimits::queueFor(const fleet::Endpoint &endpoint) const
 {
     const auto limit = limitOf(endpoint);
     if (!limit)
-        return core::Duration::zero();
-    const core::Duration interval = ownInterval(*limit) / (usesOwnPermits() ? 1 : m_daemonCount);
-    const auto elsewhere = m_waitingElsewhere.find(endpoint.id);
-    const bool isCurrent = elsewhere != m_waitingElsewhere.end()
-        && m_timers.now() - elsewhere->second.knownAt < maxWaitingAge;
-    const bool isShared = !usesOwnPermits() && isCurrent;
-    const int ahead = m_permits.waiting(endpoint.id) + (isShared ? elsewhere->second.requests : 0);
-    return interval * (ahead + 1);
+        return {};
+    Queue queue;
+    queue.ahead = m_permits.waiting(endpoint.id);
+    core::Duration interval = ownInterval(*limit);
+    if (!usesOwnPermits()) {
+        interval /= m_daemonCount;
+        const auto elsewhere = m_waitingElsewhere.find(endpoint.id);
+        if (elsewhere != m_waitingElsewhere.end()
+            && m_timers.now() - elsewhere->second.knownAt < maxWaitingAge)
+            queue.ahead += elsewhere->second.requests;
+    }
+    queue.expectedWait = interval * (queue.ahead + 1);
+    return queue;
 }
 
 RateLimits::Limits RateLimits::takeLearned()
--- a/src/libs/gateway/ratelimits.h
+++ b/src/libs/gateway/ratelimits.h
@@ -54,9 +54,14 @@
     void addWaiting(const core::EndpointId &id);
     void removeWaiting(const core::EndpointId &id) { m_permits.removeWaiting(id); }
     void recordPreference(const core::EndpointId &id) { m_permits.recordPreference(id); }
-    /// Estimates how long a request that comes now would wait for a permit. Precondition: the
-    /// endpoint has a limit.
-    core::Duration expectedWait(const fleet::Endpoint &endpoint) const;
+    /// What a request that comes now would wait for.
+    struct Queue
+    {
+        int ahead = 0; ///< Requests that already wait, as far as known.
+        core::Duration expectedWait {};
+    };
+    /// Precondition: the endpoint has a limit.
+    Queue queueFor(const fleet::Endpoint &endpoint) const;
 
     /// Whether a limit or a request that waits is to be reported before the next regular report.
     bool isReportDue() const { return m_isReportDue; }
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -153,7 +153,8 @@
     }
     const auto choice = m_finder.choose(now());
     if (choice.reason == decisions::NoEndpointReason::RateLimited && !choice.endpoint) {
-        waitForPermit(*choice.preferred);
+        const bool isSameWait = m_awaitedPermit && m_finder.needsPermit(*m_awaitedPermit, now());
+        waitForPermit(isSameWait ? *m_awaitedPermit : *choice.preferred);
         return;
     }
     setWaitsForPermit({});
@@ -224,15 +225,17 @@
 void RequestTask::waitForPermit(const core::EndpointId &id)
 {
     const fleet::Endpoint *endpoint = m_context.watch.endpoint(id);
-    // A permit is worth as long a wait as a load: the request is late, but served.
-    const core::TimePoint end = waitDeadline(decisions::NoEndpointReason::NoCandidates);
+    const RateLimits::Queue queue = m_context.limits.queueFor(*endpoint);
     const bool isFirstCheck = !m_awaitedPermit;
-    const core::Duration expectedWait = m_context.limits.expectedWait(*endpoint);
     const bool canOthersServe = m_finder.hasUnlimitedEndpoint();
-    const bool isTooLate = isFirstCheck && !canOthersServe && now() + expectedWait > end;
-    if (now() >= end || isTooLate) {
+    // A long queue would make all requests late that the endpoint accepts, so that only those wait
+    // which can be in time. The first one in the queue may also be late.
+    const bool isInTime
+        = now() + queue.expectedWait <= waitDeadline(decisions::NoEndpointReason::AllFull);
+    const bool isPointless = isFirstCheck && !canOthersServe && queue.ahead > 0 && !isInTime;
+    if (isPointless || now() >= waitDeadline(decisions::NoEndpointReason::NoCandidates)) {
         m_context.limits.recordPreference(id);
-        refuse(permitCause, std::max(busyRetryAfter, expectedWait));
+        refuse(permitCause, std::max(busyRetryAfter, queue.expectedWait));
         return;
     }
     if (isFirstCheck) {
@@ -240,7 +243,8 @@
         observability::log(
             {.step = "wait for permit",
              .message = absl::StrCat("request limit reached, expected wait ",
-                                     std::lround(core::toSeconds(expectedWait) * 1000), " ms"),
+                                     std::lround(core::toSeconds(queue.expectedWait) * 1000),
+                                     " ms, ", queue.ahead, " ahead"),
              .peer = id.value(),
              .request = m_fields.id.value()});
     }
--- a/tests/e2e/tst_platformlimits.cpp
+++ b/tests/e2e/tst_platformlimits.cpp
@@ -154,6 +154,30 @@
     }
 }
 
+// Guards against a queue that makes all requests late which limited endpoints accept, while the
+// demand exceeds the limits.
+Test(platformlimits, requestsOfLimitedEndpointsAreServedInTime, .timeout = 60)
+{
+    LimitFixture fixture;
+    fixture.first.requestLimit = fixture.second.requestLimit = "4";
+    fixture.startLoad(milliseconds(10));
+    fixture.runLoopFor(seconds(2));
+    const std::size_t begin = fixture.answers.size();
+    fixture.runLoopFor(seconds(6));
+    fixture.load.cancel();
+    cr_assert(fixture.waitUntilAllEnded());
+    constexpr core::Duration targetLatency = milliseconds(800);
+    int served = 0;
+    int inTime = 0;
+    for (std::size_t index = begin; index < fixture.answers.size(); ++index) {
+        const Answer &answer = *fixture.answers[index];
+        served += answer.head.status == 200 ? 1 : 0;
+        inTime += answer.head.status == 200 && answer.endedAt - answer.startedAt <= targetLatency;
+    }
+    cr_expect_geq(served, 40, "%d", served);
+    cr_expect_geq(inTime * 10, served * 9, "%d of %d", inTime, served);
+}
+
 // Guards against an endpoint that stays limited after it no longer names a limit.
 Test(platformlimits, answerWithoutLimitLiftsIt, .timeout = 60)
 {
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -26,6 +26,8 @@
     std::string body;
     bool isEnded = false;
     bool isComplete = false;
+    core::TimePoint startedAt;
+    core::TimePoint endedAt;
     std::unique_ptr<http::ClientConnection> connection;
 };
 using AnswerPtr = std::shared_ptr<Answer>;
@@ -126,13 +128,15 @@
     AnswerPtr send(std::uint16_t port, const std::string &bytes, const std::string &id = {})
     {
         auto answer = std::make_shared<Answer>();
+        answer->startedAt = timers.now();
         answer->connection = std::make_unique<http::ClientConnection>(
             loop, net::Address {"127.0.0.1", port}, std::chrono::seconds(2));
         http::ExchangeObserver observer;
         observer.onHead = [raw = answer.get()](http::MessageHead &head) { raw->head = head; };
         observer.onBody = [raw = answer.get()](const std::string &body) { raw->body += body; };
-        observer.onEnd = [raw = answer.get()](http::ExchangeEnd end) {
+        observer.onEnd = [this, raw = answer.get()](http::ExchangeEnd end) {
             raw->isEnded = true;
+            raw->endedAt = timers.now();
             raw->isComplete = end == http::ExchangeEnd::Complete;
         };
         answer->connection->send({bytes, false, id.empty() ? "" : "Request-Id", id},
