Let orders yield to requests under a request limit, and keep permits for new requests

Cause: loads and unloads took most permits (24 orders a second), because a refused request that comes back asks for an adapter again; and the first request in each daemon's queue, late already, took the permits that a new request could have used in time.

Change: the coordinator sends orders and report requests to a limited endpoint only if permits are left after all unmet demand. While requests were refused within the last 2 s, none waits that would be late, and refusals count as demand, so that a later request finds a permit.

Evidence: ordersYieldToDemand.

--- a/src/libs/decisions/permitissuer.cpp
+++ b/src/libs/decisions/permitissuer.cpp
@@ -10,7 +10,7 @@
 // Permits accumulate for as long as the daemons need to report their demand.
 constexpr core::Duration maxAccumulation = std::chrono::milliseconds(750);
 // A daemon reports every 750 ms at the latest; an older count is that of a stopped daemon.
-constexpr core::Duration waitingRetention = std::chrono::seconds(2);
+constexpr core::Duration unmetRetention = std::chrono::seconds(2);
 
 double capacityOf(fleet::RequestRate rate)
 {
@@ -24,16 +24,18 @@
     const double added = bucket.rate.perSecond * core::toSeconds(now - bucket.filledAt);
     bucket.permits = std::min(capacityOf(bucket.rate), bucket.permits + added);
     bucket.filledAt = now;
-    std::erase_if(bucket.waiting, [now](const auto &entry) {
-        return now - entry.second.reportedAt > waitingRetention;
+    std::erase_if(bucket.unmet, [now](const auto &entry) {
+        return now - entry.second.reportedAt > unmetRetention;
     });
 }
 
-int PermitIssuer::totalWaiting(const Bucket &bucket)
+PermitDemand PermitIssuer::totalUnmet(const Bucket &bucket)
 {
-    int total = 0;
-    for (const auto &[daemon, waiting] : bucket.waiting)
-        total += waiting.requests;
+    PermitDemand total;
+    for (const auto &[daemon, unmet] : bucket.unmet) {
+        total.waiting += unmet.demand.waiting;
+        total.preferred += unmet.demand.preferred;
+    }
     return total;
 }
 
@@ -66,11 +68,15 @@
         bucket.permits -= count;
         return count;
     };
+    bucket.unmet.erase(daemon);
     PermitGrant grant;
-    grant.count = take(demand.waiting, bucket.permits);
-    bucket.waiting[daemon] = {std::max(0, demand.waiting - grant.count), now};
-    grant.waitingElsewhere = totalWaiting(bucket) - bucket.waiting[daemon].requests;
-    grant.count += take(demand.preferred, bucket.permits - totalWaiting(bucket));
+    grant.waitingElsewhere = totalUnmet(bucket).waiting;
+    const int forWaiting = take(demand.waiting, bucket.permits);
+    const PermitDemand rest {std::max(0, demand.waiting - forWaiting), demand.preferred};
+    const int forPreferred
+        = take(rest.preferred, bucket.permits - grant.waitingElsewhere - rest.waiting);
+    bucket.unmet[daemon] = {{rest.waiting, std::max(0, rest.preferred - forPreferred)}, now};
+    grant.count = forWaiting + forPreferred;
     return grant;
 }
 
@@ -80,7 +86,8 @@
     if (found == m_buckets.end())
         return true;
     refill(found->second, now);
-    return found->second.permits >= 1;
+    const PermitDemand unmet = totalUnmet(found->second);
+    return found->second.permits >= 1 + unmet.waiting + unmet.preferred;
 }
 
 void PermitIssuer::charge(const core::EndpointId &id)
--- a/src/libs/decisions/permitissuer.h
+++ b/src/libs/decisions/permitissuer.h
@@ -38,16 +38,18 @@
     /// preferences.
     PermitGrant issue(const core::EndpointId &id, const core::HostId &daemon,
                       const PermitDemand &demand, core::TimePoint now);
-    /// Whether the coordinator may send a message of its own; true for an endpoint without a limit.
+    /// Whether the coordinator may send a message of its own, because permits are left after all
+    /// demand of the daemons; true for an endpoint without a limit.
     bool canCharge(const core::EndpointId &id, core::TimePoint now);
     /// Counts a message of the coordinator itself. The bucket may become negative, which delays
     /// later permits.
     void charge(const core::EndpointId &id);
 
 private:
-    struct Waiting
+    /// The demand of one daemon for which there was no permit.
+    struct UnmetDemand
     {
-        int requests = 0;
+        PermitDemand demand;
         core::TimePoint reportedAt;
     };
     struct Bucket
@@ -56,11 +58,11 @@
         fleet::RequestRate rate;
         double permits = 0;
         core::TimePoint filledAt;
-        std::map<core::HostId, Waiting> waiting;
+        std::map<core::HostId, UnmetDemand> unmet; ///< By daemon.
     };
 
     static void refill(Bucket &bucket, core::TimePoint now);
-    static int totalWaiting(const Bucket &bucket);
+    static PermitDemand totalUnmet(const Bucket &bucket);
 
     std::map<core::EndpointId, Bucket> m_buckets;
 };
--- a/src/libs/gateway/ratelimits.cpp
+++ b/src/libs/gateway/ratelimits.cpp
@@ -18,6 +18,8 @@
 constexpr observability::LogRateLimits malformedLineLimits {.linesPerSecond = 0.2, .burst = 3};
 // An older count of requests that wait elsewhere would refuse requests without need.
 constexpr core::Duration maxWaitingAge = std::chrono::seconds(1);
+// Several intervals between the requests of one daemon for an endpoint that is in demand.
+constexpr core::Duration overloadRetention = std::chrono::seconds(2);
 // Until a coordinator has stated the number of daemons; hundreds may have started together.
 constexpr int assumedDaemonCount = 100;
 
@@ -119,6 +121,7 @@
     m_known.remove(id);
     m_learned.erase(id);
     m_waitingElsewhere.erase(id);
+    m_refusedAt.erase(id);
     m_permits.clear(id);
     updateMetrics();
 }
@@ -184,6 +187,12 @@
         scheduleReport();
 }
 
+void RateLimits::recordRefusal(const core::EndpointId &id)
+{
+    m_permits.recordPreference(id);
+    m_refusedAt[id] = m_timers.now();
+}
+
 RateLimits::Queue RateLimits::queueFor(const fleet::Endpoint &endpoint) const
 {
     const auto limit = limitOf(endpoint);
@@ -200,6 +209,9 @@
             queue.ahead += elsewhere->second.requests;
     }
     queue.expectedWait = interval * (queue.ahead + 1);
+    const auto refused = m_refusedAt.find(endpoint.id);
+    queue.isOverloaded = queue.ahead > 0
+        || (refused != m_refusedAt.end() && m_timers.now() - refused->second < overloadRetention);
     return queue;
 }
 
--- a/src/libs/gateway/ratelimits.h
+++ b/src/libs/gateway/ratelimits.h
@@ -54,9 +54,14 @@
     void addWaiting(const core::EndpointId &id);
     void removeWaiting(const core::EndpointId &id) { m_permits.removeWaiting(id); }
     void recordPreference(const core::EndpointId &id) { m_permits.recordPreference(id); }
+    /// Records that a request was refused because it would have had to wait for too long. Like a
+    /// preference it counts as demand, so that the next request may find a permit.
+    void recordRefusal(const core::EndpointId &id);
     /// What a request that comes now would wait for.
     struct Queue
     {
+        /// Requests wait already, or were refused recently because others waited.
+        bool isOverloaded = false;
         int ahead = 0; ///< Requests that already wait, as far as known.
         core::Duration expectedWait {};
     };
@@ -102,6 +107,7 @@
     decisions::RequestPermits m_permits;
     Limits m_learned; ///< From responses since the last report.
     std::map<core::EndpointId, WaitingElsewhere> m_waitingElsewhere;
+    std::map<core::EndpointId, core::TimePoint> m_refusedAt; ///< The last refusal.
     int m_daemonCount;
     bool m_areIssued = false;
     bool m_isReportDue = false;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -228,13 +228,14 @@
     const RateLimits::Queue queue = m_context.limits.queueFor(*endpoint);
     const bool isFirstCheck = !m_awaitedPermit;
     const bool canOthersServe = m_finder.hasUnlimitedEndpoint();
-    // A long queue would make all requests late that the endpoint accepts, so that only those wait
-    // which can be in time. The first one in the queue may also be late.
+    // Under overload a queue would make all requests late that the endpoint accepts. Only those
+    // wait then which can be in time, and permits that nobody waits for serve later requests at
+    // once.
     const bool isInTime
         = now() + queue.expectedWait <= waitDeadline(decisions::NoEndpointReason::AllFull);
-    const bool isPointless = isFirstCheck && !canOthersServe && queue.ahead > 0 && !isInTime;
+    const bool isPointless = isFirstCheck && !canOthersServe && queue.isOverloaded && !isInTime;
     if (isPointless || now() >= waitDeadline(decisions::NoEndpointReason::NoCandidates)) {
-        m_context.limits.recordPreference(id);
+        m_context.limits.recordRefusal(id);
         refuse(permitCause, std::max(busyRetryAfter, queue.expectedWait));
         return;
     }
--- a/tests/auto/requestpermits/tst_requestpermits.cpp
+++ b/tests/auto/requestpermits/tst_requestpermits.cpp
@@ -153,6 +153,18 @@
     cr_assert_eq(issuer.issue(endpoint, host, {1, 0}, start + milliseconds(3100)).count, 1);
 }
 
+// Guards against orders that use up the permits for which requests wait or come in time.
+Test(requestpermits, ordersYieldToDemand)
+{
+    PermitIssuer issuer;
+    issuer.setLimit(endpoint, incarnation, {1}, start);
+    issuer.issue(endpoint, host, {1, 0}, start);
+    cr_assert_not(issuer.canCharge(endpoint, start + seconds(1)));
+    issuer.issue(endpoint, host, {0, 3}, start + seconds(1));
+    cr_assert_not(issuer.canCharge(endpoint, start + milliseconds(2500)));
+    cr_assert(issuer.canCharge(endpoint, start + seconds(4)));
+}
+
 // Guards against permits that a new incarnation inherits.
 Test(requestpermits, newIncarnationStartsWithoutPermits)
 {
