Soak and tests: endpoints that name, change and lift request limits

The checker counts as the platform's rule does; the test exceededRequestLimitIsDetected shows that it detects an excess. Unit tests for the messages, the choice of an endpoint, the planner and the explain command.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -24,6 +24,11 @@
 constexpr core::Duration earlyStopPhase = std::chrono::seconds(3);
 /// An order sent before its process was frozen arrives within this time after it resumed.
 constexpr core::Duration resumeSlack = milliseconds(1000);
+/// A daemon keeps a request limit from this time after it received it.
+constexpr core::Duration noticeTime = milliseconds(500);
+constexpr core::Duration limitWindow = std::chrono::seconds(4);
+constexpr double limitFactor = 1.5;
+constexpr double limitSlack = 5;
 /// After this share of the grace time, requests that began early in the stop may be cut off.
 constexpr double earlyGraceShare = 5.0 / 6;
 
@@ -48,6 +53,7 @@
         {Check::ConfigurationOrder, "configuration-order"},
         {Check::PlannedStop, "planned-stop"},
         {Check::OneHolder, "one-holder"},
+        {Check::RequestLimit, "request-limit"},
         {Check::InTime, "in-time"},
         {Check::ProcessUp, "process-up"},
     };
@@ -156,9 +162,53 @@
     m_leavingEndpoints.emplace(endpoint, at);
 }
 
+void Checker::endpointLimited(const core::EndpointId &endpoint, std::optional<double> perSecond,
+                              core::TimePoint at)
+{
+    m_limits.erase(endpoint);
+    if (perSecond)
+        m_limits[endpoint] = {*perSecond, at, {}, {}};
+}
+
+void Checker::limitNamed(const core::RequestId &id, const core::EndpointId &endpoint,
+                         core::TimePoint at)
+{
+    const auto limit = m_limits.find(endpoint);
+    const auto request = m_requests.find(id);
+    if (limit != m_limits.end() && request != m_requests.end())
+        limit->second.namedTo.emplace(request->second.sent.incarnation, at);
+}
+
+void Checker::checkLimit(const Request &request, const core::EndpointId &endpoint,
+                         core::TimePoint at)
+{
+    const auto found = m_limits.find(endpoint);
+    if (found == m_limits.end() || at - found->second.since < m_bounds.stableWindow)
+        return;
+    Limit &limit = found->second;
+    const auto named = limit.namedTo.find(request.sent.incarnation);
+    if (named == limit.namedTo.end() || at - named->second < noticeTime)
+        return;
+    limit.arrivals.emplace_back(at, request.sent.incarnation);
+    // Daemons that were disturbed meanwhile are excused.
+    std::erase_if(limit.arrivals, [&](const auto &arrival) {
+        return at - arrival.first > limitWindow
+            || !isUndisturbed(m_processes.at(arrival.second), at);
+    });
+    count(Check::RequestLimit);
+    const double allowed
+        = limitFactor * limit.perSecond * core::toSeconds(limitWindow) + limitSlack;
+    if (static_cast<double>(limit.arrivals.size()) > allowed)
+        addViolation(Check::RequestLimit, request,
+                     "is number " + std::to_string(limit.arrivals.size()) + " in 4 s at "
+                         + endpoint.value() + " with a limit of "
+                         + std::to_string(limit.perSecond));
+}
+
 void Checker::endpointRemoved(const core::EndpointId &endpoint)
 {
     m_leavingEndpoints.erase(endpoint);
+    m_limits.erase(endpoint);
 }
 
 bool Checker::isUndisturbed(const ProcessState &process, core::TimePoint at) const
@@ -206,6 +256,7 @@
     if (!isUndisturbed(m_processes.at(request.sent.incarnation), at))
         return;
     checkEndpoint(request, endpoint, at);
+    checkLimit(request, endpoint, at);
     if (request.abandonedAt && at - *request.abandonedAt > answerSlack)
         addViolation(Check::LeftCaller, request,
                      "reached " + endpoint.value() + " after its caller disconnected");
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -43,15 +43,18 @@
                         ///< within the bound.
     PlannedStop,        ///< A planned stop cuts off no request that the daemon has read.
     OneHolder,          ///< One holder at a time issues orders; its token never decreases.
+    RequestLimit,       ///< An endpoint gets at most one and a half times its request limit, and
+                        ///< five requests, in 4 s from daemons that have received the limit.
     InTime,             ///< Each request is answered at most half a second after its time limit.
     ProcessUp           ///< No process exits unless the soak stops or kills it.
 };
 
 inline constexpr Check allChecks[] {
-    Check::OwnAnswer,          Check::WholeAnswer,  Check::RunOnce,    Check::NotRun,
-    Check::StreamEvents,       Check::LeftEndpoint, Check::LeftCaller, Check::Deadline,
-    Check::ConfigurationOrder, Check::PlannedStop,  Check::OneHolder,  Check::InTime,
-    Check::ProcessUp,
+    Check::OwnAnswer,   Check::WholeAnswer,  Check::RunOnce,
+    Check::NotRun,      Check::StreamEvents, Check::LeftEndpoint,
+    Check::LeftCaller,  Check::Deadline,     Check::ConfigurationOrder,
+    Check::PlannedStop, Check::OneHolder,    Check::RequestLimit,
+    Check::InTime,      Check::ProcessUp,
 };
 
 std::string nameOf(Check check);
@@ -131,6 +134,12 @@
                               const std::vector<std::string> &removed, core::TimePoint at);
     /// The store has acknowledged that the endpoint leaves.
     void endpointLeaving(const core::EndpointId &endpoint, core::TimePoint at);
+    /// The endpoint names another request limit from now on, or none.
+    void endpointLimited(const core::EndpointId &endpoint, std::optional<double> perSecond,
+                         core::TimePoint at);
+    /// The endpoint names its limit in the answer to a request.
+    void limitNamed(const core::RequestId &id, const core::EndpointId &endpoint,
+                    core::TimePoint at);
     /// The endpoint has stopped listening under this id.
     void endpointRemoved(const core::EndpointId &endpoint);
 
@@ -178,7 +187,17 @@
         bool isReportedNotRun = false;
     };
 
+    struct Limit
+    {
+        double perSecond = 0;
+        core::TimePoint since;
+        std::map<ProcessIncarnation, core::TimePoint> namedTo;
+        /// Requests of daemons that had received the limit.
+        std::vector<std::pair<core::TimePoint, ProcessIncarnation>> arrivals;
+    };
+
     void count(Check check) { ++m_counts[check]; }
+    void checkLimit(const Request &request, const core::EndpointId &endpoint, core::TimePoint at);
     void addViolation(Check check, const Request &request, const std::string &description);
     bool isUndisturbed(const ProcessState &process, core::TimePoint at) const;
     /// Whether the process or the soak was blocked shortly before or after `from`.
@@ -196,6 +215,7 @@
     std::map<std::string, Route> m_routes;
     std::vector<std::pair<ConfigurationVersion, core::TimePoint>> m_acknowledgedVersions;
     std::map<core::EndpointId, core::TimePoint> m_leavingEndpoints;
+    std::map<core::EndpointId, Limit> m_limits;
     std::map<core::RequestId, Request> m_requests;
     std::map<core::EndpointId, core::FencingToken> m_highestTokens;
     std::map<core::FencingToken, core::HostId> m_tokenHolders;
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -131,6 +131,8 @@
 net::Headers Endpoints::answerHeaders(const Endpoint &endpoint, const core::RequestId &id,
                                       int status)
 {
+    if (!endpoint.fake->requestLimit.empty())
+        m_checker.limitNamed(id, core::EndpointId(endpoint.fake->id), m_schedule.now());
     return endpoint.fake->withNotices({{"Request-Id", id.value()},
                                        {"Response-Stamp", expectedStamp(id, status)},
                                        {"Keep-Alive", "timeout=20"}});
@@ -207,8 +209,42 @@
     return true;
 }
 
+bool Endpoints::limitRequests()
+{
+    static const std::vector<std::string> limits {"0", "0.5", "1.5", "4"};
+    Endpoint *const endpoint = pickAvailable();
+    if (endpoint == nullptr || !endpoint->fake->requestLimit.empty())
+        return false;
+    const auto anyLimit
+        = [this] { return limits[static_cast<std::size_t>(m_availabilityRandom.number(0, 3))]; };
+    ++m_faults["endpoint: names a request limit"];
+    setLimit(*endpoint, anyLimit());
+    const std::string next = m_availabilityRandom.chance(0.3) ? anyLimit() : "";
+    constexpr milliseconds changeTime {8000};
+    constexpr milliseconds endTime {14000};
+    const std::string id = endpoint->fake->id;
+    const int incarnation = endpoint->incarnation;
+    for (const auto &[delay, value] : {std::pair {changeTime, next}, {endTime, std::string()}}) {
+        m_schedule.after(delay, [this, endpoint, value, id, incarnation] {
+            const bool isSame = endpoint->fake->id == id && endpoint->incarnation == incarnation;
+            if (isSame && !endpoint->fake->requestLimit.empty())
+                setLimit(*endpoint, value);
+        });
+    }
+    return true;
+}
+
+void Endpoints::setLimit(Endpoint &endpoint, const std::string &perSecond)
+{
+    endpoint.fake->requestLimit = perSecond;
+    m_checker.endpointLimited(
+        core::EndpointId(endpoint.fake->id),
+        perSecond.empty() ? std::nullopt : std::optional(std::stod(perSecond)), m_schedule.now());
+}
+
 void Endpoints::restart(Endpoint &endpoint, bool hasNewId)
 {
+    setLimit(endpoint, {});
     if (hasNewId)
         ++endpoint.incarnation;
     endpoint.fake->restart(endpoint.name + "-" + std::to_string(endpoint.incarnation));
@@ -268,7 +304,7 @@
             ++m_faults["endpoint: slow"];
         const core::Duration time
             = isSlow ? m_random.duration(milliseconds(300), milliseconds(1500)) : delay;
-        m_schedule.after(time, [&endpoint, exchange, id] {
+        m_schedule.after(time, [this, &endpoint, exchange, id] {
             exchange->respond(200, answerHeaders(endpoint, id, 200), expectedBody(id));
         });
     }
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -55,6 +55,8 @@
     /// of a service is unavailable at a time, so that the others serve its requests.
     bool startLeaving();
     bool crash();
+    /// Lets one endpoint name a request limit, change it and lift it.
+    bool limitRequests();
 
 private:
     using Exchange = testsupport::FakeEndpoint::Exchange;
@@ -86,8 +88,8 @@
     void startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id);
     void continueStream(const std::shared_ptr<Stream> &stream);
     void endStream(const Stream &stream);
-    static net::Headers answerHeaders(const Endpoint &endpoint, const core::RequestId &id,
-                                      int status);
+    void setLimit(Endpoint &endpoint, const std::string &perSecond);
+    net::Headers answerHeaders(const Endpoint &endpoint, const core::RequestId &id, int status);
 
     Schedule &m_schedule;
     Checker &m_checker;
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -117,6 +117,7 @@
          }},
         {"", [this] { return m_endpoints.startLeaving(); }},
         {"", [this] { return m_endpoints.crash(); }},
+        {"", [this] { return m_endpoints.limitRequests(); }},
     };
 }
 
--- a/src/libs/decisions/endpointlimits.h
+++ b/src/libs/decisions/endpointlimits.h
@@ -15,6 +15,8 @@
     fleet::StartTime incarnation {};
     std::optional<fleet::RequestRate> rate; ///< Empty if the limit was lifted.
     core::TimePoint statedAt;               ///< The statement is at least as new as this.
+
+    bool operator==(const EndpointLimit &) const = default;
 };
 
 enum class LimitChange { None, Named, Changed, Lifted };
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -284,3 +284,32 @@
     cr_assert_eq(copiesAt(7, 1), 1);
     cr_assert_eq(copiesAt(24, 1), 2);
 }
+
+// Guards against requests that wait for the permits of a limited endpoint because its copy of their
+// adapter counts, while another endpoint could load the adapter.
+Test(adapterplanner, copyOnALimitedEndpointDoesNotCount)
+{
+    Fixture fixture;
+    fixture.addEndpoints(2, 4);
+    fixture.addRequests(keyOf(1), near, 1, fixture.now);
+    fixture.run(milliseconds(100));
+    cr_assert_eq(fixture.loads, 1);
+    const bool isFirstHolder = fixture.held[core::EndpointId("e0")].contains(keyOf(1));
+    const core::EndpointId holder(isFirstHolder ? "e0" : "e1");
+    fixture.planner.setRateLimited(holder, true, true);
+    fixture.planner.demand().add(keyOf(1), near, 1, fixture.now);
+    fixture.waiting[keyOf(1)][near].add({1, 0, fixture.now + milliseconds(600)});
+    fixture.planner.setWaiting(fixture.waiting);
+    fixture.run(milliseconds(100));
+    cr_assert_eq(fixture.loads, 2);
+    // Further adapters are not loaded at the limited endpoint.
+    for (int number = 2; number < 5; ++number)
+        fixture.addRequests(keyOf(number), near, 1, fixture.now);
+    fixture.run(milliseconds(500));
+    cr_assert_eq(fixture.held[holder].size(), 1U);
+    // If all endpoints are limited, the copies of all of them count, and no order exceeds a limit.
+    fixture.planner.setRateLimited(core::EndpointId("e0"), true, false);
+    fixture.planner.setRateLimited(core::EndpointId("e1"), true, false);
+    fixture.addRequests(keyOf(9), near, 1, fixture.now);
+    cr_assert(fixture.planner.plan(fixture.now).empty());
+}
--- a/tests/auto/endpointchooser/tst_endpointchooser.cpp
+++ b/tests/auto/endpointchooser/tst_endpointchooser.cpp
@@ -178,3 +178,27 @@
     cr_assert(chooseEndpoint(options, 0.5, 1).reason == NoEndpointReason::AllFull);
     cr_assert(chooseEndpoint({}, 0.5, 1).reason == NoEndpointReason::NoCandidates);
 }
+
+// Guards against requests to an endpoint without a permit, and against a preference for it that is
+// lost: the coordinator issues permits for preferences.
+Test(endpointchooser, endpointWithoutPermitIsPreferredButNotChosen)
+{
+    EndpointOption limited;
+    limited.endpoint = core::EndpointId("limited");
+    limited.slots = 8;
+    limited.needsPermit = true;
+    EndpointOption busy = limited;
+    busy.endpoint = core::EndpointId("busy");
+    busy.load = 8;
+    busy.needsPermit = false;
+    const EndpointChoice choice = chooseEndpoint({limited, busy}, 0);
+    cr_assert(choice.endpoint == busy.endpoint);
+    cr_assert(choice.preferred == limited.endpoint);
+    busy.load = 80;
+    const EndpointChoice none = chooseEndpoint({limited, busy}, 0);
+    cr_assert_not(none.endpoint.has_value());
+    cr_assert(none.reason == NoEndpointReason::RateLimited);
+    cr_assert(none.preferred == limited.endpoint);
+    limited.needsPermit = false;
+    cr_assert(chooseEndpoint({limited, busy}, 0).endpoint == limited.endpoint);
+}
--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -98,3 +98,16 @@
     cr_assert_eq(limiter.takeSuppressedCount(), static_cast<std::uint64_t>(lines - written));
     cr_assert_eq(limiter.takeSuppressedCount(), 0U);
 }
+
+// Guards against a request that waited because of a request limit, without the limit in its
+// history.
+Test(explain, requestHeldByALimitShowsTheLimit)
+{
+    const auto history
+        = explain(lineOf("10.000", "request limit", "", "e1", "named, 1.5 requests per second")
+                  + lineOf("10.100", "wait for permit", "r1", "e1", "request limit reached")
+                  + lineOf("10.200", "request limit", "", "e2", "named, 3 requests per second"));
+    cr_assert_eq(history.cause, "wait for permit: request limit reached");
+    cr_assert_eq(history.contextEvents.size(), 1U);
+    cr_assert_neq(historyText(history).find("1.5 requests per second"), std::string::npos);
+}
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -39,6 +39,10 @@
     report.waiting[key] = {2, 1, now + milliseconds(300)};
     report.waiting[{core::ModelId("other"), core::AdapterId("a2")}] = {0, 4, now};
     report.endpoints = EndpointsDigest {77};
+    report.limits[core::EndpointId("i-6")]
+        = {milliseconds(5), fleet::RequestRate {1.5}, now - milliseconds(40)};
+    report.limits[core::EndpointId("i-7")] = {milliseconds(6), std::nullopt, now};
+    report.permitDemand[core::EndpointId("i-6")] = {2, 3};
     const auto read = decodePeerReport(encode(report, now), now);
     cr_assert(read.ok());
     cr_assert_eq(read->domain, report.domain);
@@ -54,6 +58,27 @@
     cr_assert_eq(read->token, core::FencingToken(4));
     cr_assert(read->waiting == report.waiting);
     cr_assert(read->endpoints == report.endpoints);
+    cr_assert(read->limits == report.limits);
+    cr_assert(read->permitDemand == report.permitDemand);
+}
+
+// Guards against a daemon that takes the time of another clock for the age of a limit, and against
+// lost permits.
+Test(peermessages, limitsAndGrantsOfAViewAreDecoded)
+{
+    PeerView view;
+    view.limits[core::EndpointId("i-1")]
+        = {milliseconds(5), fleet::RequestRate {0.5}, now - milliseconds(250)};
+    view.grants[core::EndpointId("i-1")] = {2, 7};
+    view.areIssuingPermits = true;
+    const core::TimePoint otherClock {std::chrono::hours(5)};
+    const auto read = decodePeerView(encode(view, now), otherClock);
+    cr_assert(read.ok());
+    cr_assert(read->areIssuingPermits);
+    cr_assert(read->grants == view.grants);
+    const decisions::EndpointLimit &limit = read->limits.at(core::EndpointId("i-1"));
+    cr_assert(limit.rate == fleet::RequestRate {0.5});
+    cr_assert(limit.statedAt == otherClock - milliseconds(250));
 }
 
 // Guards against adapters that are used before their load has ended because the clocks of daemons
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -353,6 +353,31 @@
     fixture.expectOnlyViolationsOf(Check::ProcessUp);
 }
 
+// Guards against a checker that misses a request limit which daemons exceed together, or counts
+// requests of daemons that have not received the limit.
+Test(soakchecker, exceededRequestLimitIsDetected)
+{
+    CheckerFixture fixture;
+    const ProcessIncarnation other {2};
+    fixture.checker.processStarted(other, fixture.now);
+    fixture.now += seconds(10);
+    fixture.checker.endpointLimited(endpoint, 1.0, fixture.now);
+    const auto first = fixture.send("first", RequestKind::Repeatable, "/get/");
+    fixture.checker.limitNamed(first, endpoint, fixture.now);
+    fixture.now += seconds(5);
+    // One and a half times the limit of 1 a second in 4 s, and five more.
+    constexpr int allowed = 11;
+    for (int number = 0; number < allowed; ++number)
+        fixture.run(fixture.send("r" + std::to_string(number), RequestKind::Repeatable, "/get/"));
+    const core::RequestId untold("untold");
+    fixture.checker.requestSent(
+        {untold, RequestKind::Repeatable, "/get/", other, seconds(4), seconds(4)}, fixture.now);
+    fixture.run(untold);
+    fixture.expectNoViolation();
+    fixture.run(fixture.send("last", RequestKind::Repeatable, "/get/"));
+    fixture.expectOnlyViolationsOf(Check::RequestLimit);
+}
+
 // Guards against a violation that is reported because the grace time of a stop expired while the
 // daemon was frozen: soaks with seeds 6 and 8 failed for this reason.
 Test(soakchecker, graceTimeExpiredWhileFrozenIsNoViolation)
