--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -183,9 +183,12 @@
                          core::TimePoint at)
 {
     const auto found = m_limits.find(endpoint);
-    if (found == m_limits.end() || at - found->second.since < m_bounds.stableWindow)
+    if (found == m_limits.end())
         return;
+    count(Check::RequestLimit);
     Limit &limit = found->second;
+    if (at - limit.since < m_bounds.stableWindow)
+        return;
     const auto named = limit.namedTo.find(request.sent.incarnation);
     if (named == limit.namedTo.end() || at - named->second < noticeTime)
         return;
@@ -195,7 +198,6 @@
         return at - arrival.first > limitWindow
             || !isUndisturbed(m_processes.at(arrival.second), at);
     });
-    count(Check::RequestLimit);
     const double allowed
         = limitFactor * limit.perSecond * core::toSeconds(limitWindow) + limitSlack;
     if (static_cast<double>(limit.arrivals.size()) > allowed)
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -338,7 +338,8 @@
     if (platform::announcesLeaving(response.headers, id))
         recordLeavingEndpoint(id, endpoint->startTime);
     m_limits.recordResponse(id, endpoint->startTime,
-                            platform::parseRequestLimit(response.headers, id), false, sentAt);
+                            platform::parseRequestLimit(response.status, response.headers, id),
+                            false, sentAt);
 }
 
 // Permits of a limit that no response has confirmed for some time are issued as before, but the
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -61,6 +61,7 @@
     return core::scaled(std::chrono::seconds(1), std::min(seconds, maxRetryAfterSeconds));
 }
 
+constexpr int misdirectedStatus = 421;
 // Larger values have the same effect as no limit; the bound keeps computed times finite.
 constexpr double maxRequestsPerSecond = 1e6;
 
@@ -129,7 +130,7 @@
 ResponseTraits parseResponseTraits(const http::MessageHead &head)
 {
     ResponseTraits traits;
-    traits.isMisdirected = head.status == 421;
+    traits.isMisdirected = head.status == misdirectedStatus;
     traits.isStamped = head.headers.contains(wire::responseStamp);
     traits.isNotRun
         = head.headers.contains(wire::notExecuted) || (traits.isMisdirected && !traits.isStamped);
@@ -143,10 +144,13 @@
     return headers.value(wire::serverLeaving) == "1" && !isFromOtherEndpoint(headers, endpoint);
 }
 
-NamedLimit parseRequestLimit(const net::Headers &headers, const core::EndpointId &endpoint)
+NamedLimit parseRequestLimit(int status, const net::Headers &headers,
+                             const core::EndpointId &endpoint)
 {
     NamedLimit limit;
-    if (!headers.contains(wire::serverLimit) || isFromOtherEndpoint(headers, endpoint))
+    const bool isSenderUnknown = status == misdirectedStatus && !headers.contains(wire::instanceId);
+    if (!headers.contains(wire::serverLimit) || isSenderUnknown
+        || isFromOtherEndpoint(headers, endpoint))
         return limit;
     const std::string fieldName = absl::AsciiStrToLower(wire::serverLimit);
     for (const auto &[name, value] : headers.fields()) {
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -67,10 +67,11 @@
     bool isMalformed = false; ///< A limit is named, but its value cannot be read.
 };
 
-/// Parses the request limit that `endpoint` names in a response; none if the response comes from
-/// another endpoint that has the address now. Of several values the lowest one counts. Thread
-/// safety: any thread.
-NamedLimit parseRequestLimit(const net::Headers &headers, const core::EndpointId &endpoint);
+/// Parses the request limit that `endpoint` names in a response; none if the response comes, or for
+/// status 421 may come, from another endpoint that has the address now. Of several values the
+/// lowest one counts. Thread safety: any thread.
+NamedLimit parseRequestLimit(int status, const net::Headers &headers,
+                             const core::EndpointId &endpoint);
 
 /// The header fields of an endpoint's response that are forwarded to the client. Thread safety: any
 /// thread.
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -206,7 +206,7 @@
 {
     const core::EndpointId endpoint("i-1");
     const auto limitOf
-        = [&](const net::Headers &headers) { return parseRequestLimit(headers, endpoint); };
+        = [&](const net::Headers &headers) { return parseRequestLimit(200, headers, endpoint); };
     cr_assert_eq(limitOf({{"Server-Limit", "1.5"}}).rate->perSecond, 1.5);
     cr_assert_eq(limitOf({{"server-limit", "2"}, {"Instance-Id", "i-1"}}).rate->perSecond, 2.0);
     cr_assert_eq(limitOf({{"Server-Limit", "0"}}).rate->perSecond, 0.0);
@@ -224,4 +224,8 @@
     cr_assert_not(other.rate.has_value());
     cr_assert_not(other.isMalformed);
     cr_assert_not(limitOf({}).rate.has_value());
+    cr_assert_not(parseRequestLimit(421, {{"Server-Limit", "1"}}, endpoint).rate.has_value());
+    cr_assert_eq(parseRequestLimit(421, {{"Server-Limit", "1"}, {"Instance-Id", "i-1"}}, endpoint)
+                     .rate->perSecond,
+                 1.0);
 }
