--- a/src/libs/gateway/ratelimits.cpp
+++ b/src/libs/gateway/ratelimits.cpp
@@ -52,7 +52,7 @@
 }
 
 void RateLimits::recordResponse(const core::EndpointId &id, fleet::StartTime incarnation,
-                                const platform::NamedLimit &limit, bool isStamped,
+                                const platform::NamedLimit &limit, bool isOwnAnswer,
                                 core::TimePoint sentAt)
 {
     if (limit.isMalformed) {
@@ -66,7 +66,7 @@
     if (limit.rate)
         recordOwnStatement(
             id, m_known.recordNamed(id, incarnation, *limit.rate, sentAt, m_timers.now()));
-    else if (isStamped && m_known.find(id, incarnation) != nullptr)
+    else if (isOwnAnswer && m_known.find(id, incarnation) != nullptr)
         recordOwnStatement(id, m_known.recordUnlimited(id, incarnation, sentAt));
 }
 
--- a/src/libs/gateway/ratelimits.h
+++ b/src/libs/gateway/ratelimits.h
@@ -36,9 +36,10 @@
                Handlers handlers);
 
     /// Applies what a response of an endpoint to a request that was sent at `sentAt` says about its
-    /// limit. Only a response with the endpoint's signature, `isStamped`, lifts a limit.
+    /// limit. Only a response that is certainly the endpoint's own lifts a limit.
     void recordResponse(const core::EndpointId &id, fleet::StartTime incarnation,
-                        const platform::NamedLimit &limit, bool isStamped, core::TimePoint sentAt);
+                        const platform::NamedLimit &limit, bool isOwnAnswer,
+                        core::TimePoint sentAt);
     /// Applies what another daemon knows.
     void applyUpdates(const Limits &limits, std::string_view source);
     const decisions::EndpointLimits &known() const { return m_known; }
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -92,10 +92,10 @@
     m_traits = platform::parseResponseTraits(head);
     m_headAt = now();
     m_context.pool.recordActivity(m_endpoint);
+    const bool isOwnAnswer = m_traits.isStamped && !m_traits.isMisdirected;
     m_context.limits.recordResponse(
         m_endpoint, m_incarnation,
-        platform::parseRequestLimit(head.status, head.headers, m_endpoint), m_traits.isStamped,
-        m_sentAt);
+        platform::parseRequestLimit(head.status, head.headers, m_endpoint), isOwnAnswer, m_sentAt);
     applyEndpointState(head);
     m_isStream = m_route->isStream && head.status == 200 && m_traits.isStamped
         && !m_traits.hasContentEncoding;
