--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -225,10 +225,10 @@
     const std::string id = endpoint->fake->id;
     const int incarnation = endpoint->incarnation;
     for (const auto &[delay, value] : {std::pair {changeTime, next}, {endTime, std::string()}}) {
-        m_schedule.after(delay, [this, endpoint, value, id, incarnation] {
+        m_schedule.after(delay, [this, endpoint, next = value, id, incarnation] {
             const bool isSame = endpoint->fake->id == id && endpoint->incarnation == incarnation;
             if (isSame && !endpoint->fake->requestLimit.empty())
-                setLimit(*endpoint, value);
+                setLimit(*endpoint, next);
         });
     }
     return true;
