End all state of a request limit with its endpoint's incarnation

What operators saw: jackdawlead_limited_endpoints counted an endpoint that had restarted under its id for as long as it ran, and its old limit went to all daemons with each view.

Cause: limits were compared with the incarnation where they are used, but removed only with the id. Beside it, the coordinator kept the bucket of a removed endpoint until its next term, and a daemon kept the entry of a request that waited when the limit ended.

Change: an update of the endpoint ends the limit of an earlier incarnation, with its permits and what is known of the demand; another daemon's word on that incarnation is ignored. The coordinator keeps buckets only for endpoints with a limit. An entry goes with its last waiting request.

--- a/src/libs/decisions/permitissuer.cpp
+++ b/src/libs/decisions/permitissuer.cpp
@@ -54,6 +54,11 @@
     bucket.rate = rate;
 }
 
+void PermitIssuer::retain(const std::set<core::EndpointId> &ids)
+{
+    std::erase_if(m_buckets, [&ids](const auto &entry) { return !ids.contains(entry.first); });
+}
+
 PermitGrant PermitIssuer::issue(const core::EndpointId &id, const core::HostId &daemon,
                                 const PermitDemand &demand, core::TimePoint now)
 {
--- a/src/libs/decisions/permitissuer.h
+++ b/src/libs/decisions/permitissuer.h
@@ -5,7 +5,9 @@
 #include "decisions/requestpermits.h"
 #include "fleet/endpoint.h"
 
+#include <cstddef>
 #include <map>
+#include <set>
 
 namespace jackdawlead::decisions {
 
@@ -31,7 +33,10 @@
     /// Sets the limit that an endpoint incarnation has named.
     void setLimit(const core::EndpointId &id, fleet::StartTime incarnation, fleet::RequestRate rate,
                   core::TimePoint now);
-    void removeLimit(const core::EndpointId &id) { m_buckets.erase(id); }
+    /// Removes the limits of all endpoints that are not in `ids`.
+    void retain(const std::set<core::EndpointId> &ids);
+    /// Number of endpoints with a limit.
+    std::size_t endpointCount() const { return m_buckets.size(); }
     /// Forgets the state of an earlier term.
     void reset() { m_buckets.clear(); }
     /// Issues permits to a daemon; requests that wait at other daemons take precedence over its
--- a/src/libs/decisions/requestpermits.cpp
+++ b/src/libs/decisions/requestpermits.cpp
@@ -11,6 +11,11 @@
         entry.issuedUntil.pop_front();
 }
 
+bool RequestPermits::isEmpty(const Entry &entry)
+{
+    return entry.issuedUntil.empty() && entry.demand == PermitDemand {} && !entry.nextOwnAt;
+}
+
 void RequestPermits::addIssued(const core::EndpointId &id, int count, core::TimePoint expiry)
 {
     Entry &entry = m_entries[id];
@@ -57,8 +62,12 @@
 void RequestPermits::removeWaiting(const core::EndpointId &id)
 {
     const auto found = m_entries.find(id);
-    if (found != m_entries.end() && found->second.demand.waiting > 0)
-        --found->second.demand.waiting;
+    if (found == m_entries.end())
+        return;
+    PermitDemand &demand = found->second.demand;
+    demand.waiting = std::max(0, demand.waiting - 1);
+    if (isEmpty(found->second))
+        m_entries.erase(found);
 }
 
 int RequestPermits::waiting(const core::EndpointId &id) const
@@ -91,12 +100,11 @@
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
         return;
-    if (found->second.demand.waiting == 0) {
+    const int waiting = found->second.demand.waiting;
+    found->second = {};
+    found->second.demand.waiting = waiting;
+    if (isEmpty(found->second))
         m_entries.erase(found);
-        return;
-    }
-    found->second.issuedUntil.clear();
-    found->second.demand.preferred = 0;
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/requestpermits.h
+++ b/src/libs/decisions/requestpermits.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -46,8 +47,10 @@
     /// Returns the demand that the daemon's unexpired permits do not cover, and resets the
     /// preferences.
     std::map<core::EndpointId, PermitDemand> takeDemand(core::TimePoint now);
-    /// Drops permits and preferences, because the limit has ended.
+    /// Drops permits and preferences, because the limit has ended. Requests may still wait.
     void clear(const core::EndpointId &id);
+    /// Number of endpoints with permits or demand.
+    std::size_t endpointCount() const { return m_entries.size(); }
 
 private:
     struct Entry
@@ -58,6 +61,7 @@
     };
 
     static void removeExpired(Entry &entry, core::TimePoint now);
+    static bool isEmpty(const Entry &entry);
 
     std::map<core::EndpointId, Entry> m_entries;
 };
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -347,13 +347,18 @@
 void Coordinator::updateRequestLimits()
 {
     const core::TimePoint now = m_timers.now();
+    std::set<core::EndpointId> limited;
     for (const auto &[id, endpoint] : m_watch.endpoints()) {
         const decisions::EndpointLimit *limit = m_limits.known().find(id, endpoint.startTime);
-        const bool isConfirmed = limit != nullptr && now - limit->statedAt < limitConfirmationTime;
         if (limit == nullptr)
-            m_permitIssuer.removeLimit(id);
-        else
-            m_permitIssuer.setLimit(id, limit->incarnation, *limit->rate, now);
+            continue;
+        limited.insert(id);
+        m_permitIssuer.setLimit(id, limit->incarnation, *limit->rate, now);
+    }
+    m_permitIssuer.retain(limited);
+    for (const auto &[id, state] : m_planner.endpoints()) {
+        const decisions::EndpointLimit *limit = m_limits.known().find(id, state.endpoint.startTime);
+        const bool isConfirmed = limit != nullptr && now - limit->statedAt < limitConfirmationTime;
         m_planner.setRateLimited(id, isConfirmed, m_permitIssuer.canCharge(id, now));
     }
 }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -121,6 +121,7 @@
             [this](const fleet::Endpoint &endpoint) {
                 m_context.placement.updateFromRecord(endpoint);
                 m_coordinator.updateEndpoint(endpoint);
+                m_limits.updateEndpoint(endpoint);
                 if (endpoint.isLeaving)
                     giveUpConnecting(endpoint.id, leavingCause);
             },
@@ -149,8 +150,7 @@
             },
         .onReportDue = [this] { m_peerLink.scheduleDemandReport(); },
         .isCoordinatorReachable = [this] { return m_peerLink.isCoordinatorReachable(); },
-        .isKnownEndpoint
-        = [this](const core::EndpointId &id) { return m_watch.endpoint(id) != nullptr; },
+        .findEndpoint = [this](const core::EndpointId &id) { return m_watch.endpoint(id); },
         .uniformRandom = [this] { return m_context.uniformRandom(); },
     };
 }
--- a/src/libs/gateway/ratelimits.cpp
+++ b/src/libs/gateway/ratelimits.cpp
@@ -90,8 +90,13 @@
 
 void RateLimits::applyUpdates(const Limits &limits, std::string_view source)
 {
-    for (const auto &[id, limit] : limits)
-        handleChange(id, m_known.applyUpdate(id, limit), source);
+    for (const auto &[id, limit] : limits) {
+        const fleet::Endpoint *endpoint = m_handlers.findEndpoint(id);
+        // Another daemon may learn of the new incarnation later.
+        const bool isEnded = endpoint != nullptr && limit.incarnation < endpoint->startTime;
+        if (!isEnded)
+            handleChange(id, m_known.applyUpdate(id, limit), source);
+    }
 }
 
 void RateLimits::handleChange(const core::EndpointId &id, decisions::LimitChange change,
@@ -115,19 +120,31 @@
     updateMetrics();
     if (change == decisions::LimitChange::Changed)
         return;
-    m_permits.clear(id);
+    dropPermits(id);
     if (change == decisions::LimitChange::Named)
         m_handlers.onLimitNamed(id);
 }
 
+void RateLimits::updateEndpoint(const fleet::Endpoint &endpoint)
+{
+    const auto known = m_known.all().find(endpoint.id);
+    if (known != m_known.all().end() && known->second.incarnation < endpoint.startTime)
+        removeEndpoint(endpoint.id);
+}
+
 void RateLimits::removeEndpoint(const core::EndpointId &id)
 {
     m_known.remove(id);
     m_learned.erase(id);
+    dropPermits(id);
+    updateMetrics();
+}
+
+void RateLimits::dropPermits(const core::EndpointId &id)
+{
+    m_permits.clear(id);
     m_waitingElsewhere.erase(id);
     m_refusedAt.erase(id);
-    m_permits.clear(id);
-    updateMetrics();
 }
 
 // Another daemon may still report a limit of an endpoint that is gone here already.
@@ -137,7 +154,7 @@
     m_known.removeExpired(now);
     std::vector<core::EndpointId> gone;
     for (const auto &[id, limit] : m_known.all()) {
-        if (!m_handlers.isKnownEndpoint(id)
+        if (m_handlers.findEndpoint(id) == nullptr
             && now - limit.statedAt > decisions::EndpointLimits::liftedRetention)
             gone.push_back(id);
     }
--- a/src/libs/gateway/ratelimits.h
+++ b/src/libs/gateway/ratelimits.h
@@ -29,7 +29,8 @@
         /// Called when the coordinator is to learn of a limit or of a request that waits.
         std::function<void()> onReportDue;
         std::function<bool()> isCoordinatorReachable;
-        std::function<bool(const core::EndpointId &)> isKnownEndpoint;
+        /// Returns nullptr for an endpoint that is not known.
+        std::function<const fleet::Endpoint *(const core::EndpointId &)> findEndpoint;
         std::function<double()> uniformRandom;
     };
 
@@ -44,6 +45,8 @@
     /// Applies what another daemon knows.
     void applyUpdates(const Limits &limits, std::string_view source);
     const decisions::EndpointLimits &known() const { return m_known; }
+    /// Ends the limit of an earlier incarnation of the endpoint.
+    void updateEndpoint(const fleet::Endpoint &endpoint);
     void removeEndpoint(const core::EndpointId &id);
 
     /// The limit in force; empty if there is none.
@@ -100,6 +103,8 @@
                       std::string_view source);
     void recordOwnStatement(const core::EndpointId &id, decisions::LimitChange change);
     void scheduleReport();
+    /// Drops permits and what is known of their demand, because the limit has ended or begins anew.
+    void dropPermits(const core::EndpointId &id);
     void updateMetrics();
     void removeExpired();
     /// Interval of the daemon's own permits, which it uses while no coordinator issues permits.
--- a/tests/auto/requestpermits/tst_requestpermits.cpp
+++ b/tests/auto/requestpermits/tst_requestpermits.cpp
@@ -173,3 +173,22 @@
     issuer.setLimit(endpoint, incarnation + milliseconds(1), {1}, start + seconds(10));
     cr_assert_eq(issuer.issue(endpoint, host, {1, 0}, start + seconds(10)).count, 0);
 }
+
+// Guards against memory for each endpoint that ever had a limit.
+Test(requestpermits, stateOfEndedLimitsIsRemoved)
+{
+    RequestPermits permits;
+    permits.addWaiting(endpoint);
+    permits.addIssued(endpoint, 1, start);
+    permits.hasOwn(endpoint, seconds(1), 0, start);
+    permits.clear(endpoint);
+    cr_assert_eq(permits.waiting(endpoint), 1);
+    permits.removeWaiting(endpoint);
+    cr_assert_eq(permits.endpointCount(), 0U);
+    PermitIssuer issuer;
+    issuer.setLimit(endpoint, incarnation, {1}, start);
+    issuer.setLimit(core::EndpointId("gone"), incarnation, {1}, start);
+    issuer.retain({endpoint});
+    cr_assert_eq(issuer.endpointCount(), 1U);
+    cr_assert(issuer.canCharge(core::EndpointId("gone"), start));
+}
