Soak: end the watch of a stopping process with its incarnation

Cause: in the soak, not in a daemon. A process that was told to stop and then killed had a successor, and the timer that kills a process at the end of its grace time went on and killed the successor, which the checker was not told. The log has the SIGTERM at 23:06:21.3, the start of the successor at 22.2 and its end after 29.3, the grace time of 8 s later.

Change: the watch ends when the daemon has another incarnation.

--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -101,14 +101,16 @@
     if (state != State::Running && state != State::Frozen)
         return false;
     stop(m_daemons[index]);
-    pollExit(index, m_schedule.now() + m_bounds.grace, restartDelay);
+    pollExit(index, m_daemons[index].incarnation, m_schedule.now() + m_bounds.grace, restartDelay);
     return true;
 }
 
-void Daemons::pollExit(std::size_t index, core::TimePoint killAt, core::Duration restartDelay)
+void Daemons::pollExit(std::size_t index, ProcessIncarnation incarnation, core::TimePoint killAt,
+                       core::Duration restartDelay)
 {
     Daemon &daemon = m_daemons[index];
-    if (daemon.state == State::Down)
+    // A process that was killed while it stopped may have a successor by now.
+    if (daemon.state == State::Down || daemon.incarnation != incarnation)
         return;
     // Requests that the end of the grace time cuts off are the daemon's fault, so this is not
     // reported to the checker as a kill.
@@ -120,8 +122,9 @@
         m_schedule.after(restartDelay, [this, index] { start(index); });
         return;
     }
-    m_schedule.after(
-        pollPeriod, [this, index, killAt, restartDelay] { pollExit(index, killAt, restartDelay); });
+    m_schedule.after(pollPeriod, [this, index, incarnation, killAt, restartDelay] {
+        pollExit(index, incarnation, killAt, restartDelay);
+    });
 }
 
 bool Daemons::kill(std::size_t index, core::Duration restartDelay)
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -60,7 +60,8 @@
     void writeSettings(std::size_t index, std::uint16_t storePort, std::uint16_t peerPort) const;
     void start(std::size_t index);
     void stop(Daemon &daemon);
-    void pollExit(std::size_t index, core::TimePoint killAt, core::Duration restartDelay);
+    void pollExit(std::size_t index, ProcessIncarnation incarnation, core::TimePoint killAt,
+                  core::Duration restartDelay);
     void pollProcesses();
 
     Schedule &m_schedule;
