--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -13,8 +13,6 @@
 namespace {
 
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
-// Added to the report interval for reports that are still in flight.
-constexpr core::Duration daemonCountMargin = std::chrono::milliseconds(250);
 constexpr core::Duration summaryPeriod = std::chrono::seconds(1);
 // Combines planning requests that arrive at nearly the same time, because a pass over all endpoints
 // takes some tenths of a millisecond.
@@ -22,9 +20,6 @@
 // Planning takes at most a fifth of the time, so that a daemon with a small CPU share has
 // the remainder for orders, reports and the requests of its own clients.
 constexpr int planningPauseFactor = 4;
-// Combines loads that are accepted together: most daemons have requests that wait for a popular
-// adapter, and tens of copies of it are loaded at the same time.
-constexpr core::Duration viewDelay = std::chrono::milliseconds(20);
 // A daemon reports every 750 ms at the latest; it counts as stopped when three reports in a row are
 // missing.
 constexpr core::Duration daemonTimeout = std::chrono::milliseconds(2500);
@@ -39,11 +34,9 @@
 // An endpoint that is in back-off for any daemon counts as overloaded, so that its adapters are
 // copied to other endpoints.
 constexpr double backoffUtilization = 2;
-// Several report intervals: a limit that is used is confirmed by the responses to its requests.
+// Each response of an endpoint in use confirms its limit. An endpoint without requests would
+// otherwise stay avoided after its need has ended.
 constexpr core::Duration limitConfirmationTime = std::chrono::seconds(10);
-// An endpoint refuses a request that arrives before its adapter is loaded, so requests are held
-// back for this time after the expected end of the load.
-constexpr core::Duration loadMargin = std::chrono::milliseconds(30);
 
 decisions::OrderOutcome outcomeOf(platform::OrderResult result)
 {
@@ -269,12 +262,6 @@
     m_relays.update(candidates, m_timers.now());
 }
 
-std::string Coordinator::addressOf(const core::HostId *relay) const
-{
-    const auto found = relay == nullptr ? m_daemons.end() : m_daemons.find(*relay);
-    return found == m_daemons.end() ? std::string() : found->second.address.toString();
-}
-
 PeerView Coordinator::handleReport(const PeerReport &report)
 {
     if (!m_election.isHolder())
@@ -363,103 +350,6 @@
     }
 }
 
-std::map<core::EndpointId, decisions::PermitGrant>
-Coordinator::issuePermits(const PeerReport &report)
-{
-    std::map<core::EndpointId, decisions::PermitGrant> grants;
-    for (const auto &[id, demand] : report.permitDemand) {
-        const fleet::Endpoint *endpoint = m_watch.endpoint(id);
-        const auto limit = endpoint == nullptr ? std::nullopt : m_limits.limitOf(*endpoint);
-        if (!limit)
-            continue;
-        m_permitIssuer.setLimit(id, endpoint->startTime, *limit, m_timers.now());
-        grants[id] = m_permitIssuer.issue(id, report.host, demand, m_timers.now());
-    }
-    return grants;
-}
-
-PeerView Coordinator::fullViewFor(Daemon &daemon)
-{
-    PeerView view = contentsViewFor(daemon);
-    view.hasLoad = true;
-    const auto &endpoints = m_watch.endpoints();
-    const EndpointsDigest known = digestOf(endpoints);
-    if (daemon.endpoints != known) {
-        view.load = m_totalLoad;
-        return view;
-    }
-    view.endpoints = known;
-    view.loadsInIdOrder.reserve(endpoints.size());
-    for (const auto &[id, endpoint] : endpoints) {
-        const auto load = m_totalLoad.find(id);
-        view.loadsInIdOrder.push_back(load == m_totalLoad.end() ? 0 : load->second);
-    }
-    return view;
-}
-
-PeerView Coordinator::baseViewFor(const Daemon &daemon) const
-{
-    PeerView view;
-    view.hasLoad = false;
-    view.relayAddress = addressOf(m_relays.relayOf(daemon.domain));
-    view.spareRelayAddress = addressOf(m_relays.spareRelayOf(daemon.domain, m_settings.regions));
-    view.isCoordinator = true;
-    view.token = m_token;
-    view.since = daemon.knownRevision;
-    view.revision = daemon.knownRevision;
-    view.daemonCount = static_cast<int>(m_daemons.size());
-    view.isCounted
-        = m_timers.now() - m_holderSince > decisions::ReportPace::maxPeriod + daemonCountMargin;
-    view.reportPeriod = m_pace.period(view.daemonCount);
-    view.demandPause = m_pace.demandPause(view.daemonCount);
-    view.crashes = m_crashes.recentCrashes(m_timers.now());
-    for (const auto &[id, leavingEndpoint] : m_leavingEndpoints)
-        view.leaving[id] = leavingEndpoint.startTime;
-    view.limits = m_limits.known().all();
-    view.areIssuingPermits = true;
-    return view;
-}
-
-/// Assumes that the daemon receives the view; a daemon that missed it states its older revision in
-/// its next report.
-PeerView Coordinator::contentsViewFor(Daemon &daemon)
-{
-    daemon.isViewDue = false;
-    PeerView view = baseViewFor(daemon);
-    view.revision = m_planner.revision();
-    updateContentsHistory();
-    view.contents = m_contents.changesSince(daemon.knownRevision);
-    daemon.knownRevision = view.revision;
-    return view;
-}
-
-void Coordinator::updateContentsHistory()
-{
-    // Reports arrive several times as often as contents change.
-    if (std::exchange(m_contentsRevision, m_planner.revision()) == m_planner.revision())
-        return;
-    for (const auto &[id, state] : m_planner.endpoints()) {
-        // Until the first report the daemons use the endpoint's own record.
-        const bool isKnown = state.lastReportAt != core::TimePoint();
-        const std::uint64_t revision = m_planner.contentRevision(id);
-        if (isKnown && revision > m_contents.revisionOf(id))
-            m_contents.update(id, contentsOf(id), revision);
-    }
-}
-
-decisions::EndpointContents Coordinator::contentsOf(const core::EndpointId &id) const
-{
-    const decisions::EndpointState &state = m_planner.endpoints().at(id);
-    decisions::EndpointContents contents;
-    contents.startTime = state.endpoint.startTime;
-    contents.models = state.models;
-    for (const auto &[key, placed] : state.adapters) {
-        if (!placed.isUnloading && !placed.isUnconfirmed)
-            contents.adapters[key] = {placed.version, placed.usableAt + loadMargin};
-    }
-    return contents;
-}
-
 void Coordinator::requestReports()
 {
     for (const core::EndpointId &id : m_planner.endpointsNeedingReport(m_timers.now())) {
@@ -595,25 +485,4 @@
     schedulePlanning();
 }
 
-// Daemons with requests that wait for the adapter receive a view immediately, the others with the
-// answer to their next report.
-void Coordinator::scheduleViewsForLoad(const decisions::PlannedOrder &planned)
-{
-    for (auto &[host, daemon] : m_daemons) {
-        if (daemon.waiting.contains({planned.model, planned.adapter}))
-            daemon.isViewDue = true;
-    }
-    if (!m_viewTimer.isActive())
-        m_viewTimer = m_timers.once(viewDelay, [this] { sendDueViews(); });
-}
-
-void Coordinator::sendDueViews()
-{
-    const observability::EventLoopProfiler::Scope scope(m_profiler, "immediate views");
-    for (auto &[host, daemon] : m_daemons) {
-        if (daemon.isViewDue)
-            m_sendView(daemon.address, contentsViewFor(daemon));
-    }
-}
-
 } // namespace jackdawlead::gateway
--- /dev/null
+++ b/src/libs/gateway/coordinatorviews.cpp
@@ -0,0 +1,144 @@
+#include "gateway/coordinator.h"
+
+#include <utility>
+
+namespace jackdawlead::gateway {
+
+namespace {
+
+// Added to the report interval for reports that are still in flight.
+constexpr core::Duration daemonCountMargin = std::chrono::milliseconds(250);
+// Combines loads that are accepted together: most daemons have requests that wait for a popular
+// adapter, and tens of copies of it are loaded at the same time.
+constexpr core::Duration viewDelay = std::chrono::milliseconds(20);
+// An endpoint refuses a request that arrives before its adapter is loaded, so requests are held
+// back for this time after the expected end of the load.
+constexpr core::Duration loadMargin = std::chrono::milliseconds(30);
+
+} // namespace
+
+std::string Coordinator::addressOf(const core::HostId *relay) const
+{
+    const auto found = relay == nullptr ? m_daemons.end() : m_daemons.find(*relay);
+    return found == m_daemons.end() ? std::string() : found->second.address.toString();
+}
+
+std::map<core::EndpointId, decisions::PermitGrant>
+Coordinator::issuePermits(const PeerReport &report)
+{
+    std::map<core::EndpointId, decisions::PermitGrant> grants;
+    for (const auto &[id, demand] : report.permitDemand) {
+        const fleet::Endpoint *endpoint = m_watch.endpoint(id);
+        const auto limit = endpoint == nullptr ? std::nullopt : m_limits.limitOf(*endpoint);
+        if (!limit)
+            continue;
+        m_permitIssuer.setLimit(id, endpoint->startTime, *limit, m_timers.now());
+        grants[id] = m_permitIssuer.issue(id, report.host, demand, m_timers.now());
+    }
+    return grants;
+}
+
+PeerView Coordinator::fullViewFor(Daemon &daemon)
+{
+    PeerView view = contentsViewFor(daemon);
+    view.hasLoad = true;
+    const auto &endpoints = m_watch.endpoints();
+    const EndpointsDigest known = digestOf(endpoints);
+    if (daemon.endpoints != known) {
+        view.load = m_totalLoad;
+        return view;
+    }
+    view.endpoints = known;
+    view.loadsInIdOrder.reserve(endpoints.size());
+    for (const auto &[id, endpoint] : endpoints) {
+        const auto load = m_totalLoad.find(id);
+        view.loadsInIdOrder.push_back(load == m_totalLoad.end() ? 0 : load->second);
+    }
+    return view;
+}
+
+PeerView Coordinator::baseViewFor(const Daemon &daemon) const
+{
+    PeerView view;
+    view.hasLoad = false;
+    view.relayAddress = addressOf(m_relays.relayOf(daemon.domain));
+    view.spareRelayAddress = addressOf(m_relays.spareRelayOf(daemon.domain, m_settings.regions));
+    view.isCoordinator = true;
+    view.token = m_token;
+    view.since = daemon.knownRevision;
+    view.revision = daemon.knownRevision;
+    view.daemonCount = static_cast<int>(m_daemons.size());
+    view.isCounted
+        = m_timers.now() - m_holderSince > decisions::ReportPace::maxPeriod + daemonCountMargin;
+    view.reportPeriod = m_pace.period(view.daemonCount);
+    view.demandPause = m_pace.demandPause(view.daemonCount);
+    view.crashes = m_crashes.recentCrashes(m_timers.now());
+    for (const auto &[id, leavingEndpoint] : m_leavingEndpoints)
+        view.leaving[id] = leavingEndpoint.startTime;
+    view.limits = m_limits.known().all();
+    view.areIssuingPermits = true;
+    return view;
+}
+
+/// Assumes that the daemon receives the view; a daemon that missed it states its older revision in
+/// its next report.
+PeerView Coordinator::contentsViewFor(Daemon &daemon)
+{
+    daemon.isViewDue = false;
+    PeerView view = baseViewFor(daemon);
+    view.revision = m_planner.revision();
+    updateContentsHistory();
+    view.contents = m_contents.changesSince(daemon.knownRevision);
+    daemon.knownRevision = view.revision;
+    return view;
+}
+
+void Coordinator::updateContentsHistory()
+{
+    // Reports arrive several times as often as contents change.
+    if (std::exchange(m_contentsRevision, m_planner.revision()) == m_planner.revision())
+        return;
+    for (const auto &[id, state] : m_planner.endpoints()) {
+        // Until the first report the daemons use the endpoint's own record.
+        const bool isKnown = state.lastReportAt != core::TimePoint();
+        const std::uint64_t revision = m_planner.contentRevision(id);
+        if (isKnown && revision > m_contents.revisionOf(id))
+            m_contents.update(id, contentsOf(id), revision);
+    }
+}
+
+decisions::EndpointContents Coordinator::contentsOf(const core::EndpointId &id) const
+{
+    const decisions::EndpointState &state = m_planner.endpoints().at(id);
+    decisions::EndpointContents contents;
+    contents.startTime = state.endpoint.startTime;
+    contents.models = state.models;
+    for (const auto &[key, placed] : state.adapters) {
+        if (!placed.isUnloading && !placed.isUnconfirmed)
+            contents.adapters[key] = {placed.version, placed.usableAt + loadMargin};
+    }
+    return contents;
+}
+
+// Daemons with requests that wait for the adapter receive a view immediately, the others with the
+// answer to their next report.
+void Coordinator::scheduleViewsForLoad(const decisions::PlannedOrder &planned)
+{
+    for (auto &[host, daemon] : m_daemons) {
+        if (daemon.waiting.contains({planned.model, planned.adapter}))
+            daemon.isViewDue = true;
+    }
+    if (!m_viewTimer.isActive())
+        m_viewTimer = m_timers.once(viewDelay, [this] { sendDueViews(); });
+}
+
+void Coordinator::sendDueViews()
+{
+    const observability::EventLoopProfiler::Scope scope(m_profiler, "immediate views");
+    for (auto &[host, daemon] : m_daemons) {
+        if (daemon.isViewDue)
+            m_sendView(daemon.address, contentsViewFor(daemon));
+    }
+}
+
+} // namespace jackdawlead::gateway
