Let a request limit rise while answers overlap

What callers saw: nothing yet; found by reading. An endpoint that raises its limit would stay at the old one for as long as its requests overlap, with refusals that it no longer asks for.

Cause: an answer to a request from before the known statement counts with the lower of the two limits. It also renewed the time of the statement, so that the next answer, whose request was sent before that, crossed it again.

Change: an answer that crosses the known statement with a higher limit changes nothing. Lower limits still apply at once.

--- a/src/libs/decisions/endpointlimits.cpp
+++ b/src/libs/decisions/endpointlimits.cpp
@@ -12,9 +12,10 @@
     const auto known = m_limits.find(id);
     if (known != m_limits.end() && known->second.incarnation == incarnation) {
         const EndpointLimit &limit = known->second;
-        const bool crossed = sentAt < limit.statedAt;
-        if (crossed && limit.rate)
-            rate = std::min(rate, *limit.rate);
+        const bool hasCrossed = sentAt < limit.statedAt;
+        // The time of the statement stays as it is, so that a later request can raise the limit.
+        if (hasCrossed && limit.rate && rate > *limit.rate)
+            return LimitChange::None;
         receivedAt = std::max(receivedAt, limit.statedAt);
     }
     return applyUpdate(id, {incarnation, rate, receivedAt});
--- a/tests/auto/endpointlimits/tst_endpointlimits.cpp
+++ b/tests/auto/endpointlimits/tst_endpointlimits.cpp
@@ -51,6 +51,25 @@
     cr_assert_eq(limits.find(endpoint, incarnation)->rate->perSecond, high.perSecond);
 }
 
+// Guards against a limit that never rises while requests overlap: each answer then crosses another
+// one.
+Test(endpointlimits, limitRisesWhileAnswersOverlap)
+{
+    constexpr core::Duration answerInterval = milliseconds(100);
+    constexpr core::Duration answerTime = milliseconds(300);
+    EndpointLimits limits;
+    core::TimePoint now = start;
+    const auto receiveAnswers = [&](fleet::RequestRate rate) {
+        for (int count = 0; count < 10; ++count) {
+            limits.recordAnnounced(endpoint, incarnation, rate, now - answerTime, now);
+            now += answerInterval;
+        }
+    };
+    receiveAnswers(low);
+    receiveAnswers(high);
+    cr_assert_eq(limits.find(endpoint, incarnation)->rate->perSecond, high.perSecond);
+}
+
 // Guards against the limit of an ended incarnation that binds its successor, and against a late
 // message about the predecessor that replaces the successor's limit.
 Test(endpointlimits, limitEndsWithItsIncarnation)
