Plan around limited endpoints within their service only

What callers saw: nothing yet; found by reading. With two services of model engines, all endpoints of one limited and one of the other not, no adapter of the first was loaded any more.

Cause: the planner avoids limited endpoints while any endpoint has no limit, whatever service it belongs to.

Change: only an endpoint of the same service counts.

Evidence: unlimitedEndpointOfAnotherServiceDoesNotCount failed before, without a load.

--- a/src/libs/decisions/planningpass.cpp
+++ b/src/libs/decisions/planningpass.cpp
@@ -24,10 +24,10 @@
 
 void PlanningPass::indexCopies()
 {
-    m_hasUnlimitedEndpoint = std::ranges::any_of(m_endpoints, [this](const auto &entry) {
-        const EndpointState &state = entry.second;
-        return !state.isRateLimited && !state.endpoint.isLeaving && m_now >= state.unreachableUntil;
-    });
+    for (const auto &[id, state] : m_endpoints) {
+        if (!state.isRateLimited && !state.endpoint.isLeaving && m_now >= state.unreachableUntil)
+            m_servicesWithUnlimitedEndpoint.insert(state.endpoint.service);
+    }
     for (const auto &[id, state] : m_endpoints) {
         m_remainingLoads -= loadsInFlight(state);
         m_maxSlots = std::max(m_maxSlots, state.endpoint.slots);
--- a/src/libs/decisions/planningpass.h
+++ b/src/libs/decisions/planningpass.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -64,7 +65,8 @@
     /// Whether the endpoint's copies serve too few requests to count, and loads go elsewhere.
     bool isAvoided(const EndpointState &state) const
     {
-        return state.isRateLimited && m_hasUnlimitedEndpoint;
+        return state.isRateLimited
+            && m_servicesWithUnlimitedEndpoint.contains(state.endpoint.service);
     }
     bool fitsWithoutEviction(const EndpointState &state, const core::ModelId &model) const;
     bool isOutdated(const fleet::AdapterKey &key, const PlacedAdapter &placed) const;
@@ -105,7 +107,8 @@
     AdapterSet m_outdated; ///< At least one endpoint holds an older version than the newest.
     std::unordered_map<const EndpointState *, EvictionVictim> m_evictionVictims;
     std::vector<EndpointState *> m_availableEndpoints; ///< Can take an order for an adapter.
-    bool m_hasUnlimitedEndpoint = false;               ///< That is reachable and not leaving.
+    /// With a reachable endpoint that has no request limit and is not leaving.
+    std::set<core::ServiceId> m_servicesWithUnlimitedEndpoint;
     int m_remainingLoads = 0;
     int m_maxSlots = 1; ///< Slots of the largest endpoint.
 };
--- a/tests/auto/adapterplanner/tst_adapterplanner.cpp
+++ b/tests/auto/adapterplanner/tst_adapterplanner.cpp
@@ -313,3 +313,21 @@
     fixture.addRequests(keyOf(9), near, 1, fixture.now);
     cr_assert(fixture.planner.plan(fixture.now).empty());
 }
+
+// Guards against an endpoint that gets no load because of an endpoint without a limit that belongs
+// to another service.
+Test(adapterplanner, unlimitedEndpointOfAnotherServiceDoesNotCount)
+{
+    Fixture fixture;
+    fixture.addEndpoints(1, 4);
+    fleet::EngineSpec otherEngine = engineSpec(4);
+    otherEngine.models.front().model = core::ModelId("other");
+    fleet::Endpoint other = endpointOf("e9");
+    other.service = core::ServiceId("other");
+    fixture.planner.setEndpoint(other, near, otherEngine);
+    fixture.report(other.id, false);
+    fixture.planner.setRateLimited(core::EndpointId("e0"), true, true);
+    fixture.addRequests(keyOf(1), near, 1, fixture.now);
+    fixture.run(milliseconds(100));
+    cr_assert(fixture.held[core::EndpointId("e0")].contains(keyOf(1)));
+}
