--- a/tests/e2e/tst_platformlimits.cpp
+++ b/tests/e2e/tst_platformlimits.cpp
@@ -80,6 +80,11 @@
         }));
     }
 
+    static std::ptrdiff_t arrivalsSince(const FakeEndpoint &endpoint, core::TimePoint from)
+    {
+        return endpoint.arrivals.end() - std::ranges::lower_bound(endpoint.arrivals, from);
+    }
+
     /// The largest number of messages for the endpoint in one window, from `from` on.
     static int worstWindow(const FakeEndpoint &endpoint, core::TimePoint from)
     {
@@ -187,8 +192,7 @@
         const int worst = LimitFixture::worstWindow(*endpoint, from);
         cr_expect_leq(worst, LimitFixture::maxPerWindow(4), "%d in one window\n%s", worst,
                       fixture.outputs().c_str());
-        const auto served
-            = endpoint->arrivals.end() - std::ranges::lower_bound(endpoint->arrivals, from);
+        const auto served = LimitFixture::arrivalsSince(*endpoint, from);
         constexpr double minUsedShare = 0.9;
         cr_expect_geq(static_cast<double>(served), minUsedShare * 4 * 6);
     }
@@ -350,8 +354,7 @@
     constexpr core::Duration measuredTime = seconds(12);
     fixture.runLoopFor(measuredTime);
     for (const FakeEndpoint *endpoint : {&fixture.first, &fixture.second}) {
-        const auto received
-            = endpoint->arrivals.end() - std::ranges::lower_bound(endpoint->arrivals, from);
+        const auto received = LimitFixture::arrivalsSince(*endpoint, from);
         // One permit may be left from before.
         cr_expect_leq(static_cast<double>(received), 1 + perSecond * core::toSeconds(measuredTime),
                       "%td\n%s", received, fixture.outputs().c_str());
@@ -390,8 +393,7 @@
         cr_expect_leq(worst, LimitFixture::maxPerWindow(4), "%d in one window\n%s", worst,
                       fixture.outputs().c_str());
         // The remaining daemon's share of the limit without a coordinator is 2 a second.
-        const auto served
-            = endpoint->arrivals.end() - std::ranges::lower_bound(endpoint->arrivals, from);
+        const auto served = LimitFixture::arrivalsSince(*endpoint, from);
         cr_expect_geq(served, 15, "%s", fixture.outputs().c_str());
     }
 }
@@ -433,10 +435,8 @@
     constexpr core::Duration measuredTime = seconds(3);
     fixture.runLoopFor(lossTime + measuredTime);
     std::ptrdiff_t received = 0;
-    for (const FakeEndpoint *endpoint : {&fixture.first, &fixture.second}) {
-        const auto &arrivals = endpoint->arrivals;
-        received += arrivals.end() - std::ranges::lower_bound(arrivals, silentAt + lossTime);
-    }
+    for (const FakeEndpoint *endpoint : {&fixture.first, &fixture.second})
+        received += LimitFixture::arrivalsSince(*endpoint, silentAt + lossTime);
     // One of a hundred daemons may send one request in 5 s to each endpoint.
     cr_expect_leq(received, 2, "%td\n%s", received, fixture.output().c_str());
 }
