End a stream as complete only after a whole event

Cause: completeness was decided by the framing alone. An answer without length or chunks ends with its connection, wherever that happens, and the bytes after the last whole event were forwarded before a regular last chunk. The class: the end of a transport is taken for the end of the content.

Change: RequestTask::verifiedEnd() is the one place that all streams pass, whatever delimits them. A stream that ends inside an event counts as a broken connection if the connection's end delimited it, and as malformed otherwise; it is resumed where the route allows it, else cut off, or answered with 502 if nothing was forwarded. A delimited answer proves an endpoint sound by its end, any other one only by its begin.

Looked for elsewhere: the product's own interface requires an end mark in each stream; truncated JSON of stores, daemons and endpoints fails to parse; a refusal counts by its head, which must be complete. Not changed: a buffered answer without length that ends regularly is complete by the platform's definition.

Three new tests of EventFilter.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -97,6 +97,9 @@
         m_endpoint, m_incarnation,
         platform::parseRequestLimit(head.status, head.headers, m_endpoint), isOwnAnswer, m_sentAt);
     applyEndpointState(head);
+    // The end of such an answer does not show whether the endpoint is sound, but its begin does.
+    if (isOwnAnswer && head.status < 500 && !head.isDelimited())
+        m_context.pool.health(m_endpoint).recordSuccess();
     m_isStream = m_route->isStream && head.status == 200 && m_traits.isStamped
         && !m_traits.hasContentEncoding;
     m_answer = std::move(head);
@@ -211,9 +214,32 @@
         m_connection->setReadEnabled(m_exchange->pendingOutput() < maxUnsentBytes);
 }
 
-void RequestTask::handleExchangeEnd(http::ExchangeEnd end)
+// The framing of an answer says where its bytes end, not whether its last event is whole: an
+// answer without length or chunks also ends with its connection if the endpoint crashes.
+http::ExchangeEnd RequestTask::verifiedEnd(http::ExchangeEnd end) const
+{
+    if (!m_isStream || !http::isComplete(end) || m_events.endsBetweenEvents())
+        return end;
+    const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
+    m_context.metrics.recordTruncatedStream(isAtClose);
+    const std::string lastEvent
+        = m_events.lastId() ? absl::StrCat("event ", *m_events.lastId()) : std::string("no event");
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "truncated stream",
+         .message
+         = absl::StrCat("stream ended inside an event, ",
+                        isAtClose ? "with its connection, " : "with a regular end of its framing, ",
+                        m_events.incompleteEvent().size(), " bytes after ", lastEvent),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
+    return isAtClose ? http::ExchangeEnd::Broken : http::ExchangeEnd::Malformed;
+}
+
+void RequestTask::handleExchangeEnd(http::ExchangeEnd reportedEnd)
 {
     m_isSent = false;
+    const http::ExchangeEnd end = verifiedEnd(reportedEnd);
     if (http::isComplete(end))
         m_context.pool.recordActivity(m_endpoint);
     endPrefill();
@@ -273,30 +299,11 @@
         m_exchange->body);
 }
 
-void RequestTask::logIfTruncated(http::ExchangeEnd end) const
-{
-    if (!http::isComplete(end) || m_events.incompleteEvent().empty())
-        return;
-    const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
-    m_context.metrics.recordTruncatedStream(isAtClose);
-    const std::string lastEvent
-        = m_events.lastId() ? absl::StrCat("event ", *m_events.lastId()) : std::string("no event");
-    observability::log(
-        {.level = observability::LogLevel::Info,
-         .step = "truncated stream",
-         .message
-         = absl::StrCat("stream ended inside an event, ",
-                        isAtClose ? "with its connection, " : "with a regular end of its framing, ",
-                        m_events.incompleteEvent().size(), " bytes after ", lastEvent),
-         .peer = m_endpoint.value(),
-         .request = m_fields.id.value()});
-}
-
 void RequestTask::handleStreamEnd(http::ExchangeEnd end)
 {
-    logIfTruncated(end);
     if (http::isComplete(end) && m_isStream && !m_isStreamMalformed) {
-        m_context.pool.health(m_endpoint).recordSuccess();
+        if (m_answer.isDelimited())
+            m_context.pool.health(m_endpoint).recordSuccess();
         logIfLate();
         if (m_times.hasEvents()) {
             m_context.metrics.recordFirstEvent(m_times.firstAt() - m_exchange->receivedAt);
@@ -332,10 +339,10 @@
         handleSendFailure(Failure::MayHaveRun, "answer is not the endpoint's own");
         return;
     }
-    if (!isFailure)
-        m_context.pool.health(m_endpoint).recordSuccess();
-    else
+    if (isFailure)
         m_context.pool.health(m_endpoint).recordErrorResponse(now());
+    else if (m_answer.isDelimited())
+        m_context.pool.health(m_endpoint).recordSuccess();
     const bool isLate = deadline() - now() < minRemainingTime;
     if (isFailure && !isLate && recordFailedSend(Failure::MayHaveRun)) {
         chooseEndpoint();
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -79,10 +79,11 @@
     /// Ends the current exchange as malformed in the next event loop iteration, because its
     /// connection is on the stack.
     void endExchangeAsMalformed();
-    void handleExchangeEnd(http::ExchangeEnd end);
+    /// Returns Broken or Malformed instead of a complete end if the stream is truncated.
+    http::ExchangeEnd verifiedEnd(http::ExchangeEnd end) const;
+    void handleExchangeEnd(http::ExchangeEnd reportedEnd);
     void handleConnectionFailure(http::ExchangeEnd end);
     decisions::Fingerprint fingerprint() const;
-    void logIfTruncated(http::ExchangeEnd end) const;
     void handleStreamEnd(http::ExchangeEnd end);
     void sendBufferedAnswer();
     void handleRefusal();
--- a/src/libs/http/messageparser.h
+++ b/src/libs/http/messageparser.h
@@ -21,6 +21,10 @@
     bool isChunked = false;
     bool hasLength = false;
     std::size_t contentLength = 0;
+
+    /// Whether the message itself tells where it ends. The end of the connection delimits other
+    /// responses that have a body.
+    bool isDelimited() const { return isChunked || hasLength; }
 };
 
 /// Parses one HTTP/1.1 message at a time from a byte stream, with http_parser. It stops exactly at
--- a/tests/auto/eventfilter/tst_eventfilter.cpp
+++ b/tests/auto/eventfilter/tst_eventfilter.cpp
@@ -55,3 +55,70 @@
     repeating.startNextRun();
     cr_assert_eq(repeating.feed(eventWithId(1), output), EventFilter::Result::Broken);
 }
+
+namespace {
+
+/// Whether a stream may end after these bytes.
+bool endsBetweenEvents(const std::string &bytes)
+{
+    EventFilter filter;
+    std::string output;
+    filter.feed(bytes, output);
+    return filter.endsBetweenEvents();
+}
+
+} // namespace
+
+// Guards against taking a truncated stream for a complete one.
+Test(eventfilter, streamEndsBetweenEventsOnly)
+{
+    cr_assert(endsBetweenEvents(""));
+    cr_assert(endsBetweenEvents(eventWithId(1)));
+    cr_assert(endsBetweenEvents(eventWithId(1) + ": comment\n"));
+    cr_assert(endsBetweenEvents("id: 1\r\ndata: text\r\n\r\n"));
+    cr_assert(endsBetweenEvents("id: 1\rdata: text\r\r"));
+    const std::string event = "id: 1\r\ndata: text\r\n\r\n";
+    for (std::size_t size = 1; size < event.size(); ++size)
+        cr_assert_not(endsBetweenEvents(event.substr(0, size)), "%zu bytes", size);
+    for (std::size_t size = 1; size < eventWithId(1).size(); ++size)
+        cr_assert_not(endsBetweenEvents(eventWithId(1).substr(0, size)), "%zu bytes", size);
+    cr_assert_not(endsBetweenEvents(eventWithId(1) + ": comm"));
+    cr_assert_not(endsBetweenEvents(eventWithId(1) + ": comment\ndata"));
+    cr_assert_not(endsBetweenEvents(eventWithId(1) + "\xEF\xBB\xBF"));
+}
+
+// Guards against events that are held back, or whose ids are not seen, because of their line ends
+// or of the pieces in which they arrive.
+Test(eventfilter, everyLineEndIsRecognized)
+{
+    for (const std::string end : {"\n", "\r\n", "\r"}) {
+        const std::string stream
+            = "id: 1" + end + "data: text" + end + end + "id: 2" + end + "data: more" + end + end;
+        for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+            EventFilter filter;
+            std::string output;
+            filter.feed(stream.substr(0, cut), output);
+            filter.feed(stream.substr(cut), output);
+            cr_assert_eq(output, stream);
+            cr_assert_eq(filter.lastId(), 2U);
+            cr_assert(filter.endsBetweenEvents());
+        }
+    }
+}
+
+// Guards against overlooking the id of a first event behind a byte order mark, after which the
+// event would be sent twice, and against a mark in the middle of a resumed stream.
+Test(eventfilter, byteOrderMarkIsPassedOnce)
+{
+    const std::string mark = "\xEF\xBB\xBF";
+    EventFilter filter;
+    std::string output;
+    filter.feed(mark.substr(0, 2), output);
+    cr_assert_not(filter.endsBetweenEvents());
+    filter.feed(mark.substr(2) + eventWithId(1), output);
+    cr_assert_eq(output, mark + eventWithId(1));
+    cr_assert_eq(filter.lastId(), 1U);
+    filter.startNextRun();
+    filter.feed(mark + eventWithId(2), output);
+    cr_assert_eq(output, mark + eventWithId(1) + eventWithId(2));
+}
--- a/tests/e2e/tst_truncatedstreams.cpp
+++ b/tests/e2e/tst_truncatedstreams.cpp
@@ -126,15 +126,17 @@
     RawFixture fixture;
     fixture.store.remove("servers", fixture.rawSecond.id);
     fixture.runLoopFor(milliseconds(1500));
-    std::vector<std::pair<http::Connection *, http::MessageHead>> open;
+    std::vector<http::Connection *> open;
     fixture.setRun([&open](http::Connection &connection, const http::MessageHead &head) {
-        open.emplace_back(&connection, head);
+        open.push_back(&connection);
+        connection.write(unframedAnswer(head, 3));
     });
     const auto one = fixture.start("/once/a", "r1", "base");
     const auto two = fixture.start("/once/a", "r2", "base");
-    cr_assert(fixture.waitUntil([&open] { return open.size() == 2; }));
-    for (const auto &[connection, head] : open)
-        RawEndpoint::writeAndClose(*connection, unframedAnswer(head, 3) + "id: 4\nda");
+    cr_assert(
+        fixture.waitUntil([&] { return one->body == events(1, 3) && two->body == events(1, 3); }));
+    for (http::Connection *connection : open)
+        RawEndpoint::writeAndClose(*connection, "id: 4\nda");
     cr_assert(fixture.waitUntil([&] { return one->isEnded && two->isEnded; }));
     cr_assert_neq(fixture.output().find("unreachable"), std::string::npos, "%s",
                   fixture.output().c_str());
