Take an answer without length or events for broken off

A stream without length or chunks whose connection ended between the head and the first event reached its caller as a complete, empty stream. An endpoint that crashes as it begins to answer looks like that.

RequestTask::verifiedEnd() now requires an event in the run if only the end of the connection delimits it. unframedStreamWithoutEventsIsAnswered failed before (status 200).

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -218,9 +218,11 @@
 // answer without length or chunks also ends with its connection if the endpoint crashes.
 http::ExchangeEnd RequestTask::verifiedEnd(http::ExchangeEnd end) const
 {
-    if (!m_isStream || !http::isComplete(end) || m_events.endsBetweenEvents())
-        return end;
     const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
+    const bool hasEvents = m_times.lastAt() >= m_sentAt;
+    const bool isWhole = m_events.endsBetweenEvents() && (hasEvents || !isAtClose);
+    if (!m_isStream || !http::isComplete(end) || isWhole)
+        return end;
     m_context.metrics.recordTruncatedStream(isAtClose);
     const std::string lastEvent
         = m_events.lastId() ? absl::StrCat("event ", *m_events.lastId()) : std::string("no event");
@@ -228,7 +230,7 @@
         {.level = observability::LogLevel::Info,
          .step = "truncated stream",
          .message
-         = absl::StrCat("stream ended inside an event, ",
+         = absl::StrCat("stream ended inside an event or before its first one, ",
                         isAtClose ? "with its connection, " : "with a regular end of its framing, ",
                         m_events.incompleteEvent().size(), " bytes after ", lastEvent),
          .peer = m_endpoint.value(),
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -24,7 +24,7 @@
     void recordResponse(int status, core::Duration total);
     void recordRefusal(const std::string &cause);
     void recordRetry(const std::string &cause);
-    /// Records a stream that ended inside an event although its framing was complete;
+    /// Records a stream that ended as its framing says, but inside an event or without any;
     /// `isAtClose` if the end of the connection delimited it.
     void recordTruncatedStream(bool isAtClose);
     void recordFirstEvent(core::Duration delay) { m_firstEvent.Observe(core::toSeconds(delay)); }
--- a/tests/e2e/tst_truncatedstreams.cpp
+++ b/tests/e2e/tst_truncatedstreams.cpp
@@ -119,6 +119,18 @@
     cr_assert_eq(answer->head.status, 502);
 }
 
+// Guards against taking a crash between the head and the first event for a stream without events.
+Test(truncatedstreams, unframedStreamWithoutEventsIsAnswered, .timeout = 60)
+{
+    RawFixture fixture;
+    fixture.setRun([](http::Connection &connection, const http::MessageHead &head) {
+        RawEndpoint::writeAndClose(connection, RawEndpoint::stampedHead(head));
+    });
+    const auto answer = fixture.call("/once/a", "r1", "base");
+    cr_assert(answer->isComplete, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->head.status, 502);
+}
+
 // Guards against a crash that is not counted as one because its streams ended with their
 // connections.
 Test(truncatedstreams, cutStreamsCountAsBrokenConnections, .timeout = 60)
