Log which prompts were in progress at a crash

The line of an endpoint that becomes unreachable now names the parts of their prompts, with the number of requests that have them, and further broken connections of the same crash are logged as well.

Prompt-Prefix is decoded in platform/ into parts; ids that differ in case or leading zeros are the same part, and number and length are bounded.

Test: promptPartsAreNormalizedAndBounded.

--- a/src/libs/core/ids.h
+++ b/src/libs/core/ids.h
@@ -51,6 +51,8 @@
 using ModelId = Id<struct ModelTag>;
 using AdapterId = Id<struct AdapterTag>;
 using RequestId = Id<struct RequestTag>;
+/// A part of a prompt that several requests may share.
+using PromptPartId = Id<struct PromptPartTag>;
 using AttemptId = Id<struct AttemptTag>;
 using RegionId = Id<struct RegionTag>;
 using FailureDomainId = Id<struct FailureDomainTag>;
--- a/src/libs/decisions/crashtracker.cpp
+++ b/src/libs/decisions/crashtracker.cpp
@@ -4,25 +4,29 @@
 
 namespace jackdawlead::decisions {
 
-void CrashTracker::recordConnectionFailure(const Fingerprint &fingerprint,
+void CrashTracker::recordConnectionFailure(const RequestIdentity &request,
                                            const core::EndpointId &endpoint, core::TimePoint now)
 {
     while (!m_connectionFailures.empty()
            && now - m_connectionFailures.front().at > m_limits.attributionWindow)
         m_connectionFailures.pop_front();
-    m_connectionFailures.push_back({fingerprint, endpoint, now});
+    m_connectionFailures.push_back({request, endpoint, now});
 }
 
-void CrashTracker::recordCrash(const core::EndpointId &endpoint, const CrashId &crash,
-                               core::TimePoint now)
+CrashEvidence CrashTracker::recordCrash(const core::EndpointId &endpoint, const CrashId &crash,
+                                        core::TimePoint now)
 {
+    CrashEvidence evidence {crash, {}};
     for (const ConnectionFailure &failure : m_connectionFailures) {
-        if (failure.endpoint == endpoint && now - failure.at <= m_limits.attributionWindow)
-            applyUpdate({failure.fingerprint, crash}, now);
+        if (failure.endpoint != endpoint || now - failure.at > m_limits.attributionWindow)
+            continue;
+        applyUpdate({failure.request.fingerprint, crash}, now);
+        evidence.requests.push_back(failure.request);
     }
     std::erase_if(m_connectionFailures, [&endpoint](const ConnectionFailure &failure) {
         return failure.endpoint == endpoint;
     });
+    return evidence;
 }
 
 void CrashTracker::applyUpdate(const CrashReport &report, core::TimePoint now)
--- a/src/libs/decisions/crashtracker.h
+++ b/src/libs/decisions/crashtracker.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/crashlimits.h"
 #include "decisions/quarantine.h"
 
 #include <deque>
@@ -13,8 +14,7 @@
 
 struct CrashTrackerLimits
 {
-    /// The platform allows a request three crashes; after those it must not reach endpoints.
-    std::size_t quarantineThreshold = 3;
+    std::size_t quarantineThreshold = crashesUntilBlocked;
     /// Connection failures within this time before the detection of a crash are attributed to it.
     core::Duration attributionWindow = std::chrono::milliseconds(1500);
     /// Clients resend such requests within minutes.
@@ -25,6 +25,21 @@
     std::size_t maxEntries = 4096; ///< The oldest is dropped; one needs about 300 bytes.
 };
 
+/// What a request has in common with other requests that may crash endpoints as well.
+struct RequestIdentity
+{
+    Fingerprint fingerprint; ///< The same for each repetition of the request.
+    /// The parts of its prompt that other requests may have.
+    std::vector<core::PromptPartId> parts;
+};
+
+/// A crash and requests that were in progress at the endpoint.
+struct CrashEvidence
+{
+    CrashId crash;
+    std::vector<RequestIdentity> requests;
+};
+
 /// One crash of an endpoint while a request was in flight there.
 struct CrashReport
 {
@@ -43,11 +58,13 @@
     { }
 
     /// The connection to the endpoint failed before the response was complete.
-    void recordConnectionFailure(const Fingerprint &fingerprint, const core::EndpointId &endpoint,
+    void recordConnectionFailure(const RequestIdentity &request, const core::EndpointId &endpoint,
                                  core::TimePoint now);
     /// Records a crash of the endpoint for each request with a connection failure there within the
-    /// preceding attributionWindow.
-    void recordCrash(const core::EndpointId &endpoint, const CrashId &crash, core::TimePoint now);
+    /// preceding attributionWindow, and returns these requests. May be called again for the same
+    /// crash when further connections fail.
+    CrashEvidence recordCrash(const core::EndpointId &endpoint, const CrashId &crash,
+                              core::TimePoint now);
     /// Adds a crash that this or another daemon detected.
     void applyUpdate(const CrashReport &report, core::TimePoint now);
     /// Crashes recorded within `broadcastDuration`, to be sent to other daemons.
@@ -62,7 +79,7 @@
 private:
     struct ConnectionFailure
     {
-        Fingerprint fingerprint;
+        RequestIdentity request;
         core::EndpointId endpoint;
         core::TimePoint at;
     };
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -60,8 +61,7 @@
 // same endpoint is an option only if the connection was reused, because that one may be dead.
 bool RequestTask::hasReplacement()
 {
-    if (!m_exchange->isOpen() || !m_context.budgets[m_service].canTake(now())
-        || m_context.crashes.crashCount(fingerprint(), now()) > 1)
+    if (!m_exchange->isOpen() || !m_context.budgets[m_service].canTake(now()) || !mayRunAgain())
         return false;
     const auto choice = m_finder.choose(now());
     return choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->isReused());
@@ -277,28 +277,51 @@
     const bool wasUnreachable = health.isUnreachable(now());
     health.recordConnectionFailure(now());
     if (end == http::ExchangeEnd::Broken)
-        m_context.crashes.recordConnectionFailure(fingerprint(), m_endpoint, now());
-    if (wasUnreachable || !health.isUnreachable(now()))
+        m_context.crashes.recordConnectionFailure(m_identity, m_endpoint, now());
+    if (!health.isUnreachable(now()))
         return;
-    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_endpoint);
-    const std::int64_t startTime = endpoint == nullptr ? 0 : endpoint->startTime.count();
+    const decisions::CrashId crash(absl::StrCat(m_endpoint.value(), "@", m_incarnation.count()));
+    const decisions::CrashEvidence evidence
+        = m_context.crashes.recordCrash(m_endpoint, crash, now());
+    if (!wasUnreachable || !evidence.requests.empty())
+        logCrash(evidence);
+}
+
+// The parts tell which prompts were in progress at several crashes.
+void RequestTask::logCrash(const decisions::CrashEvidence &evidence) const
+{
+    std::map<core::PromptPartId, int> parts;
+    for (const decisions::RequestIdentity &request : evidence.requests) {
+        for (const core::PromptPartId &part : request.parts)
+            ++parts[part];
+    }
+    std::string list;
+    for (const auto &[part, requests] : parts)
+        absl::StrAppend(&list, " ", part.value(), " (", requests, ")");
     observability::log({.level = observability::LogLevel::Warn,
                         .step = "endpoint",
-                        .message = "unreachable: connections broke in a row",
+                        .message = absl::StrCat("unreachable: connections broke in a row, requests "
+                                                "in progress ",
+                                                evidence.requests.size(), ", parts of prompts",
+                                                list.empty() ? " none" : list),
                         .peer = m_endpoint.value()});
-    m_context.crashes.recordCrash(
-        m_endpoint, decisions::CrashId(absl::StrCat(m_endpoint.value(), "@", startTime)), now());
 }
 
-// Uses host, path and body because they are equal in every retry by the client; the id is not.
-decisions::Fingerprint RequestTask::fingerprint() const
+// The fingerprint uses host, path and body because they are equal in every retry by the client; the
+// id is not. The last part of a prompt belongs to the request or its session alone.
+decisions::RequestIdentity RequestTask::makeIdentity() const
 {
     const http::MessageHead &head = m_exchange->head;
-    return decisions::fingerprintOf(
+    decisions::RequestIdentity identity;
+    identity.fingerprint = decisions::fingerprintOf(
         core::CustomerId(head.headers.value("Host")),
         {core::AdapterId(absl::StrCat(m_fields.model.value(), "/", m_fields.adapter.value())),
          head.target},
         m_exchange->body);
+    identity.parts = m_fields.promptParts;
+    if (!identity.parts.empty())
+        identity.parts.pop_back();
+    return identity;
 }
 
 void RequestTask::handleStreamEnd(http::ExchangeEnd end)
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -24,6 +24,12 @@
 
 } // namespace
 
+bool RequestTask::mayRunAgain() const
+{
+    return m_context.crashes.crashCount(m_identity.fingerprint, now())
+        < decisions::crashesUntilNotRepeated;
+}
+
 bool RequestTask::recordFailedSend(Failure failure)
 {
     if (failure == Failure::MayHaveRun) {
@@ -33,8 +39,7 @@
     }
     if (m_sends >= (m_isForwarding ? maxSendsPerStream : maxSends) || !m_exchange->isOpen())
         return false;
-    // A request that was running when two endpoints crashed is not sent to a third one.
-    if (failure == Failure::MayHaveRun && m_context.crashes.crashCount(fingerprint(), now()) > 1)
+    if (failure == Failure::MayHaveRun && !mayRunAgain())
         return false;
     // The retry budget counts only requests that arrive at endpoints.
     if (failure == Failure::NotSent)
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -110,7 +110,8 @@
         refuse("the daemon is stopping", busyRetryAfter);
         return;
     }
-    if (m_context.crashes.isQuarantined(fingerprint(), now())) {
+    m_identity = makeIdentity();
+    if (m_context.crashes.isQuarantined(m_identity.fingerprint, now())) {
         refuse("request was running when endpoints died", quarantineRetryAfter);
         return;
     }
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -83,7 +83,8 @@
     http::ExchangeEnd verifiedEnd(http::ExchangeEnd end) const;
     void handleExchangeEnd(http::ExchangeEnd reportedEnd);
     void handleConnectionFailure(http::ExchangeEnd end);
-    decisions::Fingerprint fingerprint() const;
+    void logCrash(const decisions::CrashEvidence &evidence) const;
+    decisions::RequestIdentity makeIdentity() const;
     void handleStreamEnd(http::ExchangeEnd end);
     void sendBufferedAnswer();
     void handleRefusal();
@@ -91,6 +92,8 @@
     /// Counts a failed send and returns whether the request may be sent again. Takes the retry from
     /// the budget, unless chooseEndpoint() does so later.
     bool recordFailedSend(Failure failure);
+    /// Whether the request was not in progress at too many crashes.
+    bool mayRunAgain() const;
 
     /// Time without activity of the endpoint after which the exchange counts as stalled.
     core::Duration stallLimit() const;
@@ -119,6 +122,7 @@
     std::shared_ptr<http::ServerExchange> m_exchange;
     DoneHandler m_onDone;
     platform::RequestFields m_fields;
+    decisions::RequestIdentity m_identity; ///< Set when the request is resolved.
     /// Keeps m_route valid; empty until the request is resolved.
     std::shared_ptr<const decisions::RouteTable> m_routes;
     const fleet::Route *m_route = nullptr;
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -73,6 +73,27 @@
     return fleet::RequestRate {std::min(perSecond, maxRequestsPerSecond)};
 }
 
+// Prompts of the deployments have two or three parts; the bounds limit the memory for others.
+constexpr std::size_t maxPromptParts = 64;
+constexpr std::size_t maxPartIdLength = 64;
+
+std::vector<core::PromptPartId> parsePromptParts(const std::string &text)
+{
+    std::vector<core::PromptPartId> parts;
+    for (const absl::string_view entry : absl::StrSplit(text, ',')) {
+        std::string id
+            = absl::AsciiStrToLower(absl::StripAsciiWhitespace(entry.substr(0, entry.find(':'))));
+        const bool isHexadecimal = !id.empty() && std::ranges::all_of(id, absl::ascii_isxdigit);
+        id.erase(0, std::min(id.find_first_not_of('0'), id.size() - 1));
+        if (!isHexadecimal || id.size() > maxPartIdLength)
+            continue;
+        parts.emplace_back(std::move(id));
+        if (parts.size() == maxPromptParts)
+            break;
+    }
+    return parts;
+}
+
 bool isFromOtherEndpoint(const net::Headers &headers, const core::EndpointId &endpoint)
 {
     const std::string sender = headers.value(wire::instanceId);
@@ -96,6 +117,7 @@
         = absl::StrSplit(head.headers.value(wire::tokenCount), ',');
     if (tokens.size() == 2)
         fields.promptTokens = static_cast<int>(parseNumber(tokens[0]).value_or(0));
+    fields.promptParts = parsePromptParts(head.headers.value(wire::promptPrefix));
     return fields;
 }
 
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jackdawlead::platform {
 
@@ -21,6 +22,9 @@
     core::ModelId model;                    ///< Empty for requests to plain services.
     core::AdapterId adapter;                ///< Empty if the base model itself is requested.
     int promptTokens = 0;
+    /// The parts of the prompt in their order. Ids that differ only in case or leading zeros are
+    /// the same part; malformed parts, and those beyond a fixed number, are left out.
+    std::vector<core::PromptPartId> promptParts;
 };
 
 /// Parses the header fields of a client's request; a malformed field counts as absent.
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -29,6 +29,9 @@
 inline constexpr char model[] = "Model";
 /// Two numbers separated by a comma; the first one counts the tokens of the prompt.
 inline constexpr char tokenCount[] = "Token-Count";
+/// The parts of the prompt in their order, as pairs ID:TOKENS separated by commas; the ids are
+/// hexadecimal.
+inline constexpr char promptPrefix[] = "Prompt-Prefix";
 /// 0 (first) to 9.
 inline constexpr char requestPriority[] = "Request-Priority";
 
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -229,3 +229,26 @@
                      .rate->perSecond,
                  1.0);
 }
+
+// Guards against parts of prompts that are taken for different ones because of their notation, and
+// against memory that grows with malformed or endless lists.
+Test(platformformats, promptPartsAreNormalizedAndBounded)
+{
+    const auto partsOf = [](const std::string &prefix) {
+        http::MessageHead head;
+        head.headers.add("Prompt-Prefix", prefix);
+        std::vector<std::string> parts;
+        for (const core::PromptPartId &part : parseRequestFields(head).promptParts)
+            parts.push_back(part.value());
+        return parts;
+    };
+    using Parts = std::vector<std::string>;
+    cr_assert(partsOf("5c1e07a2:800,91bd3f06:410") == (Parts {"5c1e07a2", "91bd3f06"}));
+    cr_assert(partsOf(" 005C1E07A2 : 800 , 0:1") == (Parts {"5c1e07a2", "0"}));
+    cr_assert(partsOf("").empty());
+    cr_assert(partsOf(",:5,xyz:1,-1:2," + std::string(200, 'f') + ":1").empty());
+    std::string endless = "a:1";
+    for (int number = 0; number < 1000; ++number)
+        endless += ",a:1";
+    cr_assert_eq(partsOf(endless).size(), 64U);
+}
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -250,7 +250,7 @@
     for (int crash = 1; crash <= 3; ++crash) {
         cr_assert_not(tracker.isQuarantined(request, start));
         const core::EndpointId endpoint("e" + std::to_string(crash));
-        tracker.recordConnectionFailure(request, endpoint, start);
+        tracker.recordConnectionFailure({request, {}}, endpoint, start);
         tracker.recordCrash(endpoint, CrashId(endpoint.value()), start + milliseconds(200));
         tracker.applyUpdate({request, CrashId(endpoint.value())}, start + milliseconds(300));
     }
@@ -265,7 +265,7 @@
     const Fingerprint request("request");
     CrashTracker tracker;
     for (int number = 0; number < 5; ++number)
-        tracker.recordConnectionFailure(request, core::EndpointId("e"), start);
+        tracker.recordConnectionFailure({request, {}}, core::EndpointId("e"), start);
     cr_assert_eq(tracker.crashCount(request, start), 0U);
     tracker.recordCrash(core::EndpointId("other"), CrashId("other"), start);
     tracker.recordCrash(core::EndpointId("e"), CrashId("e"), start + std::chrono::seconds(5));
