--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -212,15 +212,28 @@
                            std::uint16_t listenPort)
     : id(std::move(name))
     , port(listenPort)
+    , m_loop(loop)
     , m_timers(timers)
-    , m_server(loop, timers, [this](const auto &exchange) { serve(exchange); })
 {
-    listenOrThrow(m_server, port);
+    listen();
     run = [this](const Exchange &exchange) {
         exchange->respond(200, withNotices(stamped(exchange)), "whole answer");
     };
 }
 
+void FakeEndpoint::listen()
+{
+    m_server = std::make_unique<http::Server>(m_loop, m_timers,
+                                              [this](const auto &exchange) { serve(exchange); });
+    listenOrThrow(*m_server, port);
+}
+
+// The server is on the stack while it handles a request.
+void FakeEndpoint::crash()
+{
+    m_loop.post([this] { m_server.reset(); });
+}
+
 json FakeEndpoint::record(const std::string &service, const std::string &state) const
 {
     return {
@@ -244,6 +257,8 @@
     m_adapters.clear();
     isLeaving = false;
     requestLimit.clear();
+    if (isCrashed())
+        listen();
 }
 
 net::Headers FakeEndpoint::stamped(const Exchange &exchange)
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -98,8 +98,13 @@
     FakeEndpoint(net::EventLoop &loop, net::TimerService &timers, std::string id,
                  std::uint16_t port);
 
-    /// Starts a new incarnation, under the same or another id, without adapters.
+    /// Starts a new incarnation, under the same or another id, without adapters. It also listens
+    /// again after a crash.
     void restart(const std::string &newId);
+    /// Closes all connections without an answer in the next event loop iteration; the endpoint
+    /// does not listen until it is restarted.
+    void crash();
+    bool isCrashed() const { return !m_server; }
     /// The entry that the endpoint writes to the store.
     nlohmann::json record(const std::string &service, const std::string &state = "ready") const;
     /// Handles a request that runs; the default sends a complete, stamped response.
@@ -130,9 +135,11 @@
 private:
     void serve(const Exchange &exchange);
     void order(const Exchange &exchange);
+    void listen();
 
+    net::EventLoop &m_loop;
     net::TimerService &m_timers;
-    http::Server m_server;
+    std::unique_ptr<http::Server> m_server;
     int m_startTime = 1;
     int m_orderRevision = 0;
     std::map<std::string, bool> m_adapters;
