Test: answer streams with an event in tst_platformtrouble

endlessEventIsAborted and endlesslyRepeatedEventIsAborted served their next request, on a stream route, with the text 'fine', which is no whole event. Since truncated streams are not completed any more, the daemon rightly took that for broken off. The answer is an event now; all checks of the tests stay.

--- a/tests/e2e/tst_platformtrouble.cpp
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -60,7 +60,7 @@
         cr_assert(waitUntil([&] { return peer.open() == 0; }));
         onRequest = [](http::Connection &connection, std::string_view) {
             connection.write("HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Stamp: s\r\n"
-                             "Content-Length: 4\r\n\r\nfine");
+                             "Content-Length: 12\r\n\r\ndata: fine\n\n");
         };
         AnswerPtr next;
         cr_assert(waitUntil([&] {
