--- a/src/libs/decisions/crashtracker.cpp
+++ b/src/libs/decisions/crashtracker.cpp
@@ -47,6 +47,14 @@
     m_recentReports.push_back({report, now});
 }
 
+void CrashTracker::forget(const CrashId &crash)
+{
+    for (auto &[fingerprint, entry] : m_entries)
+        entry.crashIds.erase(crash);
+    std::erase_if(m_recentReports,
+                  [&crash](const RecentReport &recent) { return recent.report.crash == crash; });
+}
+
 std::vector<CrashReport> CrashTracker::recentCrashes(core::TimePoint now) const
 {
     std::vector<CrashReport> reports;
--- a/src/libs/decisions/crashtracker.h
+++ b/src/libs/decisions/crashtracker.h
@@ -67,6 +67,8 @@
                               core::TimePoint now);
     /// Adds a crash that this or another daemon detected.
     void applyUpdate(const CrashReport &report, core::TimePoint now);
+    /// Removes a crash that has another cause than the requests themselves.
+    void forget(const CrashId &crash);
     /// Crashes recorded within `broadcastDuration`, to be sent to other daemons.
     std::vector<CrashReport> recentCrashes(core::TimePoint now) const;
 
--- /dev/null
+++ b/src/libs/decisions/promptparttracker.cpp
@@ -0,0 +1,246 @@
+#include "decisions/promptparttracker.h"
+
+#include <algorithm>
+
+namespace jackdawlead::decisions {
+
+bool PromptPartTracker::recordCrash(const CrashEvidence &evidence, core::TimePoint now)
+{
+    dropOldCrashes(now);
+    const auto [entry, isNew] = m_crashes.try_emplace(evidence.crash);
+    Crash &crash = entry->second;
+    if (isNew)
+        crash.at = now;
+    bool hasChanged = false;
+    for (const RequestIdentity &request : evidence.requests) {
+        if (request.parts.empty() || crash.requests.size() >= m_limits.maxRequestsPerCrash)
+            continue;
+        hasChanged |= crash.requests.emplace(request.fingerprint, request.parts).second;
+    }
+    if (crash.requests.empty())
+        m_crashes.erase(entry);
+    updateSuspects(suspicions(), now);
+    return hasChanged;
+}
+
+void PromptPartTracker::dropOldCrashes(core::TimePoint now)
+{
+    std::erase_if(m_crashes, [this, now](const auto &entry) {
+        return now - entry.second.at > m_limits.retentionTime;
+    });
+    if (m_crashes.size() >= m_limits.maxCrashes)
+        m_crashes.erase(std::ranges::min_element(
+            m_crashes, {}, [](const auto &entry) { return entry.second.at; }));
+}
+
+std::vector<core::PromptPartId>
+PromptPartTracker::recordSound(const std::vector<core::PromptPartId> &parts, core::TimePoint now)
+{
+    std::vector<core::PromptPartId> cleared;
+    for (const core::PromptPartId &part : parts) {
+        const auto known = m_sound.find(part);
+        if (known != m_sound.end()) {
+            known->second.at = now;
+            m_soundByAge.splice(m_soundByAge.end(), m_soundByAge, known->second.position);
+        } else {
+            if (m_sound.size() >= m_limits.maxSoundParts) {
+                m_sound.erase(m_soundByAge.front());
+                m_soundByAge.pop_front();
+            }
+            m_soundByAge.push_back(part);
+            m_sound[part] = {now, std::prev(m_soundByAge.end())};
+        }
+        if (m_suspects.contains(part) || isBlocked(part))
+            cleared.push_back(part);
+        if (isBlocked(part))
+            change(part, false, 0, now);
+    }
+    if (!cleared.empty())
+        updateSuspects(suspicions(), now);
+    return cleared;
+}
+
+bool PromptPartTracker::isSound(const core::PromptPartId &part, core::TimePoint now) const
+{
+    const auto sound = m_sound.find(part);
+    return sound != m_sound.end() && now - sound->second.at <= m_limits.soundTime;
+}
+
+bool PromptPartTracker::isExplained(const Crash &crash) const
+{
+    return std::ranges::any_of(crash.requests, [this](const auto &request) {
+        return std::ranges::any_of(request.second,
+                                   [this](const auto &part) { return isBlocked(part); });
+    });
+}
+
+PromptPartTracker::Suspicions PromptPartTracker::suspicions() const
+{
+    Suspicions all;
+    for (const auto &[id, crash] : m_crashes) {
+        if (isExplained(crash))
+            continue;
+        for (const auto &[fingerprint, parts] : crash.requests) {
+            for (const core::PromptPartId &part : parts) {
+                const auto sound = m_sound.find(part);
+                if (sound != m_sound.end() && sound->second.at >= crash.at - m_limits.soundTime)
+                    continue;
+                all[part].crashes.insert(id);
+                all[part].requests.insert(fingerprint);
+            }
+        }
+    }
+    std::erase_if(all, [this](const auto &entry) {
+        return entry.second.crashes.size() < m_limits.suspectThreshold;
+    });
+    return all;
+}
+
+void PromptPartTracker::updateSuspects(const Suspicions &all, core::TimePoint now)
+{
+    std::erase_if(m_suspects, [&all](const auto &entry) { return !all.contains(entry.first); });
+    for (const auto &[part, suspicion] : all)
+        m_suspects.try_emplace(part, now);
+    m_nextDecisionAt = now;
+}
+
+// A request that crashes endpoints by itself has the same fingerprint each time, so that its parts
+// are not to blame.
+bool PromptPartTracker::isToBlame(const core::PromptPartId &part, const Suspicions &all) const
+{
+    const Suspicion &own = all.at(part);
+    if (own.crashes.size() < m_limits.blockThreshold || own.requests.size() < 2)
+        return false;
+    const auto explainsAsWell = [&](const auto &entry) {
+        const Suspicion &other = entry.second;
+        if (entry.first == part || other.crashes.size() < own.crashes.size())
+            return false;
+        if (other.crashes.size() == own.crashes.size()
+            && own.crashes.size() >= m_limits.ambiguousBlockThreshold)
+            return false;
+        return std::ranges::any_of(
+            own.crashes, [&other](const CrashId &crash) { return other.crashes.contains(crash); });
+    };
+    return std::ranges::none_of(all, explainsAsWell);
+}
+
+void PromptPartTracker::decide(core::TimePoint now)
+{
+    while (now >= m_nextDecisionAt) {
+        const Suspicions all = suspicions();
+        updateSuspects(all, now);
+        m_nextDecisionAt = core::TimePoint::max();
+        for (const auto &[part, suspicion] : all) {
+            if (!isToBlame(part, all))
+                continue;
+            if (now >= decidableAt(part))
+                change(part, true, suspicion.crashes.size(), now);
+            else
+                m_nextDecisionAt = std::min(m_nextDecisionAt, decidableAt(part));
+        }
+    }
+}
+
+void PromptPartTracker::expire(core::TimePoint now)
+{
+    std::vector<core::PromptPartId> expired;
+    for (const auto &[part, entry] : m_states) {
+        if (entry.state.isBlocked && now - entry.lastAt > m_limits.retentionTime)
+            expired.push_back(part);
+    }
+    for (const core::PromptPartId &part : expired)
+        change(part, false, 0, now);
+    std::erase_if(m_states, [this, now](const auto &entry) {
+        return !entry.second.state.isBlocked && now - entry.second.lastAt > m_limits.retentionTime;
+    });
+}
+
+void PromptPartTracker::change(const core::PromptPartId &part, bool isBlocked, std::size_t crashes,
+                               core::TimePoint now)
+{
+    const auto known = m_states.find(part);
+    const std::uint32_t version = known == m_states.end() ? 0 : known->second.state.version;
+    const PartState state {part, version + 1, isBlocked, crashes};
+    applyState(state, now);
+    m_changes.push_back(state);
+}
+
+bool PromptPartTracker::applyState(const PartState &state, core::TimePoint now)
+{
+    const auto known = m_states.find(state.part);
+    if (known != m_states.end() && known->second.state.version >= state.version)
+        return false;
+    if (known == m_states.end() && m_states.size() >= m_limits.maxBlocks)
+        m_states.erase(std::ranges::min_element(m_states, {}, [](const auto &entry) {
+            return std::pair(entry.second.state.isBlocked, entry.second.lastAt);
+        }));
+    m_states[state.part] = {state, now};
+    if (!state.isBlocked) {
+        // The crashes must not block the part again.
+        std::erase_if(m_crashes, [&state](const auto &entry) {
+            return std::ranges::any_of(entry.second.requests, [&state](const auto &request) {
+                return std::ranges::find(request.second, state.part) != request.second.end();
+            });
+        });
+    }
+    updateSuspects(suspicions(), now);
+    return true;
+}
+
+void PromptPartTracker::recordRequest(const core::PromptPartId &part, core::TimePoint now)
+{
+    if (const auto known = m_states.find(part); known != m_states.end())
+        known->second.lastAt = now;
+}
+
+bool PromptPartTracker::isBlocked(const core::PromptPartId &part) const
+{
+    const auto known = m_states.find(part);
+    return known != m_states.end() && known->second.state.isBlocked;
+}
+
+std::vector<core::PromptPartId> PromptPartTracker::suspects() const
+{
+    std::vector<core::PromptPartId> parts;
+    for (const auto &[part, since] : m_suspects)
+        parts.push_back(part);
+    return parts;
+}
+
+std::size_t PromptPartTracker::blockedCount() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_states, [](const auto &entry) { return entry.second.state.isBlocked; }));
+}
+
+std::vector<PartState> PromptPartTracker::states() const
+{
+    std::vector<PartState> states;
+    for (const auto &[part, entry] : m_states)
+        states.push_back(entry.state);
+    return states;
+}
+
+std::vector<CrashId> PromptPartTracker::explainedCrashes() const
+{
+    std::vector<CrashId> crashes;
+    for (const auto &[id, crash] : m_crashes) {
+        if (isExplained(crash))
+            crashes.push_back(id);
+    }
+    return crashes;
+}
+
+std::vector<CrashEvidence> PromptPartTracker::evidence() const
+{
+    std::vector<CrashEvidence> list;
+    for (const auto &[id, crash] : m_crashes) {
+        CrashEvidence evidence {id, {}};
+        for (const auto &[fingerprint, parts] : crash.requests)
+            evidence.requests.push_back({fingerprint, parts});
+        list.push_back(std::move(evidence));
+    }
+    return list;
+}
+
+} // namespace jackdawlead::decisions
--- a/src/libs/decisions/quarantine.cpp
+++ b/src/libs/decisions/quarantine.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t quarantineThreshold = 2;
 constexpr char separator = '/';
 
 } // namespace
@@ -56,7 +55,7 @@
     if (entry.crashes.contains(crash))
         return false;
     // Two crashes are kept, so that the size is bounded and a repeated message is still detected.
-    if (entry.crashes.size() >= quarantineThreshold)
+    if (entry.crashes.size() >= crashesUntilNotRepeated)
         entry.crashes.erase(entry.crashes.begin());
     entry.crashes.insert(crash);
     entry.expiresAt = now + m_limits.duration;
@@ -69,7 +68,7 @@
     const Entry *entry = find(fingerprint, now);
     if (!entry)
         return QuarantineState::Clear;
-    return entry->crashes.size() >= quarantineThreshold ? QuarantineState::Quarantined
+    return entry->crashes.size() >= crashesUntilNotRepeated ? QuarantineState::Quarantined
                                                         : QuarantineState::Suspect;
 }
 
--- a/src/libs/decisions/quarantine.h
+++ b/src/libs/decisions/quarantine.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/crashlimits.h"
 #include "decisions/factstore.h"
 
 #include <cstddef>
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -155,6 +155,8 @@
     updateLoads();
     updateRequestLimits();
     updateRelays();
+    if (m_crashes.update(m_timers.now()))
+        scheduleViewsForAll();
     if (!m_election.canIssueOrders())
         return;
     requestReports();
@@ -293,8 +295,8 @@
             m_contents.scheduleResend(id, key);
         }
     }
-    for (const decisions::CrashReport &crash : report.crashes)
-        m_crashes.applyUpdate(crash, now);
+    if (m_crashes.addReport(report.crashes, now))
+        scheduleViewsForAll();
     for (const auto &[id, startTime] : report.leaving)
         recordLeavingEndpoint(id, startTime);
     m_limits.applyUpdates(report.limits, report.host.value());
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -8,6 +8,7 @@
 #include "decisions/requestcostestimator.h"
 #include "fleet/hostsettings.h"
 #include "gateway/coordinatorelection.h"
+#include "gateway/crashcollector.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
 #include "gateway/ratelimits.h"
@@ -98,6 +99,7 @@
                              int sends);
     void requestReports();
     void scheduleViewsForLoad(const decisions::PlannedOrder &planned);
+    void scheduleViewsForAll();
     void updateRelays();
     /// Applies what a response says about the endpoint itself.
     void applyEndpointState(const core::EndpointId &id, const http::Response &response,
@@ -134,7 +136,7 @@
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
-    decisions::CrashTracker m_crashes; ///< Crashes reported by any daemon, sent to all daemons.
+    CrashCollector m_crashes;
     std::map<core::EndpointId, double> m_totalLoad;
     /// Recently reported by any daemon, sent to all daemons.
     std::map<core::EndpointId, LeavingEndpoint> m_leavingEndpoints;
--- a/src/libs/gateway/coordinatorelection.cpp
+++ b/src/libs/gateway/coordinatorelection.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr char recordName[] = "orders";
+constexpr char sharedStateField[] = "shared";
 constexpr core::Duration tickPeriod = std::chrono::milliseconds(100);
 // Short enough to observe each renewal of a holder that this daemon cannot reach.
 constexpr core::Duration readPeriod = std::chrono::milliseconds(400);
@@ -38,26 +39,6 @@
             {"sent", sentAt.time_since_epoch().count()}};
 }
 
-std::optional<decisions::OrderLeaseRecord> decodeRecord(const platform::StoredObject &object)
-{
-    decisions::OrderLeaseRecord record;
-    record.revision = object.revision;
-    try {
-        record.holder = core::HostId(object.spec.at("holder").get<std::string>());
-        record.token = core::FencingToken(object.spec.at("token").get<std::uint64_t>());
-        record.isReleased = object.spec.at("released").get<bool>();
-        auto address = platform::decodeAddress(object.spec.at("address").get<std::string>());
-        if (address.ok())
-            record.address = *std::move(address);
-    } catch (const nlohmann::json::exception &error) {
-        observability::log({.level = observability::LogLevel::Error,
-                            .step = "read lease",
-                            .message = error.what()});
-        return std::nullopt;
-    }
-    return record;
-}
-
 } // namespace
 
 CoordinatorElection::CoordinatorElection(platform::ObjectStoreClient &store,
@@ -119,6 +100,30 @@
     return isFresh ? &*m_storeRecord : nullptr;
 }
 
+std::optional<decisions::OrderLeaseRecord>
+CoordinatorElection::decodeRecord(const platform::StoredObject &object)
+{
+    decisions::OrderLeaseRecord record;
+    record.revision = object.revision;
+    try {
+        record.holder = core::HostId(object.spec.at("holder").get<std::string>());
+        record.token = core::FencingToken(object.spec.at("token").get<std::uint64_t>());
+        record.isReleased = object.spec.at("released").get<bool>();
+        auto address = platform::decodeAddress(object.spec.at("address").get<std::string>());
+        if (address.ok())
+            record.address = *std::move(address);
+        const auto shared = object.spec.find(sharedStateField);
+        if (m_sharedState.apply && shared != object.spec.end())
+            m_sharedState.apply(*shared);
+    } catch (const nlohmann::json::exception &error) {
+        observability::log({.level = observability::LogLevel::Error,
+                            .step = "read lease",
+                            .message = error.what()});
+        return std::nullopt;
+    }
+    return record;
+}
+
 void CoordinatorElection::readFromStore(RecordHandler handler)
 {
     m_store.read(platform::ObjectKind::Leases, recordName,
@@ -181,7 +186,9 @@
                 {.step = "lease for orders",
                  .message = absl::StrCat("won with token ", proposal.token.value())});
     };
-    const nlohmann::json spec = encodeRecord(proposal, sentAt);
+    nlohmann::json spec = encodeRecord(proposal, sentAt);
+    if (m_sharedState.encode)
+        spec[sharedStateField] = m_sharedState.encode();
     if (proposal.revision == 0)
         m_store.create(platform::ObjectKind::Leases, recordName, spec, done);
     else
--- a/src/libs/gateway/coordinatorelection.h
+++ b/src/libs/gateway/coordinatorelection.h
@@ -20,6 +20,14 @@
     /// Reads the record of the lease; the result may be as old as the read interval.
     using RecordReader = std::function<void(RecordHandler)>;
 
+    /// State of the fleet that is kept in the lease's record, so that it outlives all daemons.
+    struct SharedState
+    {
+        std::function<nlohmann::json()> encode;
+        /// Errors: nlohmann::json::exception if the value is malformed.
+        std::function<void(const nlohmann::json &value)> apply;
+    };
+
     /// `isHolderReachable` returns whether the holder responded to this daemon recently; while it
     /// does, the record is not read.
     CoordinatorElection(platform::ObjectStoreClient &store, net::TimerService &timers,
@@ -34,6 +42,8 @@
     /// Replaces reading from the store. An outdated record only makes the conditional writes fail.
     /// Precondition: start() was not called yet.
     void setRecordReader(RecordReader reader) { m_recordReader = std::move(reader); }
+    /// Precondition: start() was not called yet.
+    void setSharedState(SharedState state) { m_sharedState = std::move(state); }
     void readFromStore(RecordHandler handler);
     /// The record as last read from the store; nullptr if that is older than the read interval.
     const platform::StoredObject *freshRecord() const;
@@ -48,6 +58,7 @@
     void tick();
     void read();
     void write();
+    std::optional<decisions::OrderLeaseRecord> decodeRecord(const platform::StoredObject &object);
 
     platform::ObjectStoreClient &m_store;
     net::TimerService &m_timers;
@@ -57,6 +68,7 @@
     core::Duration m_readPeriod;
     std::function<bool()> m_isHolderReachable;
     RecordReader m_recordReader;
+    SharedState m_sharedState;
     std::optional<platform::StoredObject> m_storeRecord; ///< From the store itself.
     core::TimePoint m_storeRecordReadAt;
     bool m_isCallPending = false;
--- a/src/libs/gateway/coordinatorviews.cpp
+++ b/src/libs/gateway/coordinatorviews.cpp
@@ -73,7 +73,7 @@
         = m_timers.now() - m_holderSince > decisions::ReportPace::maxPeriod + daemonCountMargin;
     view.reportPeriod = m_pace.period(view.daemonCount);
     view.demandPause = m_pace.demandPause(view.daemonCount);
-    view.crashes = m_crashes.recentCrashes(m_timers.now());
+    view.crashes = m_crashes.news(m_timers.now());
     for (const auto &[id, leavingEndpoint] : m_leavingEndpoints)
         view.leaving[id] = leavingEndpoint.startTime;
     view.limits = m_limits.known().all();
@@ -133,6 +133,14 @@
         m_viewTimer = m_timers.once(viewDelay, [this] { sendDueViews(); });
 }
 
+void Coordinator::scheduleViewsForAll()
+{
+    for (auto &[host, daemon] : m_daemons)
+        daemon.isViewDue = true;
+    if (!m_viewTimer.isActive())
+        m_viewTimer = m_timers.once(viewDelay, [this] { sendDueViews(); });
+}
+
 void Coordinator::sendDueViews()
 {
     const observability::EventLoopProfiler::Scope scope(m_profiler, "immediate views");
--- /dev/null
+++ b/src/libs/gateway/crashguard.cpp
@@ -0,0 +1,251 @@
+#include "gateway/crashguard.h"
+
+#include "gateway/crashcollector.h"
+#include "observability/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdawlead::gateway {
+
+namespace {
+
+constexpr core::Duration decisionPeriod = std::chrono::milliseconds(100);
+// A refusal takes a round trip, of 60 ms between regions.
+constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(500);
+constexpr std::string_view quarantineCause = "request was running when endpoints died";
+constexpr std::string_view blockedPartCause = "a part of the prompt crashes endpoints";
+
+} // namespace
+
+CrashGuard::CrashGuard(net::EventLoop &loop, net::TimerService &timers, FleetWatch &watch,
+                       EndpointPool &pool, observability::GatewayMetrics &metrics,
+                       Handlers handlers)
+    : m_loop(loop)
+    , m_timers(timers)
+    , m_watch(watch)
+    , m_pool(pool)
+    , m_metrics(metrics)
+    , m_handlers(std::move(handlers))
+{
+    m_decisionTimer = timers.every(decisionPeriod, [this] { decideAlone(); });
+}
+
+CrashGuard::~CrashGuard()
+{
+    *m_isAlive = false;
+}
+
+const core::PromptPartId *CrashGuard::blockedPart(const decisions::RequestIdentity &request) const
+{
+    const auto found = std::ranges::find_if(
+        request.parts, [this](const auto &part) { return m_parts.isBlocked(part); });
+    return found == request.parts.end() ? nullptr : &*found;
+}
+
+std::optional<std::string_view>
+CrashGuard::rejectionCause(const decisions::RequestIdentity &request)
+{
+    if (const core::PromptPartId *part = blockedPart(request)) {
+        m_parts.recordRequest(*part, m_timers.now());
+        m_pendingRequestedParts.insert(*part);
+        return blockedPartCause;
+    }
+    if (m_crashes.isQuarantined(request.fingerprint, m_timers.now()))
+        return quarantineCause;
+    return std::nullopt;
+}
+
+bool CrashGuard::mayRunAgain(const decisions::RequestIdentity &request) const
+{
+    const bool hasSuspect = std::ranges::any_of(request.parts, [this](const auto &part) {
+        return m_fleetSuspects.contains(part) || m_parts.isSuspect(part) || m_parts.isBlocked(part);
+    });
+    return !hasSuspect
+        && m_crashes.crashCount(request.fingerprint, m_timers.now())
+        < decisions::crashesUntilNotRepeated;
+}
+
+void CrashGuard::recordConnectionFailure(const core::EndpointId &id, fleet::StartTime incarnation)
+{
+    decisions::EndpointHealth &health = m_pool.health(id);
+    const bool wasUnreachable = health.isUnreachable(m_timers.now());
+    health.recordConnectionFailure(m_timers.now());
+    if (health.isUnreachable(m_timers.now()))
+        recordCrash(id, incarnation, !wasUnreachable);
+}
+
+void CrashGuard::recordBrokenExchange(const core::EndpointId &id, fleet::StartTime incarnation,
+                                      const decisions::RequestIdentity &request)
+{
+    m_crashes.recordConnectionFailure(request, id, m_timers.now());
+    recordConnectionFailure(id, incarnation);
+    if (!m_pool.health(id).isUnreachable(m_timers.now()))
+        verify(id, incarnation);
+}
+
+// Without an answer the path to the endpoint may be cut, so that only a refusal is counted.
+void CrashGuard::verify(const core::EndpointId &id, fleet::StartTime incarnation)
+{
+    const fleet::Endpoint *endpoint = m_watch.endpoint(id);
+    if (endpoint == nullptr || m_verifications.contains(id))
+        return;
+    auto connection = m_pool.connect(*endpoint);
+    // The connection is on the stack.
+    connection->setConnectHandler(
+        [this, alive = m_isAlive, id, incarnation, begin = m_timers.now()](bool isConnected) {
+            const bool isRefused = !isConnected && m_timers.now() - begin < maxRefusalTime;
+            m_loop.post([this, alive, id, incarnation, isConnected, isRefused] {
+                if (*alive)
+                    handleVerified(id, incarnation, isConnected, isRefused);
+            });
+        });
+    m_verifications[id] = std::move(connection);
+}
+
+// An open connection serves the next request.
+void CrashGuard::handleVerified(const core::EndpointId &id, fleet::StartTime incarnation,
+                                bool isConnected, bool isRefused)
+{
+    const auto found = m_verifications.find(id);
+    if (found == m_verifications.end())
+        return;
+    std::unique_ptr<http::ClientConnection> connection = std::move(found->second);
+    m_verifications.erase(found);
+    if (isConnected)
+        m_pool.giveBack(id, std::move(connection));
+    else if (isRefused)
+        recordConnectionFailure(id, incarnation);
+    else
+        http::closeLater(m_loop, std::move(connection));
+}
+
+void CrashGuard::recordCrash(const core::EndpointId &id, fleet::StartTime incarnation, bool isNew)
+{
+    const decisions::CrashId crash(absl::StrCat(id.value(), "@", incarnation.count()));
+    decisions::CrashEvidence evidence = m_crashes.recordCrash(id, crash, m_timers.now());
+    if (!isNew && evidence.requests.empty())
+        return;
+    std::map<core::PromptPartId, int> parts;
+    for (const decisions::RequestIdentity &request : evidence.requests) {
+        for (const core::PromptPartId &part : request.parts)
+            ++parts[part];
+    }
+    std::string list;
+    for (const auto &[part, requests] : parts)
+        absl::StrAppend(&list, " ", part.value(), " (", requests, ")");
+    observability::log({.level = observability::LogLevel::Warn,
+                        .step = "endpoint",
+                        .message = absl::StrCat("unreachable: connections broke in a row, requests "
+                                                "in progress ",
+                                                evidence.requests.size(), ", parts of prompts",
+                                                list.empty() ? " none" : list),
+                        .peer = id.value()});
+    if (evidence.requests.empty())
+        return;
+    m_parts.recordCrash(evidence, m_timers.now());
+    m_pendingEvidence.push_back(std::move(evidence));
+    m_handlers.onReportDue();
+}
+
+void CrashGuard::recordSound(const decisions::RequestIdentity &request)
+{
+    if (request.parts.empty())
+        return;
+    const std::size_t pending = m_pendingSoundParts.size();
+    for (const core::PromptPartId &part : m_parts.recordSound(request.parts, m_timers.now()))
+        m_pendingSoundParts.insert(part);
+    for (const core::PromptPartId &part : request.parts) {
+        if (m_fleetSuspects.contains(part))
+            m_pendingSoundParts.insert(part);
+    }
+    handleDecisions();
+    if (m_pendingSoundParts.size() > pending)
+        m_handlers.onReportDue();
+}
+
+CrashNews CrashGuard::takeNews()
+{
+    CrashNews news;
+    news.crashes = m_crashes.recentCrashes(m_timers.now());
+    news.evidence = std::exchange(m_pendingEvidence, {});
+    const auto sound = std::exchange(m_pendingSoundParts, {});
+    news.soundParts.assign(sound.begin(), sound.end());
+    const auto requested = std::exchange(m_pendingRequestedParts, {});
+    news.requestedParts.assign(requested.begin(), requested.end());
+    news.states = m_parts.states();
+    return news;
+}
+
+void CrashGuard::restoreNews(const CrashNews &news)
+{
+    constexpr std::size_t maxPendingEvidence = 256;
+    if (m_pendingEvidence.size() < maxPendingEvidence)
+        m_pendingEvidence.insert(m_pendingEvidence.end(), news.evidence.begin(),
+                                 news.evidence.end());
+    m_pendingSoundParts.insert(news.soundParts.begin(), news.soundParts.end());
+    m_pendingRequestedParts.insert(news.requestedParts.begin(), news.requestedParts.end());
+}
+
+void CrashGuard::applyFleetNews(const FleetCrashNews &news, bool isNewCoordinator)
+{
+    for (const decisions::CrashReport &crash : news.crashes)
+        m_crashes.applyUpdate(crash, m_timers.now());
+    for (const decisions::CrashId &crash : news.explainedCrashes)
+        m_crashes.forget(crash);
+    if (isNewCoordinator)
+        m_pendingEvidence = m_parts.evidence();
+    m_fleetSuspects = {news.suspects.begin(), news.suspects.end()};
+    bool isReportDue = isNewCoordinator && !m_pendingEvidence.empty();
+    for (const core::PromptPartId &part : m_fleetSuspects) {
+        if (m_parts.isSound(part, m_timers.now()))
+            isReportDue |= m_pendingSoundParts.insert(part).second;
+    }
+    applyStates(news.states, "the coordinator");
+    if (isReportDue)
+        m_handlers.onReportDue();
+}
+
+void CrashGuard::applyStates(const std::vector<decisions::PartState> &states,
+                             std::string_view source)
+{
+    std::vector<decisions::PartState> changes;
+    for (const decisions::PartState &state : states) {
+        if (m_parts.applyState(state, m_timers.now()))
+            changes.push_back(state);
+    }
+    if (changes.empty())
+        return;
+    logPartStates(changes, source);
+    handleStateChange();
+}
+
+void CrashGuard::handleStateChange()
+{
+    for (const decisions::CrashId &crash : m_parts.explainedCrashes())
+        m_crashes.forget(crash);
+    m_metrics.setBlockedPromptParts(static_cast<double>(m_parts.blockedCount()));
+}
+
+// The coordinator knows the crashes that all daemons observed; without it, those of this daemon
+// have to do.
+void CrashGuard::decideAlone()
+{
+    if (m_handlers.isCoordinatorReachable())
+        return;
+    m_parts.decide(m_timers.now());
+    handleDecisions();
+}
+
+void CrashGuard::handleDecisions()
+{
+    const std::vector<decisions::PartState> changes = m_parts.takeChanges();
+    if (changes.empty())
+        return;
+    logPartStates(changes, "this daemon");
+    handleStateChange();
+}
+
+} // namespace jackdawlead::gateway
--- /dev/null
+++ b/src/libs/gateway/crashguard.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "decisions/promptparttracker.h"
+#include "gateway/crashnews.h"
+#include "gateway/endpointpool.h"
+#include "gateway/fleetwatch.h"
+#include "net/timerservice.h"
+#include "observability/gatewaymetrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace jackdawlead::gateway {
+
+/// Keeps requests from endpoints that they would crash. Detects crashes of endpoints, records which
+/// requests of this daemon were in progress there, and knows which requests and parts of prompts
+/// must not reach endpoints, from its own observations and from the coordinator. Thread safety: the
+/// event loop's thread only.
+class CrashGuard
+{
+public:
+    struct Handlers
+    {
+        std::function<void()> onReportDue; ///< The coordinator is to be told soon.
+        std::function<bool()> isCoordinatorReachable;
+    };
+
+    CrashGuard(net::EventLoop &loop, net::TimerService &timers, FleetWatch &watch,
+               EndpointPool &pool, observability::GatewayMetrics &metrics, Handlers handlers);
+    ~CrashGuard();
+    CrashGuard(const CrashGuard &) = delete;
+    CrashGuard &operator=(const CrashGuard &) = delete;
+
+    /// Why the request must not reach endpoints; empty if it may.
+    std::optional<std::string_view> rejectionCause(const decisions::RequestIdentity &request);
+    /// The blocked part of the request; nullptr if there is none.
+    const core::PromptPartId *blockedPart(const decisions::RequestIdentity &request) const;
+    /// Whether the request may be sent again after it may have run.
+    bool mayRunAgain(const decisions::RequestIdentity &request) const;
+
+    /// Records that the endpoint could not be reached or sent no valid answer.
+    void recordConnectionFailure(const core::EndpointId &id, fleet::StartTime incarnation);
+    /// Records that the connection ended while the endpoint may have run the request.
+    void recordBrokenExchange(const core::EndpointId &id, fleet::StartTime incarnation,
+                              const decisions::RequestIdentity &request);
+    /// Records that the endpoint ran the request, or a part of it, and went on.
+    void recordSound(const decisions::RequestIdentity &request);
+
+    /// Returns the news for a report to the coordinator; some are returned only once.
+    CrashNews takeNews();
+    bool isReportDue() const { return !m_pendingEvidence.empty() || !m_pendingSoundParts.empty(); }
+    /// Adds the news of a report that no coordinator processed to the next one.
+    void restoreNews(const CrashNews &news);
+    /// `isNewCoordinator` if the sender may not know what this daemon reported before.
+    void applyFleetNews(const FleetCrashNews &news, bool isNewCoordinator);
+    /// States of parts that outlive the daemons.
+    std::vector<decisions::PartState> states() const { return m_parts.states(); }
+    void applyStates(const std::vector<decisions::PartState> &states, std::string_view source);
+
+private:
+    /// Opens a connection to the endpoint to see whether it crashed: a daemon with one request
+    /// there would otherwise notice it with its next request only.
+    void verify(const core::EndpointId &id, fleet::StartTime incarnation);
+    void handleVerified(const core::EndpointId &id, fleet::StartTime incarnation, bool isConnected,
+                        bool isRefused);
+    void recordCrash(const core::EndpointId &id, fleet::StartTime incarnation, bool isNew);
+    void handleStateChange();
+    void handleDecisions();
+    void decideAlone();
+
+    net::EventLoop &m_loop;
+    net::TimerService &m_timers;
+    FleetWatch &m_watch;
+    EndpointPool &m_pool;
+    observability::GatewayMetrics &m_metrics;
+    Handlers m_handlers;
+    decisions::CrashTracker m_crashes;
+    decisions::PromptPartTracker m_parts;
+    std::set<core::PromptPartId> m_fleetSuspects; ///< Of all daemons, from the coordinator.
+    std::vector<decisions::CrashEvidence> m_pendingEvidence;
+    std::set<core::PromptPartId> m_pendingSoundParts;
+    std::set<core::PromptPartId> m_pendingRequestedParts;
+    /// Connections that are being opened to verify a crash.
+    std::map<core::EndpointId, std::unique_ptr<http::ClientConnection>> m_verifications;
+    net::TimerService::Subscription m_decisionTimer;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace jackdawlead::gateway
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -58,8 +58,11 @@
         = entry.idle.take(m_timers.now(), [isCautious](const http::ClientConnection &idle) {
               return usableIdleTime(idle, isCautious);
           });
-    if (connection)
-        return connection;
+    return connection ? std::move(connection) : connect(endpoint);
+}
+
+std::unique_ptr<http::ClientConnection> EndpointPool::connect(const fleet::Endpoint &endpoint)
+{
     return std::make_unique<http::ClientConnection>(m_loop, endpoint.address, connectTimeout);
 }
 
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -27,6 +27,8 @@
     /// Returns a connection for one exchange. With `isCautious` an idle one is reused only well
     /// before the endpoint closes it, because a request that arrives with the close may have run.
     std::unique_ptr<http::ClientConnection> take(const fleet::Endpoint &endpoint, bool isCautious);
+    /// Opens a new connection without an exchange.
+    std::unique_ptr<http::ClientConnection> connect(const fleet::Endpoint &endpoint);
     /// Keeps the connection for the next exchange if it can be reused; else closes it.
     void giveBack(const core::EndpointId &id, std::unique_ptr<http::ClientConnection> connection);
     /// Closes the idle connections of a removed endpoint.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -68,17 +68,20 @@
     , m_watch(m_store, m_timers, m_relay, m_settings.bounds, watchHandlers())
     , m_pool(m_loop, m_timers)
     , m_limits(m_timers, m_metrics, limitHandlers())
+    , m_crashes(m_loop, m_timers, m_watch, m_pool, m_metrics,
+                {.onReportDue = [this] { m_peerLink.scheduleDemandReport(); },
+                 .isCoordinatorReachable = [this] { return m_peerLink.isCoordinatorReachable(); }})
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
                  .watch = m_watch,
                  .pool = m_pool,
                  .limits = m_limits,
+                 .crashes = m_crashes,
                  .metrics = m_metrics,
                  .work = m_profiler,
                  .placement = {},
                  .budgets = {},
-                 .crashes = decisions::CrashTracker(),
                  .cost = {},
                  .demand = {},
                  .waiting = {},
@@ -171,6 +174,10 @@
         return status;
     m_loop.onSignal(SIGTERM, [this] { stop(); });
     m_loop.onSignal(SIGHUP, [this] { reloadSettings(); });
+    m_election.setSharedState(
+        {.encode = [this] { return encodeStates(m_crashes.states()); },
+         .apply
+         = [this](const auto &value) { m_crashes.applyStates(decodeStates(value), "the store"); }});
     m_storeTransport.setPeerFinder([this] { return m_peerLink.reachablePeer(); });
     m_watch.start();
     m_election.start();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "fleet/hostsettings.h"
 #include "gateway/coordinator.h"
 #include "gateway/coordinatorelection.h"
+#include "gateway/crashguard.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/peerlink.h"
@@ -74,6 +75,7 @@
     FleetWatch m_watch;
     EndpointPool m_pool;
     RateLimits m_limits;
+    CrashGuard m_crashes;
     RequestContext m_context;
     CoordinatorElection m_election;
     PeerLink m_peerLink;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -272,7 +272,7 @@
     report.waiting = m_context.waiting.counts(m_context.timers.now());
     report.placementMisses = std::exchange(m_context.placementMisses, {});
     report.leaving = std::exchange(m_context.leaving, {});
-    report.crashes = m_context.crashes.recentCrashes(m_context.timers.now());
+    report.crashes = m_context.crashes.takeNews();
     report.limits = m_context.limits.takeLearned();
     report.permitDemand = m_context.limits.takeDemand();
     report.knownRevision = m_knownRevision;
@@ -334,6 +334,7 @@
 {
     m_context.leaving.insert(report.leaving.begin(), report.leaving.end());
     m_context.limits.restoreLearned(report.limits);
+    m_context.crashes.restoreNews(report.crashes);
     for (const auto &[id, keys] : report.placementMisses)
         m_context.placementMisses[id].insert(keys.begin(), keys.end());
     restoreDemand(report.demand);
@@ -365,7 +366,9 @@
     const bool isDemandDue = std::exchange(m_isDemandDue, false);
     if (std::exchange(m_isViewDue, false))
         sendReport(true);
-    else if (isDemandDue && (!m_context.demand.empty() || m_context.limits.isReportDue()))
+    else if (isDemandDue
+             && (!m_context.demand.empty() || m_context.limits.isReportDue()
+                 || m_context.crashes.isReportDue()))
         scheduleDemandReport();
 }
 
@@ -375,13 +378,13 @@
     if (!view.isCoordinator || view.token < m_coordinatorToken)
         return;
     m_lastViewAt = m_context.timers.now();
-    if (view.token != m_coordinatorToken)
+    const bool isNewCoordinator = view.token != m_coordinatorToken;
+    if (isNewCoordinator)
         m_knownRevision = 0;
     m_coordinatorToken = view.token;
     applyContents(view);
     applyRelays(view);
-    for (const decisions::CrashReport &crash : view.crashes)
-        m_context.crashes.applyUpdate(crash, m_lastViewAt);
+    m_context.crashes.applyFleetNews(view.crashes, isNewCoordinator);
     for (const auto &[id, startTime] : view.leaving)
         m_context.watch.markEndpointLeaving(id, startTime);
     m_context.limits.applyUpdates(view.limits, "the coordinator");
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -177,23 +177,6 @@
     return waiting;
 }
 
-json encodeCrashes(const std::vector<decisions::CrashReport> &crashes)
-{
-    json value = json::array();
-    for (const decisions::CrashReport &report : crashes)
-        value.push_back({report.fingerprint.value(), report.crash.value()});
-    return value;
-}
-
-std::vector<decisions::CrashReport> decodeCrashes(const json &value)
-{
-    std::vector<decisions::CrashReport> crashes;
-    for (const json &crash : value)
-        crashes.push_back({decisions::Fingerprint(crash.at(0).get<std::string>()),
-                           decisions::CrashId(crash.at(1).get<std::string>())});
-    return crashes;
-}
-
 json encodeIds(const std::vector<core::EndpointId> &ids)
 {
     json value = json::array();
@@ -307,27 +290,28 @@
     json permitDemand = json::object();
     for (const auto &[id, wanted] : report.permitDemand)
         permitDemand[id.value()] = {wanted.waiting, wanted.preferred};
-    return pack({{"host", report.host.value()},
-                 {"region", report.region.value()},
-                 {"domain", report.domain.value()},
-                 {"processorShare", report.availableCores},
-                 {"address", report.peerAddress},
-                 {"isInTouch", report.isStoreReachable},
-                 {"load", encodeLoads(report.load)},
-                 {"inUse", inUse},
-                 {"demand", demand},
-                 {"contradictions", placementMisses},
-                 {"unreachable", encodeIds(report.unreachable)},
-                 {"resting", encodeIds(report.endpointsInBackoff)},
-                 {"leaving", encodeStartTimes(report.leaving)},
-                 {"crashes", encodeCrashes(report.crashes)},
-                 {"waiting", encodeWaiting(report.waiting, now)},
-                 {"limits", encodeLimits(report.limits, now)},
-                 {"permitDemand", permitDemand},
-                 {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
-                 {"revision", report.knownRevision},
-                 {"token", report.token.value()},
-                 {"wantsView", report.isViewRequested}});
+    json message {{"host", report.host.value()},
+                  {"region", report.region.value()},
+                  {"domain", report.domain.value()},
+                  {"processorShare", report.availableCores},
+                  {"address", report.peerAddress},
+                  {"isInTouch", report.isStoreReachable},
+                  {"load", encodeLoads(report.load)},
+                  {"inUse", inUse},
+                  {"demand", demand},
+                  {"contradictions", placementMisses},
+                  {"unreachable", encodeIds(report.unreachable)},
+                  {"resting", encodeIds(report.endpointsInBackoff)},
+                  {"leaving", encodeStartTimes(report.leaving)},
+                  {"waiting", encodeWaiting(report.waiting, now)},
+                  {"limits", encodeLimits(report.limits, now)},
+                  {"permitDemand", permitDemand},
+                  {"endpoints", static_cast<std::uint64_t>(report.endpoints)},
+                  {"revision", report.knownRevision},
+                  {"token", report.token.value()},
+                  {"wantsView", report.isViewRequested}};
+    encodeInto(message, report.crashes);
+    return pack(message);
 }
 
 std::string encode(const PeerView &view, core::TimePoint now)
@@ -338,26 +322,27 @@
     json grants = json::object();
     for (const auto &[id, grant] : view.grants)
         grants[id.value()] = {grant.count, grant.waitingElsewhere};
-    return pack({{"isCoordinator", view.isCoordinator},
-                 {"token", view.token.value()},
-                 {"since", view.since},
-                 {"revision", view.revision},
-                 {"contents", contents},
-                 {"hasLoad", view.hasLoad},
-                 {"load", encodeLoads(view.load)},
-                 {"loads", encodeLoadsInIdOrder(view.loadsInIdOrder)},
-                 {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
-                 {"daemons", view.daemonCount},
-                 {"isCounted", view.isCounted},
-                 {"reportPeriod", roundUpToMilliseconds(view.reportPeriod)},
-                 {"demandPause", roundUpToMilliseconds(view.demandPause)},
-                 {"leaving", encodeStartTimes(view.leaving)},
-                 {"limits", encodeLimits(view.limits, now)},
-                 {"grants", grants},
-                 {"issuesPermits", view.areIssuingPermits},
-                 {"relay", view.relayAddress},
-                 {"spare", view.spareRelayAddress},
-                 {"crashes", encodeCrashes(view.crashes)}});
+    json message {{"isCoordinator", view.isCoordinator},
+                  {"token", view.token.value()},
+                  {"since", view.since},
+                  {"revision", view.revision},
+                  {"contents", contents},
+                  {"hasLoad", view.hasLoad},
+                  {"load", encodeLoads(view.load)},
+                  {"loads", encodeLoadsInIdOrder(view.loadsInIdOrder)},
+                  {"endpoints", static_cast<std::uint64_t>(view.endpoints)},
+                  {"daemons", view.daemonCount},
+                  {"isCounted", view.isCounted},
+                  {"reportPeriod", roundUpToMilliseconds(view.reportPeriod)},
+                  {"demandPause", roundUpToMilliseconds(view.demandPause)},
+                  {"leaving", encodeStartTimes(view.leaving)},
+                  {"limits", encodeLimits(view.limits, now)},
+                  {"grants", grants},
+                  {"issuesPermits", view.areIssuingPermits},
+                  {"relay", view.relayAddress},
+                  {"spare", view.spareRelayAddress}};
+    encodeInto(message, view.crashes);
+    return pack(message);
 }
 
 absl::StatusOr<PeerReport> decodePeerReport(const std::string &text, core::TimePoint now)
@@ -384,7 +369,7 @@
         report.unreachable = decodeIds(value.at("unreachable"));
         report.endpointsInBackoff = decodeIds(value.at("resting"));
         report.leaving = decodeStartTimes(value.at("leaving"));
-        report.crashes = decodeCrashes(value.at("crashes"));
+        report.crashes = decodeCrashNews(value);
         report.waiting = decodeWaiting(value.at("waiting"), now);
         // Daemons of the previous release do not send these.
         report.limits = decodeLimits(value.value("limits", json::object()), now);
@@ -417,7 +402,7 @@
         view.load = decodeLoads(value.at("load").get<std::string>());
         view.loadsInIdOrder = decodeLoadsInIdOrder(value.at("loads").get<std::string>());
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
-        view.crashes = decodeCrashes(value.at("crashes"));
+        view.crashes = decodeFleetCrashNews(value);
         view.daemonCount = value.at("daemons").get<int>();
         view.isCounted = value.value("isCounted", true);
         // Daemons of the previous release do not send these.
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -2,13 +2,13 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "decisions/crashtracker.h"
 #include "decisions/endpointlimits.h"
 #include "decisions/permitissuer.h"
 #include "decisions/placementview.h"
 #include "decisions/waitinglist.h"
 #include "fleet/adapterkey.h"
 #include "fleet/endpoint.h"
+#include "gateway/crashnews.h"
 
 #include <absl/status/statusor.h>
 
@@ -45,7 +45,7 @@
     std::vector<core::EndpointId> unreachable;
     std::vector<core::EndpointId> endpointsInBackoff;     ///< Accept no requests from this daemon.
     std::map<core::EndpointId, fleet::StartTime> leaving; ///< Recently announced by themselves.
-    std::vector<decisions::CrashReport> crashes;          ///< Recently observed or received.
+    CrashNews crashes;
     std::map<core::EndpointId, decisions::EndpointLimit> limits; ///< Learned since the last report.
     std::map<core::EndpointId, decisions::PermitDemand> permitDemand;
     std::uint64_t knownRevision = 0; ///< Of the contents that it received last.
@@ -79,7 +79,7 @@
     bool areIssuingPermits = false; ///< False for coordinators of the previous release.
     std::string relayAddress;       ///< Daemon through which to watch the store; empty for none.
     std::string spareRelayAddress;  ///< Daemon to use when the relay fails.
-    std::vector<decisions::CrashReport> crashes; ///< Recently reported by any daemon.
+    FleetCrashNews crashes;
 };
 
 /// Messages are JSON-RPC parameters or results with one field, CBOR in Base64. As JSON objects they
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -23,6 +22,9 @@
 // Interval of the search for an endpoint that can replace a stalled one.
 constexpr core::Duration replacementInterval = std::chrono::milliseconds(100);
 constexpr int stallGapFactor = 4; ///< Target gaps after which a stream counts as stalled.
+// Endpoints that a prompt crashes do so as they begin to answer; later events show that it is
+// sound.
+constexpr core::Duration soundRunTime = std::chrono::milliseconds(500);
 constexpr std::string_view dataField = "data:"; ///< Events have it, comments don't.
 
 } // namespace
@@ -61,7 +63,8 @@
 // same endpoint is an option only if the connection was reused, because that one may be dead.
 bool RequestTask::hasReplacement()
 {
-    if (!m_exchange->isOpen() || !m_context.budgets[m_service].canTake(now()) || !mayRunAgain())
+    if (!m_exchange->isOpen() || !m_context.budgets[m_service].canTake(now())
+        || !m_context.crashes.mayRunAgain(m_identity))
         return false;
     const auto choice = m_finder.choose(now());
     return choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->isReused());
@@ -159,6 +162,10 @@
         recordPrefillCost();
         endPrefill();
         m_times.recordEvents(now());
+        if (!m_runBeganAt)
+            m_runBeganAt = now();
+        if (!m_isSound && now() - *m_runBeganAt >= soundRunTime)
+            recordSoundRun();
         startForwarding();
     }
     m_heldEvents += events;
@@ -170,6 +177,12 @@
     applyBackpressure();
 }
 
+void RequestTask::recordSoundRun()
+{
+    m_isSound = true;
+    m_context.crashes.recordSound(m_identity);
+}
+
 void RequestTask::endExchangeAsMalformed()
 {
     m_context.loop.post([weak = weak_from_this(), send = m_sends] {
@@ -219,8 +232,7 @@
 http::ExchangeEnd RequestTask::verifiedEnd(http::ExchangeEnd end) const
 {
     const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
-    const bool hasEvents = m_times.lastAt() >= m_sentAt;
-    const bool isWhole = m_events.endsBetweenEvents() && (hasEvents || !isAtClose);
+    const bool isWhole = m_events.endsBetweenEvents() && (m_runBeganAt || !isAtClose);
     if (!m_isStream || !http::isComplete(end) || isWhole)
         return end;
     m_context.metrics.recordTruncatedStream(isAtClose);
@@ -273,38 +285,10 @@
 
 void RequestTask::handleConnectionFailure(http::ExchangeEnd end)
 {
-    decisions::EndpointHealth &health = m_context.pool.health(m_endpoint);
-    const bool wasUnreachable = health.isUnreachable(now());
-    health.recordConnectionFailure(now());
     if (end == http::ExchangeEnd::Broken)
-        m_context.crashes.recordConnectionFailure(m_identity, m_endpoint, now());
-    if (!health.isUnreachable(now()))
-        return;
-    const decisions::CrashId crash(absl::StrCat(m_endpoint.value(), "@", m_incarnation.count()));
-    const decisions::CrashEvidence evidence
-        = m_context.crashes.recordCrash(m_endpoint, crash, now());
-    if (!wasUnreachable || !evidence.requests.empty())
-        logCrash(evidence);
-}
-
-// The parts tell which prompts were in progress at several crashes.
-void RequestTask::logCrash(const decisions::CrashEvidence &evidence) const
-{
-    std::map<core::PromptPartId, int> parts;
-    for (const decisions::RequestIdentity &request : evidence.requests) {
-        for (const core::PromptPartId &part : request.parts)
-            ++parts[part];
-    }
-    std::string list;
-    for (const auto &[part, requests] : parts)
-        absl::StrAppend(&list, " ", part.value(), " (", requests, ")");
-    observability::log({.level = observability::LogLevel::Warn,
-                        .step = "endpoint",
-                        .message = absl::StrCat("unreachable: connections broke in a row, requests "
-                                                "in progress ",
-                                                evidence.requests.size(), ", parts of prompts",
-                                                list.empty() ? " none" : list),
-                        .peer = m_endpoint.value()});
+        m_context.crashes.recordBrokenExchange(m_endpoint, m_incarnation, m_identity);
+    else
+        m_context.crashes.recordConnectionFailure(m_endpoint, m_incarnation);
 }
 
 // The fingerprint uses host, path and body because they are equal in every retry by the client; the
@@ -329,6 +313,8 @@
     if (http::isComplete(end) && m_isStream && !m_isStreamMalformed) {
         if (m_answer.isDelimited())
             m_context.pool.health(m_endpoint).recordSuccess();
+        if (m_answer.isDelimited() && m_runBeganAt)
+            recordSoundRun();
         logIfLate();
         if (m_times.hasEvents()) {
             m_context.metrics.recordFirstEvent(m_times.firstAt() - m_exchange->receivedAt);
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -2,13 +2,13 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "decisions/crashtracker.h"
 #include "decisions/endpointchooser.h"
 #include "decisions/placementview.h"
 #include "decisions/requestcostestimator.h"
 #include "decisions/retrybudget.h"
 #include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
+#include "gateway/crashguard.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/ratelimits.h"
@@ -33,11 +33,11 @@
     FleetWatch &watch;
     EndpointPool &pool;
     RateLimits &limits;
+    CrashGuard &crashes;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
-    decisions::CrashTracker crashes;
     decisions::RequestCostEstimator cost; ///< Of requests for models.
     /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -24,12 +24,6 @@
 
 } // namespace
 
-bool RequestTask::mayRunAgain() const
-{
-    return m_context.crashes.crashCount(m_identity.fingerprint, now())
-        < decisions::crashesUntilNotRepeated;
-}
-
 bool RequestTask::recordFailedSend(Failure failure)
 {
     if (failure == Failure::MayHaveRun) {
@@ -39,7 +33,7 @@
     }
     if (m_sends >= (m_isForwarding ? maxSendsPerStream : maxSends) || !m_exchange->isOpen())
         return false;
-    if (failure == Failure::MayHaveRun && !mayRunAgain())
+    if (failure == Failure::MayHaveRun && !m_context.crashes.mayRunAgain(m_identity))
         return false;
     // The retry budget counts only requests that arrive at endpoints.
     if (failure == Failure::NotSent)
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -111,10 +111,8 @@
         return;
     }
     m_identity = makeIdentity();
-    if (m_context.crashes.isQuarantined(m_identity.fingerprint, now())) {
-        refuse("request was running when endpoints died", quarantineRetryAfter);
+    if (isRejectedForCrashes())
         return;
-    }
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.uniformRandom());
     m_finder.setService(m_service);
     m_context.budgets[m_service].recordRequest(now());
@@ -125,6 +123,19 @@
     chooseEndpoint();
 }
 
+bool RequestTask::isRejectedForCrashes()
+{
+    const auto cause = m_context.crashes.rejectionCause(m_identity);
+    if (!cause)
+        return false;
+    if (const core::PromptPartId *part = m_context.crashes.blockedPart(m_identity))
+        observability::log({.step = "blocked part",
+                            .message = absl::StrCat("prompt has the blocked part ", part->value()),
+                            .request = m_fields.id.value()});
+    refuse(*cause, quarantineRetryAfter);
+    return true;
+}
+
 // A stopping daemon accepts only requests that it can finish; clients retry at another daemon.
 bool RequestTask::canFinishBeforeStop() const
 {
@@ -152,6 +163,9 @@
         refuse("no endpoint takes the stream that broke off", busyRetryAfter);
         return;
     }
+    // The part may have been blocked while the request waited.
+    if (m_context.crashes.blockedPart(m_identity) != nullptr && isRejectedForCrashes())
+        return;
     const auto choice = m_finder.choose(now());
     if (choice.reason == decisions::NoEndpointReason::RateLimited) {
         const bool isSameWait = m_awaitedPermit && m_finder.needsPermit(*m_awaitedPermit, now());
@@ -334,6 +348,8 @@
         m_context.metrics.recordWaitTime(m_sentAt - m_exchange->receivedAt);
     m_answerBody.clear();
     m_isStream = false;
+    m_isSound = false;
+    m_runBeganAt.reset();
     m_headAt = {};
     m_heldEvents.clear();
     m_loadAtSend = m_context.pool.load(endpoint.id, endpoint.slots)
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -53,6 +53,8 @@
     void resolveOrWait();
     /// Finds the route and the service of the request.
     void resolve();
+    /// Refuses the request if it, or a part of its prompt, crashes endpoints.
+    bool isRejectedForCrashes();
     /// Whether an answer can be complete before the process is killed.
     bool canFinishBeforeStop() const;
     void chooseEndpoint();
@@ -79,11 +81,12 @@
     /// Ends the current exchange as malformed in the next event loop iteration, because its
     /// connection is on the stack.
     void endExchangeAsMalformed();
+    /// Records that the endpoint runs the request without a crash.
+    void recordSoundRun();
     /// Returns Broken or Malformed instead of a complete end if the stream is truncated.
     http::ExchangeEnd verifiedEnd(http::ExchangeEnd end) const;
     void handleExchangeEnd(http::ExchangeEnd reportedEnd);
     void handleConnectionFailure(http::ExchangeEnd end);
-    void logCrash(const decisions::CrashEvidence &evidence) const;
     decisions::RequestIdentity makeIdentity() const;
     void handleStreamEnd(http::ExchangeEnd end);
     void sendBufferedAnswer();
@@ -92,8 +95,6 @@
     /// Counts a failed send and returns whether the request may be sent again. Takes the retry from
     /// the budget, unless chooseEndpoint() does so later.
     bool recordFailedSend(Failure failure);
-    /// Whether the request was not in progress at too many crashes.
-    bool mayRunAgain() const;
 
     /// Time without activity of the endpoint after which the exchange counts as stalled.
     core::Duration stallLimit() const;
@@ -149,6 +150,8 @@
     bool m_isForwarding = false;     ///< The head was forwarded; events follow as they arrive.
     bool m_needsRetryBudget = false; ///< The next send must be taken from the retry budget.
     bool m_isStreamMalformed = false;
+    std::optional<core::TimePoint> m_runBeganAt; ///< First event of the current run.
+    bool m_isSound = false;                      ///< The current run was recorded as sound.
     EventFilter m_events;
     StreamTimes m_times;
     core::TimePoint m_sentAt;
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -23,6 +23,7 @@
             [this] {
                 if (!m_pendingRequest.empty())
                     m_connection.write(std::exchange(m_pendingRequest, {}));
+                reportConnect(true);
             },
         .onData = [this] { handleData(); },
         .onDrained = {},
@@ -131,6 +132,7 @@
 {
     if (!m_isBusy) {
         m_isReusable = false;
+        reportConnect(false);
         if (m_onIdleEnd)
             m_onIdleEnd();
         return;
@@ -150,6 +152,12 @@
     end(ExchangeEnd::Broken);
 }
 
+void ClientConnection::reportConnect(bool isConnected)
+{
+    if (const auto handler = std::exchange(m_onConnect, nullptr))
+        handler(isConnected);
+}
+
 void ClientConnection::parseIdleTimeout()
 {
     constexpr std::string_view parameter = "timeout=";
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -67,6 +67,11 @@
     core::Duration idleTimeout() const { return m_idleTimeout; }
     /// Called when the connection ends, or receives bytes, while no exchange is in progress.
     void setIdleEndHandler(std::function<void()> handler) { m_onIdleEnd = std::move(handler); }
+    /// Called once when the connection is open, or could not be opened, if no exchange was started.
+    void setConnectHandler(std::function<void(bool isConnected)> handler)
+    {
+        m_onConnect = std::move(handler);
+    }
     /// Ends the exchange without a further call to its observer. The connection is not used again.
     /// Must not be called from onHead or onBody.
     void abandon();
@@ -78,6 +83,7 @@
     bool skipOtherResponse(std::size_t consumed);
     void deliverBody();
     void end(ExchangeEnd end);
+    void reportConnect(bool isConnected);
     void parseIdleTimeout();
 
     Connection m_connection;
@@ -95,6 +101,7 @@
     std::size_t m_skippedBytes = 0; ///< Of responses skipped in the current exchange.
     core::Duration m_idleTimeout {};
     std::function<void()> m_onIdleEnd;
+    std::function<void(bool)> m_onConnect;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -68,6 +68,8 @@
                            "Calls to store, endpoints and daemons since the start"))
     , m_limitedEndpoints(gauge(*m_registry, "jackdawlead_limited_endpoints",
                                "Endpoints whose request limit is in force"))
+    , m_blockedPromptParts(gauge(*m_registry, "jackdawlead_blocked_prompt_parts",
+                                 "Parts of prompts whose requests are rejected"))
     , m_limitedSends(counters(*m_registry, "jackdawlead_limited_sends_total",
                               "Requests sent to endpoints whose request limit is in force")
                          .Add({}))
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -43,6 +43,7 @@
     void setIsCoordinator(bool isCoordinator) { m_isCoordinator.Set(isCoordinator ? 1 : 0); }
     void setRequestsInProgress(double count) { m_requestsInProgress.Set(count); }
     void setLimitedEndpoints(double count) { m_limitedEndpoints.Set(count); }
+    void setBlockedPromptParts(double count) { m_blockedPromptParts.Set(count); }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
@@ -70,6 +71,7 @@
     prometheus::Gauge &m_requestsInProgress;
     prometheus::Gauge &m_controlCalls;
     prometheus::Gauge &m_limitedEndpoints;
+    prometheus::Gauge &m_blockedPromptParts;
     prometheus::Counter &m_limitedSends;
     prometheus::Counter &m_heldRequests;
 };
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -14,10 +14,10 @@
 // Steps with log lines that give the cause of a late, repeated, refused or failed request; final
 // outcomes come last.
 constexpr const char *causeSteps[]
-    = {"wait for permit", "late", "send again", "give up", "refuse", "fail"};
+    = {"wait for permit", "blocked part", "late", "send again", "give up", "refuse", "fail"};
 // Steps with log lines that concern an endpoint or a daemon, independent of a request.
 constexpr const char *contextSteps[]
-    = {"endpoint", "request limit", "lease for orders", "stop", "start"};
+    = {"endpoint", "part of prompts", "request limit", "lease for orders", "stop", "start"};
 // A crash is detected within a second or two of the first broken connection.
 constexpr int contextSeconds = 3;
 
