Tell a common part of prompts from the one that crashes endpoints

The first version of PromptPartTracker threw when one decision explained the crashes of another suspect, and in a fleet in virtual time it blamed first parts of prompts, which are shared by most requests of a route: as endpoints crashed, nothing had run well with them yet, and they are in progress at each crash. Two causes at once kept each other from being found.

A part is now specific if few requests in progress at each crash have it. Only specific parts compete with each other; a common one needs five crashes that no specific part explains and ten seconds in which nothing runs well with it. A part is blocked if enough crashes count against it that no part with as many crashes explains.

--- a/src/libs/decisions/promptparttracker.cpp
+++ b/src/libs/decisions/promptparttracker.cpp
@@ -85,8 +85,10 @@
                 const auto sound = m_sound.find(part);
                 if (sound != m_sound.end() && sound->second.at >= crash.at - m_limits.soundTime)
                     continue;
-                all[part].crashes.insert(id);
-                all[part].requests.insert(fingerprint);
+                Suspicion &suspicion = all[part];
+                suspicion.crashes.insert(id);
+                suspicion.fingerprints.insert(fingerprint);
+                ++suspicion.requestCount;
             }
         }
     }
@@ -104,40 +106,63 @@
     m_nextDecisionAt = now;
 }
 
+// A request with a part that crashes endpoints rarely finds another one with it in progress there.
+bool PromptPartTracker::isSpecific(const Suspicion &suspicion) const
+{
+    return suspicion.requestCount <= suspicion.crashes.size() * m_limits.specificRequestsPerCrash;
+}
+
 // A request that crashes endpoints by itself has the same fingerprint each time, so that its parts
 // are not to blame.
 bool PromptPartTracker::isToBlame(const core::PromptPartId &part, const Suspicions &all) const
 {
     const Suspicion &own = all.at(part);
-    if (own.crashes.size() < m_limits.blockThreshold || own.requests.size() < 2)
+    const bool isOwnSpecific = isSpecific(own);
+    const std::size_t threshold
+        = isOwnSpecific ? m_limits.blockThreshold : m_limits.ambiguousBlockThreshold;
+    if (own.crashes.size() < threshold || own.fingerprints.size() < 2)
         return false;
     const auto explainsAsWell = [&](const auto &entry) {
         const Suspicion &other = entry.second;
-        if (entry.first == part || other.crashes.size() < own.crashes.size())
+        if (entry.first == part || other.crashes.size() < own.crashes.size()
+            || (isOwnSpecific && !isSpecific(other)))
             return false;
         if (other.crashes.size() == own.crashes.size()
             && own.crashes.size() >= m_limits.ambiguousBlockThreshold)
             return false;
-        return std::ranges::any_of(
-            own.crashes, [&other](const CrashId &crash) { return other.crashes.contains(crash); });
+        const auto unexplained = std::ranges::count_if(
+            own.crashes, [&other](const CrashId &crash) { return !other.crashes.contains(crash); });
+        return static_cast<std::size_t>(unexplained) < m_limits.blockThreshold;
     };
     return std::ranges::none_of(all, explainsAsWell);
 }
 
+core::TimePoint PromptPartTracker::decidableAt(const core::PromptPartId &part,
+                                               const Suspicion &suspicion) const
+{
+    return m_suspects.at(part)
+        + (isSpecific(suspicion) ? m_limits.decisionDelay : m_limits.commonPartDelay);
+}
+
 void PromptPartTracker::decide(core::TimePoint now)
 {
     while (now >= m_nextDecisionAt) {
         const Suspicions all = suspicions();
         updateSuspects(all, now);
         m_nextDecisionAt = core::TimePoint::max();
+        std::vector<core::PromptPartId> found;
         for (const auto &[part, suspicion] : all) {
             if (!isToBlame(part, all))
                 continue;
-            if (now >= decidableAt(part))
-                change(part, true, suspicion.crashes.size(), now);
+            const core::TimePoint decidable = decidableAt(part, suspicion);
+            if (now >= decidable)
+                found.push_back(part);
             else
-                m_nextDecisionAt = std::min(m_nextDecisionAt, decidableAt(part));
+                m_nextDecisionAt = std::min(m_nextDecisionAt, decidable);
         }
+        // Each change explains crashes and so updates the suspects.
+        for (const core::PromptPartId &part : found)
+            change(part, true, all.at(part).crashes.size(), now);
     }
 }
 
--- a/src/libs/decisions/promptparttracker.h
+++ b/src/libs/decisions/promptparttracker.h
@@ -19,13 +19,19 @@
 {
     /// Crashes after which a part is blocked if no other suspect explains them as well.
     std::size_t blockThreshold = crashesUntilBlocked;
-    /// Crashes after which a part is blocked although another suspect explains them as well.
+    /// Crashes after which a part is blocked although another suspect explains them as well, or
+    /// although it is a common one.
     std::size_t ambiguousBlockThreshold = 5;
     /// Crashes from which a part is a suspect: daemons are told to report whether it is sound.
     std::size_t suspectThreshold = crashesUntilNotRepeated;
     /// Time from becoming a suspect to a block, in which daemons report that a part is sound: two
     /// hops between regions, and the pauses before a report and a view.
     core::Duration decisionDelay = std::chrono::milliseconds(250);
+    /// A part that more requests in progress at each crash have is common, and probably not the
+    /// cause. Blocking it rejects most requests of a route, so that it needs more crashes, and the
+    /// time in which crashed endpoints are back and requests with a sound part end well.
+    std::size_t specificRequestsPerCrash = 2;
+    core::Duration commonPartDelay = std::chrono::seconds(10);
     /// A crash does not count against a part with which a request ended well in this time before.
     core::Duration soundTime = std::chrono::seconds(30);
     /// How long crashes are remembered, and how long a block lasts without requests for the part.
@@ -107,7 +113,8 @@
     struct Suspicion
     {
         std::set<CrashId> crashes;
-        std::set<Fingerprint> requests;
+        std::set<Fingerprint> fingerprints;
+        std::size_t requestCount = 0; ///< Over all of these crashes.
     };
     using Suspicions = std::map<core::PromptPartId, Suspicion>;
 
@@ -116,10 +123,8 @@
     Suspicions suspicions() const;
     /// Whether enough crashes count against the part and no other one explains them as well.
     bool isToBlame(const core::PromptPartId &part, const Suspicions &all) const;
-    core::TimePoint decidableAt(const core::PromptPartId &part) const
-    {
-        return m_suspects.at(part) + m_limits.decisionDelay;
-    }
+    bool isSpecific(const Suspicion &suspicion) const;
+    core::TimePoint decidableAt(const core::PromptPartId &part, const Suspicion &suspicion) const;
     void change(const core::PromptPartId &part, bool isBlocked, std::size_t crashes,
                 core::TimePoint now);
     void updateSuspects(const Suspicions &all, core::TimePoint now);
