Hold back requests with a suspect part, and crashes seen in the first seconds

Between the second crash of a part and its block, requests with it went on crashing endpoints. A request with a suspect part now waits up to 0.5 s before its first send, in which the part is found to be sound or blocked.

A daemon that has just started has seen no request end well, so that sound parts looked like causes. It reports crashes two seconds after its start at the earliest, when it knows which parts are sound.

--- a/src/libs/gateway/crashguard.cpp
+++ b/src/libs/gateway/crashguard.cpp
@@ -15,6 +15,9 @@
 constexpr core::Duration decisionPeriod = std::chrono::milliseconds(100);
 // A refusal takes a round trip, of 60 ms between regions.
 constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(500);
+// A daemon that has just started cannot tell yet which parts are sound, so that it reports crashes
+// later: requests take some hundred milliseconds to their first event and then have to go on.
+constexpr core::Duration warmUpTime = std::chrono::seconds(2);
 constexpr std::string_view quarantineCause = "request was running when endpoints died";
 constexpr std::string_view blockedPartCause = "a part of the prompt crashes endpoints";
 
@@ -29,7 +32,12 @@
     , m_pool(pool)
     , m_metrics(metrics)
     , m_handlers(std::move(handlers))
+    , m_startedAt(timers.now())
 {
+    m_warmUpTimer = timers.once(warmUpTime, [this] {
+        if (!m_pendingEvidence.empty())
+            reportEvidence();
+    });
     m_decisionTimer = timers.every(decisionPeriod, [this] { decideAlone(); });
 }
 
@@ -58,12 +66,16 @@
     return std::nullopt;
 }
 
-bool CrashGuard::mayRunAgain(const decisions::RequestIdentity &request) const
+bool CrashGuard::hasSuspect(const decisions::RequestIdentity &request) const
 {
-    const bool hasSuspect = std::ranges::any_of(request.parts, [this](const auto &part) {
-        return m_fleetSuspects.contains(part) || m_parts.isSuspect(part) || m_parts.isBlocked(part);
+    return std::ranges::any_of(request.parts, [this](const auto &part) {
+        return m_fleetSuspects.contains(part) || m_parts.isSuspect(part);
     });
-    return !hasSuspect
+}
+
+bool CrashGuard::mayRunAgain(const decisions::RequestIdentity &request) const
+{
+    return !hasSuspect(request) && blockedPart(request) == nullptr
         && m_crashes.crashCount(request.fingerprint, m_timers.now())
         < decisions::crashesUntilNotRepeated;
 }
@@ -145,8 +157,20 @@
                         .peer = id.value()});
     if (evidence.requests.empty())
         return;
-    m_parts.recordCrash(evidence, m_timers.now());
     m_pendingEvidence.push_back(std::move(evidence));
+    if (isWarm())
+        reportEvidence();
+}
+
+bool CrashGuard::isWarm() const
+{
+    return m_timers.now() - m_startedAt >= warmUpTime;
+}
+
+void CrashGuard::reportEvidence()
+{
+    for (const decisions::CrashEvidence &evidence : m_pendingEvidence)
+        m_parts.recordCrash(evidence, m_timers.now());
     m_handlers.onReportDue();
 }
 
@@ -170,7 +194,8 @@
 {
     CrashNews news;
     news.crashes = m_crashes.recentCrashes(m_timers.now());
-    news.evidence = std::exchange(m_pendingEvidence, {});
+    if (isWarm())
+        news.evidence = std::exchange(m_pendingEvidence, {});
     const auto sound = std::exchange(m_pendingSoundParts, {});
     news.soundParts.assign(sound.begin(), sound.end());
     const auto requested = std::exchange(m_pendingRequestedParts, {});
@@ -195,8 +220,10 @@
         m_crashes.applyUpdate(crash, m_timers.now());
     for (const decisions::CrashId &crash : news.explainedCrashes)
         m_crashes.forget(crash);
-    if (isNewCoordinator)
-        m_pendingEvidence = m_parts.evidence();
+    if (isNewCoordinator) {
+        const auto known = m_parts.evidence();
+        m_pendingEvidence.insert(m_pendingEvidence.end(), known.begin(), known.end());
+    }
     m_fleetSuspects = {news.suspects.begin(), news.suspects.end()};
     bool isReportDue = isNewCoordinator && !m_pendingEvidence.empty();
     for (const core::PromptPartId &part : m_fleetSuspects) {
--- a/src/libs/gateway/crashguard.h
+++ b/src/libs/gateway/crashguard.h
@@ -39,6 +39,8 @@
     std::optional<std::string_view> rejectionCause(const decisions::RequestIdentity &request);
     /// The blocked part of the request; nullptr if there is none.
     const core::PromptPartId *blockedPart(const decisions::RequestIdentity &request) const;
+    /// Whether a part of the request may be blocked soon.
+    bool hasSuspect(const decisions::RequestIdentity &request) const;
     /// Whether the request may be sent again after it may have run.
     bool mayRunAgain(const decisions::RequestIdentity &request) const;
 
@@ -68,6 +70,8 @@
     void handleVerified(const core::EndpointId &id, fleet::StartTime incarnation, bool isConnected,
                         bool isRefused);
     void recordCrash(const core::EndpointId &id, fleet::StartTime incarnation, bool isNew);
+    bool isWarm() const;
+    void reportEvidence();
     void handleStateChange();
     void handleDecisions();
     void decideAlone();
@@ -86,6 +90,8 @@
     std::set<core::PromptPartId> m_pendingRequestedParts;
     /// Connections that are being opened to verify a crash.
     std::map<core::EndpointId, std::unique_ptr<http::ClientConnection>> m_verifications;
+    core::TimePoint m_startedAt;
+    net::TimerService::Subscription m_warmUpTimer;
     net::TimerService::Subscription m_decisionTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -39,6 +39,8 @@
 // deployments take five seconds.
 constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
 constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
+// How long a request with a part that may crash endpoints is held back before its first send.
+constexpr core::Duration maxSuspectHold = std::chrono::milliseconds(500);
 constexpr std::string_view noHolderCause = "no endpoint holds what is asked for";
 constexpr std::string_view permitCause = "request limits of the endpoints are reached";
 
@@ -166,6 +168,11 @@
     // The part may have been blocked while the request waited.
     if (m_context.crashes.blockedPart(m_identity) != nullptr && isRejectedForCrashes())
         return;
+    // Meanwhile the part is found to be sound or blocked, if other requests with it are running.
+    m_isWaiting = m_sends == 0 && m_context.crashes.hasSuspect(m_identity)
+        && now() < m_exchange->receivedAt + maxSuspectHold;
+    if (m_isWaiting)
+        return;
     const auto choice = m_finder.choose(now());
     if (choice.reason == decisions::NoEndpointReason::RateLimited) {
         const bool isSameWait = m_awaitedPermit && m_finder.needsPermit(*m_awaitedPermit, now());
