Read each entry of the store on its own, with bounded nesting and numbers

Cause: a list or a set of events was parsed as a whole, so that a number that is out of range, bytes that are no UTF-8, or a missing name lost all entries of the page and looked like a store that is away; copying and destroying a value with 100,000 levels overflowed the stack; and numbers such as 1e300 were converted to integers without a check.

An unreadable entry is skipped with one line; one whose name can be read counts as an endpoint that names no address, as before. Integers and times are checked when they are converted. The same bounds hold for reports of endpoints, the configuration and messages between daemons (JSON and CBOR).

--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peermessages.h"
 
 #include "core/error.h"
+#include "platform/boundedjson.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
@@ -250,12 +251,12 @@
 
 json unpack(const std::string &text)
 {
-    const json envelope = json::parse(text);
+    const json envelope = platform::parseJson(text);
     std::string bytes;
     // Invalid Base64 results in an empty string, which the CBOR parser rejects.
     if (!absl::Base64Unescape(envelope.at(payloadField).get<std::string>(), &bytes))
         bytes.clear();
-    return json::from_cbor(bytes);
+    return platform::parseCbor(bytes);
 }
 
 absl::Status malformedMessage(const json::exception &error)
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -1,9 +1,11 @@
 #include "platform/decoder.h"
 
 #include "core/error.h"
+#include "platform/boundedjson.h"
 
 #include <charconv>
 #include <chrono>
+#include <cmath>
 
 namespace jackdawlead::platform {
 
@@ -16,16 +18,20 @@
     return core::makeError(absl::StatusCode::kInvalidArgument, step, "platform", what);
 }
 
-core::Duration milliseconds(const json &value)
+// The largest times on this platform are minutes; larger ones would overflow in sums.
+constexpr double maxSeconds = 1e6;
+
+core::Duration seconds(const json &value)
 {
-    return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double, std::milli>(value.get<double>()));
+    const auto number = value.get<double>();
+    if (!(std::abs(number) <= maxSeconds))
+        throw json::out_of_range::create(406, "time out of range", nullptr);
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(number));
 }
 
-core::Duration seconds(const json &value)
+core::Duration milliseconds(const json &value)
 {
-    return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double>(value.get<double>()));
+    return seconds(value.get<double>() / 1000);
 }
 
 fleet::Route decodeRoute(const json &value)
@@ -52,16 +58,16 @@
     route.timeout = milliseconds(value.at("timeout_ms"));
     route.targetLatency = milliseconds(value.value("target_latency_ms", json(0)));
     route.targetGap = milliseconds(value.value("gap_target_ms", json(0)));
-    route.priority = value.value("priority", 0);
-    route.maxAttempts = value.value("max_attempts", 1);
+    route.priority = integerMember(value, "priority", 0);
+    route.maxAttempts = integerMember(value, "max_attempts", 1);
     return route;
 }
 
 fleet::EngineSpec decodeEngine(const json &value)
 {
     fleet::EngineSpec engine;
-    engine.slots = value.value("slots", 0);
-    engine.adapterSlots = value.value("adapter_slots", 0);
+    engine.slots = integerMember(value, "slots", 0);
+    engine.adapterSlots = integerMember(value, "adapter_slots", 0);
     engine.weightsMegabytes = value.value("weights_mb", 0.0);
     engine.loadsPerSecond = value.value("loads_per_s", 0.0);
     for (const json &entry : value.value("models", json::array())) {
@@ -80,7 +86,7 @@
     fleet::ServiceSpec service;
     service.service = core::ServiceId(value.at("name").get<std::string>());
     // "max_conns" limits the connections of all clients to one endpoint together.
-    service.maxConnections = value.value("max_conns", std::size_t {0});
+    service.maxConnections = integerMember(value, "max_conns", std::size_t {0});
     if (const auto engine = value.find("engine"); engine != value.end() && engine->is_object())
         service.engine = decodeEngine(*engine);
     return service;
@@ -92,7 +98,7 @@
     for (const json &entry : value) {
         fleet::LoadedModel model;
         model.model = core::ModelId(entry.at("name").get<std::string>());
-        model.version = entry.value("version", 0);
+        model.version = integerMember(entry, "version", 0);
         model.adapters = entry.value("adapters", std::vector<std::string>());
         models.push_back(std::move(model));
     }
@@ -119,14 +125,15 @@
     return catchJsonErrors("decode configuration", [&spec] {
         fleet::Configuration configuration;
         // "version" is the generation of the configuration, not the version of its format.
-        configuration.generation = core::Generation(spec.at("version").get<std::uint64_t>());
+        configuration.generation = core::Generation(integerOf<std::uint64_t>(spec.at("version")));
         for (const json &route : spec.at("routes"))
             configuration.routes.push_back(decodeRoute(route));
         for (const json &service : spec.at("services"))
             configuration.services.push_back(decodeService(service));
         const json limits = spec.value("limits", json::object());
-        configuration.limits.headerBytes = limits.value("max_header_bytes", std::size_t {0});
-        configuration.limits.bodyBytes = limits.value("max_body_bytes", std::size_t {0});
+        configuration.limits.headerBytes
+            = integerMember(limits, "max_header_bytes", std::size_t {0});
+        configuration.limits.bodyBytes = integerMember(limits, "max_body_bytes", std::size_t {0});
         configuration.limits.headerTimeout
             = milliseconds(limits.value("header_timeout_ms", json(0)));
         configuration.limits.idleTimeout = milliseconds(limits.value("idle_timeout_ms", json(0)));
@@ -145,7 +152,7 @@
             endpoint.address = *std::move(address);
         // "zone" is the failure domain; "draining" is the state of an endpoint that leaves.
         endpoint.domain = core::FailureDomainId(spec.at("zone").get<std::string>());
-        endpoint.slots = spec.at("slots").get<int>();
+        endpoint.slots = integerOf<int>(spec.at("slots"));
         const auto state = spec.at("state").get<std::string>();
         endpoint.isLeaving = state == "draining";
         isKnownState = state == "ready" || endpoint.isLeaving;
@@ -153,8 +160,8 @@
             remaining != spec.end() && remaining->is_number())
             endpoint.remaining = milliseconds(*remaining);
         // "born" is the start time of the incarnation, "seq" the number of orders it accepted.
-        endpoint.startTime = fleet::StartTime(spec.value("born", std::int64_t {0}));
-        endpoint.orderRevision = spec.value("seq", std::uint64_t {0});
+        endpoint.startTime = fleet::StartTime(integerMember(spec, "born", std::int64_t {0}));
+        endpoint.orderRevision = integerMember(spec, "seq", std::uint64_t {0});
         endpoint.models = decodeModels(spec.value("models", json::array()));
         return endpoint;
     });
@@ -169,11 +176,11 @@
 absl::StatusOr<fleet::EndpointReport> decodeReport(const std::string &body)
 {
     return catchJsonErrors("decode report", [&body] {
-        const json value = json::parse(body);
+        const json value = parseJson(body);
         fleet::EndpointReport report;
         // "born" and "seq" as in decodeEndpoint(); "pending" lists loads in flight.
-        report.startTime = fleet::StartTime(value.value("born", std::int64_t {0}));
-        report.orderRevision = value.at("seq").get<std::uint64_t>();
+        report.startTime = fleet::StartTime(integerMember(value, "born", std::int64_t {0}));
+        report.orderRevision = integerOf<std::uint64_t>(value.at("seq"));
         report.isBusy = value.value("busy", false);
         report.models = decodeModels(value.at("models"));
         report.pending = value.value("pending", std::vector<std::string>());
@@ -188,7 +195,7 @@
         // An entry without "adapter" announces a version of the model itself.
         announced.model = core::ModelId(spec.at("model").get<std::string>());
         announced.adapter = core::AdapterId(spec.value("adapter", std::string()));
-        announced.version = spec.at("version").get<int>();
+        announced.version = integerOf<int>(spec.at("version"));
         return announced;
     });
 }
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -1,6 +1,9 @@
 #include "platform/objectstoreclient.h"
 
 #include "core/error.h"
+#include "core/text.h"
+#include "observability/log.h"
+#include "platform/boundedjson.h"
 #include "platform/wirenames.h"
 
 #include <absl/strings/str_cat.h>
@@ -29,6 +32,18 @@
     return kind == ObjectKind::Leases ? leaseCallTimeout : callTimeout;
 }
 
+void logUnreadable(std::string_view name, const json::exception &error)
+{
+    constexpr std::size_t maxLoggedBytes = 120;
+    observability::log(
+        {.level = observability::LogLevel::Warn,
+         .step = "read object",
+         .message = absl::StrCat("skipped ",
+                                 core::toAbsl(name.empty() ? "an object without a name"
+                                                           : name.substr(0, maxLoggedBytes)),
+                                 ": ", std::string(error.what()).substr(0, maxLoggedBytes))});
+}
+
 absl::Status errorFromStatus(int status)
 {
     const std::string text = absl::StrCat("status ", status);
@@ -46,29 +61,57 @@
     }
 }
 
-StoredObject decodeObject(const json &value)
+StoredObject decodeObject(std::string_view text)
+{
+    const json metadata = parseJson(memberText(text, "metadata"));
+    StoredObject object {metadata.at("name").get<std::string>(),
+                         integerMember(metadata, "revision", Revision {0}),
+                         {}};
+    const std::string_view spec = memberText(text, "spec");
+    if (spec.empty())
+        return object;
+    try {
+        object.spec = parseJson(spec);
+    } catch (const json::exception &error) {
+        // Other writers may leave entries that cannot be read; no decoder accepts the empty spec.
+        logUnreadable(object.name, error);
+    }
+    return object;
+}
+
+/// Decodes each element on its own, so that an unreadable one does not affect the others.
+template <typename Element, typename Decode>
+std::vector<Element> decodeElements(std::string_view array, const Decode &decode)
 {
-    const json &metadata = value.at("metadata");
-    return {metadata.at("name").get<std::string>(), metadata.value("revision", Revision {0}),
-            value.value("spec", json())};
+    std::vector<Element> elements;
+    for (const std::string_view text : elementTexts(array)) {
+        try {
+            elements.push_back(decode(text));
+        } catch (const json::exception &error) {
+            logUnreadable({}, error);
+        }
+    }
+    return elements;
 }
 
-ObjectPage decodePage(const json &value)
+ObjectPage decodePage(std::string_view text)
 {
     ObjectPage page;
-    for (const json &item : value.at("items"))
-        page.items.push_back(decodeObject(item));
-    page.hasMore = value.value("has_more", false);
-    page.revision = value.at("current_rev").get<Revision>();
+    page.items = decodeElements<StoredObject>(memberText(text, "items"), decodeObject);
+    page.hasMore = memberText(text, "has_more") == "true";
+    page.revision = integerOf<Revision>(parseJson(memberText(text, "current_rev")));
     return page;
 }
 
-ObjectEvents decodeEvents(const json &value)
+ObjectEvents decodeEvents(std::string_view text)
 {
     ObjectEvents events;
-    for (const json &event : value.at("events"))
-        events.events.push_back({decodeObject(event.at("object")), event.value("removed", false)});
-    events.revision = value.at("current_rev").get<Revision>();
+    events.events
+        = decodeElements<ObjectEvent>(memberText(text, "events"), [](std::string_view event) {
+              return ObjectEvent {decodeObject(memberText(event, "object")),
+                                  memberText(event, "removed") == "true"};
+          });
+    events.revision = integerOf<Revision>(parseJson(memberText(text, "current_rev")));
     return events;
 }
 
@@ -81,7 +124,7 @@
     if (response->status != 200)
         return errorFromStatus(response->status);
     try {
-        return decode(json::parse(response->body));
+        return decode(response->body);
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kUnavailable, "store call", "store", error.what());
     }
@@ -113,7 +156,7 @@
 absl::StatusOr<StoredObject> parseObject(const std::string &text)
 {
     try {
-        return decodeObject(json::parse(text));
+        return decodeObject(text);
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kInvalidArgument, "read object", "", error.what());
     }
@@ -180,11 +223,11 @@
         const bool isConflict = response.ok() && response->status == 409;
         if (isConflict || (response.ok() && response->status == 201))
             response->status = 200;
-        handler(decodeResponse<WriteResult>(response, [isConflict](const json &value) {
+        handler(decodeResponse<WriteResult>(response, [isConflict](std::string_view text) {
             WriteResult result;
             result.isWritten = !isConflict;
-            if (value.contains("metadata"))
-                result.object = decodeObject(value);
+            if (!memberText(text, "metadata").empty())
+                result.object = decodeObject(text);
             return result;
         }));
     });
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peermessages.h"
 
+#include <absl/strings/escaping.h>
+
 #include <criterion/criterion.h>
 
 #include <string>
@@ -153,3 +155,14 @@
         cr_assert_not(decodePeerView(text, now).ok(), "%s", text.c_str());
     }
 }
+
+// Guards against a message of a daemon that ends this one by its nesting.
+Test(peermessages, deeplyNestedMessageIsMalformed)
+{
+    constexpr char arrayOfOne = '\x81';
+    const std::string bytes(3 * 1000 * 1000, arrayOfOne);
+    std::string text;
+    absl::Base64Escape(absl::string_view(bytes.data(), bytes.size()), &text);
+    cr_assert_not(decodePeerReport(R"({"cbor":")" + text + R"("})", now).ok());
+    cr_assert_not(decodePeerView(std::string(1000 * 1000, '['), now).ok());
+}
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -68,6 +68,24 @@
     recordChange(kind, {{"removed", false}, {"object", encode(name, object)}});
 }
 
+void FakeStore::putText(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    const std::string placeholder = "@text" + std::to_string(m_texts.size()) + "@";
+    m_texts[placeholder] = spec;
+    put(kind, name, placeholder);
+}
+
+void FakeStore::respond(http::ServerExchange &exchange, int status, const json &body) const
+{
+    std::string text = body.dump();
+    for (const auto &[placeholder, spec] : m_texts) {
+        const std::string quoted = '"' + placeholder + '"';
+        for (auto at = text.find(quoted); at != std::string::npos; at = text.find(quoted))
+            text.replace(at, quoted.size(), spec);
+    }
+    exchange.respond(status, {{"Content-Type", "application/json"}}, text);
+}
+
 void FakeStore::remove(const std::string &kind, const std::string &name)
 {
     const Object object = m_kinds[kind][name];
@@ -137,7 +155,7 @@
     } else if (spec(kind, name).is_null()) {
         exchange->respond(404, {}, {});
     } else {
-        respondJson(*exchange, 200, encode(name, m_kinds[kind][name]));
+        respond(*exchange, 200, encode(name, m_kinds[kind][name]));
     }
 }
 
@@ -149,8 +167,7 @@
         for (const auto &[name, object] : objects->second)
             items.push_back(encode(name, object));
     }
-    respondJson(exchange, 200,
-                {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
+    respond(exchange, 200, {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
 }
 
 bool FakeStore::respondToWatch(const Watch &watch, bool isOver)
@@ -166,7 +183,7 @@
     }
     if (events.empty() && !isOver)
         return false;
-    respondJson(*watch.exchange, 200, {{"events", events}, {"current_rev", m_revision}});
+    respond(*watch.exchange, 200, {{"events", events}, {"current_rev", m_revision}});
     return true;
 }
 
@@ -201,11 +218,11 @@
         ? exists
         : metadata.value("revision", std::uint64_t {0}) != m_kinds[kind][name].revision;
     if (isConflict) {
-        respondJson(exchange, 409, encode(name, m_kinds[kind][name]));
+        respond(exchange, 409, encode(name, m_kinds[kind][name]));
         return;
     }
     put(kind, name, body.at("spec"));
-    respondJson(exchange, 200, encode(name, m_kinds[kind][name]));
+    respond(exchange, 200, encode(name, m_kinds[kind][name]));
 }
 
 FakeEndpoint::FakeEndpoint(net::EventLoop &loop, net::TimerService &timers, std::string name,
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -36,6 +36,8 @@
     int lists() const { return m_listCount; }
     /// Writes an object unconditionally, like the operator or an endpoint.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
+    /// The same with any text as the spec, whatever JSON allows; other texts of the name stay.
+    void putText(const std::string &kind, const std::string &name, const std::string &spec);
     void remove(const std::string &kind, const std::string &name);
     /// The spec of an object; null if it does not exist.
     nlohmann::json spec(const std::string &kind, const std::string &name) const;
@@ -77,6 +79,9 @@
     http::Server m_server;
     Mode m_mode = Mode::Serving;
     bool m_areWatchesSuspended = false;
+    void respond(http::ServerExchange &exchange, int status, const nlohmann::json &body) const;
+
+    std::map<std::string, std::string> m_texts; ///< By the placeholder in the spec.
     std::uint64_t m_revision = 10;
     std::uint64_t m_oldestRevision = 0;
     std::map<std::string, std::map<std::string, Object>> m_kinds;
