Never take a second copy of a refusal for the answer to a later send

Cause: an endpoint may write a refusal once more, late, on a kept connection. It was told apart from the awaited answer by the request id alone. That fails in two cases: the same request is sent again on the same connection, so that both answers have its id; and a refusal without an id is accepted as the answer to any request.

Change: no request goes out twice on one connection; the pool skips the connections that a request has used. A connection whose last response had no id of its request is not used again.

Looked for elsewhere: a refusal that arrives before the request was written in full closes the connection; a send that may still be read is replaced only if the request may repeat. Open: orders carry no id, so that a second copy of an answer to one could be taken for the answer to the next on a kept connection.

--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -48,16 +48,19 @@
     : idle(loop, maxIdlePerEndpoint)
 { }
 
-std::unique_ptr<http::ClientConnection> EndpointPool::take(const fleet::Endpoint &endpoint,
-                                                           bool isCautious)
+std::unique_ptr<http::ClientConnection>
+EndpointPool::take(const fleet::Endpoint &endpoint, bool isCautious,
+                   const std::set<http::ConnectionNumber> &excluded)
 {
     Entry &entry = entryFor(endpoint.id);
     if (const auto limit = m_idleLimits.find(endpoint.service); limit != m_idleLimits.end())
         entry.idle.setMaxSize(limit->second);
-    auto connection
-        = entry.idle.take(m_timers.now(), [isCautious](const http::ClientConnection &idle) {
-              return usableIdleTime(idle, isCautious);
-          });
+    auto connection = entry.idle.take(
+        m_timers.now(),
+        [isCautious](const http::ClientConnection &idle) {
+            return usableIdleTime(idle, isCautious);
+        },
+        excluded);
     return connection ? std::move(connection) : connect(endpoint);
 }
 
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -26,7 +27,9 @@
 
     /// Returns a connection for one exchange. With `isCautious` an idle one is reused only well
     /// before the endpoint closes it, because a request that arrives with the close may have run.
-    std::unique_ptr<http::ClientConnection> take(const fleet::Endpoint &endpoint, bool isCautious);
+    /// Connections in `excluded` are not reused.
+    std::unique_ptr<http::ClientConnection> take(const fleet::Endpoint &endpoint, bool isCautious,
+                                                 const std::set<http::ConnectionNumber> &excluded);
     /// Opens a new connection without an exchange.
     std::unique_ptr<http::ClientConnection> connect(const fleet::Endpoint &endpoint);
     /// Keeps the connection for the next exchange if it can be reused; else closes it.
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -387,7 +387,10 @@
     observer.onHead = [this](http::MessageHead &head) { handleHead(head); };
     observer.onBody = [this](const std::string &bytes) { handleBody(bytes); };
     observer.onEnd = [this](http::ExchangeEnd end) { handleExchangeEnd(end); };
-    m_connection = m_context.pool.take(endpoint, !m_route->isRepeatable());
+    // A second copy of an earlier response would be taken for that to this send, because both have
+    // the id of the request.
+    m_connection = m_context.pool.take(endpoint, !m_route->isRepeatable(), m_usedConnections);
+    m_usedConnections.insert(m_connection->number());
     m_connection->send(request, std::move(observer));
     armStallTimer();
 }
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -131,6 +132,7 @@
     EndpointFinder m_finder;
 
     std::unique_ptr<http::ClientConnection> m_connection;
+    std::set<http::ConnectionNumber> m_usedConnections;
     core::EndpointId m_endpoint;
     fleet::StartTime m_incarnation {}; ///< Of the endpoint, when the request was sent.
     int m_sends = 0;
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -1,5 +1,6 @@
 #include "http/clientconnection.h"
 
+#include <atomic>
 #include <charconv>
 #include <utility>
 
@@ -11,11 +12,18 @@
 // other bytes without end before the awaited response.
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
+ConnectionNumber nextNumber()
+{
+    static std::atomic<std::uint64_t> last = 0;
+    return ConnectionNumber {++last};
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(net::EventLoop &loop, const net::Address &peer,
                                    core::Duration connectTimeout)
-    : m_connection(loop, peer, connectTimeout)
+    : m_number(nextNumber())
+    , m_connection(loop, peer, connectTimeout)
     , m_parser(MessageParser::Kind::Response)
 {
     m_connection.setHandlers({
@@ -90,8 +98,10 @@
         if (!*alive || !m_isBusy)
             return;
         if (m_parser.isComplete()) {
-            // Bytes after the response belong to no request, so the connection is not reused.
-            m_isReusable = m_parser.head().keepAlive && !m_parser.isCloseDelimited()
+            // Bytes after the response belong to no request, so the connection is not reused. Nor
+            // is one whose response has no id: a second copy of it could not be told from the
+            // response to the next request.
+            m_isReusable = m_hasOwnId && m_parser.head().keepAlive && !m_parser.isCloseDelimited()
                 && m_connection.received().empty() && m_connection.pendingOutput() == 0;
             end(ExchangeEnd::Complete);
             return;
@@ -109,6 +119,7 @@
         const bool hasOtherId = !m_idField.empty() && id != m_id;
         const bool isFailureWithoutId = id.empty() && head.status >= 300;
         m_isSkipping = isInterim || (hasOtherId && !isFailureWithoutId);
+        m_hasOwnId = !hasOtherId;
     }
     if (!m_isSkipping)
         return false;
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -3,6 +3,7 @@
 #include "http/connection.h"
 #include "http/messageparser.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,6 +44,9 @@
     std::function<void(ExchangeEnd end)> onEnd;
 };
 
+/// Identifies a connection within the process; never used again.
+enum class ConnectionNumber : std::uint64_t {};
+
 /// The client side of a connection, for one exchange at a time. Thread safety: the loop's
 /// thread only.
 class ClientConnection
@@ -58,6 +62,7 @@
     void send(const OutgoingRequest &request, ExchangeObserver observer);
     /// Whether the next exchange may use this connection.
     bool isReusable() const { return m_isReusable && !m_isBusy; }
+    ConnectionNumber number() const { return m_number; }
     /// Whether an earlier exchange used the connection.
     bool isReused() const { return m_exchangeCount > 1; }
     /// Whether bytes of the current request may have arrived at the peer; none are written before
@@ -86,6 +91,7 @@
     void reportConnect(bool isConnected);
     void parseIdleTimeout();
 
+    ConnectionNumber m_number;
     Connection m_connection;
     MessageParser m_parser;
     ExchangeObserver m_observer;
@@ -97,6 +103,7 @@
     int m_exchangeCount = 0;
     bool m_isReusable = true;
     bool m_isHeadDelivered = false;
+    bool m_hasOwnId = false; ///< The response carries the id of its request.
     bool m_isSkipping = false;
     std::size_t m_skippedBytes = 0; ///< Of responses skipped in the current exchange.
     core::Duration m_idleTimeout {};
--- a/src/libs/http/idleconnections.cpp
+++ b/src/libs/http/idleconnections.cpp
@@ -1,5 +1,7 @@
 #include "http/idleconnections.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jackdawlead::http {
@@ -38,21 +40,20 @@
 }
 
 std::unique_ptr<ClientConnection> IdleConnections::take(core::TimePoint now,
-                                                        const MaxIdleTime &limit)
+                                                        const MaxIdleTime &limit,
+                                                        const std::set<ConnectionNumber> &excluded)
 {
-    while (!m_idle.empty()) {
-        Idle &last = m_idle.back();
-        const bool isReusable = last.connection->isReusable();
-        // The other connections have been idle for longer.
-        if (isReusable && now - last.since > limit(*last.connection))
-            return nullptr;
-        std::unique_ptr<ClientConnection> connection = std::move(last.connection);
-        m_idle.pop_back();
-        connection->setIdleEndHandler(nullptr);
-        if (isReusable)
-            return connection;
-    }
-    return nullptr;
+    std::erase_if(m_idle, [](const Idle &idle) { return !idle.connection->isReusable(); });
+    const auto last = std::find_if(m_idle.rbegin(), m_idle.rend(), [&excluded](const Idle &idle) {
+        return !excluded.contains(idle.connection->number());
+    });
+    // The other connections have been idle for longer.
+    if (last == m_idle.rend() || now - last->since > limit(*last->connection))
+        return nullptr;
+    std::unique_ptr<ClientConnection> connection = std::move(last->connection);
+    m_idle.erase(std::prev(last.base()));
+    connection->setIdleEndHandler(nullptr);
+    return connection;
 }
 
 void IdleConnections::closeExpired(core::TimePoint now, const MaxIdleTime &limit)
--- a/src/libs/http/idleconnections.h
+++ b/src/libs/http/idleconnections.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace jackdawlead::http {
@@ -30,8 +31,9 @@
     /// of its own callbacks may be running.
     void keep(std::unique_ptr<ClientConnection> connection, core::TimePoint now);
     /// Returns the connection that was kept last, because its peer is the least likely to be
-    /// closing it; nullptr if there is none within its limit.
-    std::unique_ptr<ClientConnection> take(core::TimePoint now, const MaxIdleTime &limit);
+    /// closing it, of those that are not in `excluded`; nullptr if there is none within its limit.
+    std::unique_ptr<ClientConnection> take(core::TimePoint now, const MaxIdleTime &limit,
+                                           const std::set<ConnectionNumber> &excluded = {});
     /// Sets the maximum number of idle connections; excess ones close after their next exchange.
     void setMaxSize(std::size_t maxSize) { m_maxSize = maxSize; }
     std::size_t size() const { return m_idle.size(); }
--- a/tests/auto/endpointpool/tst_endpointpool.cpp
+++ b/tests/auto/endpointpool/tst_endpointpool.cpp
@@ -45,7 +45,7 @@
     std::vector<std::unique_ptr<http::ClientConnection>> connections;
     std::size_t answered = 0;
     for (std::size_t number = 0; number < count; ++number) {
-        connections.push_back(pool.take(endpoint, false));
+        connections.push_back(pool.take(endpoint, false, {}));
         http::ExchangeObserver observer;
         observer.onHead = [](http::MessageHead &) {};
         observer.onBody = [](const std::string &) {};
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -29,6 +29,9 @@
     std::string id;
     std::uint16_t port;
 
+    /// Number of connections that were accepted so far.
+    int accepted() const { return m_peer.accepted(); }
+
     /// A stamped head for the request; `framing` holds its further fields.
     static std::string stampedHead(const http::MessageHead &head, const std::string &framing = {});
     /// Writes the bytes and closes the connection regularly.
