--- a/src/libs/platform/boundedjson.cpp
+++ b/src/libs/platform/boundedjson.cpp
@@ -40,7 +40,7 @@
     BoundedBuilder builder(value);
     // The builder throws on malformed input, so that a false result is due to the depth.
     if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, format))
-        throw json::out_of_range::create(408, "nested too deep", nullptr);
+        throwOutOfRange("nested too deep");
     return value;
 }
 
@@ -109,6 +109,12 @@
 
 } // namespace
 
+void throwOutOfRange(const char *what)
+{
+    constexpr int outOfRange = 406; // The library's code for numbers that are out of range.
+    throw json::out_of_range::create(outOfRange, what, nullptr);
+}
+
 json parseJson(std::string_view text)
 {
     return parse(text, json::input_format_t::json);
--- a/src/libs/platform/boundedjson.h
+++ b/src/libs/platform/boundedjson.h
@@ -26,35 +26,33 @@
 /// The texts of the elements of a JSON array. Thread safety: any thread.
 std::vector<std::string_view> elementTexts(std::string_view array);
 
+[[noreturn]] void throwOutOfRange(const char *what);
+
 /// The value as an integer. Errors: nlohmann::json::exception if it is no number or out of range.
 template <typename Integer> Integer integerOf(const nlohmann::json &value)
 {
-    const auto fail = [] [[noreturn]] {
-        throw nlohmann::json::out_of_range::create(406, "integer out of range", nullptr);
-    };
+    using Limits = std::numeric_limits<Integer>;
+    bool isInRange = true;
+    Integer result {};
     if (value.is_number_float()) {
         const auto number = value.get<double>();
         // The largest integers are rounded up when converted, hence "less than".
-        const bool isInRange = number >= static_cast<double>(std::numeric_limits<Integer>::min())
-            && number < static_cast<double>(std::numeric_limits<Integer>::max());
-        if (!isInRange)
-            fail();
-        return static_cast<Integer>(number);
-    }
-    if (value.is_number_unsigned()) {
+        isInRange = number >= static_cast<double>(Limits::min())
+            && number < static_cast<double>(Limits::max());
+        result = isInRange ? static_cast<Integer>(number) : Integer {};
+    } else if (value.is_number_unsigned()) {
         const auto number = value.get<std::uint64_t>();
-        if (number > static_cast<std::uint64_t>(std::numeric_limits<Integer>::max()))
-            fail();
-        return static_cast<Integer>(number);
-    }
-    const auto number = value.get<std::int64_t>();
-    if constexpr (std::numeric_limits<Integer>::is_signed) {
-        if (number < std::numeric_limits<Integer>::min())
-            fail();
-    } else if (number < 0) {
-        fail();
+        isInRange = number <= static_cast<std::uint64_t>(Limits::max());
+        result = static_cast<Integer>(number);
+    } else {
+        const auto number = value.get<std::int64_t>();
+        isInRange
+            = Limits::is_signed ? number >= static_cast<std::int64_t>(Limits::min()) : number >= 0;
+        result = static_cast<Integer>(number);
     }
-    return static_cast<Integer>(number);
+    if (!isInRange)
+        throwOutOfRange("integer out of range");
+    return result;
 }
 
 /// The same for a member of an object, or `fallback` if there is none.
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -25,7 +25,7 @@
 {
     const auto number = value.get<double>();
     if (!(std::abs(number) <= maxSeconds))
-        throw json::out_of_range::create(406, "time out of range", nullptr);
+        throwOutOfRange("time out of range");
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(number));
 }
 
--- a/tests/auto/eventfilter/tst_eventfilter.cpp
+++ b/tests/auto/eventfilter/tst_eventfilter.cpp
@@ -92,8 +92,9 @@
 Test(eventfilter, everyLineEndIsRecognized)
 {
     for (const std::string end : {"\n", "\r\n", "\r"}) {
-        const std::string stream
-            = "id: 1" + end + "data: text" + end + end + "id: 2" + end + "data: more" + end + end;
+        std::string stream;
+        for (const char *line : {"id: 1", "data: text", "", "id: 2", "data: more", ""})
+            stream.append(line).append(end);
         for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
             EventFilter filter;
             std::string output;
--- a/tests/auto/promptparttracker/crashsimulation.h
+++ b/tests/auto/promptparttracker/crashsimulation.h
@@ -143,7 +143,7 @@
 
     RequestPtr makeRequest(const core::PromptPartId &middle, bool isSound)
     {
-        const auto request = std::make_shared<Request>();
+        auto request = std::make_shared<Request>();
         request->number = m_requestNumber;
         const core::PromptPartId first("first" + std::to_string(m_requestNumber % 3));
         request->identity
