Block the strongest cause first

All parts that could be blocked were blocked at once, although the first block explains crashes that count against the others.

--- a/src/libs/decisions/promptparttracker.cpp
+++ b/src/libs/decisions/promptparttracker.cpp
@@ -150,19 +150,21 @@
         const Suspicions all = suspicions();
         updateSuspects(all, now);
         m_nextDecisionAt = core::TimePoint::max();
-        std::vector<core::PromptPartId> found;
-        for (const auto &[part, suspicion] : all) {
+        Suspicions::const_iterator strongest = all.end();
+        for (auto entry = all.begin(); entry != all.end(); ++entry) {
+            const auto &[part, suspicion] = *entry;
             if (!isToBlame(part, all))
                 continue;
             const core::TimePoint decidable = decidableAt(part, suspicion);
-            if (now >= decidable)
-                found.push_back(part);
-            else
+            if (now < decidable)
                 m_nextDecisionAt = std::min(m_nextDecisionAt, decidable);
+            else if (strongest == all.end()
+                     || suspicion.crashes.size() > strongest->second.crashes.size())
+                strongest = entry;
         }
-        // Each change explains crashes and so updates the suspects.
-        for (const core::PromptPartId &part : found)
-            change(part, true, all.at(part).crashes.size(), now);
+        // One at a time, because a block explains crashes that count against the other parts.
+        if (strongest != all.end())
+            change(strongest->first, true, strongest->second.crashes.size(), now);
     }
 }
 
--- a/tests/auto/promptparttracker/tst_promptparttracker.cpp
+++ b/tests/auto/promptparttracker/tst_promptparttracker.cpp
@@ -156,6 +156,25 @@
     cr_assert(tracker.isBlocked(beside));
 }
 
+// Guards against blaming a part that two causes explain together, but neither of them alone.
+Test(promptparttracker, partBesideTwoCausesIsNotBlocked)
+{
+    const core::PromptPartId other("other");
+    PromptPartTracker tracker;
+    crashTimes(tracker, 13, bad, "e");
+    crashTimes(tracker, 5, other, "f");
+    for (const std::string prefix : {"e", "f"}) {
+        for (int number = 0; number < 4; ++number)
+            tracker.recordCrash(evidence(prefix + std::to_string(number),
+                                         {request("s" + std::to_string(number), {beside})}),
+                                start);
+    }
+    tracker.decide(start + decisionTime);
+    cr_assert(tracker.isBlocked(bad));
+    cr_assert(tracker.isBlocked(other));
+    cr_assert_not(tracker.isBlocked(beside));
+}
+
 // Guards against a block that ends while requests for the part still come, and one that never ends.
 Test(promptparttracker, blockLastsWhileThePartIsRequested)
 {
