Pause before an unreadable report is requested again

An endpoint whose report cannot be read was asked for it in each tick: 61 report requests in 3 s, each of which costs as a probe. Such a report now counts as a failed one, after which the planner pauses.

Evidence: oddReportIsNotRequestedWithoutAPause failed before (61) and passes (at most 15).

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -394,6 +394,7 @@
                 const auto report = platform::decodeReport(response->body);
                 if (!report.ok()) {
                     observability::logError(observability::LogLevel::Warn, report.status());
+                    m_planner.recordReportFailure(id, m_timers.now());
                     return;
                 }
                 m_planner.applyReport(id, *report, sentAt);
--- a/tests/e2e/tst_oddentries.cpp
+++ b/tests/e2e/tst_oddentries.cpp
@@ -1,4 +1,5 @@
 #include "support/platformfixture.h"
+#include "support/rawendpoint.h"
 
 #include <criterion/criterion.h>
 
@@ -100,3 +101,19 @@
     cr_assert_eq(fixture.call("/get/a", "r1")->head.status, 200, "%s", fixture.output().c_str());
     expectStoreIsFollowed(fixture);
 }
+
+// Guards against a daemon that ends because of an endpoint's odd report, and against asking such an
+// endpoint for its report again and again: each report request is a probe that costs.
+Test(oddentries, oddReportIsNotRequestedWithoutAPause, .timeout = 60)
+{
+    PlatformFixture fixture("model");
+    RawEndpoint odd(fixture.loop, "e-odd", fixture.picker.take());
+    odd.reportBody = R"({"born":1,"seq":1e300,"models":)" + nested(100000) + "}";
+    fixture.store.put("servers", odd.id, odd.record("model"));
+    cr_assert(fixture.waitUntil([&odd] { return odd.reports > 0; }));
+    constexpr core::Duration time = milliseconds(3000);
+    constexpr int maxReports = 15;
+    fixture.runLoopFor(time);
+    cr_assert_leq(odd.reports, maxReports, "%d report requests", odd.reports);
+    cr_assert_eq(fixture.daemon.exitCode(), std::nullopt);
+}
--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -56,8 +56,9 @@
         return;
     const http::MessageHead &head = parser.head();
     if (head.target == "/-/report") {
-        connection.write(formatResponse(
-            json {{"born", 1}, {"seq", 0}, {"busy", false}, {"models", models}}.dump()));
+        ++reports;
+        const json report {{"born", 1}, {"seq", 0}, {"busy", false}, {"models", models}};
+        connection.write(formatResponse(reportBody.empty() ? report.dump() : reportBody));
         return;
     }
     if (head.target == "/-/order") {
--- a/tests/support/rawendpoint.h
+++ b/tests/support/rawendpoint.h
@@ -24,6 +24,9 @@
     nlohmann::json record(const std::string &service) const;
     /// Answers a client's request; report requests and orders are answered by the class itself.
     std::function<void(http::Connection &connection, const http::MessageHead &head)> run;
+    /// If not empty, the answer to report requests.
+    std::string reportBody;
+    int reports = 0; ///< Report requests so far.
     /// Heads of the requests that were passed to `run`, in their order.
     std::vector<http::MessageHead> heads;
     std::string id;
