--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -34,9 +34,6 @@
 // An endpoint that is in back-off for any daemon counts as overloaded, so that its adapters are
 // copied to other endpoints.
 constexpr double backoffUtilization = 2;
-// Each response of an endpoint in use confirms its limit. An endpoint without requests would
-// otherwise stay avoided after its need has ended.
-constexpr core::Duration limitConfirmationTime = std::chrono::seconds(10);
 
 decisions::OrderOutcome outcomeOf(platform::OrderResult result)
 {
@@ -331,42 +328,6 @@
                             false, sentAt);
 }
 
-// Permits of a limit that no response has confirmed for some time are issued as before, but the
-// planner may use the endpoint again: requests to it show whether the limit still holds.
-void Coordinator::updateRequestLimits()
-{
-    const core::TimePoint now = m_timers.now();
-    std::set<core::EndpointId> limited;
-    for (const auto &[id, endpoint] : m_watch.endpoints()) {
-        const decisions::EndpointLimit *limit = m_limits.known().find(id, endpoint.startTime);
-        if (limit == nullptr)
-            continue;
-        limited.insert(id);
-        m_permitIssuer.setLimit(id, limit->incarnation, *limit->rate, now);
-    }
-    m_permitIssuer.retain(limited);
-    for (const auto &[id, state] : m_planner.endpoints())
-        updatePlannerLimit(id);
-}
-
-void Coordinator::updatePlannerLimit(const core::EndpointId &id)
-{
-    const auto state = m_planner.endpoints().find(id);
-    if (state == m_planner.endpoints().end())
-        return;
-    const core::TimePoint now = m_timers.now();
-    const decisions::EndpointLimit *limit
-        = m_limits.known().find(id, state->second.endpoint.startTime);
-    const bool isConfirmed = limit != nullptr && now - limit->statedAt < limitConfirmationTime;
-    m_planner.setRateLimited(id, isConfirmed, m_permitIssuer.canCharge(id, now));
-}
-
-void Coordinator::takePermit(const core::EndpointId &id)
-{
-    m_permitIssuer.charge(id);
-    updatePlannerLimit(id);
-}
-
 void Coordinator::requestReports()
 {
     for (const core::EndpointId &id : m_planner.endpointsNeedingReport(m_timers.now())) {
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -27,8 +27,8 @@
 
 /// Collects the daemons' reports, orders endpoints to load and unload models and adapters, and
 /// sends views of the endpoints' contents to the daemons. Active only on the daemon that holds the
-/// lease for orders. Implemented in coordinator.cpp (reports, plans and orders) and
-/// coordinatorviews.cpp (what the daemons receive).
+/// lease for orders. Implemented in coordinator.cpp (reports, plans and orders),
+/// coordinatorlimits.cpp (request limits) and coordinatorviews.cpp (what the daemons receive).
 /// Thread safety: the event loop's thread only.
 class Coordinator
 {
--- a/src/libs/gateway/coordinatorviews.cpp
+++ b/src/libs/gateway/coordinatorviews.cpp
@@ -23,22 +23,6 @@
     return found == m_daemons.end() ? std::string() : found->second.address.toString();
 }
 
-std::map<core::EndpointId, decisions::PermitGrant>
-Coordinator::issuePermits(const PeerReport &report)
-{
-    std::map<core::EndpointId, decisions::PermitGrant> grants;
-    for (const auto &[id, demand] : report.permitDemand) {
-        const fleet::Endpoint *endpoint = m_watch.endpoint(id);
-        const auto limit = endpoint == nullptr ? std::nullopt : m_limits.limitOf(*endpoint);
-        if (!limit)
-            continue;
-        m_permitIssuer.setLimit(id, endpoint->startTime, *limit, m_timers.now());
-        grants[id] = m_permitIssuer.issue(id, report.host, demand, m_timers.now());
-        updatePlannerLimit(id);
-    }
-    return grants;
-}
-
 PeerView Coordinator::fullViewFor(Daemon &daemon)
 {
     PeerView view = contentsViewFor(daemon);
