--- a/src/libs/decisions/quarantine.cpp
+++ b/src/libs/decisions/quarantine.cpp
@@ -69,7 +69,7 @@
     if (!entry)
         return QuarantineState::Clear;
     return entry->crashes.size() >= crashesUntilNotRepeated ? QuarantineState::Quarantined
-                                                        : QuarantineState::Suspect;
+                                                            : QuarantineState::Suspect;
 }
 
 core::Duration Quarantine::remaining(const Fingerprint &fingerprint, core::TimePoint now) const
