Keep the lease when the state beside it cannot be read

The lease's record holds the states of parts of prompts. If another writer left something else in its place, the record counted as unreadable and no daemon could renew or take the lease any more. Found by reading the change.

The state is now read on its own.

Also from that reading: reports of crashes that wait for a coordinator are bounded, an explained crash is not brought back by a report that is on its way, and a daemon that has a coordinator goes by the suspects of the fleet, because its own may run well elsewhere.

--- a/src/libs/gateway/coordinatorelection.cpp
+++ b/src/libs/gateway/coordinatorelection.cpp
@@ -112,18 +112,31 @@
         auto address = platform::decodeAddress(object.spec.at("address").get<std::string>());
         if (address.ok())
             record.address = *std::move(address);
-        const auto shared = object.spec.find(sharedStateField);
-        if (m_sharedState.apply && shared != object.spec.end())
-            m_sharedState.apply(*shared);
     } catch (const nlohmann::json::exception &error) {
         observability::log({.level = observability::LogLevel::Error,
                             .step = "read lease",
                             .message = error.what()});
         return std::nullopt;
     }
+    applySharedState(object.spec);
     return record;
 }
 
+// The lease must not depend on the state that is kept with it.
+void CoordinatorElection::applySharedState(const nlohmann::json &spec) const
+{
+    const auto shared = spec.find(sharedStateField);
+    if (!m_sharedState.apply || shared == spec.end())
+        return;
+    try {
+        m_sharedState.apply(*shared);
+    } catch (const nlohmann::json::exception &error) {
+        observability::log({.level = observability::LogLevel::Error,
+                            .step = "read shared state",
+                            .message = error.what()});
+    }
+}
+
 void CoordinatorElection::readFromStore(RecordHandler handler)
 {
     m_store.read(platform::ObjectKind::Leases, recordName,
--- a/src/libs/gateway/coordinatorelection.h
+++ b/src/libs/gateway/coordinatorelection.h
@@ -59,6 +59,7 @@
     void read();
     void write();
     std::optional<decisions::OrderLeaseRecord> decodeRecord(const platform::StoredObject &object);
+    void applySharedState(const nlohmann::json &spec) const;
 
     platform::ObjectStoreClient &m_store;
     net::TimerService &m_timers;
--- a/src/libs/gateway/crashcollector.cpp
+++ b/src/libs/gateway/crashcollector.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// Each daemon gets several views in this time.
-constexpr core::Duration explainedCrashRetention = std::chrono::seconds(5);
+// Longer than daemons report a crash, so that none of them brings it back.
+constexpr core::Duration explainedCrashRetention = std::chrono::seconds(10);
 
 } // namespace
 
@@ -32,8 +32,11 @@
 
 bool CrashCollector::addReport(const CrashNews &news, core::TimePoint now)
 {
-    for (const decisions::CrashReport &crash : news.crashes)
-        m_crashes.applyUpdate(crash, now);
+    for (const decisions::CrashReport &crash : news.crashes) {
+        // Daemons report a crash until they receive the explanation.
+        if (!std::ranges::count(m_explainedCrashes, crash.crash, &ExplainedCrash::crash))
+            m_crashes.applyUpdate(crash, now);
+    }
     for (const decisions::CrashEvidence &evidence : news.evidence)
         m_parts.recordCrash(evidence, now);
     m_parts.recordSound(news.soundParts, now);
--- a/src/libs/gateway/crashguard.cpp
+++ b/src/libs/gateway/crashguard.cpp
@@ -18,6 +18,8 @@
 // A daemon that has just started cannot tell yet which parts are sound, so that it reports crashes
 // later: requests take some hundred milliseconds to their first event and then have to go on.
 constexpr core::Duration warmUpTime = std::chrono::seconds(2);
+// Crashes that no coordinator has received yet; the oldest is dropped.
+constexpr std::size_t maxPendingEvidence = 64;
 constexpr std::string_view quarantineCause = "request was running when endpoints died";
 constexpr std::string_view blockedPartCause = "a part of the prompt crashes endpoints";
 
@@ -68,8 +70,10 @@
 
 bool CrashGuard::hasSuspect(const decisions::RequestIdentity &request) const
 {
-    return std::ranges::any_of(request.parts, [this](const auto &part) {
-        return m_fleetSuspects.contains(part) || m_parts.isSuspect(part);
+    // The coordinator also knows what runs well at other daemons.
+    const bool hasCoordinator = m_handlers.isCoordinatorReachable();
+    return std::ranges::any_of(request.parts, [this, hasCoordinator](const auto &part) {
+        return hasCoordinator ? m_fleetSuspects.contains(part) : m_parts.isSuspect(part);
     });
 }
 
@@ -157,6 +161,8 @@
                         .peer = id.value()});
     if (evidence.requests.empty())
         return;
+    if (m_pendingEvidence.size() >= maxPendingEvidence)
+        m_pendingEvidence.erase(m_pendingEvidence.begin());
     m_pendingEvidence.push_back(std::move(evidence));
     if (isWarm())
         reportEvidence();
@@ -206,7 +212,6 @@
 
 void CrashGuard::restoreNews(const CrashNews &news)
 {
-    constexpr std::size_t maxPendingEvidence = 256;
     if (m_pendingEvidence.size() < maxPendingEvidence)
         m_pendingEvidence.insert(m_pendingEvidence.end(), news.evidence.begin(),
                                  news.evidence.end());
--- a/tests/e2e/tst_oddentries.cpp
+++ b/tests/e2e/tst_oddentries.cpp
@@ -102,6 +102,22 @@
     expectStoreIsFollowed(fixture);
 }
 
+// Guards against a coordinator that loses its lease because the state that is kept with it cannot
+// be read.
+Test(oddentries, oddSharedStateDoesNotEndTheLease, .timeout = 60)
+{
+    PlatformFixture fixture;
+    const auto lease = [&fixture] { return fixture.store.spec("jackdawlead-leases", "orders"); };
+    cr_assert(fixture.waitUntil([&lease] { return !lease().is_null(); }));
+    const auto token = lease().at("token");
+    json odd = lease();
+    odd["shared"] = 17;
+    fixture.store.put("jackdawlead-leases", "orders", odd);
+    cr_assert(fixture.waitUntil([&lease] { return lease().at("shared").is_array(); }), "%s",
+              fixture.output().c_str());
+    cr_assert_eq(lease().at("token"), token, "%s", fixture.output().c_str());
+}
+
 // Guards against a daemon that ends because of an endpoint's odd report, and against asking such an
 // endpoint for its report again and again: each report request is a probe that costs.
 Test(oddentries, oddReportIsNotRequestedWithoutAPause, .timeout = 60)
