Restore a check of sound parts that was lowered, and list what it shows

The check with 3 is back as boundsHoldBesideManyUnrelatedCrashes, red.

Two more tests, red, from reading the change: a suspect stays one until the next crash is recorded, and daemon and coordinator bring states of released parts back to each other without end.

--- a/tests/auto/promptparttracker/tst_promptparttracker.cpp
+++ b/tests/auto/promptparttracker/tst_promptparttracker.cpp
@@ -194,6 +194,37 @@
     cr_assert_not(tracker.isBlocked(bad));
 }
 
+// Guards against holding back requests for a part that was in progress at two crashes long ago.
+Test(promptparttracker, suspectEndsWithTheRetentionTime)
+{
+    PromptPartTracker tracker;
+    crashTimes(tracker, 2, bad);
+    const core::TimePoint later = start + std::chrono::minutes(11);
+    tracker.decide(later);
+    tracker.expire(later);
+    cr_assert_not(tracker.isSuspect(bad));
+}
+
+// Guards against states that daemon and coordinator bring back to each other without end.
+Test(promptparttracker, releasedStateIsDropped)
+{
+    PromptPartTracker coordinator;
+    PromptPartTracker daemon;
+    coordinator.applyState({bad, 2, false, 0}, start);
+    daemon.applyState({bad, 2, false, 0}, start);
+    core::TimePoint now = start;
+    for (int round = 0; round < 10; ++round) {
+        now += std::chrono::minutes(11);
+        coordinator.expire(now);
+        for (const PartState &state : daemon.states())
+            coordinator.applyState(state, now);
+        for (const PartState &state : coordinator.states())
+            daemon.applyState(state, now);
+    }
+    cr_assert(coordinator.states().empty());
+    cr_assert(daemon.states().empty());
+}
+
 // Guards against a daemon that falls back to a state that another one has replaced.
 Test(promptparttracker, laterStateWins)
 {
@@ -244,6 +275,14 @@
     expectBounds(scenario, "unrelated crashes only");
 }
 
+Test(promptparttracker, boundsHoldBesideManyUnrelatedCrashes, .timeout = 120)
+{
+    CrashScenario scenario;
+    scenario.crashingPerSecond = 0.001;
+    scenario.unrelatedCrashesPerSecond = 3;
+    expectBounds(scenario, "3 unrelated crashes per second");
+}
+
 Test(promptparttracker, boundsHoldWithTwoCauses, .timeout = 120)
 {
     CrashScenario scenario;
