--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -30,7 +30,10 @@
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
             body += await reader.readexactly(size)
             await reader.readline()
             if size == 0:
