Review: form of the cases, and the dose of case 3

Each script reads TROUBLE. Case 3 keeps to the dose that the site names for late second answers, case 2 ends a runner 7 s after its removal.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -16,7 +16,7 @@
 DRAIN_S = 3.0
 CUT_PERIOD_S = float(os.environ.get("CUT_PERIOD_S", "0.5"))
 REMOVAL_GAP_S = 3.9
-SERVES_AFTER_REMOVAL_S = 6.0
+SERVES_AFTER_REMOVAL_S = 7.0  # drain_ms and a little longer.
 HOST = "shop.example"
 
 
@@ -69,20 +69,23 @@
     client.close()
 
 
-async def case(record, temporary, network, trouble, daemons):
+async def case(record, temporary, network, daemons):
+    trouble = os.environ.get("TROUBLE", "1") != "0"
     platform = store.Store()
     store_ip = f"{network}.9"
     store_port = harness.free_port(store_ip)
     servers = [await http1.serve(store_ip, store_port, platform.handle)]
     platform.put("config", "main", configuration())
     runners = []
+    listening = {}
     for index in range(8):
         ip = f"{network}.{20 + index}"
         each = runner.Runner(
             f"i-{index + 1}", "order-desk", ip, harness.free_port(ip), f"z{index % 3 + 1}", record
         )
         each.born = 1700000000000 + index
-        servers.append(await http1.serve(ip, each.port, each.handle))
+        listening[each.identity] = await http1.serve(ip, each.port, each.handle)
+        servers.append(listening[each.identity])
         platform.put("servers", each.identity, each.entry())
         runners.append(each)
     for index in range(3):
@@ -113,6 +116,12 @@
             record.write(f"cut      {platform.cut_waiting_watches()} waiting watches")
 
     cutter = asyncio.create_task(cut_watches())
+    async def end_later(leaving_runner):
+        await asyncio.sleep(SERVES_AFTER_REMOVAL_S)
+        record.write(f"ends     {leaving_runner.identity}")
+        http1.end(listening[leaving_runner.identity])
+
+    endings = []
     # The daemons are in touch: they run undisturbed for longer than stable_window_ms.
     await asyncio.sleep(6)
     leaving = runners[:5]
@@ -122,8 +131,9 @@
         platform.remove("servers", each.identity)
         removed_at.append(record.now())
         record.write(f"removed  the entry of {each.identity}; it serves on")
+        endings.append(asyncio.create_task(end_later(each)))
         await asyncio.sleep(REMOVAL_GAP_S)
-    await asyncio.sleep(SERVES_AFTER_REMOVAL_S)
+    await asyncio.gather(*endings)
     done = True
     await asyncio.gather(*clients)
     cutter.cancel()
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -168,17 +168,17 @@
 
 
 def main(folder, case):
-    """Runs `case(record, temporary folder, network, with trouble, daemons)`, which returns an exit
-    status, and ends all daemons that it put into the list."""
+    """Runs `case(record, temporary folder, network, daemons)`, which returns an exit status, and ends
+    all daemons that it put into the list, also if the script itself is told to stop."""
     folder = os.path.abspath(folder)
     record = Record(folder)
     daemons = []
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     status = CANNOT_RUN
     with tempfile.TemporaryDirectory() as temporary:
         try:
             status = asyncio.run(
-                asyncio.wait_for(case(record, temporary, random_network(), trouble, daemons), 110)
+                asyncio.wait_for(case(record, temporary, random_network(), daemons), 114)
             )
         except Exception as error:  # The case could not run to its end.
             record.write(f"error    {type(error).__name__}: {error}")
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -58,7 +58,10 @@
 async def serve(ip, port, handler):
     """Calls `handler(request, writer)` for each request; a connection ends when it returns False."""
 
+    writers = set()
+
     async def connected(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -68,9 +71,19 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            writers.discard(writer)
             writer.close()
 
-    return await asyncio.start_server(connected, ip, port)
+    server = await asyncio.start_server(connected, ip, port)
+    server.open_writers = writers
+    return server
+
+
+def end(server):
+    """Ends a server with all of its connections, as the end of its process does."""
+    server.close()
+    for writer in list(server.open_writers):
+        writer.close()
 
 
 class Client:
--- a/review/standins/modelrunner.py
+++ b/review/standins/modelrunner.py
@@ -8,6 +8,7 @@
 import http1
 
 LOAD_S = 0.25
+CALL_S = 0.01  # For an order or a report.
 REPORT_LAG_S = 0.2
 
 
@@ -77,13 +78,15 @@
             self.states.pop(0)
         return self.states[0][1]
 
-    def _answer(self, writer, data):
-        """Writes an answer, after a late second copy of the one before if there is any."""
+    def _write_late_copy(self, writer):
+        """Writes the second copy of an earlier answer, where the next answer is expected."""
         copy = getattr(writer, "late_copy", None)
         if copy is not None:
             writer.late_copy = None
             self.counts["late copies"] = self.counts.get("late copies", 0) + 1
             writer.write(copy)
+
+    def _answer(self, writer, data):
         writer.write(data)
         if self.random.random() < self.extra_share:
             writer.late_copy = data
@@ -91,13 +94,16 @@
     async def handle(self, request, writer):
         if not self.states:
             self._remember()
+        self._write_late_copy(writer)
         fields = request.headers
         if fields.get("expect-instance") not in (None, self.identity):
             self._answer(writer, http1.response(421, b"", {"Instance-Id": self.identity}))
         elif request.target == "/-/report":
+            await asyncio.sleep(CALL_S)
             body = json.dumps(self._report()).encode()
             self._answer(writer, http1.response(200, body, {"Content-Type": "application/json"}))
         elif request.target == "/-/order":
+            await asyncio.sleep(CALL_S)
             self._answer(writer, http1.response(self._order(json.loads(request.body))))
         else:
             await self._stream(request, writer)
