Tell a watch that was cut off from an outage of the store

Cause: one fact, a failed call, answered three questions: whether the store can be called, how old the known state is, and whether entries may have expired. Each cut counted as an outage, its end extended the time for which missing endpoints stay in use, without a limit, and a relay rejected the daemons that waited there.

Change: decisions::StoreContact keeps these apart. A watch that is cut off while it waits is repeated at once; only the repetition can fail. An entry may have expired only in an outage that is longer than the interval of its renewals, and the end of its time to return is fixed when it is found missing, also over several restores.

--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -19,6 +19,8 @@
     core::Duration configuration {}; ///< From acknowledgement until it is in use.
     core::Duration version {};       ///< From the announcement of a version to its use.
     core::Duration lease {};         ///< No two daemons issue orders within it.
+    /// Interval at which an endpoint renews its record.
+    core::Duration heartbeat = std::chrono::milliseconds(1200);
     /// After it the store has removed the record of an endpoint that is gone.
     core::Duration recordExpiry = std::chrono::milliseconds(3600);
     core::Duration budgetWindow {}; ///< Window in which retries are counted.
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -25,6 +25,11 @@
 
 constexpr char configurationName[] = "main";
 
+StoreFollower::Timing timing(const fleet::Bounds &bounds)
+{
+    return {FleetWatch::watchWait(bounds), {bounds.heartbeat, reappearanceTime}};
+}
+
 } // namespace
 
 core::Duration FleetWatch::watchWait(const fleet::Bounds &bounds)
@@ -38,21 +43,21 @@
     , m_handlers(std::move(handlers))
     , m_recordExpiry(bounds.recordExpiry)
     , m_configurationFollower(store, timers, relay, platform::ObjectKind::Configuration,
-                              watchWait(bounds),
+                              timing(bounds),
                               [this](const platform::ObjectEvent &event) {
                                   if (!event.isRemoved)
                                       applyConfiguration(event.object);
                                   return true;
                               })
-    , m_endpointFollower(store, timers, relay, platform::ObjectKind::Endpoints, watchWait(bounds),
+    , m_endpointFollower(store, timers, relay, platform::ObjectKind::Endpoints, timing(bounds),
                          [this](const platform::ObjectEvent &event) {
                              if (!event.isRemoved)
                                  return applyEndpoint(event.object);
                              handleMissingEndpoint(core::EndpointId(event.object.name));
                              return true;
                          })
-    , m_versionFollower(store, timers, relay, platform::ObjectKind::AdapterVersions,
-                        watchWait(bounds), [this](const platform::ObjectEvent &event) {
+    , m_versionFollower(store, timers, relay, platform::ObjectKind::AdapterVersions, timing(bounds),
+                        [this](const platform::ObjectEvent &event) {
                             if (!event.isRemoved)
                                 applyVersion(event.object);
                             return true;
@@ -82,7 +87,8 @@
 
 bool FleetWatch::isStoreReachable() const
 {
-    return m_configurationFollower.isStoreReachable() && m_endpointFollower.isStoreReachable();
+    return m_configurationFollower.contact().isReachable()
+        && m_endpointFollower.contact().isReachable();
 }
 
 const fleet::Endpoint *FleetWatch::endpoint(const core::EndpointId &id) const
@@ -247,28 +253,39 @@
 {
     if (!m_endpoints.contains(id) || m_missingEndpoints.contains(id))
         return;
-    const core::TimePoint reappearanceEnd = m_endpointFollower.reconnectedAt() + reappearanceTime;
-    if (m_timers.now() < reappearanceEnd) {
-        m_missingEndpoints[id] = reappearanceEnd;
+    const core::TimePoint reappearanceEnd = m_endpointFollower.contact().reappearanceEnd();
+    if (m_timers.now() >= reappearanceEnd) {
+        removeEndpoint(id);
         return;
     }
-    recordDeparture(m_endpoints.at(id));
-    m_endpoints.erase(id);
+    m_missingEndpoints.emplace(id, reappearanceEnd);
+    observability::log({.step = "endpoint",
+                        .message = "entry is missing after an outage of the store, may return",
+                        .peer = id.value()});
+}
+
+void FleetWatch::removeEndpoint(const core::EndpointId &id)
+{
+    const auto endpoint = m_endpoints.find(id);
+    if (endpoint == m_endpoints.end())
+        return;
+    recordDeparture(endpoint->second);
+    m_endpoints.erase(endpoint);
     observability::log({.step = "endpoint", .message = "is gone", .peer = id.value()});
     m_handlers.onEndpointRemoved(id);
 }
 
 void FleetWatch::removeOverdueEndpoints()
 {
-    if (m_missingEndpoints.empty())
-        return;
     const core::TimePoint now = m_timers.now();
-    const auto missing = m_missingEndpoints;
-    for (const auto &[id, until] : missing) {
-        if (now < until)
-            continue;
+    std::vector<core::EndpointId> overdue;
+    for (const auto &[id, until] : m_missingEndpoints) {
+        if (now >= until)
+            overdue.push_back(id);
+    }
+    for (const core::EndpointId &id : overdue) {
         m_missingEndpoints.erase(id);
-        handleMissingEndpoint(id);
+        removeEndpoint(id);
     }
 }
 
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -78,7 +78,10 @@
     bool isHeldBack(const fleet::Endpoint &endpoint, const core::StorePosition &position);
     void recordDeparture(const fleet::Endpoint &endpoint);
     void releaseReturnedEndpoints();
+    /// Removes an endpoint whose entry is missing, or lets it time to return if the entry may have
+    /// expired in an outage of the store.
     void handleMissingEndpoint(const core::EndpointId &id);
+    void removeEndpoint(const core::EndpointId &id);
     void removeOverdueEndpoints();
 
     net::TimerService &m_timers;
@@ -93,7 +96,8 @@
     std::map<core::EndpointId, fleet::Endpoint> m_endpoints;
     std::unordered_map<fleet::AdapterKey, NewestVersion> m_versions;
     decisions::LeavingEndpoints m_leavingEndpoints;
-    /// Endpoints whose entry is missing after an outage of the store, and when they are removed.
+    /// Endpoints whose entry is missing after an outage of the store, and when they are removed;
+    /// later outages don't change that.
     std::map<core::EndpointId, core::TimePoint> m_missingEndpoints;
     std::map<core::EndpointId, DepartedEndpoint> m_departedEndpoints;
     net::TimerService::Subscription m_sweepTimer;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -22,22 +22,23 @@
 // nothing.
 constexpr core::Duration firstWatchDelay = std::chrono::milliseconds(700);
 constexpr core::Duration minRetryDelay = std::chrono::milliseconds(100);
-// For a watch after a failure. A store that left calls unanswered must be detected as reachable
-// within seconds, although a call that was sent just before its return still runs into the timeout.
-constexpr core::Duration watchWaitAfterFailure = std::chrono::milliseconds(300);
+// For a watch after a failure, so that its response shows at once whether the store is back and
+// what has changed.
+constexpr core::Duration watchWaitAfterFailure = std::chrono::milliseconds(10);
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
 
 } // namespace
 
 StoreFollower::StoreFollower(platform::ObjectStoreClient &store, net::TimerService &timers,
-                             WatchRelay &relay, platform::ObjectKind kind, core::Duration wait,
+                             WatchRelay &relay, platform::ObjectKind kind, const Timing &timing,
                              EventHandler onEvent)
     : m_store(store)
     , m_timers(timers)
     , m_relay(relay)
     , m_kind(kind)
-    , m_watchWait(wait)
+    , m_watchWait(timing.watchWait)
     , m_onEvent(std::move(onEvent))
+    , m_contact(timing.contact)
     , m_random(std::random_device()())
 { }
 
@@ -56,14 +57,15 @@
 {
     const std::string after = m_listedObjects.empty() ? std::string() : m_listedObjects.back().name;
     m_store.list(m_kind, after,
-                 [this, alive = m_isAlive, isFirst = m_listedObjects.empty()](auto page) {
+                 [this, alive = m_isAlive, sentAt = m_timers.now(),
+                  isFirst = m_listedObjects.empty()](auto page) {
                      if (!*alive)
                          return;
                      if (!page.ok()) {
                          handleFailure(page.status(), false);
                          return;
                      }
-                     recordSuccess();
+                     recordSuccess(sentAt);
                      // The watch continues from the first page's revision, so it repeats changes
                      // that were made while the other pages were read.
                      if (isFirst)
@@ -109,15 +111,16 @@
 void StoreFollower::watchNext()
 {
     const core::Duration wait
-        = isStoreReachable() ? m_watchWait : std::min(m_watchWait, watchWaitAfterFailure);
-    m_store.watch(m_kind, m_position, wait, [this, alive = m_isAlive](auto events) {
+        = m_contact.isReachable() ? m_watchWait : std::min(m_watchWait, watchWaitAfterFailure);
+    const core::TimePoint sentAt = m_timers.now();
+    m_store.watch(m_kind, m_position, wait, [this, sentAt, alive = m_isAlive](auto events) {
         if (!*alive)
             return;
         if (!events.ok()) {
             handleFailure(events.status(), true);
             return;
         }
-        recordSuccess();
+        recordSuccess(sentAt);
         if (events->sinceEra != m_position.era) {
             // The store came back from a copy and has given out the watched revision again.
             start();
@@ -150,19 +153,23 @@
 
 void StoreFollower::moveTo(const core::StorePosition &position)
 {
-    // What the store lost is written again, as after an outage.
     if (m_hasInitialList && position.era != m_position.era)
-        m_reconnectedAt = m_timers.now();
+        m_contact.recordRestore(m_timers.now());
     m_position = position;
 }
 
-void StoreFollower::recordSuccess()
+void StoreFollower::recordSuccess(core::TimePoint sentAt)
 {
-    if (m_failures == 0)
+    const bool isRegained = !m_contact.isReachable();
+    m_contact.recordSuccess(sentAt, m_timers.now());
+    if (!isRegained)
         return;
-    m_failures = 0;
-    m_reconnectedAt = m_timers.now();
-    observability::log({.step = "follow store", .message = "store regained"});
+    const bool mayHaveExpired = m_contact.reappearanceEnd() > m_timers.now();
+    observability::log({.step = "follow store",
+                        .message = mayHaveExpired
+                            ? "store regained, entries may have expired meanwhile"
+                            : "store regained",
+                        .peer = platform::collectionPath(m_kind)});
 }
 
 void StoreFollower::handleFailure(const absl::Status &status, bool isWatch)
@@ -173,12 +180,12 @@
         return;
     }
     m_relay.recordStoreFailure(m_kind);
-    if (m_failures == 0)
+    if (m_contact.isReachable())
         observability::logError(observability::LogLevel::Warn, status);
     constexpr int maxDoublings = 5;
     const auto baseDelay = std::min<core::Duration>(
-        minRetryDelay * (1 << std::min(m_failures, maxDoublings)), maxRetryDelay);
-    ++m_failures;
+        minRetryDelay * (1 << std::min(m_contact.failures(), maxDoublings)), maxRetryDelay);
+    m_contact.recordFailure();
     // Adds up to half of the delay at random, so that daemons do not reconnect at the same time.
     std::uniform_real_distribution<double> spread(1.0, 1.5);
     const auto delay = core::scaled(baseDelay, spread(m_random));
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/storecontact.h"
 #include "gateway/objectindex.h"
 #include "gateway/watchrelay.h"
 #include "net/timerservice.h"
@@ -22,9 +23,15 @@
     /// list are changes. Returns whether the change is relevant to other daemons.
     using EventHandler = std::function<bool(const platform::ObjectEvent &)>;
 
-    /// `wait` is how long a watch waits; a watch that misses a change delays it for that time.
+    struct Timing
+    {
+        /// How long a watch waits; a watch that misses a change delays it for that time.
+        core::Duration watchWait {};
+        decisions::StoreContact::Limits contact;
+    };
+
     StoreFollower(platform::ObjectStoreClient &store, net::TimerService &timers, WatchRelay &relay,
-                  platform::ObjectKind kind, core::Duration wait, EventHandler onEvent);
+                  platform::ObjectKind kind, const Timing &timing, EventHandler onEvent);
     ~StoreFollower();
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
@@ -34,18 +41,14 @@
     bool hasInitialList() const { return m_hasInitialList; }
     /// The position up to which changes are known.
     const core::StorePosition &position() const { return m_position; }
-    /// Whether the last call succeeded.
-    bool isStoreReachable() const { return m_failures == 0; }
-    /// When the store responded again after its last failure, or came back from a copy; the clock's
-    /// epoch if neither happened.
-    core::TimePoint reconnectedAt() const { return m_reconnectedAt; }
+    const decisions::StoreContact &contact() const { return m_contact; }
 
 private:
     void listNext();
     void finishList();
     void watchNext();
     void handleFailure(const absl::Status &status, bool isWatch);
-    void recordSuccess();
+    void recordSuccess(core::TimePoint sentAt);
     /// Continues from `position`, which may be in a new era.
     void moveTo(const core::StorePosition &position);
     /// Passes the events to the handler and keeps those that are relevant to other daemons.
@@ -62,8 +65,7 @@
     core::StorePosition m_listPosition;
     core::StorePosition m_position;
     bool m_hasInitialList = false;
-    int m_failures = 0;
-    core::TimePoint m_reconnectedAt;
+    decisions::StoreContact m_contact;
     std::minstd_rand m_random;
     net::TimerService::Subscription m_nextCallTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -35,6 +35,12 @@
 // time by which an outage extends the bounds, 6 s and more in all site files.
 constexpr core::Duration directWatchRetryDelay = std::chrono::milliseconds(2500);
 
+// A connection that ends this long after a watch was sent was cut off while the watch waited; a
+// store that rejects this daemon ends it earlier, also in another region.
+constexpr core::Duration minCutOffTime = std::chrono::milliseconds(200);
+// For the repetition of such a watch, so that its response shows at once whether the store serves.
+constexpr core::Duration repeatedWatchWait = std::chrono::milliseconds(10);
+
 /// Whether a relay answered from the era that the daemon knows, or from a later one.
 bool isCurrentAnswer(const absl::StatusOr<http::Response> &response,
                      const platform::WatchRequest &watch)
@@ -50,6 +56,13 @@
     return !response.ok() || response->status == 503 || response->status == 429;
 }
 
+/// Whether the connection ended without a response although the request was sent.
+bool isBroken(const absl::StatusOr<http::Response> &response)
+{
+    return !response.ok() && absl::IsUnavailable(response.status())
+        && core::outcomeOf(response.status()) != core::Outcome::NotRun;
+}
+
 } // namespace
 
 StoreTransport::StoreTransport(http::ControlClient &controlClient, net::TimerService &timers,
@@ -69,10 +82,13 @@
 void StoreTransport::call(const net::HttpRequest &request, core::Duration timeout,
                           http::ControlClient::Handler handler)
 {
-    callWithPeerFallback({request, timeout}, {request, timeout}, std::move(handler));
+    const auto callStore = [this, &request, timeout](http::ControlClient::Handler onResponse) {
+        m_controlClient.call(m_store, request, timeout, std::move(onResponse));
+    };
+    callWithPeerFallback(callStore, {request, timeout}, std::move(handler));
 }
 
-void StoreTransport::callWithPeerFallback(const TimedRequest &direct, const TimedRequest &viaPeer,
+void StoreTransport::callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
                                           http::ControlClient::Handler handler)
 {
     if (m_timers.now() < m_usePeerUntil) {
@@ -83,15 +99,13 @@
         }
         m_usePeerUntil = {};
     }
-    m_controlClient.call(m_store, direct.request, direct.timeout,
-                         [this, viaPeer, handler = std::move(handler)](auto response) {
-                             const auto peer
-                                 = isUnavailable(response) ? usablePeer() : std::nullopt;
-                             if (peer)
-                                 callPeer(*peer, viaPeer, handler);
-                             else
-                                 handler(std::move(response));
-                         });
+    callStore([this, viaPeer, handler = std::move(handler)](auto response) {
+        const auto peer = isUnavailable(response) ? usablePeer() : std::nullopt;
+        if (peer)
+            callPeer(*peer, viaPeer, handler);
+        else
+            handler(std::move(response));
+    });
 }
 
 void StoreTransport::setRelays(const std::optional<net::Address> &relay,
@@ -171,30 +185,59 @@
                                 "suspended after a failed watch"));
         return;
     }
-    const auto requestOf = [&watch](core::Duration wait, core::Duration extra) {
-        TimedRequest timed;
-        timed.request.path = platform::formatWatchTarget({watch.kind, watch.since, wait, {}});
-        timed.timeout = wait + extra;
-        return timed;
-    };
+    platform::WatchRequest direct = watch;
     if (!isPaced) {
-        const core::Duration wait
-            = m_isRelay ? core::scaled(watch.wait, relayWaitFraction) : watch.wait;
+        direct.wait = m_isRelay ? core::scaled(watch.wait, relayWaitFraction) : watch.wait;
+        const auto callStore = [this, &direct, margin](http::ControlClient::Handler onResponse) {
+            watchStore(direct, margin, std::move(onResponse));
+        };
         // The wait at a peer is shorter, because a peer that the store doesn't answer either would
         // delay changes by the whole wait.
-        callWithPeerFallback(requestOf(wait, margin),
-                             requestOf(std::min(wait, peerWatchWait), margin), std::move(handler));
+        platform::WatchRequest viaPeer = direct;
+        viaPeer.wait = std::min(direct.wait, peerWatchWait);
+        callWithPeerFallback(callStore, timedRequest(viaPeer, margin), std::move(handler));
         return;
     }
     // Both relays failed or reported a lost store, so no third daemon is tried, and the wait is
     // short, so that the relays are tried again soon.
-    const TimedRequest shortRequest = requestOf(std::min(watch.wait, relayWait), relayMargin);
-    m_controlClient.call(m_store, shortRequest.request, shortRequest.timeout,
-                         [this, handler = std::move(handler)](auto response) {
-                             if (isUnavailable(response))
-                                 m_noDirectWatchUntil = m_timers.now() + directWatchRetryDelay;
-                             handler(std::move(response));
-                         });
+    direct.wait = std::min(watch.wait, relayWait);
+    watchStore(direct, relayMargin, [this, handler = std::move(handler)](auto response) {
+        if (isUnavailable(response))
+            m_noDirectWatchUntil = m_timers.now() + directWatchRetryDelay;
+        handler(std::move(response));
+    });
+}
+
+StoreTransport::TimedRequest StoreTransport::timedRequest(const platform::WatchRequest &watch,
+                                                          core::Duration margin)
+{
+    TimedRequest timed;
+    timed.request.path = platform::formatWatchTarget({watch.kind, watch.since, watch.wait, {}});
+    timed.timeout = watch.wait + margin;
+    return timed;
+}
+
+// The end of a waiting watch tells nothing about the store, which may cut off watches at any time.
+// Only the repetition shows whether it serves.
+void StoreTransport::watchStore(const platform::WatchRequest &watch, core::Duration margin,
+                                http::ControlClient::Handler handler)
+{
+    const TimedRequest timed = timedRequest(watch, margin);
+    const auto onResponse = [this, watch, margin, sentAt = m_timers.now(),
+                             handler = std::move(handler)](auto response) {
+        if (!isBroken(response) || m_timers.now() - sentAt < minCutOffTime) {
+            handler(std::move(response));
+            return;
+        }
+        observability::log({.level = observability::LogLevel::Debug,
+                            .step = "watch store",
+                            .message = "waiting watch was cut off, repeated"});
+        platform::WatchRequest repeated = watch;
+        repeated.wait = std::min(watch.wait, repeatedWatchWait);
+        const TimedRequest next = timedRequest(repeated, margin);
+        m_controlClient.call(m_store, next.request, next.timeout, handler);
+    };
+    m_controlClient.call(m_store, timed.request, timed.timeout, onResponse);
 }
 
 void StoreTransport::callPeer(const net::Address &peer, const TimedRequest &timed,
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -26,7 +26,8 @@
     void call(const net::HttpRequest &request, core::Duration timeout,
               http::ControlClient::Handler handler);
     /// Waits for changes: at the relay of the failure domain, at the spare relay if that fails, and
-    /// otherwise at the store. Only the failure of the last one is reported to `handler`. While
+    /// otherwise at the store. Only the failure of the last one is reported to `handler`. A watch
+    /// that the store cuts off while it waits is no failure; it is repeated at once. While
     /// there is a relay, the store is not watched for some seconds after a watch of it failed,
     /// whichever kind of object is requested.
     void watch(const platform::WatchRequest &watch, core::Duration margin,
@@ -82,9 +83,14 @@
                        http::ControlClient::Handler handler);
     void suspendRelay(Relay &relay, bool isStoreLost);
     std::optional<net::Address> usablePeer() const;
+    using StoreCall = std::function<void(http::ControlClient::Handler)>;
     /// Calls the store, or a peer that the store serves while it rejects this daemon.
-    void callWithPeerFallback(const TimedRequest &direct, const TimedRequest &viaPeer,
+    void callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
                               http::ControlClient::Handler handler);
+    static TimedRequest timedRequest(const platform::WatchRequest &watch, core::Duration margin);
+    /// Watches at the store itself, and once more if the watch is cut off.
+    void watchStore(const platform::WatchRequest &watch, core::Duration margin,
+                    http::ControlClient::Handler handler);
     void callPeer(const net::Address &peer, const TimedRequest &timed,
                   http::ControlClient::Handler handler);
 
--- a/src/libs/platform/settingsreader.cpp
+++ b/src/libs/platform/settingsreader.cpp
@@ -129,8 +129,8 @@
     bounds.configuration = reader.milliseconds("bounds.config_ms");
     bounds.version = reader.milliseconds("bounds.version_ms");
     bounds.lease = reader.milliseconds("bounds.lease_ms");
-    bounds.recordExpiry = missedHeartbeats
-        * reader.millisecondsOr("heartbeat_ms", bounds.recordExpiry / missedHeartbeats);
+    bounds.heartbeat = reader.millisecondsOr("heartbeat_ms", bounds.heartbeat);
+    bounds.recordExpiry = missedHeartbeats * bounds.heartbeat;
     bounds.budgetWindow = reader.seconds("bounds.budget_window_s");
     bounds.budgetRatio = reader.number("bounds.budget_ratio");
     bounds.budgetSlack = reader.number("bounds.budget_slack");
--- a/tests/auto/watchrelay/tst_restoredstore.cpp
+++ b/tests/auto/watchrelay/tst_restoredstore.cpp
@@ -222,3 +222,22 @@
         [&] { return fixture.relayDaemon.generation() == 2 && fixture.follower.generation() == 2; },
         std::chrono::seconds(3)));
 }
+
+// Guards against an endpoint that has left and stays in use while restores follow one another.
+Test(restoredstore, laterRestoresDoNotExtendTheUseOfAnEndpoint, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.store.takeCopy();
+    fixture.store.put("servers", "e-new", recordWith(fixture, "slots", 3));
+    const core::EndpointId id("e-new");
+    const auto isKnown = [&] { return fixture.relayDaemon.watch.endpoint(id) != nullptr; };
+    cr_assert(fixture.waitUntil(isKnown));
+    fixture.store.restoreCopy();
+    const core::TimePoint restoredAt = fixture.timers.now();
+    for (int restore = 0; restore < 4; ++restore) {
+        fixture.runLoopFor(milliseconds(900));
+        fixture.store.restoreCopy();
+    }
+    cr_assert(fixture.waitUntil([&] { return !isKnown(); }, milliseconds(100)),
+              "still known after %.1f s", core::toSeconds(fixture.timers.now() - restoredAt));
+}
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -159,6 +159,13 @@
     respondToWatches();
 }
 
+void FakeStore::cutWatches()
+{
+    for (const Watch &watch : m_watches)
+        watch.exchange->abort();
+    m_watches.clear();
+}
+
 void FakeStore::respondToWatches()
 {
     for (auto watch = m_watches.begin(); watch != m_watches.end();)
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -30,6 +30,8 @@
     void suspendWatches() { m_areWatchesSuspended = true; }
     /// Watches receive changes again, including those made while they were suspended.
     void resumeWatches();
+    /// Closes the connections of the waiting watches without a response, in an orderly way.
+    void cutWatches();
     /// Number of watches requested so far.
     int watches() const { return m_watchCount; }
     /// Number of lists requested so far, of all kinds.
