Send only what can end before a planned stop

Callers: late in a planned stop requests were sent to endpoints and cut off at its end with 504, also work that may not be repeated; repeatable ones were sent again although the endpoint worked; new connections were closed before their first request was read.

Cause: two constants decided on arrival whether a request can end in time, whatever it takes, and nothing was asked before a further send. Server::closeIdle() took connections without a request yet for idle.

Change: before each send the request's own limit, or the longest of the latest answers of its service, must end before the answers are due; else it is refused at once as not run, or not sent again. New connections have a second for their first request.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -85,6 +85,7 @@
                  .work = m_profiler,
                  .placement = {},
                  .budgets = {},
+                 .runTimes = {},
                  .cost = {},
                  .demand = {},
                  .waiting = {},
@@ -96,7 +97,8 @@
                  .onEndpointBackoff
                  = [this](const core::EndpointId &id) { giveUpConnecting(id, backoffCause); },
                  .random = std::mt19937_64(std::random_device()()),
-                 .stopRequestedAt = {}}
+                 .stopRequestedAt = {},
+                 .answersDueAt = {}}
     , m_election(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
                  leaseLimits(m_settings), [this] { return m_peerLink.isCoordinatorReachable(); })
     , m_peerLink(m_context, m_controlClient, m_storeTransport, m_relay, m_election,
@@ -336,6 +338,8 @@
     if (m_context.stopRequestedAt)
         return;
     m_context.stopRequestedAt = m_timers.now();
+    m_context.answersDueAt
+        = m_timers.now() + m_settings.bounds.grace - stopMargin - finalAnswersTime;
     observability::log({.step = "stop", .message = "SIGTERM received"});
     m_callerServer.disableKeepAlive();
     m_election.release();
@@ -349,12 +353,11 @@
         return;
     m_callerServer.closeIdle();
     const bool isDone = m_requests.empty() && m_callerServer.openConnectionCount() == 0;
-    const core::Duration end = m_settings.bounds.grace - stopMargin;
-    if (isDone || elapsed > end) {
+    if (isDone || m_timers.now() > m_context.answersDueAt + finalAnswersTime) {
         m_loop.stop();
         return;
     }
-    if (elapsed <= end - finalAnswersTime)
+    if (m_timers.now() <= m_context.answersDueAt)
         return;
     // Iterates over a copy, because a request may end and be erased.
     const auto requests = m_requests;
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -71,7 +71,8 @@
 // same endpoint is an option only if the connection was reused, because that one may be dead.
 bool RequestTask::hasReplacement()
 {
-    if (!m_exchange->isOpen() || !m_context.budgets[m_service].canTake(now())
+    if (!m_exchange->isOpen() || !canFinishBeforeStop()
+        || !m_context.budgets[m_service].canTake(now())
         || !m_context.crashes.mayRunAgain(m_identity))
         return false;
     const auto choice = m_finder.choose(now());
@@ -253,6 +254,12 @@
     m_context.pool.setPrefillTokensPerSecond(m_context.cost.tokensPerSecond());
 }
 
+void RequestTask::recordRunTime()
+{
+    ServiceRunTimes &times = m_context.runTimes[m_service];
+    (m_route->isStream ? times.streams : times.answers).record(now() - m_sentAt);
+}
+
 void RequestTask::endPrefill()
 {
     m_context.pool.endPrefill(m_endpoint, std::exchange(m_pendingPrefillTokens, 0));
@@ -381,6 +388,7 @@
             if (m_sends == 1 && m_runBeganAt)
                 m_context.cost.recordStreamDuration(m_times.lastAt() - *m_runBeganAt);
         }
+        recordRunTime();
         m_status = m_answer.status;
         startForwarding();
         m_exchange->writeChunk(m_heldEvents + m_events.incompleteEvent());
@@ -424,6 +432,7 @@
         chooseEndpoint();
         return;
     }
+    recordRunTime();
     m_exchange->respond(m_answer.status, platform::forwardedResponseHeaders(m_answer),
                         m_answerBody);
     m_status = m_answer.status;
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -6,6 +6,7 @@
 #include "decisions/placementview.h"
 #include "decisions/requestcostestimator.h"
 #include "decisions/retrybudget.h"
+#include "decisions/runtimeestimator.h"
 #include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
 #include "gateway/crashguard.h"
@@ -25,6 +26,13 @@
 
 namespace jackdawlead::gateway {
 
+/// How long the requests of one service take from the send to the end of the answer.
+struct ServiceRunTimes
+{
+    decisions::RunTimeEstimator streams;
+    decisions::RunTimeEstimator answers; ///< Of requests that are no streams.
+};
+
 /// State that all requests of a daemon share. Thread safety: the event loop's thread only.
 struct RequestContext
 {
@@ -40,6 +48,7 @@
     observability::EventLoopProfiler &work;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
+    std::map<core::ServiceId, ServiceRunTimes> runTimes;
     decisions::RequestCostEstimator cost; ///< Of requests for models.
     /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
@@ -65,6 +74,8 @@
     std::mt19937_64 random;
     /// When SIGTERM was received; empty until then.
     std::optional<core::TimePoint> stopRequestedAt;
+    /// By when answers must be complete, once SIGTERM was received.
+    core::TimePoint answersDueAt;
 
     double uniformRandom() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
 };
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -35,10 +35,6 @@
 // After its start a daemon reads configuration and endpoints within some ten milliseconds if the
 // store answers; a refused client retries half a second later at the earliest.
 constexpr core::Duration maxConfigurationWait = std::chrono::milliseconds(500);
-// Time that a stream and a buffered answer need before a daemon stops; the longest streams of both
-// deployments take five seconds.
-constexpr core::Duration timeForStream = std::chrono::milliseconds(5200);
-constexpr core::Duration timeForAnswer = std::chrono::milliseconds(2500);
 // How long a request with a part that may crash endpoints is held back before its first send.
 constexpr core::Duration maxSuspectHold = std::chrono::milliseconds(500);
 constexpr std::string_view noHolderCause = "no endpoint holds what is asked for";
@@ -108,10 +104,6 @@
                           head.target.substr(0, head.target.find('?'))));
         return;
     }
-    if (!canFinishBeforeStop()) {
-        refuse("the daemon is stopping", busyRetryAfter);
-        return;
-    }
     m_identity = makeIdentity();
     if (isRejectedForCrashes())
         return;
@@ -122,7 +114,7 @@
         ++m_context.demand[adapterKey()];
     m_deadlineTimer = m_context.timers.once(deadline() + deadlineGrace - now(),
                                             [this] { runGuarded([this] { handleDeadline(); }); });
-    if (isTakeUp())
+    if (isTakeUp() && canFinishBeforeStop())
         findOrigin();
     else
         chooseEndpoint();
@@ -146,9 +138,12 @@
 {
     if (!m_context.stopRequestedAt)
         return true;
-    const core::Duration remaining
-        = *m_context.stopRequestedAt + m_context.settings.bounds.grace - m_exchange->receivedAt;
-    return remaining > (m_route->isStream ? timeForStream : timeForAnswer);
+    std::optional<core::Duration> expected;
+    if (const auto times = m_context.runTimes.find(m_service); times != m_context.runTimes.end()) {
+        const ServiceRunTimes &known = times->second;
+        expected = (m_route->isStream ? known.streams : known.answers).longestExpected();
+    }
+    return decisions::canEndBy(m_context.answersDueAt, now(), deadline() - now(), expected);
 }
 
 core::TimePoint RequestTask::deadline() const
@@ -164,6 +159,11 @@
         refuse("no time is left", busyRetryAfter);
         return;
     }
+    // Also before a further send: its answer would be cut off, although the request ran.
+    if (!canFinishBeforeStop()) {
+        refuse("the daemon is stopping", busyRetryAfter);
+        return;
+    }
     if (m_origin && !m_finder.isVersionServing()) {
         refuse("no endpoint has the software version at which the stream began", versionRetryAfter);
         return;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -62,7 +62,7 @@
     bool isTakeUp() const;
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
     bool isRejectedForCrashes();
-    /// Whether an answer can be complete before the process is killed.
+    /// Whether the answer to a send can be expected to be complete before the process is killed.
     bool canFinishBeforeStop() const;
     void chooseEndpoint();
     /// Waits for an endpoint, or refuses the request if waiting is pointless or took too long.
@@ -129,6 +129,7 @@
     void applyBackpressure();
     void endPrefill();
     void recordPrefillCost();
+    void recordRunTime();
     void logIfLate() const;
     fleet::AdapterKey adapterKey() const { return {m_fields.model, m_fields.adapter}; }
     core::TimePoint deadline() const;
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -9,6 +9,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jackdawlead::http {
@@ -150,6 +151,13 @@
     evbuffer_drain(bufferevent_get_input(m_buffer), size);
 }
 
+bool Connection::hasUnreadInput() const
+{
+    int kernelBytes = 0;
+    return evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0
+        || (ioctl(bufferevent_getfd(m_buffer), FIONREAD, &kernelBytes) == 0 && kernelBytes > 0);
+}
+
 void Connection::write(std::string_view bytes)
 {
     bufferevent_write(m_buffer, bytes.data(), bytes.size());
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -49,6 +49,8 @@
     /// The received bytes that are not consumed yet, contiguous.
     std::string_view received();
     void consume(std::size_t size);
+    /// Whether bytes have arrived that are not consumed yet, also those that the kernel holds.
+    bool hasUnreadInput() const;
     void write(std::string_view bytes);
     std::size_t pendingOutput() const;
     /// Stops or resumes reading; back-pressure from a slow receiver to the sender.
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -79,7 +79,7 @@
     const std::vector<std::shared_ptr<ServerConnection>> connections(m_connections.begin(),
                                                                      m_connections.end());
     for (const auto &connection : connections) {
-        if (connection->isIdle())
+        if (connection->isIdle(m_timers.now()))
             connection->closeGracefully();
     }
 }
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -82,7 +82,8 @@
     void setLimits(const ServerLimits &limits) { m_limits = limits; }
     /// Adds Connection: close to all later responses.
     void disableKeepAlive() { m_isKeepAliveDisabled = true; }
-    /// Closes the connections on which no request is being received or handled.
+    /// Closes the connections on which no request is being received or handled, but not new ones
+    /// whose first request may be on its way.
     void closeIdle();
     std::size_t openConnectionCount() const { return m_connections.size(); }
 
--- a/src/libs/http/serverconnection.cpp
+++ b/src/libs/http/serverconnection.cpp
@@ -17,6 +17,9 @@
 // reset the connection, which could discard the response before the client reads it.
 constexpr core::Duration lingerTime = std::chrono::seconds(2);
 
+// The first request of a connection arrives within a round trip and the retransmission of a packet.
+constexpr core::Duration maxFirstRequestDelay = std::chrono::seconds(1);
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -111,8 +114,16 @@
     return text;
 }
 
+bool ServerConnection::isIdle(core::TimePoint now)
+{
+    if (m_exchange || m_isClosing || m_parser.hasBegun() || m_connection.hasUnreadInput())
+        return false;
+    return m_hasServed || now - m_phaseStartedAt > maxFirstRequestDelay;
+}
+
 void ServerConnection::handleResponseComplete()
 {
+    m_hasServed = true;
     m_exchange.reset();
     if (!m_keepAlive) {
         closeGracefully();
--- a/src/libs/http/serverconnection.h
+++ b/src/libs/http/serverconnection.h
@@ -14,7 +14,8 @@
     void start();
     /// Ends the connection if the timeout of its current phase has expired.
     void checkTimeouts(core::TimePoint now);
-    bool isIdle() const { return !m_exchange && !m_parser.hasBegun() && !m_isClosing; }
+    /// Whether the client is not expected to have sent a request that is not read yet.
+    bool isIdle(core::TimePoint now);
     /// Closes the connection after the output is written; bytes that still arrive are dropped.
     void closeGracefully();
     /// Closes at once.
@@ -37,6 +38,7 @@
     MessageParser m_parser;
     std::shared_ptr<ServerExchange> m_exchange;
     core::TimePoint m_phaseStartedAt;
+    bool m_hasServed = false; ///< A request was answered on it.
     bool m_keepAlive = true;
     bool m_isClosing = false;
 };
--- /dev/null
+++ b/tests/e2e/tst_plannedstop.cpp
@@ -0,0 +1,177 @@
+#include "support/platformfixture.h"
+
+#include <algorithm>
+#include <csignal>
+
+using namespace jackdawlead;
+using namespace jackdawlead::testsupport;
+
+namespace {
+
+/// A daemon before endpoints that work for a fixed time, and the requests that are sent to it from
+/// SIGTERM until its process is gone.
+struct Fixture
+{
+    PlatformFixture platform;
+    core::Duration workTime {};
+    std::vector<net::TimerService::Subscription> work;
+    std::vector<std::string> accepted; ///< Ids of the requests that endpoints began to run.
+    std::vector<std::pair<std::string, AnswerPtr>> answers;
+
+    explicit Fixture(core::Duration time)
+        : workTime(time)
+    {
+        constexpr int timeoutMilliseconds = 6000;
+        platform.store.put(
+            "config", "main",
+            configuration(
+                2,
+                {route("/get/", "plain", "idempotent", false, timeoutMilliseconds),
+                 route("/order/", "plain", "non_idempotent", false, timeoutMilliseconds)}));
+        for (FakeEndpoint *endpoint : {&platform.first, &platform.second})
+            endpoint->run = [this](const FakeEndpoint::Exchange &exchange) { run(exchange); };
+        platform.runLoopFor(milliseconds(300));
+    }
+
+    void run(const FakeEndpoint::Exchange &exchange)
+    {
+        accepted.push_back(exchange->head.headers.value("Request-Id"));
+        work.push_back(platform.timers.once(workTime, [exchange] {
+            exchange->respond(200, FakeEndpoint::stamped(exchange), "whole answer");
+        }));
+    }
+
+    void send(const std::string &path)
+    {
+        const std::string id = path.substr(1, 1) + std::to_string(answers.size());
+        answers.emplace_back(
+            id,
+            platform.send(platform.callerPort,
+                          "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+                              + "\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody",
+                          id));
+    }
+
+    bool areAllEnded() const
+    {
+        return std::ranges::all_of(answers, [](const auto &sent) { return sent.second->isEnded; });
+    }
+
+    /// Lets the daemon learn how long the endpoints work.
+    void warmUp()
+    {
+        constexpr int requests = 10;
+        for (int number = 0; number < requests; ++number)
+            send("/get/a");
+        cr_assert(platform.waitUntil([this] { return areAllEnded(); }));
+        answers.clear();
+        accepted.clear();
+    }
+
+    bool hasRun(const std::string &id) const
+    {
+        return std::ranges::find(accepted, id) != accepted.end();
+    }
+
+    /// Stops the daemon, sends a request of each kind each 100 ms until its process is gone, and
+    /// checks that each was answered completely, or refused and not run.
+    void checkPlannedStop()
+    {
+        platform.daemon.signal(SIGTERM);
+        const auto sender = platform.timers.every(milliseconds(100), [this] {
+            send("/order/a");
+            send("/get/a");
+        });
+        cr_assert(platform.waitUntil([this] { return platform.daemon.exitCode().has_value(); }));
+        cr_assert_eq(*platform.daemon.exitCode(), 0);
+        const core::TimePoint exitedAt = platform.timers.now();
+        cr_assert(platform.waitUntil([this] { return areAllEnded(); }));
+        int served = 0;
+        for (const auto &[id, answer] : answers) {
+            const bool isAnswered = answer->isComplete && answer->head.status == 200;
+            served += isAnswered ? 1 : 0;
+            const bool isRefused = answer->isComplete && answer->head.status == 503 && !hasRun(id);
+            // The process may end while a connection is opened.
+            const bool isTooLate = !hasRun(id) && !answer->isComplete
+                && exitedAt - answer->startedAt < milliseconds(200);
+            cr_assert(isAnswered || isRefused || isTooLate,
+                      "%s, sent %.2f s before the exit: status %d, complete %d, ran %d\n%s",
+                      id.c_str(), core::toSeconds(exitedAt - answer->startedAt),
+                      answer->head.status, static_cast<int>(answer->isComplete),
+                      static_cast<int>(hasRun(id)), platform.output().c_str());
+        }
+        cr_assert_gt(served, 0);
+    }
+};
+
+} // namespace
+
+// Guards against requests that are sent to an endpoint late in a planned stop and cut off when the
+// process ends: work that may not be repeated had run, and its caller got a 504.
+Test(plannedstop, slowWorkIsNotCutOff, .timeout = 60)
+{
+    Fixture fixture(std::chrono::seconds(3));
+    fixture.warmUp();
+    fixture.checkPlannedStop();
+}
+
+// The same without earlier answers, so that only the limits of the requests are known.
+Test(plannedstop, workOfUnknownTimeIsNotCutOff, .timeout = 60)
+{
+    Fixture fixture(std::chrono::seconds(3));
+    fixture.checkPlannedStop();
+}
+
+// Guards against a stop in which fast work is refused, and against new connections that are closed
+// before their first request is read.
+Test(plannedstop, fastWorkIsServedUntilTheEnd, .timeout = 60)
+{
+    Fixture fixture(milliseconds(20));
+    fixture.warmUp();
+    fixture.platform.daemon.signal(SIGTERM);
+    const core::TimePoint stoppedAt = fixture.platform.timers.now();
+    while (fixture.platform.timers.now() - stoppedAt < std::chrono::seconds(5)) {
+        fixture.send("/order/a");
+        fixture.platform.runLoopFor(milliseconds(50));
+        if (fixture.platform.daemon.exitCode())
+            break;
+    }
+    cr_assert(fixture.platform.waitUntil([&] { return fixture.areAllEnded(); }));
+    // The process ends when no connection is left, so that the last ones may find it gone.
+    constexpr std::size_t lastOnes = 3;
+    for (std::size_t number = 0; number + lastOnes < fixture.answers.size(); ++number) {
+        const auto &[id, answer] = fixture.answers[number];
+        cr_assert_eq(answer->head.status, 200, "%s of %zu\n%s", id.c_str(), fixture.answers.size(),
+                     fixture.platform.output().c_str());
+    }
+}
+
+// Guards against a connection that the daemon closes as idle while the first request is on its way:
+// clients open it, and send after a round trip.
+Test(plannedstop, newConnectionGetsTimeForItsFirstRequest, .timeout = 60)
+{
+    Fixture fixture(std::chrono::seconds(1));
+    fixture.warmUp();
+    fixture.platform.daemon.signal(SIGTERM);
+    fixture.platform.runLoopFor(milliseconds(2400));
+    // Keeps the process running.
+    fixture.send("/order/a");
+    fixture.platform.runLoopFor(milliseconds(400));
+    http::Connection raw(fixture.platform.loop, {"127.0.0.1", fixture.platform.callerPort}, limit);
+    bool isClosed = false;
+    std::string received;
+    raw.setHandlers({.onConnected = {},
+                     .onData =
+                         [&] {
+                             received += raw.received();
+                             raw.consume(raw.received().size());
+                         },
+                     .onDrained = {},
+                     .onClosed = [&](http::CloseReason) { isClosed = true; }});
+    fixture.platform.runLoopFor(milliseconds(200));
+    cr_assert_not(isClosed, "closed before its first request");
+    raw.write("GET /get/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: first\r\n"
+              "Deadline-Ms: 2000\r\n\r\n");
+    cr_assert(fixture.platform.waitUntil([&] { return isClosed || !received.empty(); }));
+    cr_assert(received.starts_with("HTTP/1.1 200"), "%s", received.c_str());
+}
