Bound the bytes that a process buffers for all messages together

Callers: endpoints that send without end, or many large requests at once, took a daemon past its memory limit; the process was killed with all its other requests.

Cause: each message had a limit (4 MB, 8 MB for control calls), the process had none.

Change: decisions::BufferBudget, 0.4 of the memory limit for requests, answers, held events and unread output. What does not fit is refused as not run before it is read, or counts as a failed send. A known length counts at once. Heads have 1,000 fields at most, answers to reports and orders 64 KB, and a client that takes nothing for 30 s is disconnected.

Evidence: endlessbytes, 100 endless answers or 60 requests of 4 MB at once with other requests beside them. Before: bodiesOfFailures and largeRequestsStayWithinTheMemory failed (over 256 MB resident). Now all seven pass, the other requests are answered within a second, and refused requests have not run.

--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "net/httpmessage.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -41,8 +42,9 @@
     std::uint16_t firstPeerPort = 0;
     std::uint16_t lastPeerPort = 0;
     net::Address store;
-    std::uint16_t metricsPort = 0; ///< 0 disables the metrics.
-    bool isFirstStart = true;      ///< The whole system starts for the first time.
+    std::size_t memoryLimit = 256UL * 1024 * 1024; ///< Bytes after which the process is killed.
+    std::uint16_t metricsPort = 0;                 ///< 0 disables the metrics.
+    bool isFirstStart = true;                      ///< The whole system starts for the first time.
     Bounds bounds;
 };
 
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -17,6 +17,9 @@
 // Combines planning requests that arrive at nearly the same time, because a pass over all endpoints
 // takes some tenths of a millisecond.
 constexpr core::Duration planDelay = std::chrono::milliseconds(5);
+// Reports have some kilobytes. An endpoint that answers without end must not take more, because all
+// endpoints may be asked at the same time.
+constexpr std::size_t maxEndpointResponseBytes = 64UL * 1024;
 // Planning takes at most a fifth of the time, so that a daemon with a small CPU share has
 // the remainder for orders, reports and the requests of its own clients.
 constexpr int planningPauseFactor = 4;
@@ -361,7 +364,8 @@
                 }
                 m_planner.applyReport(id, *report, sentAt);
                 schedulePlanning();
-            });
+            },
+            maxEndpointResponseBytes);
     }
 }
 
@@ -441,7 +445,8 @@
                                               : platform::OrderResult::Unknown;
             handleOrderResponse(planned, outcomeOf(result), response.ok() ? response->status : 0,
                                 sentAt, sends + 1);
-        });
+        },
+        maxEndpointResponseBytes);
 }
 
 void Coordinator::handleOrderResponse(const decisions::PlannedOrder &planned,
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -38,6 +38,14 @@
         + core::scaled(FleetWatch::watchWait(bounds), StoreTransport::relayWaitFraction);
 }
 
+// The remaining memory is for state, heads, and copies that are made while bytes are passed on.
+constexpr double bufferFraction = 0.4;
+
+std::size_t bufferLimit(const fleet::HostSettings &settings)
+{
+    return static_cast<std::size_t>(bufferFraction * static_cast<double>(settings.memoryLimit));
+}
+
 decisions::OrderLeaseLimits leaseLimits(const fleet::HostSettings &settings)
 {
     decisions::OrderLeaseLimits limits;
@@ -52,6 +60,7 @@
 Gateway::Gateway(fleet::HostSettings settings, SettingsReader readSettings)
     : m_settings(std::move(settings))
     , m_readSettings(std::move(readSettings))
+    , m_buffers(bufferLimit(m_settings))
     , m_timers(m_loop)
     , m_controlClient(m_loop, m_timers)
     , m_storeTransport(m_controlClient, m_timers, m_settings.store)
@@ -83,6 +92,7 @@
                  .streams = m_streams,
                  .metrics = m_metrics,
                  .work = m_profiler,
+                 .buffers = m_buffers,
                  .placement = {},
                  .budgets = {},
                  .runTimes = {},
@@ -110,7 +120,8 @@
                     })
     , m_callerServer(
           m_loop, m_timers,
-          [this](std::shared_ptr<http::ServerExchange> exchange) { serve(std::move(exchange)); })
+          [this](std::shared_ptr<http::ServerExchange> exchange) { serve(std::move(exchange)); },
+          &m_buffers)
     , m_readinessServer(m_loop, m_timers,
                         [this](const std::shared_ptr<http::ServerExchange> &exchange) {
                             answerReadiness(*exchange);
@@ -234,6 +245,7 @@
     m_metrics.setStoreEra(static_cast<double>(m_store.era().value()));
     m_metrics.setIsCoordinator(m_election.isHolder());
     m_metrics.setRequestsInProgress(static_cast<double>(m_requests.size()));
+    m_metrics.setBufferedBytes(static_cast<double>(m_buffers.used()));
     m_metrics.setControlCalls(static_cast<double>(m_controlClient.callCount()));
     exchange.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render());
 }
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -65,6 +65,7 @@
 
     fleet::HostSettings m_settings;
     SettingsReader m_readSettings;
+    decisions::BufferBudget m_buffers; ///< Of the messages of clients and of their answers.
     net::EventLoop m_loop;
     net::TimerService m_timers;
     http::ControlClient m_controlClient;
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-// Limits the memory for an answer, which is buffered until it is complete unless it is a stream.
-constexpr std::size_t maxBufferedAnswer = 4 * 1024 * 1024;
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
+/// The same while the buffers of the process are nearly full.
+constexpr std::size_t maxUnsentBytesUnderPressure = 16 * 1024;
 // Clients disconnect after a gap of two seconds or more; a second run needs half of that.
 constexpr core::Duration minStallLimit = std::chrono::milliseconds(1100);
 constexpr int slowEndpointFactor = 2; ///< Clients of streams disconnect after 3.2 s or more.
@@ -114,6 +114,8 @@
         m_context.pool.health(m_endpoint).recordSuccess();
     m_isStream = isStreamHead(head);
     m_answer = std::move(head);
+    if (!m_isStream && m_exchange->head.method != "HEAD")
+        reserveAnswer(m_answer.contentLength);
 }
 
 bool RequestTask::isStreamHead(const http::MessageHead &head) const
@@ -160,10 +162,7 @@
 void RequestTask::handleBody(std::string_view bytes)
 {
     if (!m_isStream) {
-        if (m_answerBody.size() + bytes.size() > maxBufferedAnswer)
-            endExchangeAsMalformed(); // Too large to buffer, and possibly endless.
-        else if (!m_isDone)
-            m_answerBody.append(bytes);
+        bufferAnswer(bytes);
         return;
     }
     if (m_isStreamMalformed)
@@ -176,6 +175,8 @@
     // Comments are no progress, because a stalled endpoint may continue to send them.
     const bool hasProgress = m_events.lastId() != lastId
         || (!m_events.lastId() && events.find(dataField) != std::string::npos);
+    if (!shareAnswer(m_heldEvents.size() + events.size() + m_events.incompleteEvent().size()))
+        return;
     m_heldEvents += events;
     if (hasProgress)
         handleProgress();
@@ -217,6 +218,7 @@
     if (m_heldEvents.empty())
         return;
     m_exchange->writeChunk(std::exchange(m_heldEvents, {}));
+    m_answerShare.resize(m_events.incompleteEvent().size());
     applyBackpressure();
 }
 
@@ -279,8 +281,10 @@
 
 void RequestTask::applyBackpressure()
 {
+    const std::size_t limit
+        = m_context.buffers.isLargePartUsed() ? maxUnsentBytesUnderPressure : maxUnsentBytes;
     if (m_connection && m_isSent)
-        m_connection->setReadEnabled(m_exchange->pendingOutput() < maxUnsentBytes);
+        m_connection->setReadEnabled(m_exchange->pendingOutput() < limit);
 }
 
 // The framing of an answer says where its bytes end, not whether its last event is whole: an
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decisions/bufferbudget.h"
 #include "decisions/endpointchooser.h"
 #include "decisions/placementview.h"
 #include "decisions/requestcostestimator.h"
@@ -46,6 +47,7 @@
     StreamVersions &streams;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
+    decisions::BufferBudget &buffers;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
     std::map<core::ServiceId, ServiceRunTimes> runTimes;
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -189,6 +189,8 @@
     setWaitsForPermit({});
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
+    m_answerBody = {};
+    m_answerShare.resize(0);
     m_context.metrics.recordResponse(m_status, now() - m_exchange->receivedAt);
     // At-most-once work that was sent keeps its connection until it ends; other work is aborted.
     const bool mustFinish
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -48,6 +48,7 @@
     , m_exchange(std::move(exchange))
     , m_onDone(std::move(onDone))
     , m_finder(m_context, m_fields)
+    , m_answerShare(m_context.buffers)
 { }
 
 RequestTask::~RequestTask()
@@ -377,7 +378,8 @@
     m_sentAt = now();
     if (m_sends == 1)
         m_context.metrics.recordWaitTime(m_sentAt - m_exchange->receivedAt);
-    m_answerBody.clear();
+    m_answerBody = {};
+    m_answerShare.resize(0);
     m_isStream = false;
     m_isSound = false;
     m_awaitsRecord = false;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -19,8 +19,9 @@
 /// Serves one request of a client: selects an endpoint, sends the request, forwards the answer and
 /// retries where that is allowed. Owns the connection to the endpoint. Implemented in
 /// requesttask.cpp (until the request is sent), requestresume.cpp (streams that clients take up),
-/// requestanswer.cpp (the endpoint's answer) and requestend.cpp (retries and the end of the
-/// request). Thread safety: the event loop's thread only.
+/// requestanswer.cpp (the endpoint's answer), requestbuffers.cpp (the memory that it takes) and
+/// requestend.cpp (retries and the end of the request). Thread safety: the event loop's thread
+/// only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -96,6 +97,13 @@
     /// Ends the current exchange as malformed in the next event loop iteration, because its
     /// connection is on the stack.
     void endExchangeAsMalformed();
+    /// Ends the current exchange in the next event loop iteration, because the process cannot hold
+    /// its answer.
+    void endExchangeOverBudget();
+    void reserveAnswer(std::size_t length);
+    void bufferAnswer(std::string_view bytes);
+    /// Records the bytes that the answer holds; returns false if the budget doesn't allow them.
+    bool shareAnswer(std::size_t bytes);
     /// Records that the endpoint runs the request without a crash.
     void recordSoundRun();
     /// Returns Broken or Malformed instead of a complete end if the stream is truncated.
@@ -166,8 +174,9 @@
     http::MessageHead m_answer;
     platform::ResponseTraits m_traits;
     std::string m_answerBody;
-    bool m_isStream = false;         ///< The current endpoint answers with a stream.
-    std::string m_mediaType;         ///< Of the stream that has begun.
+    decisions::BufferBudget::Share m_answerShare; ///< Of m_answerBody and the held events.
+    bool m_isStream = false;                      ///< The current endpoint answers with a stream.
+    std::string m_mediaType;                      ///< Of the stream that has begun.
     bool m_isForwarding = false;     ///< The head was forwarded; events follow as they arrive.
     bool m_awaitsRecord = false;     ///< The first event is held until the stream is recorded.
     bool m_needsRetryBudget = false; ///< The next send must be taken from the retry budget.
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -146,6 +146,11 @@
     return {reinterpret_cast<const char *>(evbuffer_pullup(input, -1)), size};
 }
 
+std::size_t Connection::pendingInput() const
+{
+    return evbuffer_get_length(bufferevent_get_input(m_buffer));
+}
+
 void Connection::consume(std::size_t size)
 {
     evbuffer_drain(bufferevent_get_input(m_buffer), size);
@@ -154,7 +159,7 @@
 bool Connection::hasUnreadInput() const
 {
     int kernelBytes = 0;
-    return evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0
+    return pendingInput() > 0
         || (ioctl(bufferevent_getfd(m_buffer), FIONREAD, &kernelBytes) == 0 && kernelBytes > 0);
 }
 
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -48,6 +48,7 @@
     bool isConnected() const { return m_isConnected; }
     /// The received bytes that are not consumed yet, contiguous.
     std::string_view received();
+    std::size_t pendingInput() const;
     void consume(std::size_t size);
     /// Whether bytes have arrived that are not consumed yet, also those that the kernel holds.
     bool hasUnreadInput() const;
--- a/src/libs/http/controlclient.cpp
+++ b/src/libs/http/controlclient.cpp
@@ -21,9 +21,6 @@
 constexpr core::Duration timerTolerance = std::chrono::milliseconds(10);
 // Multiple of its timeout by which a call may be extended in a process that is always late.
 constexpr int maxExtensionFactor = 1;
-// Responses of the store have about a megabyte, the views of the largest deployment half of one.
-// The limit stops a response without end.
-constexpr std::size_t maxResponseBytes = 8 * 1024 * 1024;
 
 } // namespace
 
@@ -66,7 +63,7 @@
 }
 
 void ControlClient::call(const net::Address &peer, const net::HttpRequest &request,
-                         core::Duration timeout, Handler handler)
+                         core::Duration timeout, Handler handler, std::size_t maxResponseBytes)
 {
     ++m_callCount;
     const auto call = std::make_shared<Call>();
@@ -88,7 +85,7 @@
         held->response.status = head.status;
         held->response.headers = std::move(head.headers);
     };
-    observer.onBody = [this, weak](const std::string &bytes) {
+    observer.onBody = [this, weak, maxResponseBytes](const std::string &bytes) {
         const auto held = weak.lock();
         if (!held)
             return;
--- a/src/libs/http/controlclient.h
+++ b/src/libs/http/controlclient.h
@@ -39,12 +39,16 @@
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
 
+    /// Responses of the store have about a megabyte, the views of the largest deployment half of
+    /// one. The limit stops a response without end.
+    static constexpr std::size_t defaultMaxResponseBytes = 8UL * 1024 * 1024;
+
     /// Sends `request` and calls `handler` once, from the loop. The response must begin
     /// within `timeout` and end within three seconds after that; both times are extended by the
     /// time for which the loop was blocked, to twice as much at most. Destroying the client drops
     /// the call.
     void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
-              Handler handler);
+              Handler handler, std::size_t maxResponseBytes = defaultMaxResponseBytes);
     std::uint64_t callCount() const { return m_callCount; }
 
 private:
--- a/src/libs/http/messageparser.cpp
+++ b/src/libs/http/messageparser.cpp
@@ -117,13 +117,14 @@
     return m_headerBytes <= m_limits.headerBytes;
 }
 
-void MessageParser::flushField()
+bool MessageParser::flushField()
 {
     if (m_field.empty())
-        return;
+        return true;
     replaceLineBreaks(m_value);
     m_head.headers.add(std::exchange(m_field, {}), std::exchange(m_value, {}));
     m_isInValue = false;
+    return m_head.headers.fields().size() <= m_limits.fields;
 }
 
 int MessageParser::onUrl(http_parser *parser, const char *data, std::size_t size)
@@ -139,8 +140,8 @@
     // Trailers are dropped because they apply to this connection only.
     if (owner.m_isHeadComplete)
         return 0;
-    if (owner.m_isInValue)
-        owner.flushField();
+    if (owner.m_isInValue && !owner.flushField())
+        return owner.fail(Failure::HeaderTooLarge);
     owner.m_field.append(data, size);
     return owner.countHeaderBytes(size) ? 0 : owner.fail(Failure::HeaderTooLarge);
 }
--- a/src/libs/http/messageparser.h
+++ b/src/libs/http/messageparser.h
@@ -40,6 +40,7 @@
     {
         std::size_t headerBytes = 64 * 1024; ///< Until the configuration is known.
         std::size_t bodyBytes = 4 * 1024 * 1024;
+        std::size_t fields = 1000; ///< Even an empty one takes memory.
     };
 
     explicit MessageParser(Kind kind);
@@ -66,6 +67,8 @@
     /// Returns the body bytes received since the last call.
     std::string takeBody();
     std::size_t bufferedBodyBytes() const { return m_body.size(); }
+    /// Bytes of the head and of the body that are held.
+    std::size_t bufferedBytes() const { return m_headerBytes + m_body.capacity(); }
 
 private:
     static int onUrl(http_parser *parser, const char *data, std::size_t size);
@@ -75,7 +78,8 @@
     static int onBody(http_parser *parser, const char *data, std::size_t size);
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &settings();
-    void flushField();
+    /// Ends the current field; returns false if there are too many.
+    bool flushField();
     int fail(Failure failure);
     bool countHeaderBytes(std::size_t size);
 
--- a/src/libs/http/server.cpp
+++ b/src/libs/http/server.cpp
@@ -26,10 +26,12 @@
 
 } // namespace
 
-Server::Server(net::EventLoop &loop, net::TimerService &timers, Handler handler)
+Server::Server(net::EventLoop &loop, net::TimerService &timers, Handler handler,
+               decisions::BufferBudget *buffers)
     : m_loop(loop)
     , m_timers(timers)
     , m_handler(std::move(handler))
+    , m_buffers(buffers)
 {
     m_sweep = timers.every(sweepPeriod, [this] {
         const std::vector<std::shared_ptr<ServerConnection>> connections(m_connections.begin(),
@@ -90,10 +92,9 @@
     if (!connection || m_isDone)
         return;
     headers.set("Content-Length", std::to_string(bytes.size()));
-    std::string text = connection->formatHead(status, headers);
+    connection->write(connection->formatHead(status, headers));
     if (head.method != "HEAD")
-        text.append(bytes);
-    connection->write(text);
+        connection->write(bytes);
     complete();
 }
 
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/bufferbudget.h"
 #include "http/connection.h"
 #include "http/messageparser.h"
 #include "net/timerservice.h"
@@ -51,6 +52,7 @@
     void complete();
 
     std::weak_ptr<ServerConnection> m_connection;
+    std::unique_ptr<decisions::BufferBudget::Share> m_share; ///< Of the body.
     bool m_isDone = false;
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onDrained;
@@ -72,7 +74,10 @@
 public:
     using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
-    Server(net::EventLoop &loop, net::TimerService &timers, Handler handler);
+    /// Requests that exceed `buffers` are rejected with status 503. Precondition: `buffers`, if
+    /// given, outlives the server and its exchanges.
+    Server(net::EventLoop &loop, net::TimerService &timers, Handler handler,
+           decisions::BufferBudget *buffers = nullptr);
     ~Server();
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
@@ -95,6 +100,7 @@
     net::EventLoop &m_loop;
     net::TimerService &m_timers;
     Handler m_handler;
+    decisions::BufferBudget *m_buffers;
     ServerLimits m_limits;
     evconnlistener *m_listener = nullptr;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
--- a/src/libs/http/serverconnection.cpp
+++ b/src/libs/http/serverconnection.cpp
@@ -17,9 +17,16 @@
 // reset the connection, which could discard the response before the client reads it.
 constexpr core::Duration lingerTime = std::chrono::seconds(2);
 
+// After this time without progress a client counts as one that doesn't read its response.
+constexpr core::Duration maxUnreadTime = std::chrono::seconds(30);
+// The body of a request and the copy that is sent to an endpoint.
+constexpr std::size_t bodyCopies = 2;
 // The first request of a connection arrives within a round trip and the retransmission of a packet.
 constexpr core::Duration maxFirstRequestDelay = std::chrono::seconds(1);
 
+constexpr int requestTimeoutStatus = 408;
+constexpr int bufferFullStatus = 503;
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -31,9 +38,47 @@
     : m_server(server)
     , m_connection(server.m_loop, socket)
     , m_parser(MessageParser::Kind::Request)
+    , m_outputProgressAt(server.m_timers.now())
     , m_phaseStartedAt(server.m_timers.now())
 {
     m_parser.setLimits(server.m_limits.message);
+    if (server.m_buffers != nullptr)
+        m_share = std::make_unique<decisions::BufferBudget::Share>(*server.m_buffers);
+}
+
+void ServerConnection::write(std::string_view bytes)
+{
+    m_connection.write(bytes);
+    recordBufferedBytes();
+}
+
+// The whole body counts as soon as its length is known. Otherwise many large requests at once would
+// all be read in part, and none to its end.
+std::size_t ServerConnection::bufferedBytes()
+{
+    const bool isReading = m_parser.isHeadComplete() && !m_exchange && !m_isClosing;
+    const std::size_t expected = isReading ? bodyCopies * m_parser.head().contentLength : 0;
+    return std::max(m_parser.bufferedBytes(), expected) + m_connection.pendingInput()
+        + m_connection.pendingOutput();
+}
+
+void ServerConnection::recordBufferedBytes()
+{
+    if (m_share)
+        m_share->resize(bufferedBytes());
+}
+
+bool ServerConnection::shareRequestBody()
+{
+    if (!m_share)
+        return true;
+    m_share->resize(0);
+    auto share = std::make_unique<decisions::BufferBudget::Share>(*m_server.m_buffers);
+    if (!share->tryResize(bodyCopies * m_exchange->body.size()))
+        return false;
+    m_exchange->m_share = std::move(share);
+    recordBufferedBytes();
+    return true;
 }
 
 void ServerConnection::start()
@@ -53,8 +98,10 @@
         return;
     }
     if (m_exchange) {
-        if (m_connection.received().size() > maxUnreadBytes)
+        const bool isAllowed = !m_share || m_share->tryResize(bufferedBytes());
+        if (!isAllowed || m_connection.received().size() > maxUnreadBytes)
             m_connection.setReadEnabled(false);
+        recordBufferedBytes();
         return;
     }
     readRequest();
@@ -77,6 +124,10 @@
     if (!hadHead && m_parser.isHeadComplete() && !m_parser.isComplete()
         && m_parser.head().headers.contains("Expect"))
         write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (m_share && !m_share->tryResize(bufferedBytes())) {
+        reject(bufferFullStatus);
+        return;
+    }
     if (!m_parser.isComplete())
         return;
     m_exchange = std::make_shared<ServerExchange>();
@@ -85,6 +136,11 @@
     m_exchange->body = m_parser.takeBody();
     m_exchange->receivedAt = m_phaseStartedAt;
     m_keepAlive = m_exchange->head.keepAlive;
+    if (!shareRequestBody()) {
+        m_exchange.reset();
+        reject(bufferFullStatus);
+        return;
+    }
     m_server.m_handler(m_exchange);
 }
 
@@ -95,8 +151,17 @@
         status = 431;
     else if (m_parser.failure() == MessageParser::Failure::BodyTooLarge)
         status = 413;
+    reject(status);
+}
+
+void ServerConnection::reject(int status)
+{
     m_keepAlive = false;
-    write(formatHead(status, {{"Content-Length", "0"}}));
+    net::Headers headers {{"Content-Length", "0"}};
+    if (status == bufferFullStatus)
+        headers.add("Retry-After", "1");
+    m_parser.reset();
+    write(formatHead(status, headers));
     closeGracefully();
 }
 
@@ -139,6 +204,7 @@
     m_parser.setLimits(m_server.m_limits.message);
     m_phaseStartedAt = m_server.m_timers.now();
     m_connection.setReadEnabled(true);
+    recordBufferedBytes();
     if (m_connection.received().empty())
         return;
     m_server.m_loop.post([weak = weak_from_this()] {
@@ -150,6 +216,7 @@
 
 void ServerConnection::handleDrained()
 {
+    recordBufferedBytes();
     if (m_exchange && m_exchange->m_onDrained) {
         const auto handler = m_exchange->m_onDrained;
         handler();
@@ -195,6 +262,15 @@
 void ServerConnection::checkTimeouts(core::TimePoint now)
 {
     const auto elapsed = now - m_phaseStartedAt;
+    const std::size_t unsent = m_connection.pendingOutput();
+    if (unsent == 0 || unsent != m_unsentBytes)
+        m_outputProgressAt = now;
+    m_unsentBytes = unsent;
+    recordBufferedBytes();
+    if (now - m_outputProgressAt > maxUnreadTime) {
+        drop();
+        return;
+    }
     if (m_isClosing) {
         if (elapsed > lingerTime && m_connection.pendingOutput() == 0)
             drop();
@@ -212,9 +288,7 @@
                                                  : limits.headerTimeout;
     if (elapsed <= limit)
         return;
-    m_keepAlive = false;
-    write(formatHead(408, {{"Content-Length", "0"}}));
-    closeGracefully();
+    reject(requestTimeoutStatus);
 }
 
 } // namespace jackdawlead::http
--- a/src/libs/http/serverconnection.h
+++ b/src/libs/http/serverconnection.h
@@ -28,7 +28,14 @@
     void handleDrained();
     void readRequest();
     void rejectMalformed();
-    void write(std::string_view bytes) { m_connection.write(bytes); }
+    void reject(int status);
+    void write(std::string_view bytes);
+    /// Bytes that the connection holds: of a request that is being read, input and output.
+    std::size_t bufferedBytes();
+    void recordBufferedBytes();
+    /// Moves the bytes of the request that was read to the share of its exchange; returns false
+    /// if the budget doesn't allow them.
+    bool shareRequestBody();
     std::string formatHead(int status, const net::Headers &headers);
     void handleResponseComplete();
     void startNextRequest();
@@ -37,6 +44,9 @@
     Connection m_connection;
     MessageParser m_parser;
     std::shared_ptr<ServerExchange> m_exchange;
+    std::unique_ptr<decisions::BufferBudget::Share> m_share;
+    std::size_t m_unsentBytes = 0;      ///< At the last check of the timeouts.
+    core::TimePoint m_outputProgressAt; ///< When the client last read, as far as known.
     core::TimePoint m_phaseStartedAt;
     bool m_hasServed = false; ///< A request was answered on it.
     bool m_keepAlive = true;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -63,6 +63,8 @@
     , m_takeUps(counters(*m_registry, "jackdawlead_take_ups_total",
                          "Streams that clients take up, by whether their software version is known "
                          "and has an endpoint"))
+    , m_bufferedBytes(gauge(*m_registry, "jackdawlead_buffered_bytes",
+                            "Bytes of requests and answers that the process holds."))
     , m_streamRecordCalls(gauge(*m_registry, "jackdawlead_stream_record_calls",
                                 "Calls to the store about the versions of streams since the start"))
     , m_storeEra(gauge(*m_registry, "jackdawlead_store_era",
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -44,6 +44,7 @@
     {
         m_takeUps.Add({{"outcome", outcome}}).Increment();
     }
+    void setBufferedBytes(double bytes) { m_bufferedBytes.Set(bytes); }
     void setStreamRecordCalls(double count) { m_streamRecordCalls.Set(count); }
     void setStoreEra(double era) { m_storeEra.Set(era); }
     void setIsCoordinator(bool isCoordinator) { m_isCoordinator.Set(isCoordinator ? 1 : 0); }
@@ -74,6 +75,7 @@
     prometheus::Gauge &m_endpoints;
     prometheus::Gauge &m_storeReachable;
     prometheus::Family<prometheus::Counter> &m_takeUps;
+    prometheus::Gauge &m_bufferedBytes;
     prometheus::Gauge &m_streamRecordCalls;
     prometheus::Gauge &m_storeEra;
     prometheus::Gauge &m_isCoordinator;
--- a/src/libs/platform/settingsreader.cpp
+++ b/src/libs/platform/settingsreader.cpp
@@ -157,6 +157,10 @@
     }
     settings.availableCores
         = reader.numberOr("limits.cpu_share", 1) * reader.numberOr("limits.cores", 1);
+    constexpr double megabyte = 1024 * 1024;
+    const double memoryMegabytes = reader.numberOr("limits.memory_mb", 0);
+    if (memoryMegabytes > 0)
+        settings.memoryLimit = static_cast<std::size_t>(memoryMegabytes * megabyte);
     settings.callerAddress = reader.address("listen.front");
     settings.readinessAddress = reader.address("listen.ready");
     reader.ports("internal_ports", settings);
--- a/tests/support/rawpeer.cpp
+++ b/tests/support/rawpeer.cpp
@@ -6,6 +6,7 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -71,6 +72,8 @@
 
 void EndlessWriter::start(http::Connection &connection, std::function<bool()> isOpen)
 {
+    // The other end may reset the connection between two writes.
+    std::signal(SIGPIPE, SIG_IGN);
     constexpr core::Duration period = std::chrono::milliseconds(2);
     constexpr std::size_t mostPending = 1024 * 1024;
     m_timer = m_timers.every(period, [this, &connection, isOpen = std::move(isOpen)] {
