Infer the version of a stream only from a confirmed list

Callers: a daemon that was cut off or stood still while a new software version joined took streams up that had begun there through other daemons, and went on at the old version: text of two versions in one answer, with nothing to show it.

Cause: a statement drawn from absence, "one version only", without the time up to which it is known.

Change: the list carries the time up to which it includes all changes. A take-up that needs it waits until the list was confirmed after its arrival, by one call to the store itself for all that wait, and is refused as not run if that is not possible. Only if another daemon has lost the store as well does the known list count.

--- a/src/libs/decisions/storecontact.h
+++ b/src/libs/decisions/storecontact.h
@@ -23,8 +23,8 @@
         : m_limits(limits)
     { }
 
-    /// A call that was sent at `sentAt` is answered now. Precondition: times don't decrease.
-    void recordSuccess(core::TimePoint sentAt, core::TimePoint now);
+    /// A call is answered now; the answer includes all changes that were made before `asOf`.
+    void recordSuccess(core::TimePoint asOf, core::TimePoint now);
     void recordFailure() { ++m_failures; }
     /// The store came back from a copy, which may lack entries that their owners write again.
     void recordRestore(core::TimePoint now) { m_reappearanceEnd = now + m_limits.reappearanceTime; }
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -49,6 +49,13 @@
     /// to the store succeeded.
     bool isInitializing() const;
     bool isStoreReachable() const;
+    /// The list of endpoints includes all changes that were made before this time.
+    core::TimePoint endpointsConfirmedAt() const
+    {
+        return m_endpointFollower.contact().confirmedAt();
+    }
+    /// Asks the store at once for changes of the endpoints.
+    void confirmEndpoints() { m_endpointFollower.confirm(); }
     /// The configuration in force; nullptr until one is known. Its generation never decreases while
     /// the process runs.
     const std::shared_ptr<const decisions::RouteTable> &routes() const { return m_routes; }
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -206,13 +206,21 @@
     m_election.start();
     m_coordinator.start();
     m_streams.start(
-        [this]() -> const auto & { return m_watch.endpoints(); },
-        [this] { return m_election.isHolder(); });
-    m_retryTimer = m_timers.every(retryPeriod, [this] { retryWaitingRequests(); });
-    observability::log({.step = "start",
-                        .message = absl::StrCat("callers at ", m_settings.callerAddress.toString(),
-                                                ", store at ", m_settings.store.toString())});
-    return absl::OkStatus();
+        {.endpoints = [this]() -> const auto & { return m_watch.endpoints();
+}
+, .confirmedAt = [this] { return m_watch.endpointsConfirmedAt(); },
+  .confirm = [this] { m_watch.confirmEndpoints(); }, .isStoreOut = [this] {
+      return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeer();
+  }
+} // namespace jackdawlead::gateway
+,
+        [this] {
+    return m_election.isHolder(); });
+m_retryTimer = m_timers.every(retryPeriod, [this] { retryWaitingRequests(); });
+observability::log({.step = "start",
+                    .message = absl::StrCat("callers at ", m_settings.callerAddress.toString(),
+                                            ", store at ", m_settings.store.toString())});
+return absl::OkStatus();
 }
 
 void Gateway::run()
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -25,6 +25,11 @@
 // For a watch after a failure, so that its response shows at once whether the store is back and
 // what has changed.
 constexpr core::Duration watchWaitAfterFailure = std::chrono::milliseconds(10);
+// For calls that confirm the known state, whose responses are needed at once.
+constexpr core::Duration confirmWait = std::chrono::milliseconds(1);
+constexpr core::Duration minConfirmInterval = std::chrono::milliseconds(100);
+// A relay answers as long as its own last update is not older than this.
+constexpr core::Duration maxRelayAge = std::chrono::seconds(3);
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -49,6 +54,7 @@
 
 void StoreFollower::start()
 {
+    m_isListing = true;
     m_listedObjects.clear();
     listNext();
 }
@@ -65,7 +71,10 @@
                          handleFailure(page.status(), false);
                          return;
                      }
-                     recordSuccess(sentAt);
+                     if (isFirst)
+                         m_listSentAt = sentAt;
+                     const bool isLast = !page->hasMore;
+                     recordSuccess(isLast ? m_listSentAt : m_contact.confirmedAt());
                      // The watch continues from the first page's revision, so it repeats changes
                      // that were made while the other pages were read.
                      if (isFirst)
@@ -92,6 +101,7 @@
 {
     // Watches of other daemons continue after this list; otherwise each of them would have to list
     // the kind as well.
+    m_isListing = false;
     platform::ObjectEvents changes {m_objects.replaceAll(m_listedObjects), m_listPosition,
                                     m_position.era};
     m_listedObjects.clear();
@@ -112,33 +122,59 @@
 {
     const core::Duration wait
         = m_contact.isReachable() ? m_watchWait : std::min(m_watchWait, watchWaitAfterFailure);
-    const core::TimePoint sentAt = m_timers.now();
-    m_store.watch(m_kind, m_position, wait, [this, sentAt, alive = m_isAlive](auto events) {
-        if (!*alive)
-            return;
-        if (!events.ok()) {
-            handleFailure(events.status(), true);
-            return;
-        }
-        recordSuccess(sentAt);
-        if (events->sinceEra != m_position.era) {
-            // The store came back from a copy and has given out the watched revision again.
-            start();
-            return;
-        }
-        moveTo(events->position);
-        m_objects.applyEvents(events->events);
-        const bool hasEvents = !events->events.empty();
-        processEvents(events->events);
-        core::Duration nextDelay {};
-        if (hasEvents)
-            nextDelay = m_kind == platform::ObjectKind::Endpoints ? endpointEventDelay : eventDelay;
-        m_relay.recordWatchResult(m_kind, *events, nextDelay);
-        if (hasEvents)
-            m_nextCallTimer = m_timers.once(nextDelay, [this] { watchNext(); });
-        else
-            watchNext();
-    });
+    m_store.watch(
+        m_kind, m_position, wait,
+        [this, sentAt = m_timers.now(), number = ++m_watchNumber, alive = m_isAlive](auto events) {
+            if (*alive)
+                handleWatchResult(sentAt, number, std::move(events));
+        });
+}
+
+// Takes the place of the waiting watch, whose later result could undo changes that are known then.
+void StoreFollower::confirm()
+{
+    const core::TimePoint now = m_timers.now();
+    if (m_isListing || m_isConfirming || now - m_confirmStartedAt < minConfirmInterval)
+        return;
+    m_isConfirming = true;
+    m_confirmStartedAt = now;
+    m_nextCallTimer.cancel();
+    m_store.watchCurrent(m_kind, m_position, confirmWait,
+                         [this, now, number = ++m_watchNumber, alive = m_isAlive](auto events) {
+                             if (!*alive)
+                                 return;
+                             m_isConfirming = false;
+                             handleWatchResult(now, number, std::move(events));
+                         });
+}
+
+void StoreFollower::handleWatchResult(core::TimePoint sentAt, std::uint64_t callNumber,
+                                      absl::StatusOr<platform::ObjectEvents> events)
+{
+    if (callNumber != m_watchNumber)
+        return;
+    if (!events.ok()) {
+        handleFailure(events.status(), true);
+        return;
+    }
+    recordSuccess(events->isRelayed ? sentAt - maxRelayAge : sentAt);
+    if (events->sinceEra != m_position.era) {
+        // The store came back from a copy and has given out the watched revision again.
+        start();
+        return;
+    }
+    moveTo(events->position);
+    m_objects.applyEvents(events->events);
+    const bool hasEvents = !events->events.empty();
+    processEvents(events->events);
+    core::Duration nextDelay {};
+    if (hasEvents)
+        nextDelay = m_kind == platform::ObjectKind::Endpoints ? endpointEventDelay : eventDelay;
+    m_relay.recordWatchResult(m_kind, *events, nextDelay);
+    if (hasEvents)
+        m_nextCallTimer = m_timers.once(nextDelay, [this] { watchNext(); });
+    else
+        watchNext();
 }
 
 // Ignores an event whose handler throws; without the guard, following the store would end.
@@ -158,10 +194,10 @@
     m_position = position;
 }
 
-void StoreFollower::recordSuccess(core::TimePoint sentAt)
+void StoreFollower::recordSuccess(core::TimePoint asOf)
 {
     const bool isRegained = !m_contact.isReachable();
-    m_contact.recordSuccess(sentAt, m_timers.now());
+    m_contact.recordSuccess(asOf, m_timers.now());
     if (!isRegained)
         return;
     const bool mayHaveExpired = m_contact.reappearanceEnd() > m_timers.now();
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -6,6 +6,7 @@
 #include "net/timerservice.h"
 #include "platform/objectstoreclient.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <random>
@@ -42,13 +43,18 @@
     /// The position up to which changes are known.
     const core::StorePosition &position() const { return m_position; }
     const decisions::StoreContact &contact() const { return m_contact; }
+    /// Asks the store at once for the changes so far, without a relay, unless such a call is in
+    /// progress or began just now. contact().confirmedAt() then shows when the call was sent.
+    void confirm();
 
 private:
     void listNext();
     void finishList();
     void watchNext();
+    void handleWatchResult(core::TimePoint sentAt, std::uint64_t callNumber,
+                           absl::StatusOr<platform::ObjectEvents> events);
     void handleFailure(const absl::Status &status, bool isWatch);
-    void recordSuccess(core::TimePoint sentAt);
+    void recordSuccess(core::TimePoint asOf);
     /// Continues from `position`, which may be in a new era.
     void moveTo(const core::StorePosition &position);
     /// Passes the events to the handler and keeps those that are relevant to other daemons.
@@ -62,10 +68,15 @@
     EventHandler m_onEvent;
     std::vector<platform::StoredObject> m_listedObjects;
     ObjectIndex m_objects;
+    bool m_isListing = false;
     core::StorePosition m_listPosition;
+    core::TimePoint m_listSentAt; ///< When its first page was requested.
     core::StorePosition m_position;
     bool m_hasInitialList = false;
     decisions::StoreContact m_contact;
+    std::uint64_t m_watchNumber = 0; ///< Results of earlier watches are ignored.
+    bool m_isConfirming = false;
+    core::TimePoint m_confirmStartedAt;
     std::minstd_rand m_random;
     net::TimerService::Subscription m_nextCallTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -133,7 +133,7 @@
                            http::ControlClient::Handler handler)
 {
     for (Relay *relay : {&m_relay, &m_spareRelay}) {
-        if (relay->usable(m_timers.now())) {
+        if (!watch.mustBeCurrent && relay->usable(m_timers.now())) {
             watchAtRelay(*relay, watch, margin, std::move(handler));
             return;
         }
@@ -179,7 +179,7 @@
 {
     // While there are relays, one failed watch suspends the watches of all three kinds: in an
     // outage of 5 s, 195 daemons made thousands of calls when each kind was retried on its own.
-    const bool isPaced = m_relay.address && !m_isRelay;
+    const bool isPaced = m_relay.address && !m_isRelay && !watch.mustBeCurrent;
     if (isPaced && m_timers.now() < m_noDirectWatchUntil) {
         handler(core::makeError(absl::StatusCode::kUnavailable, "watch store", m_store.toString(),
                                 "suspended after a failed watch"));
@@ -256,6 +256,8 @@
                      .message = "rejected by the store; served through another daemon"});
             if (!isServed)
                 m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
+            if (!isServed && response.ok())
+                m_lostAtPeerAt = m_timers.now();
             m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
             handler(std::move(response));
         });
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -40,6 +40,9 @@
     std::optional<net::Address> usableRelay() const { return m_relay.usable(m_timers.now()); }
     /// Whether other daemons watch through this one, so that its own watches must end earlier.
     void setIsRelay(bool isRelay) { m_isRelay = isRelay; }
+    /// Whether a peer reported lately that the store rejects it as well, as in an outage of the
+    /// whole store.
+    bool isStoreLostAtPeer() const { return m_timers.now() - m_lostAtPeerAt < lostAtPeerTime; }
     /// Forwards a call of another daemon to the store, never to a third daemon.
     void forwardToStore(const net::HttpRequest &request, core::Duration timeout,
                         http::ControlClient::Handler handler);
@@ -58,6 +61,9 @@
     static constexpr int notRelayStatus = 421;
 
 private:
+    // A peer that has lost the store is asked again after a second.
+    static constexpr core::Duration lostAtPeerTime = std::chrono::milliseconds(1500);
+
     struct TimedRequest
     {
         net::HttpRequest request;
@@ -103,6 +109,7 @@
     bool m_isRelay = false;
     core::TimePoint m_noDirectWatchUntil; ///< Direct watches fail until then, after a failure.
     core::TimePoint m_usePeerUntil;       ///< Calls are sent to the peer first until then.
+    core::TimePoint m_lostAtPeerAt;       ///< When a peer last reported that it has lost the store.
     core::TimePoint m_peerSuspendedUntil; ///< No peer is used until then: the store rejected it.
 };
 
--- a/src/libs/gateway/streamversions.cpp
+++ b/src/libs/gateway/streamversions.cpp
@@ -30,6 +30,9 @@
 // A caller whose stream broke off has lost its latency target; this bounds how long it is held.
 constexpr core::Duration maxLookupTime = std::chrono::milliseconds(1500);
 
+// A watch without changes waits for some seconds.
+constexpr core::Duration maxListAge = std::chrono::seconds(3);
+
 constexpr char originsField[] = "origins";
 constexpr char serviceField[] = "service";
 constexpr char versionField[] = "version";
@@ -58,11 +61,9 @@
     *m_isAlive = false;
 }
 
-void StreamVersions::start(
-    std::function<const std::map<core::EndpointId, fleet::Endpoint> &()> endpoints,
-    std::function<bool()> isCoordinator)
+void StreamVersions::start(EndpointList list, std::function<bool()> isCoordinator)
 {
-    m_endpoints = std::move(endpoints);
+    m_list = std::move(list);
     m_isCoordinator = std::move(isCoordinator);
     m_publishTimer = m_timers.every(publishCheckPeriod, [this] { publishIfDue(); });
     m_historyTimer = m_timers.every(historyPeriod, [this] { updateHistory(); });
@@ -144,8 +145,12 @@
         if (!begunBy.isEmpty() && begin != begins->end() && begin->second.origins.size() == 1)
             return {Found {begin->second.origins.front(), source}, Failure::None};
     }
-    if (const auto only = m_history.onlyVersion(service, now))
-        return {Found {{service, *only}, Source::OnlyVersion}, Failure::None};
+    if (const auto only = m_history.onlyVersion(service, now)) {
+        if (isListCurrent(askedAt))
+            return {Found {{service, *only}, Source::OnlyVersion}, Failure::None};
+        m_list.confirm();
+        return {std::nullopt, now - askedAt > maxLookupTime ? Failure::Unknown : Failure::None};
+    }
     const core::TimePoint settledAt = askedAt + m_publishPeriod + recordDelay;
     if (begunBy.isEmpty() || m_knownAsOf >= settledAt || now - askedAt > maxLookupTime)
         return {std::nullopt, Failure::Unknown};
@@ -158,6 +163,11 @@
     return {};
 }
 
+bool StreamVersions::isListCurrent(core::TimePoint time) const
+{
+    return m_list.confirmedAt() >= time || m_list.isStoreOut();
+}
+
 void StreamVersions::publishIfDue()
 {
     const bool isDue = !m_isPublishing && m_timers.now() - m_publishedAt >= m_publishPeriod;
@@ -167,7 +177,7 @@
 
 void StreamVersions::updateHistory()
 {
-    for (const auto &[id, endpoint] : m_endpoints())
+    for (const auto &[id, endpoint] : m_list.endpoints())
         recordEndpoint(endpoint);
     dropExpired(m_begun);
     dropExpired(m_fetched);
@@ -176,7 +186,8 @@
         return;
     }
     m_recordPosition.reset();
-    if (m_areRecordsLeft && m_isCoordinator())
+    const bool isListRecent = m_list.confirmedAt() >= m_timers.now() - maxListAge;
+    if (m_areRecordsLeft && isListRecent && m_isCoordinator())
         removeRecords();
 }
 
--- a/src/libs/gateway/streamversions.h
+++ b/src/libs/gateway/streamversions.h
@@ -50,16 +50,27 @@
         Failure failure = Failure::None;
     };
 
+    /// The list of endpoints that the daemon follows.
+    struct EndpointList
+    {
+        std::function<const std::map<core::EndpointId, fleet::Endpoint> &()> endpoints;
+        /// Up to when the list includes all changes.
+        std::function<core::TimePoint()> confirmedAt;
+        /// Asks the store at once for changes.
+        std::function<void()> confirm;
+        /// Whether the whole store is out, so that no endpoint can be listed anywhere.
+        std::function<bool()> isStoreOut;
+    };
+
     StreamVersions(platform::ObjectStoreClient &store, net::TimerService &timers,
                    core::HostId self);
     ~StreamVersions();
     StreamVersions(const StreamVersions &) = delete;
     StreamVersions &operator=(const StreamVersions &) = delete;
 
-    /// Begins to publish. `endpoints` are those that are listed, `isCoordinator` tells whether this
-    /// daemon removes the records that are no longer needed.
-    void start(std::function<const std::map<core::EndpointId, fleet::Endpoint> &()> endpoints,
-               std::function<bool()> isCoordinator);
+    /// Begins to publish. `isCoordinator` tells whether this daemon removes the records that are no
+    /// longer needed.
+    void start(EndpointList list, std::function<bool()> isCoordinator);
     /// The longest time for which a stream may run.
     void setLongestStream(core::Duration duration);
     /// The interval of the writes while several versions serve follows from the number of daemons.
@@ -79,7 +90,9 @@
     bool mustHoldFirstEvent(const core::RequestId &request, const core::ServiceId &service,
                             core::TimePoint arrivedAt) const;
     /// Finds where the stream began that `begunBy` began and a client takes up since `askedAt`.
-    /// `service` counts if the request is not recorded and its service had one version only.
+    /// `service` counts if the request is not recorded and its service had one version only, as of
+    /// a list that was confirmed since then: in an older one the version of the stream may be
+    /// missing.
     Lookup find(const core::RequestId &begunBy, const core::ServiceId &service,
                 core::TimePoint askedAt);
 
@@ -102,6 +115,8 @@
     };
     using Begins = std::unordered_map<RequestHash, Begin>;
 
+    /// Whether no version can be missing that was listed before `time`.
+    bool isListCurrent(core::TimePoint time) const;
     Begin &changeBegin(const core::RequestId &request);
     static RequestHash hashOf(const core::RequestId &request);
     void publishIfDue();
@@ -126,7 +141,7 @@
     net::TimerService &m_timers;
     core::HostId m_self;
     decisions::SoftwareVersionHistory m_history;
-    std::function<const std::map<core::EndpointId, fleet::Endpoint> &()> m_endpoints;
+    EndpointList m_list;
     std::function<bool()> m_isCoordinator;
     core::Duration m_publishPeriod;
 
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -130,7 +130,9 @@
                                   memberText(event, "removed") == "true"};
           });
     events.position = decodeCurrentPosition(text, era);
-    events.sinceEra = decodeEra(memberText(text, relayedSinceEraField), era);
+    const std::string_view relayedEra = memberText(text, relayedSinceEraField);
+    events.sinceEra = decodeEra(relayedEra, era);
+    events.isRelayed = !relayedEra.empty();
     return events;
 }
 
@@ -252,13 +254,25 @@
 void ObjectStoreClient::watch(ObjectKind kind, const core::StorePosition &since,
                               core::Duration wait, Handler<ObjectEvents> handler)
 {
-    m_watchTransport({kind, since, wait, m_era}, watchMargin,
-                     [this, handler = std::move(handler)](auto response) {
-                         auto events = decodeResponse<ObjectEvents>(response, decodeEvents);
-                         if (events.ok())
-                             recordPosition(events->position);
-                         handler(std::move(events));
-                     });
+    sendWatch({kind, since, wait, m_era}, std::move(handler));
+}
+
+void ObjectStoreClient::watchCurrent(ObjectKind kind, const core::StorePosition &since,
+                                     core::Duration wait, Handler<ObjectEvents> handler)
+{
+    WatchRequest watch {kind, since, wait, m_era};
+    watch.mustBeCurrent = true;
+    sendWatch(watch, std::move(handler));
+}
+
+void ObjectStoreClient::sendWatch(const WatchRequest &watch, Handler<ObjectEvents> handler)
+{
+    m_watchTransport(watch, watchMargin, [this, handler = std::move(handler)](auto response) {
+        auto events = decodeResponse<ObjectEvents>(response, decodeEvents);
+        if (events.ok())
+            recordPosition(events->position);
+        handler(std::move(events));
+    });
 }
 
 void ObjectStoreClient::create(ObjectKind kind, const std::string &name, const json &spec,
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -46,6 +46,7 @@
     core::StorePosition position; ///< Position from which the next watch continues.
     /// Era of the position that the events follow. The store's own events never cross eras.
     core::StoreEra sinceEra;
+    bool isRelayed = false; ///< A relay answered, whose state may be older than the watch.
 };
 
 /// Result of a conditional write; not written if the object differs from the expected one.
@@ -64,6 +65,8 @@
     /// The newest era that the daemon knows; a relay that still lives in an earlier one is no use.
     /// Empty for daemons of the previous release, which do not state eras.
     std::optional<core::StoreEra> knownEra;
+    /// Whether the response must come from the store itself; a relay's may be older than the watch.
+    bool mustBeCurrent = false;
 };
 
 /// The path of the store for objects of a kind.
@@ -95,6 +98,9 @@
     /// Waits up to `wait` for changes after `since`.
     void watch(ObjectKind kind, const core::StorePosition &since, core::Duration wait,
                Handler<ObjectEvents> handler);
+    /// The same, but the response includes all changes that were made before the call.
+    void watchCurrent(ObjectKind kind, const core::StorePosition &since, core::Duration wait,
+                      Handler<ObjectEvents> handler);
     void create(ObjectKind kind, const std::string &name, const nlohmann::json &spec,
                 Handler<WriteResult> handler);
     /// Replaces the object if it still has the revision of `object`.
@@ -112,6 +118,7 @@
                                           const Decode &decode);
     /// Records the newest position and logs when the store came back from a copy.
     void recordPosition(const core::StorePosition &position);
+    void sendWatch(const WatchRequest &watch, Handler<ObjectEvents> handler);
     void write(ObjectKind kind, const std::string &method, const std::string &path,
                const nlohmann::json &body, Handler<WriteResult> handler);
 
--- a/tests/e2e/tst_softwareversions.cpp
+++ b/tests/e2e/tst_softwareversions.cpp
@@ -277,3 +277,32 @@
     cr_assert(
         fixture.platform.waitUntil([&] { return fixture.platform.store.count(recordsKind) == 0; }));
 }
+
+// Guards against a stream that is joined from two versions because the daemon has lost the store:
+// in its old list one version serves, and the stream began at another one through another daemon.
+Test(softwareversions, takeUpIsRefusedWhileTheListCannotBeConfirmed, .timeout = 60)
+{
+    for (const FakeStore::Mode mode : {FakeStore::Mode::Refusing, FakeStore::Mode::Silent}) {
+        Fixture fixture;
+        fixture.platform.store.setMode(mode);
+        const auto answer = fixture.takeUp("begunElsewhere");
+        cr_assert_eq(answer->head.status, 503, "%s", fixture.platform.output().c_str());
+        cr_assert_lt(answer->endedAt - answer->startedAt, std::chrono::seconds(2));
+        cr_assert(fixture.platform.second.runs.empty());
+    }
+}
+
+// Guards against the same at a daemon that has not heard of the other version yet, although the
+// store serves it: it stood still, or its watch receives nothing.
+Test(softwareversions, takeUpWaitsForTheVersionsThatTheStoreLists, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.platform.store.suspendWatches();
+    fixture.platform.store.put("servers", fixture.platform.first.id,
+                               fixture.platform.first.record("model"));
+    const auto answer = fixture.takeUp("begunElsewhere");
+    // No daemon has recorded the stream.
+    cr_assert_eq(answer->head.status, 503, "%s", fixture.platform.output().c_str());
+    cr_assert(fixture.platform.second.runs.empty());
+    cr_assert(fixture.platform.first.runs.empty());
+}
