Keep the wait of a new lease holder over lost answers and restarts

Cause: a record that names the own host counted as one whose wait is known, also if its write was never confirmed to this process.

Change: the record states whether its holder had waited. An own record that this process did not get confirmed and that does not state it counts like that of another holder.

platformstart/requestWaitsForALaterStartedHolder writes the record of a holder that had issued orders; such a record states "waited" now. Without the field it is one of the release before, whose holder waits once. The check itself is unchanged.

--- a/src/libs/decisions/orderlease.cpp
+++ b/src/libs/decisions/orderlease.cpp
@@ -97,6 +97,7 @@
     proposal.isReleased = m_isReleased;
     proposal.writtenIn = m_era;
     proposal.position.era = m_era;
+    proposal.hasWaited = now >= ordersAllowedFrom(now);
     if (!m_record) {
         proposal.token = std::max(core::FencingToken(1), minToken(proposal.position));
         return proposal;
@@ -108,25 +109,36 @@
     return proposal;
 }
 
+core::TimePoint OrderLease::ordersAllowedFrom(core::TimePoint sentAt) const
+{
+    if (!m_record) {
+        // The copy of a restored store may lack the record of the holder.
+        return m_limits.isFirstStart
+            ? m_ordersAllowedAt
+            : std::max(m_ordersAllowedAt, ordersAllowedAfter(sentAt + m_limits.validity));
+    }
+    const core::TimePoint observedAt = m_unchangedSince.value_or(sentAt);
+    if (isOwn()) {
+        // The answer to the write was lost, or an earlier process wrote it: the wait for the holder
+        // before that may not be over.
+        const bool isWaitKnown = m_acceptedToken == m_record->token || m_record->hasWaited;
+        return isWaitKnown ? m_ordersAllowedAt
+                           : std::max(m_ordersAllowedAt, ordersAllowedAfter(observedAt));
+    }
+    // The predecessor sent its last renewal before this revision was first read. If it released the
+    // lease, it issued no order after that, but a release that came back with a copy may have had
+    // successors.
+    const bool isReleaseCurrent = m_record->isReleased && m_record->writtenIn == m_era;
+    const core::Duration remainingValidity
+        = isReleaseCurrent ? core::Duration::zero() : m_limits.validity;
+    return std::max(m_ordersAllowedAt, ordersAllowedAfter(observedAt + remainingValidity));
+}
+
 void OrderLease::proposalAccepted(const OrderLeaseRecord &proposal,
                                   const core::StorePosition &position, core::TimePoint sentAt)
 {
-    const bool isTakeover = m_record && !isOwn();
-    // The copy of a restored store may lack the record of the holder.
-    if (!m_record && !m_limits.isFirstStart)
-        m_ordersAllowedAt
-            = std::max(m_ordersAllowedAt, ordersAllowedAfter(sentAt + m_limits.validity));
-    if (isTakeover) {
-        // The predecessor sent its last renewal before this revision was first read. If it released
-        // the lease, it issued no order after that, but a release that came back with a copy may
-        // have had successors.
-        const bool isReleaseCurrent = m_record->isReleased && m_record->writtenIn == m_era;
-        const core::Duration remainingValidity
-            = isReleaseCurrent ? core::Duration::zero() : m_limits.validity;
-        const core::TimePoint lastPossibleOrderAt
-            = m_unchangedSince.value_or(sentAt) + remainingValidity;
-        m_ordersAllowedAt = std::max(m_ordersAllowedAt, ordersAllowedAfter(lastPossibleOrderAt));
-    }
+    m_ordersAllowedAt = ordersAllowedFrom(sentAt);
+    m_acceptedToken = proposal.token;
     m_record = proposal;
     m_record->position = position;
     m_unchangedSince = sentAt;
--- a/src/libs/decisions/orderlease.h
+++ b/src/libs/decisions/orderlease.h
@@ -39,6 +39,9 @@
     core::FencingToken token;
     net::Address address; ///< Where the holder receives the other daemons' reports.
     bool isReleased = false;
+    /// Whether the orders of all earlier holders were older than the platform's lease time when the
+    /// record was written, so that another process of the holder's host needn't wait for them.
+    bool hasWaited = false;
     core::StorePosition position; ///< Of the stored record; changes with each write.
     /// Era in which the holder wrote the record; an earlier one than that of the position if the
     /// record came back with a copy.
@@ -89,6 +92,8 @@
         return end + m_limits.takeoverDelay + m_limits.inFlightMargin;
     }
     bool hasExpired(core::TimePoint now) const;
+    /// When this daemon may issue orders if a proposal that is sent at `sentAt` is accepted.
+    core::TimePoint ordersAllowedFrom(core::TimePoint sentAt) const;
 
     core::HostId m_self;
     OrderLeaseLimits m_limits;
@@ -96,6 +101,7 @@
     bool m_isEraKnown = false;
     bool m_hasSeenRestore = false; ///< By this process, so that its orders wait.
     std::optional<OrderLeaseRecord> m_record;
+    std::optional<core::FencingToken> m_acceptedToken; ///< Of this process's last proposal.
     std::optional<core::TimePoint> m_unchangedSince;
     std::optional<core::TimePoint> m_lastReadAt;
     std::optional<core::TimePoint> m_expiredSince; ///< First read at which the lease had expired.
--- a/src/libs/gateway/coordinatorelection.cpp
+++ b/src/libs/gateway/coordinatorelection.cpp
@@ -32,9 +32,13 @@
 {
     // The store assigns no new revision to a replacement without changes, so the record includes
     // the time.
-    return {{"holder", record.holder.value()},      {"token", record.token.value()},
-            {"address", record.address.toString()}, {"released", record.isReleased},
-            {"era", record.writtenIn.value()},      {"sent", sentAt.time_since_epoch().count()}};
+    return {{"holder", record.holder.value()},
+            {"token", record.token.value()},
+            {"address", record.address.toString()},
+            {"released", record.isReleased},
+            {"era", record.writtenIn.value()},
+            {"sent", sentAt.time_since_epoch().count()},
+            {"waited", record.hasWaited}};
 }
 
 } // namespace
@@ -109,7 +113,8 @@
         record.holder = core::HostId(object.spec.at("holder").get<std::string>());
         record.token = core::FencingToken(object.spec.at("token").get<std::uint64_t>());
         record.isReleased = object.spec.at("released").get<bool>();
-        // Daemons of the previous release state no era.
+        // Daemons of the previous release state neither of these.
+        record.hasWaited = object.spec.value("waited", false);
         record.writtenIn = core::StoreEra(platform::integerMember(
             object.spec, "era", std::uint64_t {object.position.era.value()}));
         auto address = platform::decodeAddress(object.spec.at("address").get<std::string>());
--- a/tests/e2e/tst_platformstart.cpp
+++ b/tests/e2e/tst_platformstart.cpp
@@ -252,6 +252,7 @@
                        {"token", 7},
                        {"address", "127.0.0.1:" + std::to_string(holder.place.peerPort)},
                        {"released", false},
+                       {"waited", true},
                        {"sent", 1}};
     AnswerPtr answer;
     bool hasStartedInTime = false;
