Take no late copy of an earlier answer for the success of an unload

Cause: orders and reports have no id and share connections; any 200 counted as the answer to the order.

Change: a response with the contents of a report answers no order. An unload is not sent on a connection whose last answer was a 200 without a body, which only another 200 for an unload looks like; loads may be.

Evidence: controlclient/copyOfAnEmptySuccessIsNotTakenForTheNextOne. The option is new, so that the test cannot be compiled before.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -365,7 +365,7 @@
                 m_planner.applyReport(id, *report, sentAt);
                 schedulePlanning();
             },
-            maxEndpointResponseBytes);
+            {.maxResponseBytes = maxEndpointResponseBytes});
     }
 }
 
@@ -441,12 +441,14 @@
             const observability::EventLoopProfiler::Scope scope(m_profiler, "order responses");
             if (response.ok())
                 applyEndpointState(planned.endpoint, *response, sentAt);
-            const auto result = response.ok() ? platform::orderResultFromStatus(response->status)
-                                              : platform::OrderResult::Unknown;
+            // A late second copy of the response to a report request has status 200 as well.
+            const bool isOwn = response.ok() && !platform::decodeReport(response->body).ok();
+            const auto result = isOwn ? platform::orderResultFromStatus(response->status)
+                                      : platform::OrderResult::Unknown;
             handleOrderResponse(planned, outcomeOf(result), response.ok() ? response->status : 0,
                                 sentAt, sends + 1);
         },
-        maxEndpointResponseBytes);
+        {.maxResponseBytes = maxEndpointResponseBytes, .needsOwnSuccess = !planned.isLoad});
 }
 
 void Coordinator::handleOrderResponse(const decisions::PlannedOrder &planned,
--- a/src/libs/http/clientconnection.cpp
+++ b/src/libs/http/clientconnection.cpp
@@ -45,6 +45,7 @@
     ++m_exchangeCount;
     m_isReusable = false;
     m_isHeadDelivered = false;
+    m_hasBody = false;
     m_isSkipping = false;
     m_skippedBytes = 0;
     m_isHeadRequest = request.isHead;
@@ -103,6 +104,7 @@
             // response to the next request.
             m_isReusable = m_hasOwnId && m_parser.head().keepAlive && !m_parser.isCloseDelimited()
                 && m_connection.received().empty() && m_connection.pendingOutput() == 0;
+            m_endedWithEmptySuccess = m_parser.head().status == 200 && !m_hasBody;
             end(ExchangeEnd::Complete);
             return;
         }
@@ -136,6 +138,7 @@
 {
     if (m_parser.bufferedBodyBytes() == 0)
         return;
+    m_hasBody = true;
     m_observer.onBody(m_parser.takeBody());
 }
 
--- a/src/libs/http/clientconnection.h
+++ b/src/libs/http/clientconnection.h
@@ -68,6 +68,9 @@
     /// Whether bytes of the current request may have arrived at the peer; none are written before
     /// the connection is open.
     bool mayHaveSent() const { return m_pendingRequest.empty(); }
+    /// Whether the last response had status 200 and no body, so that a late second copy of it looks
+    /// like the success of any call.
+    bool endedWithEmptySuccess() const { return m_endedWithEmptySuccess; }
     /// How long the peer keeps an idle connection, from its Keep-Alive field; zero if unknown.
     core::Duration idleTimeout() const { return m_idleTimeout; }
     /// Called when the connection ends, or receives bytes, while no exchange is in progress.
@@ -104,6 +107,8 @@
     bool m_isReusable = true;
     bool m_isHeadDelivered = false;
     bool m_hasOwnId = false; ///< The response carries the id of its request.
+    bool m_hasBody = false;  ///< The response has one.
+    bool m_endedWithEmptySuccess = false;
     bool m_isSkipping = false;
     std::size_t m_skippedBytes = 0; ///< Of responses skipped in the current exchange.
     core::Duration m_idleTimeout {};
--- a/src/libs/http/controlclient.cpp
+++ b/src/libs/http/controlclient.cpp
@@ -63,7 +63,7 @@
 }
 
 void ControlClient::call(const net::Address &peer, const net::HttpRequest &request,
-                         core::Duration timeout, Handler handler, std::size_t maxResponseBytes)
+                         core::Duration timeout, Handler handler, const Options &options)
 {
     ++m_callCount;
     const auto call = std::make_shared<Call>();
@@ -71,7 +71,10 @@
     call->peer = peer;
     call->handler = std::move(handler);
     const auto unlimitedIdleTime = [](const ClientConnection &) { return core::Duration::max(); };
-    call->connection = idleConnectionsTo(peer).take(m_timers.now(), unlimitedIdleTime);
+    IdleConnections &idle = idleConnectionsTo(peer);
+    const std::set<ConnectionNumber> excluded
+        = options.needsOwnSuccess ? idle.endedWithEmptySuccess() : std::set<ConnectionNumber>();
+    call->connection = idle.take(m_timers.now(), unlimitedIdleTime, excluded);
     if (!call->connection)
         call->connection = std::make_unique<ClientConnection>(m_loop, peer, connectTimeout);
     const std::weak_ptr<Call> weak = call;
@@ -85,7 +88,8 @@
         held->response.status = head.status;
         held->response.headers = std::move(head.headers);
     };
-    observer.onBody = [this, weak, maxResponseBytes](const std::string &bytes) {
+    observer.onBody = [this, weak,
+                       maxResponseBytes = options.maxResponseBytes](const std::string &bytes) {
         const auto held = weak.lock();
         if (!held)
             return;
--- a/src/libs/http/controlclient.h
+++ b/src/libs/http/controlclient.h
@@ -39,16 +39,27 @@
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
 
-    /// Responses of the store have about a megabyte, the views of the largest deployment half of
-    /// one. The limit stops a response without end.
-    static constexpr std::size_t defaultMaxResponseBytes = 8UL * 1024 * 1024;
+    struct Options
+    {
+        /// Responses of the store have about a megabyte, the views of the largest deployment half
+        /// of one. The limit stops a response without end.
+        std::size_t maxResponseBytes = 8UL * 1024 * 1024;
+        /// A late second copy of an earlier response must not be taken for the success of this
+        /// call; connections on which that could happen are not used for it.
+        bool needsOwnSuccess = false;
+    };
 
     /// Sends `request` and calls `handler` once, from the loop. The response must begin
     /// within `timeout` and end within three seconds after that; both times are extended by the
     /// time for which the loop was blocked, to twice as much at most. Destroying the client drops
     /// the call.
     void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
-              Handler handler, std::size_t maxResponseBytes = defaultMaxResponseBytes);
+              Handler handler, const Options &options);
+    void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
+              Handler handler)
+    {
+        call(peer, request, timeout, std::move(handler), Options());
+    }
     std::uint64_t callCount() const { return m_callCount; }
 
 private:
--- a/src/libs/http/idleconnections.cpp
+++ b/src/libs/http/idleconnections.cpp
@@ -56,6 +56,16 @@
     return connection;
 }
 
+std::set<ConnectionNumber> IdleConnections::endedWithEmptySuccess() const
+{
+    std::set<ConnectionNumber> numbers;
+    for (const Idle &idle : m_idle) {
+        if (idle.connection->endedWithEmptySuccess())
+            numbers.insert(idle.connection->number());
+    }
+    return numbers;
+}
+
 void IdleConnections::closeExpired(core::TimePoint now, const MaxIdleTime &limit)
 {
     std::erase_if(m_idle, [now, &limit](const Idle &idle) {
--- a/src/libs/http/idleconnections.h
+++ b/src/libs/http/idleconnections.h
@@ -34,6 +34,8 @@
     /// closing it, of those that are not in `excluded`; nullptr if there is none within its limit.
     std::unique_ptr<ClientConnection> take(core::TimePoint now, const MaxIdleTime &limit,
                                            const std::set<ConnectionNumber> &excluded = {});
+    /// The connections after whose last response a success without a body would be ambiguous.
+    std::set<ConnectionNumber> endedWithEmptySuccess() const;
     /// Sets the maximum number of idle connections; excess ones close after their next exchange.
     void setMaxSize(std::size_t maxSize) { m_maxSize = maxSize; }
     std::size_t size() const { return m_idle.size(); }
