--- a/tests/e2e/tst_endlessbytes.cpp
+++ b/tests/e2e/tst_endlessbytes.cpp
@@ -73,6 +73,7 @@
             });
         };
         std::vector<AnswerPtr> answers;
+        answers.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number)
             answers.push_back(platform.start(number % 2 == 0 ? "/get/a" : "/order/a",
                                              "r" + std::to_string(number)));
@@ -172,12 +173,12 @@
     const std::string body(bodyBytes, 'x');
     for (int number = 0; number < requests; ++number) {
         const std::string id = "r" + std::to_string(number);
-        answers.emplace_back(id,
-                             platform.send(platform.callerPort,
-                                           "POST /order/a HTTP/1.1\r\nHost: a.example\r\n"
-                                           "Request-Id: "
-                                               + id + "\r\nDeadline-Ms: 4000\r\nContent-Length: "
-                                               + std::to_string(bodyBytes) + "\r\n\r\n" + body));
+        std::string request = "POST /order/a HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+            + "\r\nDeadline-Ms: 4000\r\nContent-Length: ";
+        request += std::to_string(bodyBytes);
+        request += "\r\n\r\n";
+        request += body;
+        answers.emplace_back(id, platform.send(platform.callerPort, request));
     }
     cr_assert(platform.waitUntil([&] {
         return std::ranges::all_of(answers, [](const auto &sent) { return sent.second->isEnded; });
