Count an announcement from what was known before, not from when it was read

Cause: a daemon took an announcement for younger than the moment at which it had read the answer before. An answer of a relay, of a late store or to a process without processor time is older than that, and the pages of a list confirmed each other. So the older version was let serve too long.

Change: the transport reports when each call was sent and when the wait of a watch was over; relays state up to when they know all changes. From that follows one time for all statements about the store. After new versions the next watch is short, because an answer with changes confirms little.

Evidence: lateAnswersDoNotExtendTheUseOfAnOldVersion (real sockets, every second answer 2.2 s late) failed on with 5.18 s of 5 s allowed, and passes now; two tests of storecontact failed as well. The test changesAreYoungerThanTheAnswerBefore asserted the fault: it is replaced by one that asserts the time at which the answer was written.

--- a/src/libs/decisions/storecontact.cpp
+++ b/src/libs/decisions/storecontact.cpp
@@ -11,7 +11,7 @@
     if (mayHaveExpired)
         m_reappearanceEnd = now + m_limits.reappearanceTime;
     m_failures = 0;
-    m_changedAfter = m_lastSuccessAt;
+    m_changedAfter = m_confirmedAt;
     m_lastSuccessAt = now;
     m_confirmedAt = std::max(m_confirmedAt, asOf);
 }
--- a/src/libs/decisions/storecontact.h
+++ b/src/libs/decisions/storecontact.h
@@ -23,7 +23,8 @@
         : m_limits(limits)
     { }
 
-    /// A call is answered now; the answer includes all changes that were made before `asOf`.
+    /// A call is answered now; the answer includes all changes that were made before `asOf`. The
+    /// answer may be much older than `now`, which counts only for the contact itself.
     void recordSuccess(core::TimePoint asOf, core::TimePoint now);
     void recordFailure() { ++m_failures; }
     /// The store came back from a copy, which may lack entries that their owners write again.
@@ -35,7 +36,8 @@
     int failures() const { return m_failures; }
     /// The known state includes all changes that were made before this time.
     core::TimePoint confirmedAt() const { return m_confirmedAt; }
-    /// When the answer before the last one came; the changes in the last one were made after it.
+    /// Up to when the state before the last answer was known; the changes that the last answer
+    /// brought were made after it.
     core::TimePoint changedAfter() const { return m_changedAfter; }
     /// Until when an entry that is missing may have expired in an outage and may come back; not in
     /// the future if there was no such outage.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -70,7 +70,7 @@
               m_storeTransport.call(request, timeout, std::move(handler));
           },
           [this](const platform::WatchRequest &watch, core::Duration margin,
-                 http::ControlClient::Handler handler) {
+                 StoreTransport::AnswerHandler handler) {
               m_storeTransport.watch(watch, margin, std::move(handler));
           })
     , m_relay(m_timers, maxUpdateAge(m_settings.bounds))
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -25,11 +25,12 @@
 // For a watch after a failure, so that its response shows at once whether the store is back and
 // what has changed.
 constexpr core::Duration watchWaitAfterFailure = std::chrono::milliseconds(10);
+// For the watch after an answer with changes, which may be as old as its watch. The next answer
+// without changes shows up to when there were no more. Long enough that a relay under load answers.
+constexpr core::Duration watchWaitAfterChange = std::chrono::milliseconds(250);
 // For calls that confirm the known state, whose responses are needed at once.
 constexpr core::Duration confirmWait = std::chrono::milliseconds(1);
 constexpr core::Duration minConfirmInterval = std::chrono::milliseconds(100);
-// A relay answers as long as its own last update is not older than this.
-constexpr core::Duration maxRelayAge = std::chrono::seconds(3);
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
 
 } // namespace
@@ -103,7 +104,7 @@
     // the kind as well.
     m_isListing = false;
     platform::ObjectEvents changes {m_objects.replaceAll(m_listedObjects), m_listPosition,
-                                    m_position.era};
+                                    m_position.era, m_listSentAt};
     m_listedObjects.clear();
     moveTo(m_listPosition);
     const std::size_t count = changes.events.size();
@@ -112,7 +113,7 @@
         m_relay.recordWatchResult(m_kind, changes, {});
         return;
     }
-    m_relay.resetHistory(m_kind, m_position);
+    m_relay.resetHistory(m_kind, m_position, m_listSentAt);
     observability::log({.step = "follow store",
                         .message = absl::StrCat(count, " objects in the initial list"),
                         .peer = platform::collectionPath(m_kind)});
@@ -120,14 +121,16 @@
 
 void StoreFollower::watchNext()
 {
-    const core::Duration wait
-        = m_contact.isReachable() ? m_watchWait : std::min(m_watchWait, watchWaitAfterFailure);
-    m_store.watch(
-        m_kind, m_position, wait,
-        [this, sentAt = m_timers.now(), number = ++m_watchNumber, alive = m_isAlive](auto events) {
-            if (*alive)
-                handleWatchResult(sentAt, number, std::move(events));
-        });
+    core::Duration wait = m_watchWait;
+    if (!m_contact.isReachable())
+        wait = std::min(wait, watchWaitAfterFailure);
+    else if (m_hasNewChanges && m_kind == platform::ObjectKind::AdapterVersions)
+        wait = std::min(wait, watchWaitAfterChange);
+    m_store.watch(m_kind, m_position, wait,
+                  [this, number = ++m_watchNumber, alive = m_isAlive](auto events) {
+                      if (*alive)
+                          handleWatchResult(number, std::move(events));
+                  });
 }
 
 // Takes the place of the waiting watch, whose later result could undo changes that are known then.
@@ -140,15 +143,15 @@
     m_confirmStartedAt = now;
     m_nextCallTimer.cancel();
     m_store.watchCurrent(m_kind, m_position, confirmWait,
-                         [this, now, number = ++m_watchNumber, alive = m_isAlive](auto events) {
+                         [this, number = ++m_watchNumber, alive = m_isAlive](auto events) {
                              if (!*alive)
                                  return;
                              m_isConfirming = false;
-                             handleWatchResult(now, number, std::move(events));
+                             handleWatchResult(number, std::move(events));
                          });
 }
 
-void StoreFollower::handleWatchResult(core::TimePoint sentAt, std::uint64_t callNumber,
+void StoreFollower::handleWatchResult(std::uint64_t callNumber,
                                       absl::StatusOr<platform::ObjectEvents> events)
 {
     if (callNumber != m_watchNumber)
@@ -157,7 +160,7 @@
         handleFailure(events.status(), true);
         return;
     }
-    recordSuccess(events->isRelayed ? sentAt - maxRelayAge : sentAt);
+    recordSuccess(events->asOf);
     if (events->sinceEra != m_position.era) {
         // The store came back from a copy and has given out the watched revision again.
         start();
@@ -166,6 +169,7 @@
     moveTo(events->position);
     m_objects.applyEvents(events->events);
     const bool hasEvents = !events->events.empty();
+    m_hasNewChanges = hasEvents;
     processEvents(events->events);
     core::Duration nextDelay {};
     if (hasEvents)
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -51,8 +51,7 @@
     void listNext();
     void finishList();
     void watchNext();
-    void handleWatchResult(core::TimePoint sentAt, std::uint64_t callNumber,
-                           absl::StatusOr<platform::ObjectEvents> events);
+    void handleWatchResult(std::uint64_t callNumber, absl::StatusOr<platform::ObjectEvents> events);
     void handleFailure(const absl::Status &status, bool isWatch);
     void recordSuccess(core::TimePoint asOf);
     /// Continues from `position`, which may be in a new era.
@@ -74,6 +73,7 @@
     core::StorePosition m_position;
     bool m_hasInitialList = false;
     decisions::StoreContact m_contact;
+    bool m_hasNewChanges = false;    ///< The last watch reported changes.
     std::uint64_t m_watchNumber = 0; ///< Results of earlier watches are ignored.
     bool m_isConfirming = false;
     core::TimePoint m_confirmStartedAt;
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -82,14 +82,28 @@
 void StoreTransport::call(const net::HttpRequest &request, core::Duration timeout,
                           http::ControlClient::Handler handler)
 {
-    const auto callStore = [this, &request, timeout](http::ControlClient::Handler onResponse) {
-        m_controlClient.call(m_store, request, timeout, std::move(onResponse));
-    };
-    callWithPeerFallback(callStore, {request, timeout}, std::move(handler));
+    const TimedRequest timed {request, timeout, {}};
+    const auto callStore
+        = [this, &timed](AnswerHandler onAnswer) { send(m_store, timed, std::move(onAnswer)); };
+    callWithPeerFallback(callStore, timed, [handler = std::move(handler)](auto answer) {
+        handler(std::move(answer.response));
+    });
+}
+
+void StoreTransport::send(const net::Address &receiver, const TimedRequest &timed,
+                          AnswerHandler handler)
+{
+    m_controlClient.call(
+        receiver, timed.request, timed.timeout,
+        [this, sentAt = m_timers.now(), wait = timed.wait,
+         handler = std::move(handler)](auto response) {
+            const bool isWaitOver = m_timers.now() - sentAt >= wait;
+            handler({std::move(response), sentAt, isWaitOver ? sentAt + wait : sentAt});
+        });
 }
 
 void StoreTransport::callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
-                                          http::ControlClient::Handler handler)
+                                          AnswerHandler handler)
 {
     if (m_timers.now() < m_usePeerUntil) {
         // Without a peer the store itself is called, which may be reachable again.
@@ -99,12 +113,12 @@
         }
         m_usePeerUntil = {};
     }
-    callStore([this, viaPeer, handler = std::move(handler)](auto response) {
-        const auto peer = isUnavailable(response) ? usablePeer() : std::nullopt;
+    callStore([this, viaPeer, handler = std::move(handler)](auto answer) {
+        const auto peer = isUnavailable(answer.response) ? usablePeer() : std::nullopt;
         if (peer)
             callPeer(*peer, viaPeer, handler);
         else
-            handler(std::move(response));
+            handler(std::move(answer));
     });
 }
 
@@ -130,7 +144,7 @@
 }
 
 void StoreTransport::watch(const platform::WatchRequest &watch, core::Duration margin,
-                           http::ControlClient::Handler handler)
+                           AnswerHandler handler)
 {
     for (Relay *relay : {&m_relay, &m_spareRelay}) {
         if (!watch.mustBeCurrent && relay->usable(m_timers.now())) {
@@ -142,26 +156,28 @@
 }
 
 void StoreTransport::watchAtRelay(Relay &relay, const platform::WatchRequest &watch,
-                                  core::Duration margin, http::ControlClient::Handler handler)
+                                  core::Duration margin, AnswerHandler handler)
 {
     platform::WatchRequest relayWatch = watch;
     relayWatch.wait = std::min(watch.wait, relayWait);
-    net::HttpRequest request;
-    request.path = relayPrefix + platform::formatRelayWatchTarget(relayWatch);
-    m_controlClient.call(*relay.address, request, relayWatch.wait + relayMargin,
-                         [this, &relay, relayAddress = *relay.address, watch, margin,
-                          handler = std::move(handler)](auto response) {
-                             if (isCurrentAnswer(response, watch)) {
-                                 handler(std::move(response));
-                                 return;
-                             }
-                             if (relay.address == relayAddress)
-                                 suspendRelay(relay,
-                                              response.ok() && response->status == storeLostStatus);
-                             // The failure of a relay doesn't imply a failure of the store, which
-                             // counts as unreachable only if the remaining ways fail as well.
-                             this->watch(watch, margin, handler);
-                         });
+    TimedRequest timed;
+    timed.request.path = relayPrefix + platform::formatRelayWatchTarget(relayWatch);
+    timed.timeout = relayWatch.wait + relayMargin;
+    timed.wait = relayWatch.wait;
+    send(*relay.address, timed,
+         [this, &relay, relayAddress = *relay.address, watch, margin,
+          handler = std::move(handler)](auto answer) {
+             const auto &response = answer.response;
+             if (isCurrentAnswer(response, watch)) {
+                 handler(std::move(answer));
+                 return;
+             }
+             if (relay.address == relayAddress)
+                 suspendRelay(relay, response.ok() && response->status == storeLostStatus);
+             // The failure of a relay doesn't imply a failure of the store, which counts as
+             // unreachable only if the remaining ways fail as well.
+             this->watch(watch, margin, handler);
+         });
 }
 
 void StoreTransport::suspendRelay(Relay &relay, bool isStoreLost)
@@ -175,21 +191,23 @@
 }
 
 void StoreTransport::watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
-                                   http::ControlClient::Handler handler)
+                                   AnswerHandler handler)
 {
     // While there are relays, one failed watch suspends the watches of all three kinds: in an
     // outage of 5 s, 195 daemons made thousands of calls when each kind was retried on its own.
     const bool isPaced = m_relay.address && !m_isRelay && !watch.mustBeCurrent;
     if (isPaced && m_timers.now() < m_noDirectWatchUntil) {
-        handler(core::makeError(absl::StatusCode::kUnavailable, "watch store", m_store.toString(),
-                                "suspended after a failed watch"));
+        handler({core::makeError(absl::StatusCode::kUnavailable, "watch store", m_store.toString(),
+                                 "suspended after a failed watch"),
+                 {},
+                 {}});
         return;
     }
     platform::WatchRequest direct = watch;
     if (!isPaced) {
         direct.wait = m_isRelay ? core::scaled(watch.wait, relayWaitFraction) : watch.wait;
-        const auto callStore = [this, &direct, margin](http::ControlClient::Handler onResponse) {
-            watchStore(direct, margin, std::move(onResponse));
+        const auto callStore = [this, &direct, margin](AnswerHandler onAnswer) {
+            watchStore(direct, margin, std::move(onAnswer));
         };
         // The wait at a peer is shorter, because a peer that the store doesn't answer either would
         // delay changes by the whole wait.
@@ -201,10 +219,10 @@
     // Both relays failed or reported a lost store, so no third daemon is tried, and the wait is
     // short, so that the relays are tried again soon.
     direct.wait = std::min(watch.wait, relayWait);
-    watchStore(direct, relayMargin, [this, handler = std::move(handler)](auto response) {
-        if (isUnavailable(response))
+    watchStore(direct, relayMargin, [this, handler = std::move(handler)](auto answer) {
+        if (isUnavailable(answer.response))
             m_noDirectWatchUntil = m_timers.now() + directWatchRetryDelay;
-        handler(std::move(response));
+        handler(std::move(answer));
     });
 }
 
@@ -214,19 +232,18 @@
     TimedRequest timed;
     timed.request.path = platform::formatWatchTarget({watch.kind, watch.since, watch.wait, {}});
     timed.timeout = watch.wait + margin;
+    timed.wait = watch.wait;
     return timed;
 }
 
 // The end of a waiting watch tells nothing about the store, which may cut off watches at any time.
 // Only the repetition shows whether it serves.
 void StoreTransport::watchStore(const platform::WatchRequest &watch, core::Duration margin,
-                                http::ControlClient::Handler handler)
+                                AnswerHandler handler)
 {
-    const TimedRequest timed = timedRequest(watch, margin);
-    const auto onResponse = [this, watch, margin, sentAt = m_timers.now(),
-                             handler = std::move(handler)](auto response) {
-        if (!isBroken(response) || m_timers.now() - sentAt < minCutOffTime) {
-            handler(std::move(response));
+    const auto onAnswer = [this, watch, margin, handler = std::move(handler)](auto answer) {
+        if (!isBroken(answer.response) || m_timers.now() - answer.sentAt < minCutOffTime) {
+            handler(std::move(answer));
             return;
         }
         observability::log({.level = observability::LogLevel::Debug,
@@ -234,33 +251,30 @@
                             .message = "waiting watch was cut off, repeated"});
         platform::WatchRequest repeated = watch;
         repeated.wait = std::min(watch.wait, repeatedWatchWait);
-        const TimedRequest next = timedRequest(repeated, margin);
-        m_controlClient.call(m_store, next.request, next.timeout, handler);
+        send(m_store, timedRequest(repeated, margin), handler);
     };
-    m_controlClient.call(m_store, timed.request, timed.timeout, onResponse);
+    send(m_store, timedRequest(watch, margin), onAnswer);
 }
 
 void StoreTransport::callPeer(const net::Address &peer, const TimedRequest &timed,
-                              http::ControlClient::Handler handler)
+                              AnswerHandler handler)
 {
-    net::HttpRequest forwarded = timed.request;
-    forwarded.path = forwardPrefix + timed.request.path;
-    m_controlClient.call(
-        peer, forwarded, timed.timeout + peerRoundTrip,
-        [this, handler = std::move(handler)](auto response) {
-            const bool isServed = !isUnavailable(response);
-            if (isServed && m_timers.now() >= m_usePeerUntil)
-                observability::log(
-                    {.level = observability::LogLevel::Warn,
-                     .step = "call store",
-                     .message = "rejected by the store; served through another daemon"});
-            if (!isServed)
-                m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
-            if (!isServed && response.ok())
-                m_lostAtPeerAt = m_timers.now();
-            m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
-            handler(std::move(response));
-        });
+    TimedRequest forwarded = timed;
+    forwarded.request.path = forwardPrefix + timed.request.path;
+    forwarded.timeout += peerRoundTrip;
+    send(peer, forwarded, [this, handler = std::move(handler)](auto answer) {
+        const bool isServed = !isUnavailable(answer.response);
+        if (isServed && m_timers.now() >= m_usePeerUntil)
+            observability::log({.level = observability::LogLevel::Warn,
+                                .step = "call store",
+                                .message = "rejected by the store; served through another daemon"});
+        if (!isServed)
+            m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
+        if (!isServed && answer.response.ok())
+            m_lostAtPeerAt = m_timers.now();
+        m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
+        handler(std::move(answer));
+    });
 }
 
 void StoreTransport::forwardToStore(const net::HttpRequest &request, core::Duration timeout,
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -17,6 +17,7 @@
 {
 public:
     /// Returns the address of a daemon that can forward calls, if another one is known.
+    using AnswerHandler = std::function<void(platform::StoreAnswer)>;
     using PeerFinder = std::function<std::optional<net::Address>()>;
 
     StoreTransport(http::ControlClient &controlClient, net::TimerService &timers,
@@ -30,8 +31,7 @@
     /// that the store cuts off while it waits is no failure; it is repeated at once. While
     /// there is a relay, the store is not watched for some seconds after a watch of it failed,
     /// whichever kind of object is requested.
-    void watch(const platform::WatchRequest &watch, core::Duration margin,
-               http::ControlClient::Handler handler);
+    void watch(const platform::WatchRequest &watch, core::Duration margin, AnswerHandler handler);
     /// Sets the daemons through which to watch; without a relay the store is watched directly.
     void setRelays(const std::optional<net::Address> &relay,
                    const std::optional<net::Address> &spare);
@@ -68,6 +68,7 @@
     {
         net::HttpRequest request;
         core::Duration timeout {};
+        core::Duration wait {}; ///< Of a watch; zero for other calls.
     };
     struct Relay
     {
@@ -83,22 +84,23 @@
         }
     };
 
+    /// Sends a request and reports when it was sent with the answer.
+    void send(const net::Address &receiver, const TimedRequest &timed, AnswerHandler handler);
     void watchAtRelay(Relay &relay, const platform::WatchRequest &watch, core::Duration margin,
-                      http::ControlClient::Handler handler);
+                      AnswerHandler handler);
     void watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
-                       http::ControlClient::Handler handler);
+                       AnswerHandler handler);
     void suspendRelay(Relay &relay, bool isStoreLost);
     std::optional<net::Address> usablePeer() const;
-    using StoreCall = std::function<void(http::ControlClient::Handler)>;
+    using StoreCall = std::function<void(AnswerHandler)>;
     /// Calls the store, or a peer that the store serves while it rejects this daemon.
     void callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
-                              http::ControlClient::Handler handler);
+                              AnswerHandler handler);
     static TimedRequest timedRequest(const platform::WatchRequest &watch, core::Duration margin);
     /// Watches at the store itself, and once more if the watch is cut off.
     void watchStore(const platform::WatchRequest &watch, core::Duration margin,
-                    http::ControlClient::Handler handler);
-    void callPeer(const net::Address &peer, const TimedRequest &timed,
-                  http::ControlClient::Handler handler);
+                    AnswerHandler handler);
+    void callPeer(const net::Address &peer, const TimedRequest &timed, AnswerHandler handler);
 
     http::ControlClient &m_controlClient;
     net::TimerService &m_timers;
--- a/src/libs/gateway/watchrelay.cpp
+++ b/src/libs/gateway/watchrelay.cpp
@@ -3,6 +3,7 @@
 #include "gateway/storetransport.h"
 #include "platform/watchcodec.h"
 
+#include <algorithm>
 #include <iterator>
 
 namespace jackdawlead::gateway {
@@ -40,9 +41,11 @@
         rejectWaiters(feed);
 }
 
-void WatchRelay::resetHistory(platform::ObjectKind kind, const core::StorePosition &position)
+void WatchRelay::resetHistory(platform::ObjectKind kind, const core::StorePosition &position,
+                              core::TimePoint asOf)
 {
     Feed &feed = m_feeds[kind];
+    feed.asOf = std::max(feed.asOf, asOf);
     feed.history.reset(position);
     feed.isStoreReachable = feed.isDirect = true;
     feed.updatedAt = m_timers.now();
@@ -55,6 +58,7 @@
 {
     Feed &feed = m_feeds[kind];
     feed.history.append(events.position, events.events);
+    feed.asOf = std::max(feed.asOf, events.asOf);
     feed.isStoreReachable = feed.isDirect = true;
     feed.updatedAt = m_timers.now();
     feed.nextWatchDelay = nextWatchDelay;
@@ -93,7 +97,8 @@
         exchange->respond(410, platform::storeResponseFields(newest.era), {});
         return;
     }
-    const Waiter waiter {exchange, since, m_timers.now() + watch.wait};
+    const core::TimePoint now = m_timers.now();
+    const Waiter waiter {exchange, since, now, now + watch.wait};
     if (!respondIfDue(feed, waiter, false))
         feed.waiters.push_back(waiter);
 }
@@ -119,8 +124,9 @@
     // A daemon that watched the store itself may be ahead.
     events.position = waiter.since.isAfter(newest) ? waiter.since : newest;
     events.sinceEra = waiter.since.era;
+    events.asOf = feed.asOf;
     waiter.exchange->respond(200, platform::storeResponseFields(newest.era),
-                             platform::encodeEvents(events));
+                             platform::encodeEvents(events, waiter.arrivedAt));
     return true;
 }
 
--- a/src/libs/gateway/watchrelay.h
+++ b/src/libs/gateway/watchrelay.h
@@ -28,8 +28,10 @@
     void activate(bool hasDirectHistory);
     void deactivate();
 
-    /// Resets the history after a complete list; earlier changes are not known.
-    void resetHistory(platform::ObjectKind kind, const core::StorePosition &position);
+    /// Resets the history after a complete list, which includes the changes before `asOf`; earlier
+    /// changes are not known.
+    void resetHistory(platform::ObjectKind kind, const core::StorePosition &position,
+                      core::TimePoint asOf);
     /// Records the result of a watch, or the changes between two lists, with those changes that are
     /// relevant to other daemons; the next watch begins after `nextWatchDelay`.
     void recordWatchResult(platform::ObjectKind kind, const platform::ObjectEvents &events,
@@ -45,6 +47,7 @@
     {
         std::shared_ptr<http::ServerExchange> exchange;
         core::StorePosition since;
+        core::TimePoint arrivedAt;
         core::TimePoint until;
     };
     struct Feed
@@ -55,7 +58,8 @@
         ChangeHistory history {maxBatches};
         bool isDirect = false; ///< The known state came directly from the store.
         bool isStoreReachable = false;
-        core::TimePoint updatedAt;
+        core::TimePoint updatedAt; ///< When the last answer of the store was read.
+        core::TimePoint asOf;      ///< All changes that were made before it are known.
         core::Duration nextWatchDelay {};
         std::list<Waiter> waiters;
     };
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -120,7 +120,19 @@
     return text.empty() ? era : core::StoreEra(integerOf<std::uint64_t>(parseJson(text)));
 }
 
-ObjectEvents decodeEvents(std::string_view text, core::StoreEra era)
+// A relay answers from its own state, which may be older or newer than the watch.
+core::TimePoint decodeAsOf(std::string_view text, const StoreAnswer &answer)
+{
+    // Relays of the previous release don't state it; they answer as long as their last update is
+    // not older than this.
+    constexpr core::Duration maxUnstatedAge = std::chrono::seconds(3);
+    const std::string_view relayed = memberText(text, relayedAsOfField);
+    if (relayed.empty())
+        return answer.sentAt - maxUnstatedAge;
+    return answer.sentAt + std::chrono::milliseconds(integerOf<std::int64_t>(parseJson(relayed)));
+}
+
+ObjectEvents decodeEvents(std::string_view text, core::StoreEra era, const StoreAnswer &answer)
 {
     ObjectEvents events;
     events.events
@@ -132,7 +144,10 @@
     events.position = decodeCurrentPosition(text, era);
     const std::string_view relayedEra = memberText(text, relayedSinceEraField);
     events.sinceEra = decodeEra(relayedEra, era);
-    events.isRelayed = !relayedEra.empty();
+    if (!relayedEra.empty())
+        events.asOf = decodeAsOf(text, answer);
+    else
+        events.asOf = events.events.empty() ? answer.waitedUntil : answer.sentAt;
     return events;
 }
 
@@ -267,8 +282,11 @@
 
 void ObjectStoreClient::sendWatch(const WatchRequest &watch, Handler<ObjectEvents> handler)
 {
-    m_watchTransport(watch, watchMargin, [this, handler = std::move(handler)](auto response) {
-        auto events = decodeResponse<ObjectEvents>(response, decodeEvents);
+    m_watchTransport(watch, watchMargin, [this, handler = std::move(handler)](auto answer) {
+        auto events = decodeResponse<ObjectEvents>(
+            answer.response, [&answer](std::string_view text, core::StoreEra era) {
+                return decodeEvents(text, era, answer);
+            });
         if (events.ok())
             recordPosition(events->position);
         handler(std::move(events));
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -46,7 +46,7 @@
     core::StorePosition position; ///< Position from which the next watch continues.
     /// Era of the position that the events follow. The store's own events never cross eras.
     core::StoreEra sinceEra;
-    bool isRelayed = false; ///< A relay answered, whose state may be older than the watch.
+    core::TimePoint asOf; ///< All changes that were made before it are included.
 };
 
 /// Result of a conditional write; not written if the object differs from the expected one.
@@ -69,6 +69,17 @@
     bool mustBeCurrent = false;
 };
 
+/// The answer to a call, and when it can have been written at the earliest. When it was read tells
+/// nothing about that, because the store, the network or this process may have delayed it.
+struct StoreAnswer
+{
+    absl::StatusOr<http::Response> response;
+    core::TimePoint sentAt; ///< Of the call.
+    /// When the wait of a watch was over, if that is past; a watch that reports no changes is not
+    /// answered before. Otherwise the same as sentAt.
+    core::TimePoint waitedUntil;
+};
+
 /// The path of the store for objects of a kind.
 std::string collectionPath(ObjectKind kind);
 
@@ -89,7 +100,7 @@
 
     /// Sends one watch; it ends `margin` after its wait at the latest.
     using WatchTransport = std::function<void(const WatchRequest &, core::Duration margin,
-                                              http::ControlClient::Handler)>;
+                                              std::function<void(StoreAnswer)>)>;
 
     ObjectStoreClient(Transport transport, WatchTransport watchTransport);
 
--- a/src/libs/platform/watchcodec.cpp
+++ b/src/libs/platform/watchcodec.cpp
@@ -79,16 +79,18 @@
     return std::nullopt;
 }
 
-std::string encodeEvents(const ObjectEvents &events)
+std::string encodeEvents(const ObjectEvents &events, core::TimePoint arrivedAt)
 {
     nlohmann::json list = nlohmann::json::array();
     for (const ObjectEvent &event : events.events)
         list.push_back({{"removed", event.isRemoved},
                         {relayedEraField, event.object.position.era.value()},
                         {"object", encodeObject(event.object)}});
+    const auto asOf = std::chrono::floor<std::chrono::milliseconds>(events.asOf - arrivedAt);
     return nlohmann::json {{"events", list},
                            {"current_rev", events.position.revision},
-                           {relayedSinceEraField, events.sinceEra.value()}}
+                           {relayedSinceEraField, events.sinceEra.value()},
+                           {relayedAsOfField, asOf.count()}}
         .dump();
 }
 
--- a/src/libs/platform/watchcodec.h
+++ b/src/libs/platform/watchcodec.h
@@ -12,6 +12,9 @@
 /// follow. They differ from the era of the response if the events cross eras.
 inline constexpr char relayedEraField[] = "era";
 inline constexpr char relayedSinceEraField[] = "since_era";
+/// Another one: milliseconds from the arrival of the watch at the relay to the time up to which the
+/// relay knows all changes; negative if that was earlier.
+inline constexpr char relayedAsOfField[] = "as_of_ms";
 
 /// Formats the request target of a watch of the store: path and parameters.
 std::string formatWatchTarget(const WatchRequest &watch);
@@ -19,7 +22,7 @@
 std::string formatRelayWatchTarget(const WatchRequest &watch);
 /// Parses the request target of a watch at a relay; nullopt if it belongs to another call.
 std::optional<WatchRequest> parseRelayWatchTarget(std::string_view target);
-/// Encodes the body of a relay's response to a watch.
-std::string encodeEvents(const ObjectEvents &events);
+/// Encodes the body of a relay's response to a watch that arrived at `arrivedAt`.
+std::string encodeEvents(const ObjectEvents &events, core::TimePoint arrivedAt);
 
 } // namespace jackdawlead::platform
--- a/tests/auto/storecontact/tst_storecontact.cpp
+++ b/tests/auto/storecontact/tst_storecontact.cpp
@@ -73,12 +73,24 @@
     cr_assert_eq(fixture.contact.reappearanceEnd(), at(10) + reappearanceTime);
 }
 
-// Guards against announcements that count as older than they can be: the grace of a new adapter
-// version ended when it was learned, because the watch that brought it had waited.
-Test(storecontact, changesAreYoungerThanTheAnswerBefore)
+// Guards against announcements that count as younger than they can be: an answer that arrives late
+// does not show what changed since it was written.
+Test(storecontact, changesAreYoungerThanTheStateBefore)
 {
     Fixture fixture;
-    fixture.contact.recordSuccess(at(4), at(2254));
-    fixture.contact.recordSuccess(at(2254), at(4500));
-    cr_assert_eq(fixture.contact.changedAfter(), at(2254));
+    fixture.contact.recordSuccess(at(2250), at(4254)); // Written at 2250 and two seconds late.
+    fixture.contact.recordSuccess(at(4254), at(4500));
+    cr_assert_eq(fixture.contact.changedAfter(), at(2250));
+    cr_assert_eq(fixture.contact.confirmedAt(), at(4254));
+}
+
+// Guards against a list of several pages whose objects count as announced since its first page.
+Test(storecontact, pagesOfAListDoNotConfirmEachOther)
+{
+    StoreContact contact {{milliseconds(1200), reappearanceTime}};
+    contact.recordSuccess(contact.confirmedAt(), at(4));
+    contact.recordSuccess(contact.confirmedAt(), at(8));
+    contact.recordSuccess(at(0), at(12));
+    cr_assert_eq(contact.changedAfter(), core::TimePoint());
+    cr_assert_eq(contact.confirmedAt(), at(0));
 }
--- a/tests/auto/watchrelay/relayfixture.h
+++ b/tests/auto/watchrelay/relayfixture.h
@@ -62,6 +62,7 @@
 {
     fleet::Bounds bounds;
     bounds.configuration = bounds.drain = std::chrono::seconds(3);
+    bounds.version = std::chrono::seconds(5);
     return bounds;
 }
 
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -180,3 +180,41 @@
     fixture.runLoopFor(milliseconds(100));
     cr_assert_eq(fixture.followerStoreCalls(), before);
 }
+
+// Guards against an older adapter version that is used past its bound of 5 s because the answers of
+// the store reach the relay late: a follower then took an announcement for as recent as the last
+// answer of its relay.
+Test(watchrelay, lateAnswersDoNotExtendTheUseOfAnOldVersion, .timeout = 120)
+{
+    constexpr core::Duration bound = std::chrono::seconds(5);
+    constexpr int announcements = 80;
+    struct Announcement
+    {
+        fleet::AdapterKey key;
+        core::TimePoint at;
+    };
+    Fixture fixture;
+    fixture.store.delayWatchAnswers("versions", milliseconds(2200), 2);
+    std::vector<Announcement> superseding;
+    const auto checkRequired = [&] {
+        const core::TimePoint now = fixture.timers.now();
+        std::erase_if(superseding, [&](const Announcement &announcement) {
+            const bool isRequired
+                = fixture.follower.watch.lowestAllowedVersion(announcement.key).value_or(0) == 2;
+            cr_assert(isRequired || now - announcement.at <= bound, "%s: %.2f s after it",
+                      announcement.key.toString().c_str(), core::toSeconds(now - announcement.at));
+            return isRequired;
+        });
+        return superseding.empty();
+    };
+    for (int number = 0; number < announcements; ++number) {
+        const std::string adapter = "a" + std::to_string(number);
+        fixture.store.put("versions", "m." + adapter,
+                          {{"model", "m"}, {"adapter", adapter}, {"version", 2}});
+        superseding.push_back(
+            {{core::ModelId("m"), core::AdapterId(adapter)}, fixture.timers.now()});
+        fixture.runLoopFor(milliseconds(430));
+        checkRequired();
+    }
+    cr_assert(fixture.waitUntil(checkRequired, 2 * bound));
+}
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -231,10 +231,29 @@
     }
     if (events.empty() && !isOver)
         return false;
-    respond(*watch.exchange, 200, {{"events", events}, {"current_rev", m_contents.revision}});
+    const json body {{"events", events}, {"current_rev", m_contents.revision}};
+    const core::Duration delay = nextDelay(watch.kind);
+    if (delay == core::Duration::zero()) {
+        respond(*watch.exchange, 200, body);
+        return true;
+    }
+    m_lateAnswerTimers.push_back(m_timers.once(
+        delay, [this, exchange = watch.exchange, body] { respond(*exchange, 200, body); }));
     return true;
 }
 
+void FakeStore::delayWatchAnswers(const std::string &kind, core::Duration delay, int period)
+{
+    m_lateAnswers = {kind, delay, period};
+}
+
+core::Duration FakeStore::nextDelay(const std::string &kind)
+{
+    const bool isLate = m_lateAnswers.period > 0 && kind == m_lateAnswers.kind
+        && ++m_lateAnswers.count % m_lateAnswers.period == 0;
+    return isLate ? m_lateAnswers.delay : core::Duration::zero();
+}
+
 void FakeStore::watch(const std::string &kind, std::uint64_t since, int waitMilliseconds,
                       const std::shared_ptr<http::ServerExchange> &exchange)
 {
@@ -356,8 +375,8 @@
     }
     if (target == "/-/report") {
         json adapters = json::array();
-        for (const auto &[adapter, isHeld] : m_adapters)
-            adapters.push_back(adapter + "@1");
+        for (const auto &[adapter, version] : m_adapters)
+            adapters.push_back(adapter + "@" + std::to_string(version));
         const json models
             = json::array({{{"name", model}, {"version", 1}, {"adapters", adapters}}});
         respondJson(
@@ -373,14 +392,24 @@
     }
     const std::string requestedModel = exchange->head.headers.value("Model");
     const std::size_t slash = requestedModel.find('/');
-    if (slash != std::string::npos && !m_adapters.contains(requestedModel.substr(slash + 1))) {
-        exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
-        return;
+    if (slash != std::string::npos) {
+        const int held = heldVersion(requestedModel.substr(slash + 1));
+        const std::string expected = exchange->head.headers.value("Expect-Version");
+        if (held == 0 || (!expected.empty() && expected != std::to_string(held))) {
+            exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
+            return;
+        }
     }
     runs.push_back(exchange->head.headers.value("Request-Id"));
     run(exchange);
 }
 
+int FakeEndpoint::heldVersion(const std::string &adapter) const
+{
+    const auto held = m_adapters.find(adapter);
+    return held == m_adapters.end() ? 0 : held->second;
+}
+
 void FakeEndpoint::order(const Exchange &exchange)
 {
     const json body = json::parse(exchange->body);
@@ -394,7 +423,7 @@
     const auto adapter = body.value("adapter", std::string());
     if (body.at("operation") == "load") {
         ++loads;
-        m_adapters[adapter] = true;
+        m_adapters[adapter] = body.value("version", newestVersion ? newestVersion(adapter) : 1);
         exchange->respond(202, withNotices({}), {});
         return;
     }
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -32,6 +32,9 @@
     void resumeWatches();
     /// Closes the connections of the waiting watches without a response, in an orderly way.
     void cutWatches();
+    /// From now on the answers to a part of the watches of a kind arrive late: every `period`th one
+    /// after `delay`, with the changes up to the time at which it was due.
+    void delayWatchAnswers(const std::string &kind, core::Duration delay, int period);
     /// Number of watches requested so far.
     int watches() const { return m_watchCount; }
     /// Number of lists requested so far, of all kinds.
@@ -75,6 +78,13 @@
         std::shared_ptr<http::ServerExchange> exchange;
         net::TimerService::Subscription timeout;
     };
+    struct LateAnswers
+    {
+        std::string kind;
+        core::Duration delay {};
+        int period = 0; ///< Zero if no answer is late.
+        int count = 0;  ///< Of the watches of the kind that were answered.
+    };
     struct Contents
     {
         std::uint64_t revision = 10;
@@ -88,6 +98,8 @@
                const std::shared_ptr<http::ServerExchange> &exchange);
     void write(const std::string &kind, const std::string &name, http::ServerExchange &exchange);
     bool respondToWatch(const Watch &watch, bool isOver);
+    /// The delay of the next answer to a watch of the kind.
+    core::Duration nextDelay(const std::string &kind);
     void recordChange(const std::string &kind, const nlohmann::json &body);
     void respondToWatches();
     static nlohmann::json encode(const std::string &name, const Object &object);
@@ -107,6 +119,8 @@
     bool m_statesEra = true;
     std::uint64_t m_oldestRevision = 0;
     std::list<Watch> m_watches;
+    LateAnswers m_lateAnswers;
+    std::list<net::TimerService::Subscription> m_lateAnswerTimers;
     int m_watchCount = 0;
     int m_listCount = 0;
     std::vector<std::shared_ptr<http::ServerExchange>> m_unanswered;
@@ -134,6 +148,10 @@
     nlohmann::json record(const std::string &service, const std::string &state = "ready") const;
     /// Handles a request that runs; the default sends a complete, stamped response.
     std::function<void(const Exchange &)> run;
+    /// The newest version of an adapter, which a load without a version fetches; 1 by default.
+    std::function<int(const std::string &adapter)> newestVersion;
+    /// The version at which the endpoint holds the adapter; 0 if it doesn't.
+    int heldVersion(const std::string &adapter) const;
     /// Called with each received order, if set.
     std::function<void(const nlohmann::json &order)> onOrder;
     /// Ids of the requests that ran, in their order.
@@ -168,7 +186,7 @@
     std::unique_ptr<http::Server> m_server;
     int m_startTime = 1;
     int m_orderRevision = 0;
-    std::map<std::string, bool> m_adapters;
+    std::map<std::string, int> m_adapters; ///< With their versions.
 };
 
 } // namespace jackdawlead::testsupport
