Take the failure of one kind of calls for no outage of the store

What callers saw: requests reached an endpoint more than drain_ms after the store had acknowledged that it was gone.

Cause: configuration, endpoints and versions are followed by calls of their own, but each follower judged an outage alone, a relay that had lost one kind was avoided for all, and one failed direct watch kept all kinds from the store for 2.5 s. While the calls for one kind failed, removed endpoints stayed in use for 2.2 s more.

Change: the followers share one record of outages, suspensions hold for the kind that failed unless nothing is answered, and the first answer after failures lets the other kinds ask at once.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -31,11 +31,6 @@
 
 constexpr char configurationName[] = "main";
 
-StoreFollower::Timing timing(const fleet::Bounds &bounds)
-{
-    return {FleetWatch::watchWait(bounds), {bounds.heartbeat, reappearanceTime}};
-}
-
 } // namespace
 
 core::Duration FleetWatch::watchWait(const fleet::Bounds &bounds)
@@ -50,21 +45,21 @@
     , m_recordExpiry(bounds.recordExpiry)
     , m_versionLimits {core::scaled(bounds.version, versionGraceFraction),
                        core::scaled(bounds.version, versionBoundFraction)}
-    , m_configurationFollower(store, timers, relay, platform::ObjectKind::Configuration,
-                              timing(bounds),
+    , m_outage({bounds.heartbeat, reappearanceTime})
+    , m_configurationFollower(shared(store, relay, bounds), platform::ObjectKind::Configuration,
                               [this](const platform::ObjectEvent &event) {
                                   if (!event.isRemoved)
                                       applyConfiguration(event.object);
                                   return true;
                               })
-    , m_endpointFollower(store, timers, relay, platform::ObjectKind::Endpoints, timing(bounds),
+    , m_endpointFollower(shared(store, relay, bounds), platform::ObjectKind::Endpoints,
                          [this](const platform::ObjectEvent &event) {
                              if (!event.isRemoved)
                                  return applyEndpoint(event.object);
                              handleMissingEndpoint(core::EndpointId(event.object.name));
                              return true;
                          })
-    , m_versionFollower(store, timers, relay, platform::ObjectKind::AdapterVersions, timing(bounds),
+    , m_versionFollower(shared(store, relay, bounds), platform::ObjectKind::AdapterVersions,
                         [this](const platform::ObjectEvent &event) {
                             if (!event.isRemoved)
                                 applyVersion(event.object);
@@ -72,6 +67,19 @@
                         })
 { }
 
+StoreFollower::Shared FleetWatch::shared(platform::ObjectStoreClient &store, WatchRelay &relay,
+                                         const fleet::Bounds &bounds)
+{
+    return {store, m_timers, relay, m_outage, [this] { retryFollowers(); }, watchWait(bounds)};
+}
+
+void FleetWatch::retryFollowers()
+{
+    m_configurationFollower.retryNow();
+    m_endpointFollower.retryNow();
+    m_versionFollower.retryNow();
+}
+
 void FleetWatch::start()
 {
     m_configurationFollower.start();
@@ -259,7 +267,7 @@
 {
     if (!m_endpoints.contains(id) || m_missingEndpoints.contains(id))
         return;
-    const core::TimePoint reappearanceEnd = m_endpointFollower.contact().reappearanceEnd();
+    const core::TimePoint reappearanceEnd = m_outage.reappearanceEnd();
     if (m_timers.now() >= reappearanceEnd) {
         removeEndpoint(id);
         return;
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -71,6 +71,10 @@
         core::TimePoint usableAt; ///< If it is back since a restore; the clock's epoch otherwise.
     };
 
+    StoreFollower::Shared shared(platform::ObjectStoreClient &store, WatchRelay &relay,
+                                 const fleet::Bounds &bounds);
+    /// The store answers one kind again, so that the others need not wait any longer.
+    void retryFollowers();
     void applyConfiguration(const platform::StoredObject &object);
     /// Returns whether anything but the contents changed; the coordinator distributes contents.
     bool applyEndpoint(const platform::StoredObject &object);
@@ -91,6 +95,7 @@
     Handlers m_handlers;
     core::Duration m_recordExpiry;
     decisions::VersionLimits m_versionLimits;
+    decisions::StoreOutage m_outage;
     StoreFollower m_configurationFollower;
     StoreFollower m_endpointFollower;
     StoreFollower m_versionFollower;
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -35,16 +35,15 @@
 
 } // namespace
 
-StoreFollower::StoreFollower(platform::ObjectStoreClient &store, net::TimerService &timers,
-                             WatchRelay &relay, platform::ObjectKind kind, const Timing &timing,
-                             EventHandler onEvent)
-    : m_store(store)
-    , m_timers(timers)
-    , m_relay(relay)
+StoreFollower::StoreFollower(const Shared &shared, platform::ObjectKind kind, EventHandler onEvent)
+    : m_store(shared.store)
+    , m_timers(shared.timers)
+    , m_relay(shared.relay)
+    , m_outage(shared.outage)
     , m_kind(kind)
-    , m_watchWait(timing.watchWait)
+    , m_watchWait(shared.watchWait)
+    , m_onRegained(shared.onRegained)
     , m_onEvent(std::move(onEvent))
-    , m_contact(timing.contact)
     , m_random(std::random_device()())
 { }
 
@@ -69,7 +68,7 @@
                      if (!*alive)
                          return;
                      if (!page.ok()) {
-                         handleFailure(page.status(), false);
+                         handleFailure(page.status());
                          return;
                      }
                      if (isFirst)
@@ -157,7 +156,7 @@
     if (callNumber != m_watchNumber)
         return;
     if (!events.ok()) {
-        handleFailure(events.status(), true);
+        handleFailure(events.status());
         return;
     }
     recordSuccess(events->asOf);
@@ -194,25 +193,43 @@
 void StoreFollower::moveTo(const core::StorePosition &position)
 {
     if (m_hasInitialList && position.era != m_position.era)
-        m_contact.recordRestore(m_timers.now());
+        m_outage.recordRestore(m_timers.now());
     m_position = position;
 }
 
 void StoreFollower::recordSuccess(core::TimePoint asOf)
 {
     const bool isRegained = !m_contact.isReachable();
-    m_contact.recordSuccess(asOf, m_timers.now());
+    m_contact.recordSuccess(asOf);
+    m_outage.recordSuccess(m_timers.now());
     if (!isRegained)
         return;
-    const bool mayHaveExpired = m_contact.reappearanceEnd() > m_timers.now();
+    const bool mayHaveExpired = m_outage.reappearanceEnd() > m_timers.now();
     observability::log({.step = "follow store",
                         .message = mayHaveExpired
                             ? "store regained, entries may have expired meanwhile"
                             : "store regained",
                         .peer = platform::collectionPath(m_kind)});
+    m_onRegained();
 }
 
-void StoreFollower::handleFailure(const absl::Status &status, bool isWatch)
+void StoreFollower::retryNow()
+{
+    if (m_contact.isReachable() || !m_nextCallTimer.isActive())
+        return;
+    m_nextCallTimer.cancel();
+    repeatCall();
+}
+
+void StoreFollower::repeatCall()
+{
+    if (m_isListing)
+        listNext();
+    else
+        watchNext();
+}
+
+void StoreFollower::handleFailure(const absl::Status &status)
 {
     const bool isHistoryLost = absl::IsOutOfRange(status);
     if (isHistoryLost) {
@@ -226,15 +243,11 @@
     const auto baseDelay = std::min<core::Duration>(
         minRetryDelay * (1 << std::min(m_contact.failures(), maxDoublings)), maxRetryDelay);
     m_contact.recordFailure();
+    m_outage.recordFailure();
     // Adds up to half of the delay at random, so that daemons do not reconnect at the same time.
     std::uniform_real_distribution<double> spread(1.0, 1.5);
     const auto delay = core::scaled(baseDelay, spread(m_random));
-    m_nextCallTimer = m_timers.once(delay, [this, isWatch] {
-        if (isWatch)
-            watchNext();
-        else
-            listNext();
-    });
+    m_nextCallTimer = m_timers.once(delay, [this] { repeatCall(); });
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/storecontact.h"
+#include "decisions/storeoutage.h"
 #include "gateway/objectindex.h"
 #include "gateway/watchrelay.h"
 #include "net/timerservice.h"
@@ -24,15 +25,20 @@
     /// list are changes. Returns whether the change is relevant to other daemons.
     using EventHandler = std::function<bool(const platform::ObjectEvent &)>;
 
-    struct Timing
+    /// What the followers of all kinds share. Precondition: outlives them.
+    struct Shared
     {
+        platform::ObjectStoreClient &store;
+        net::TimerService &timers;
+        WatchRelay &relay; ///< Receives the results of the watches.
+        decisions::StoreOutage &outage;
+        /// Called when a call succeeds after others failed.
+        std::function<void()> onRegained;
         /// How long a watch waits; a watch that misses a change delays it for that time.
         core::Duration watchWait {};
-        decisions::StoreContact::Limits contact;
     };
 
-    StoreFollower(platform::ObjectStoreClient &store, net::TimerService &timers, WatchRelay &relay,
-                  platform::ObjectKind kind, const Timing &timing, EventHandler onEvent);
+    StoreFollower(const Shared &shared, platform::ObjectKind kind, EventHandler onEvent);
     ~StoreFollower();
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
@@ -43,16 +49,20 @@
     /// The position up to which changes are known.
     const core::StorePosition &position() const { return m_position; }
     const decisions::StoreContact &contact() const { return m_contact; }
+    /// Repeats a failed call at once instead of after its delay.
+    void retryNow();
     /// Asks the store at once for the changes so far, without a relay, unless such a call is in
     /// progress or began just now. contact().confirmedAt() then shows when the call was sent.
     void confirm();
 
 private:
+    /// Sends the call again that failed.
+    void repeatCall();
     void listNext();
     void finishList();
     void watchNext();
     void handleWatchResult(std::uint64_t callNumber, absl::StatusOr<platform::ObjectEvents> events);
-    void handleFailure(const absl::Status &status, bool isWatch);
+    void handleFailure(const absl::Status &status);
     void recordSuccess(core::TimePoint asOf);
     /// Continues from `position`, which may be in a new era.
     void moveTo(const core::StorePosition &position);
@@ -61,9 +71,11 @@
 
     platform::ObjectStoreClient &m_store;
     net::TimerService &m_timers;
-    WatchRelay &m_relay; ///< Receives the results of the watches.
+    WatchRelay &m_relay;
+    decisions::StoreOutage &m_outage;
     platform::ObjectKind m_kind;
     core::Duration m_watchWait;
+    std::function<void()> m_onRegained;
     EventHandler m_onEvent;
     std::vector<platform::StoredObject> m_listedObjects;
     ObjectIndex m_objects;
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -139,15 +139,21 @@
     if (address == next)
         return false;
     address = next;
-    suspendedUntil = {};
+    suspension = {};
     return true;
 }
 
+bool StoreTransport::Suspension::isActive(platform::ObjectKind kind, core::TimePoint now) const
+{
+    const auto ofKind = untilByKind.find(kind);
+    return now < until || (ofKind != untilByKind.end() && now < ofKind->second);
+}
+
 void StoreTransport::watch(const platform::WatchRequest &watch, core::Duration margin,
                            AnswerHandler handler)
 {
     for (Relay *relay : {&m_relay, &m_spareRelay}) {
-        if (!watch.mustBeCurrent && relay->usable(m_timers.now())) {
+        if (!watch.mustBeCurrent && relay->isUsableFor(watch.kind, m_timers.now())) {
             watchAtRelay(*relay, watch, margin, std::move(handler));
             return;
         }
@@ -173,16 +179,23 @@
                  return;
              }
              if (relay.address == relayAddress)
-                 suspendRelay(relay, response.ok() && response->status == storeLostStatus);
+                 suspendRelay(relay, watch.kind, response);
              // The failure of a relay doesn't imply a failure of the store, which counts as
              // unreachable only if the remaining ways fail as well.
              this->watch(watch, margin, handler);
          });
 }
 
-void StoreTransport::suspendRelay(Relay &relay, bool isStoreLost)
+// A relay may lose the store for one kind only: its answers for that kind are late, or its
+// connection for that watch is dead.
+void StoreTransport::suspendRelay(Relay &relay, platform::ObjectKind kind,
+                                  const absl::StatusOr<http::Response> &response)
 {
-    relay.suspendedUntil = m_timers.now() + (isStoreLost ? lostStoreRetryDelay : relayRetryDelay);
+    const bool isStoreLost = response.ok() && response->status == storeLostStatus;
+    if (isStoreLost)
+        relay.suspension.untilByKind[kind] = m_timers.now() + lostStoreRetryDelay;
+    else
+        relay.suspension.until = m_timers.now() + relayRetryDelay;
     observability::log({.level = observability::LogLevel::Warn,
                         .step = "watch store",
                         .message = isStoreLost ? "relay has lost its connection to the store"
@@ -193,10 +206,11 @@
 void StoreTransport::watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
                                    AnswerHandler handler)
 {
-    // While there are relays, one failed watch suspends the watches of all three kinds: in an
-    // outage of 5 s, 195 daemons made thousands of calls when each kind was retried on its own.
+    // While there are relays, a failed watch suspends the watches of all three kinds, unless the
+    // store answers another one: in an outage of 5 s, 195 daemons made thousands of calls when each
+    // kind was retried on its own.
     const bool isPaced = m_relay.address && !m_isRelay && !watch.mustBeCurrent;
-    if (isPaced && m_timers.now() < m_noDirectWatchUntil) {
+    if (isPaced && m_directSuspension.isActive(watch.kind, m_timers.now())) {
         handler({core::makeError(absl::StatusCode::kUnavailable, "watch store", m_store.toString(),
                                  "suspended after a failed watch"),
                  {},
@@ -219,11 +233,25 @@
     // Both relays failed or reported a lost store, so no third daemon is tried, and the wait is
     // short, so that the relays are tried again soon.
     direct.wait = std::min(watch.wait, relayWait);
-    watchStore(direct, relayMargin, [this, handler = std::move(handler)](auto answer) {
-        if (isUnavailable(answer.response))
-            m_noDirectWatchUntil = m_timers.now() + directWatchRetryDelay;
-        handler(std::move(answer));
-    });
+    watchStore(direct, relayMargin,
+               [this, kind = watch.kind, handler = std::move(handler)](auto answer) {
+                   recordDirectWatch(kind, answer);
+                   handler(std::move(answer));
+               });
+}
+
+void StoreTransport::recordDirectWatch(platform::ObjectKind kind,
+                                       const platform::StoreAnswer &answer)
+{
+    const core::TimePoint now = m_timers.now();
+    if (!isUnavailable(answer.response)) {
+        m_directServedAt = now;
+        m_directSuspension.until = {};
+        return;
+    }
+    m_directSuspension.untilByKind[kind] = now + directWatchRetryDelay;
+    if (m_directServedAt < answer.sentAt)
+        m_directSuspension.until = now + directWatchRetryDelay;
 }
 
 StoreTransport::TimedRequest StoreTransport::timedRequest(const platform::WatchRequest &watch,
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -6,6 +6,7 @@
 #include "platform/objectstoreclient.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 
 namespace jackdawlead::gateway {
@@ -29,8 +30,8 @@
     /// Waits for changes: at the relay of the failure domain, at the spare relay if that fails, and
     /// otherwise at the store. Only the failure of the last one is reported to `handler`. A watch
     /// that the store cuts off while it waits is no failure; it is repeated at once. While
-    /// there is a relay, the store is not watched for some seconds after a watch of it failed,
-    /// whichever kind of object is requested.
+    /// there is a relay, the store is not watched for some seconds after a watch of it failed: for
+    /// that kind of object, and for the others too unless it answered one of them meanwhile.
     void watch(const platform::WatchRequest &watch, core::Duration margin, AnswerHandler handler);
     /// Sets the daemons through which to watch; without a relay the store is watched directly.
     void setRelays(const std::optional<net::Address> &relay,
@@ -70,17 +71,29 @@
         core::Duration timeout {};
         core::Duration wait {}; ///< Of a watch; zero for other calls.
     };
+    /// Until when a receiver is not asked, because it failed.
+    struct Suspension
+    {
+        core::TimePoint until; ///< For all kinds of objects.
+        std::map<platform::ObjectKind, core::TimePoint> untilByKind;
+
+        bool isActive(platform::ObjectKind kind, core::TimePoint now) const;
+    };
     struct Relay
     {
         std::optional<net::Address> address;
-        core::TimePoint suspendedUntil; ///< Not used until then, because it failed.
+        Suspension suspension;
 
         /// Returns whether the address changed.
         bool setAddress(const std::optional<net::Address> &next);
         /// The address, unless there is none or the relay failed recently.
         std::optional<net::Address> usable(core::TimePoint now) const
         {
-            return now < suspendedUntil ? std::nullopt : address;
+            return now < suspension.until ? std::nullopt : address;
+        }
+        bool isUsableFor(platform::ObjectKind kind, core::TimePoint now) const
+        {
+            return address && !suspension.isActive(kind, now);
         }
     };
 
@@ -90,7 +103,9 @@
                       AnswerHandler handler);
     void watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
                        AnswerHandler handler);
-    void suspendRelay(Relay &relay, bool isStoreLost);
+    void suspendRelay(Relay &relay, platform::ObjectKind kind,
+                      const absl::StatusOr<http::Response> &response);
+    void recordDirectWatch(platform::ObjectKind kind, const platform::StoreAnswer &answer);
     std::optional<net::Address> usablePeer() const;
     using StoreCall = std::function<void(AnswerHandler)>;
     /// Calls the store, or a peer that the store serves while it rejects this daemon.
@@ -109,7 +124,8 @@
     Relay m_relay;
     Relay m_spareRelay;
     bool m_isRelay = false;
-    core::TimePoint m_noDirectWatchUntil; ///< Direct watches fail until then, after a failure.
+    Suspension m_directSuspension;
+    core::TimePoint m_directServedAt;     ///< When the last direct watch was answered.
     core::TimePoint m_usePeerUntil;       ///< Calls are sent to the peer first until then.
     core::TimePoint m_lostAtPeerAt;       ///< When a peer last reported that it has lost the store.
     core::TimePoint m_peerSuspendedUntil; ///< No peer is used until then: the store rejected it.
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -218,3 +218,34 @@
     }
     cr_assert(fixture.waitUntil(checkRequired, 2 * bound));
 }
+
+// Guards against an endpoint that stays in use past its bound of 3 s because the watches of another
+// kind fail: that counted as an outage of the store, in which entries may expire, and kept all
+// watches away from the relay and the store.
+Test(watchrelay, failedWatchesOfAnotherKindDelayNoRemoval, .timeout = 120)
+{
+    constexpr core::Duration bound = std::chrono::seconds(3);
+    constexpr int endpoints = 8;
+    Fixture fixture;
+    const auto nameOf = [](int number) { return "leaving" + std::to_string(number); };
+    for (int number = 0; number < endpoints; ++number)
+        fixture.store.put("servers", nameOf(number), fixture.endpoint.record("plain"));
+    fixture.runLoopFor(milliseconds(2000));
+    cr_assert_eq(fixture.follower.watch.endpoints().size(), endpoints + 1);
+    for (const std::string kind : {"versions", "config"}) {
+        fixture.store.setSilentKind(kind);
+        fixture.runLoopFor(milliseconds(2500));
+        for (int number = 0; number < endpoints / 2; ++number) {
+            const std::string name = nameOf(number + (kind == "config" ? endpoints / 2 : 0));
+            const core::EndpointId id(name);
+            fixture.store.remove("servers", name);
+            const core::TimePoint removedAt = fixture.timers.now();
+            cr_assert(fixture.waitUntil(
+                [&] { return fixture.follower.watch.endpoint(id) == nullptr; }, 2 * bound));
+            cr_expect_leq(fixture.timers.now() - removedAt, bound, "%s, %s silent: %.2f s",
+                          name.c_str(), kind.c_str(),
+                          core::toSeconds(fixture.timers.now() - removedAt));
+            fixture.runLoopFor(milliseconds(330));
+        }
+    }
+}
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -424,6 +424,34 @@
     other.expectOnlyViolationsOf(Check::ProcessUp);
 }
 
+// Guards against a checker that misses a run on a superseded version of an adapter, or reports one
+// within the bound, one of a daemon that was disturbed, or time in which the store did not serve.
+Test(soakchecker, supersededAdapterVersionIsDetected)
+{
+    const core::AdapterId adapter("a1");
+    CheckerFixture fixture;
+    fixture.checker.versionAnnounced(adapter, 2, fixture.now);
+    fixture.checker.versionAnnounced(adapter, 3, fixture.now + seconds(3));
+    const auto runAfter = [&](CheckerFixture &used, milliseconds time, int version) {
+        const auto id
+            = used.send("r" + std::to_string(time.count()) + "." + std::to_string(version),
+                        RequestKind::Repeatable, "/get/");
+        used.checker.adapterRan(id, adapter, version, used.now + time);
+    };
+    runAfter(fixture, milliseconds(5000), 1);
+    runAfter(fixture, milliseconds(7900), 2);
+    runAfter(fixture, milliseconds(9000), 3);
+    fixture.checker.storeDisturbed(true, fixture.now);
+    fixture.checker.storeDisturbed(false, fixture.now + seconds(1));
+    runAfter(fixture, milliseconds(6000), 1);
+    fixture.expectNoViolation();
+    runAfter(fixture, milliseconds(8100), 2);
+    cr_assert_eq(fixture.checker.violations().size(), 1);
+    runAfter(fixture, milliseconds(6001), 1);
+    fixture.expectOnlyViolationsOf(Check::AdapterVersion);
+    cr_assert_eq(fixture.checker.violations().size(), 2);
+}
+
 // Guards against daemons that break a rule under overlapping faults: one short soak with a fixed
 // seed. scripts/soak runs other seeds.
 Test(soak, shortSoakFindsNoViolation, .timeout = 120)
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -188,6 +188,10 @@
     const std::size_t slash = path.find('/');
     const std::string kind = path.substr(0, slash);
     const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    if (!m_silentKind.empty() && kind == m_silentKind) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
     auto query = queryOf(target);
     const std::string &method = exchange->head.method;
     if (method != "GET" && method != "DELETE") {
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -32,6 +32,8 @@
     void resumeWatches();
     /// Closes the connections of the waiting watches without a response, in an orderly way.
     void cutWatches();
+    /// While set, calls that concern this kind of object get no answer; empty for none.
+    void setSilentKind(const std::string &kind) { m_silentKind = kind; }
     /// From now on the answers to a part of the watches of a kind arrive late: every `period`th one
     /// after `delay`, with the changes up to the time at which it was due.
     void delayWatchAnswers(const std::string &kind, core::Duration delay, int period);
@@ -119,6 +121,7 @@
     bool m_statesEra = true;
     std::uint64_t m_oldestRevision = 0;
     std::list<Watch> m_watches;
+    std::string m_silentKind;
     LateAnswers m_lateAnswers;
     std::list<net::TimerService::Subscription> m_lateAnswerTimers;
     int m_watchCount = 0;
