Soak: new adapter versions, late answers to watches, up to 60 daemons

Six of the adapters are announced at new versions each 0.3 to 2.5 s, also before an earlier version is required, and loads fetch the newest version. The new check adapter-version counts from the acknowledgement at the store to the begin of the run at the endpoint. The answers to half of the watches of versions arrive 0.5 to 2.2 s late for some seconds.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -13,7 +13,6 @@
 constexpr double reuseShare = 0.8;           ///< Of requests, on a connection that is already open.
 constexpr double changeableRouteShare = 0.4; ///< Of requests, on routes that are added and removed.
 constexpr double adapterShare = 0.3;     ///< Of streams, for an adapter that must be loaded first.
-constexpr int adapters = 16;             ///< More than all endpoints have slots for.
 constexpr double disconnectShare = 0.04; ///< Of requests, aborted by their caller.
 constexpr int maxTakeUps = 3;            ///< Of one stream.
 constexpr core::Duration minTimeForTakeUp = milliseconds(300);
@@ -75,7 +74,7 @@
     attempt.request.deadline = m_random.duration(milliseconds(2500), milliseconds(4000));
     attempt.request.timeLeft = std::min(attempt.request.deadline, route.timeout);
     attempt.model = m_random.chance(adapterShare)
-        ? "base/a" + std::to_string(m_random.number(1, adapters))
+        ? "base/a" + std::to_string(m_random.number(1, adapterCount))
         : "base";
     return attempt;
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -14,6 +14,9 @@
 
 namespace jackdawlead::soak {
 
+/// Number of adapters, named a1 and so on: more than all endpoints have slots for.
+inline constexpr int adapterCount = 16;
+
 /// A route that callers send requests to.
 struct TargetRoute
 {
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -42,13 +42,21 @@
 std::string nameOf(Check check)
 {
     static const std::map<Check, std::string> names {
-        {Check::OwnAnswer, "own-answer"},       {Check::WholeAnswer, "whole-answer"},
-        {Check::RunOnce, "run-once"},           {Check::NotRun, "not-run"},
-        {Check::StreamEvents, "stream-events"}, {Check::TakeUp, "take-up"},
-        {Check::LeftEndpoint, "left-endpoint"}, {Check::LeftCaller, "left-caller"},
-        {Check::Deadline, "deadline"},          {Check::ConfigurationOrder, "configuration-order"},
-        {Check::PlannedStop, "planned-stop"},   {Check::OneHolder, "one-holder"},
-        {Check::RequestLimit, "request-limit"}, {Check::InTime, "in-time"},
+        {Check::OwnAnswer, "own-answer"},
+        {Check::WholeAnswer, "whole-answer"},
+        {Check::RunOnce, "run-once"},
+        {Check::NotRun, "not-run"},
+        {Check::StreamEvents, "stream-events"},
+        {Check::TakeUp, "take-up"},
+        {Check::LeftEndpoint, "left-endpoint"},
+        {Check::LeftCaller, "left-caller"},
+        {Check::Deadline, "deadline"},
+        {Check::ConfigurationOrder, "configuration-order"},
+        {Check::PlannedStop, "planned-stop"},
+        {Check::OneHolder, "one-holder"},
+        {Check::RequestLimit, "request-limit"},
+        {Check::InTime, "in-time"},
+        {Check::AdapterVersion, "adapter-version"},
         {Check::ProcessUp, "process-up"},
     };
     return names.at(check);
@@ -324,6 +332,34 @@
     process.minVersion = std::max(process.minVersion, route.added);
 }
 
+void Checker::versionAnnounced(const core::AdapterId &adapter, int version, core::TimePoint at)
+{
+    m_announcedVersions[adapter].emplace(version, at);
+}
+
+void Checker::adapterRan(const core::RequestId &id, const core::AdapterId &adapter, int version,
+                         core::TimePoint at)
+{
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end() || !m_announcedVersions.contains(adapter))
+        return;
+    const Request &request = found->second;
+    if (!isUndisturbed(m_processes.at(request.sent.incarnation), at))
+        return;
+    count(Check::AdapterVersion);
+    const auto &announced = m_announcedVersions.at(adapter);
+    const auto next = announced.upper_bound(version);
+    if (next == announced.end())
+        return;
+    // The time counts in one stretch in which the store served.
+    const core::Duration late = at - std::max(next->second, m_storeDisturbedUntil);
+    if (late > m_bounds.version)
+        addViolation(Check::AdapterVersion, request,
+                     "ran on version " + std::to_string(version) + " of " + adapter.value() + ", "
+                         + std::to_string(core::toSeconds(late)) + " s after version "
+                         + std::to_string(next->first) + " was announced");
+}
+
 void Checker::answerInterrupted(const core::RequestId &id)
 {
     if (const auto request = m_requests.find(id); request != m_requests.end())
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -47,6 +47,8 @@
     OneHolder,          ///< One holder at a time issues orders; its token never decreases.
     RequestLimit,       ///< An endpoint gets at most one and a half times its request limit, and
                         ///< five requests, in 4 s from daemons that have received the limit.
+    AdapterVersion,     ///< No request runs on a version of its adapter that was superseded longer
+                        ///< ago than the bound.
     InTime,             ///< Each request is answered at most half a second after its time limit.
     ProcessUp           ///< No process exits unless the soak stops or kills it.
 };
@@ -58,8 +60,8 @@
     Check::LeftEndpoint, Check::LeftCaller,
     Check::Deadline,     Check::ConfigurationOrder,
     Check::PlannedStop,  Check::OneHolder,
-    Check::RequestLimit, Check::InTime,
-    Check::ProcessUp,
+    Check::RequestLimit, Check::AdapterVersion,
+    Check::InTime,       Check::ProcessUp,
 };
 
 std::string nameOf(Check check);
@@ -71,6 +73,7 @@
     core::Duration drain = std::chrono::seconds(3);
     core::Duration configuration = std::chrono::seconds(3);
     core::Duration grace = std::chrono::seconds(8);
+    core::Duration version = std::chrono::seconds(5);
 };
 
 struct SentRequest
@@ -144,6 +147,8 @@
     /// The store has acknowledged a version that adds `added` and removes `removed`.
     void configurationWritten(ConfigurationVersion version, const std::vector<std::string> &added,
                               const std::vector<std::string> &removed, core::TimePoint at);
+    /// The store has acknowledged a version of an adapter; versions of one adapter increase.
+    void versionAnnounced(const core::AdapterId &adapter, int version, core::TimePoint at);
     /// The store has acknowledged that the endpoint leaves.
     void endpointLeaving(const core::EndpointId &endpoint, core::TimePoint at);
     /// The endpoint announces another request limit from now on, or none.
@@ -160,6 +165,9 @@
     void requestReceived(const core::RequestId &id, const core::EndpointId &endpoint,
                          core::Duration deadline, core::TimePoint at);
     void requestRan(const core::RequestId &id, const core::EndpointId &endpoint);
+    /// A request begins to run on this version of its adapter.
+    void adapterRan(const core::RequestId &id, const core::AdapterId &adapter, int version,
+                    core::TimePoint at);
     /// The endpoint interrupts its answer or stops sending.
     void answerInterrupted(const core::RequestId &id);
     /// An endpoint has received an order. Orders shortly after a frozen process resumed are not
@@ -226,6 +234,7 @@
     std::map<ProcessIncarnation, ProcessState> m_processes;
     std::map<std::string, Route> m_routes;
     std::vector<std::pair<ConfigurationVersion, core::TimePoint>> m_acknowledgedVersions;
+    std::map<core::AdapterId, std::map<int, core::TimePoint>> m_announcedVersions;
     std::map<core::EndpointId, core::TimePoint> m_leavingEndpoints;
     std::map<core::EndpointId, Limit> m_limits;
     std::map<core::RequestId, Request> m_requests;
--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -65,7 +65,8 @@
         << "\nbounds.drain_ms=" << inMilliseconds(m_bounds.drain)
         << "\nbounds.grace_s=" << core::toSeconds(m_bounds.grace)
         << "\nbounds.config_ms=" << inMilliseconds(m_bounds.configuration)
-        << "\nbounds.version_ms=5000\nbounds.lease_ms=3000\nbounds.budget_window_s=10\n"
+        << "\nbounds.version_ms=" << inMilliseconds(m_bounds.version)
+        << "\nbounds.lease_ms=3000\nbounds.budget_window_s=10\n"
            "bounds.budget_ratio=0.2\nbounds.budget_slack=400\nbootstrap=false\n";
 }
 
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -117,6 +117,10 @@
                     core::FencingToken(order.at("fencing_token").get<std::uint64_t>()),
                     m_schedule.now());
             };
+            endpoint->fake->newestVersion = [this](const std::string &adapter) {
+                const auto newest = m_newestVersions.find(adapter);
+                return newest == m_newestVersions.end() ? 1 : newest->second;
+            };
             endpoint->fake->softwareVersion = "v" + std::to_string(1 + number % 2);
             writeRecord(endpoint->fake->id, endpoint->fake->record(service));
             m_endpoints.push_back(std::move(endpoint));
@@ -311,6 +315,12 @@
         return;
     }
     m_checker.requestRan(id, endpointId);
+    const std::string model = exchange->head.headers.value("Model");
+    if (const std::size_t slash = model.find('/'); slash != std::string::npos) {
+        const core::AdapterId adapter(model.substr(slash + 1));
+        m_checker.adapterRan(id, adapter, endpoint.fake->heldVersion(adapter.value()),
+                             m_schedule.now());
+    }
     std::erase_if(endpoint.openExchanges, [](const auto &entry) { return entry.second.expired(); });
     endpoint.openExchanges.emplace_back(id, exchange);
     if (exchange->head.headers.contains("Model"))
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -57,6 +57,11 @@
     bool crash();
     /// Lets the endpoints of one service announce request limits, change them and lift them.
     bool limitRequests();
+    /// Sets the newest version of an adapter, which loads fetch from now on.
+    void setNewestVersion(const core::AdapterId &adapter, int version)
+    {
+        m_newestVersions[adapter.value()] = version;
+    }
     /// Repeats what the endpoints wrote to the store and its copy lacks.
     void writeLostRecords();
 
@@ -106,6 +111,7 @@
     FaultCounts &m_faults;
     testsupport::PortPicker m_picker;
     std::map<std::string, nlohmann::json> m_records; ///< As last written; null if removed.
+    std::map<std::string, int> m_newestVersions;     ///< By adapter; 1 if missing.
     std::vector<std::unique_ptr<Endpoint>> m_endpoints;
     std::unique_ptr<DuplicatingEndpoint> m_duplicating;
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,7 +14,7 @@
 
 /// In a shorter soak there is only one series of faults, which does not lead to each kind of check.
 constexpr int minSeconds = 30;
-constexpr int maxDaemons = 16;
+constexpr int maxDaemons = 60;
 constexpr int maxCallers = 500; ///< Keeps their connections below the usual limit of open files.
 
 int runSoak(const jackdawlead::soak::SoakOptions &soakOptions)
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds maxCopyPeriod {9000};
 constexpr core::Duration rewriteDelay = milliseconds(200);
 constexpr std::size_t maxShownViolations = 10;
+constexpr char versionKind[] = "versions";
+constexpr int announcedAdapters = 6; ///< Of all adapters; few, so that each is announced often.
 
 TargetRoute permanentRoute(const std::string &prefix, RequestKind kind, milliseconds timeout)
 {
@@ -56,6 +58,7 @@
     , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers)
     , m_faultRandom(options.seed * 10 + 5)
     , m_configurationRandom(options.seed * 10 + 6)
+    , m_versionRandom(options.seed * 10 + 7)
     , m_kinds(faultKinds())
     , m_permanentRoutes {permanentRoute("/get/", RequestKind::Repeatable, milliseconds(4000)),
                          permanentRoute("/order/", RequestKind::Unrepeatable, milliseconds(4000)),
@@ -71,6 +74,7 @@
     writeConfiguration(added, {});
     m_schedule.after(firstSeriesDelay, [this] { startSeries(); });
     m_schedule.after(firstSeriesDelay, [this] { changeConfiguration(); });
+    m_schedule.after(firstSeriesDelay, [this] { announceVersion(); });
     m_schedule.after(seconds(5), [this] { printProgress(); });
     takeCopies();
     recordHeartbeat();
@@ -114,6 +118,7 @@
         {"store: refuses", [this] { return disturbStore(FakeStore::Mode::Refusing); }},
         {"store: silent", [this] { return disturbStore(FakeStore::Mode::Silent); }},
         {"store: watches hear nothing", [this] { return suspendWatches(); }},
+        {"store: answers to watches late", [this] { return delayWatchAnswers(); }},
         {"store: history forgotten",
          [this] {
              m_store.compactHistory();
@@ -197,6 +202,10 @@
     }
     if (m_store.spec("config", "main") != m_configuration)
         m_store.put("config", "main", m_configuration);
+    for (const auto &[name, record] : m_versions) {
+        if (m_store.spec(versionKind, name) != record)
+            m_store.put(versionKind, name, record);
+    }
     m_endpoints.writeLostRecords();
 }
 
@@ -213,6 +222,38 @@
     return true;
 }
 
+bool SoakRun::delayWatchAnswers()
+{
+    if (std::exchange(m_areAnswersLate, true))
+        return false;
+    constexpr int period = 2;
+    m_store.delayWatchAnswers(
+        versionKind, m_faultRandom.duration(milliseconds(500), milliseconds(2200)), period);
+    m_schedule.after(m_faultRandom.duration(milliseconds(6000), milliseconds(12000)), [this] {
+        m_areAnswersLate = false;
+        m_store.delayWatchAnswers(versionKind, {}, 0);
+    });
+    return true;
+}
+
+// Some adapters are announced again before an earlier version is required.
+void SoakRun::announceVersion()
+{
+    m_schedule.after(m_versionRandom.duration(milliseconds(300), milliseconds(2500)),
+                     [this] { announceVersion(); });
+    if (!m_isStoreServing)
+        return;
+    ++m_faults["adapter: new version"];
+    const std::string adapter = "a" + std::to_string(m_versionRandom.number(1, announcedAdapters));
+    const std::string name = "base." + adapter;
+    const int version
+        = m_versions.contains(name) ? m_versions[name].at("version").get<int>() + 1 : 2;
+    m_versions[name] = {{"model", "base"}, {"adapter", adapter}, {"version", version}};
+    m_endpoints.setNewestVersion(core::AdapterId(adapter), version);
+    m_store.put(versionKind, name, m_versions[name]);
+    m_checker.versionAnnounced(core::AdapterId(adapter), version, m_loop.now());
+}
+
 void SoakRun::changeConfiguration()
 {
     m_schedule.after(m_configurationRandom.duration(milliseconds(800), milliseconds(3000)),
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -7,6 +7,7 @@
 #include "schedule.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,9 @@
     bool restoreStore();
     void takeCopies();
     void writeLostObjects();
+    /// The answers to half of the watches of versions arrive late for some time.
+    bool delayWatchAnswers();
+    void announceVersion();
     void changeConfiguration();
     void writeConfiguration(const std::vector<std::string> &added,
                             const std::vector<std::string> &removed);
@@ -73,6 +77,7 @@
     Callers m_callers;
     RandomSource m_faultRandom;
     RandomSource m_configurationRandom;
+    RandomSource m_versionRandom;
     std::vector<FaultKind> m_kinds;
     /// Drawn without repetition, so that each kind is used.
     std::vector<std::size_t> m_remainingKinds;
@@ -81,7 +86,9 @@
     std::vector<TargetRoute> m_addedRoutes;
     std::vector<TargetRoute> m_removedRoutes;
     int m_routeNumber = 0;
-    nlohmann::json m_configuration; ///< As last written.
+    nlohmann::json m_configuration;                   ///< As last written.
+    std::map<std::string, nlohmann::json> m_versions; ///< Announced, by the name of the record.
+    bool m_areAnswersLate = false;
     bool m_isStoreServing = true;
     bool m_areWatchesSuspended = false;
     core::TimePoint m_startedAt;
