Soak: count the bound of a leaving endpoint while the store is stable

The users' rule counts acknowledgements that the store gives while it is stable, that is, has been without disruption for the stable window; the check counted earlier ones.

The bound now counts from the first moment at which the store is stable, and a removal before is still checked from then on. The new test states both sides; requestToLeavingEndpointPastBoundIsDetected is unchanged.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -152,6 +152,10 @@
 {
     m_isStoreDisturbed = isDisturbed;
     m_storeDisturbedUntil = at;
+    for (auto &[endpoint, countsFrom] : m_leavingEndpoints) {
+        if (countsFrom > at)
+            countsFrom = at + m_bounds.stableWindow;
+    }
 }
 
 void Checker::recordHeartbeat(core::TimePoint at)
@@ -176,7 +180,9 @@
 
 void Checker::endpointLeaving(const core::EndpointId &endpoint, core::TimePoint at)
 {
-    m_leavingEndpoints.emplace(endpoint, at);
+    const core::TimePoint stableFrom
+        = (m_isStoreDisturbed ? at : m_storeDisturbedUntil) + m_bounds.stableWindow;
+    m_leavingEndpoints.emplace(endpoint, std::max(at, stableFrom));
 }
 
 void Checker::endpointLimited(const core::EndpointId &endpoint, std::optional<double> perSecond,
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -149,7 +149,8 @@
                               const std::vector<std::string> &removed, core::TimePoint at);
     /// The store has acknowledged a version of an adapter; versions of one adapter increase.
     void versionAnnounced(const core::AdapterId &adapter, int version, core::TimePoint at);
-    /// The store has acknowledged that the endpoint leaves.
+    /// The store has acknowledged that the endpoint leaves. The bound counts from the first moment
+    /// at which the store has been undisturbed for the stable window.
     void endpointLeaving(const core::EndpointId &endpoint, core::TimePoint at);
     /// The endpoint announces another request limit from now on, or none.
     void endpointLimited(const core::EndpointId &endpoint, std::optional<double> perSecond,
@@ -235,6 +236,7 @@
     std::map<std::string, Route> m_routes;
     std::vector<std::pair<ConfigurationVersion, core::TimePoint>> m_acknowledgedVersions;
     std::map<core::AdapterId, std::map<int, core::TimePoint>> m_announcedVersions;
+    /// Since when the bound counts for endpoints that leave.
     std::map<core::EndpointId, core::TimePoint> m_leavingEndpoints;
     std::map<core::EndpointId, Limit> m_limits;
     std::map<core::RequestId, Request> m_requests;
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -231,6 +231,24 @@
     fixture.expectOnlyViolationsOf(Check::LeftEndpoint);
 }
 
+// An endpoint that leaves right after an outage may have lost its record in it, so that daemons let
+// it time to return. The bound counts from the time at which the store is stable again.
+Test(soakchecker, removalAfterAnOutageCountsFromTheStableStore)
+{
+    CheckerFixture fixture;
+    fixture.now += seconds(20);
+    fixture.checker.storeDisturbed(true, fixture.now);
+    fixture.checker.storeDisturbed(false, fixture.now);
+    fixture.now += milliseconds(300);
+    fixture.checker.endpointLeaving(endpoint, fixture.now);
+    fixture.now += milliseconds(6600);
+    fixture.run(fixture.send("r1", RequestKind::Repeatable, "/get/"));
+    fixture.expectNoViolation();
+    fixture.now += milliseconds(200);
+    fixture.run(fixture.send("r2", RequestKind::Repeatable, "/get/"));
+    fixture.expectOnlyViolationsOf(Check::LeftEndpoint);
+}
+
 Test(soakchecker, requestOfDisconnectedCallerIsDetected)
 {
     CheckerFixture fixture;
