Let no queued request begin on an adapter version past its bound

Cause: the required version was decided when a request was sent. A request that was sent without one could wait in the endpoint's queue until after the bound, since nothing looked at it again when a version was announced.

Change: when the older versions of an adapter expire, exchanges with endpoints that held an older one and have not begun to answer are ended, and the request is sent to an endpoint with the newer version.

Evidence: queuedRequestDoesNotBeginOnASupersededVersion (a daemon, a store and two endpoints as real processes) failed before: the request still waited 5.0 s after the announcement. It passes now.

--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -56,11 +56,10 @@
     return m_context.watch.lowestAllowedVersion({m_fields.model, m_fields.adapter});
 }
 
-// An endpoint rejects requests for any other version than the one that it holds, also for an older
-// one that would be allowed.
-std::optional<int> EndpointFinder::versionAt(const core::EndpointId &id, core::TimePoint now) const
+std::optional<int> EndpointFinder::heldVersion(const core::EndpointId &id,
+                                               core::TimePoint now) const
 {
-    if (!expectedVersion())
+    if (m_fields.adapter.isEmpty())
         return std::nullopt;
     return m_context.placement.heldVersion(id, {m_fields.model, m_fields.adapter}, now);
 }
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -42,9 +42,10 @@
     std::optional<core::TimePoint> earliestBackoffEnd(core::TimePoint now) const;
     /// The oldest version of the adapter that may be used; empty while any version may be used.
     std::optional<int> expectedVersion() const;
-    /// The version of the adapter that a request to the endpoint must find there; empty while any
-    /// version may be used.
-    std::optional<int> versionAt(const core::EndpointId &id, core::TimePoint now) const;
+    /// The version at which the endpoint holds the adapter, as far as this daemon knows. While a
+    /// version is required, a request must name this one: the endpoint rejects it for any other
+    /// version than the one that it holds, also for an older one that would be allowed.
+    std::optional<int> heldVersion(const core::EndpointId &id, core::TimePoint now) const;
 
 private:
     std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -88,6 +88,7 @@
     m_sweepTimer = m_timers.every(sweepPeriod, [this] {
         removeOverdueEndpoints();
         releaseReturnedEndpoints();
+        expireOlderVersions();
     });
 }
 
@@ -260,9 +261,19 @@
         {.step = "adapter version",
          .message = absl::StrCat(announced->model.value(), "/", announced->adapter.value(),
                                  " version ", announced->version, " announced")});
+    m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
+                              *announced);
     m_handlers.onVersionAnnounced(*announced);
 }
 
+void FleetWatch::expireOlderVersions()
+{
+    const auto end = m_versionExpiries.upper_bound(m_timers.now());
+    for (auto expiry = m_versionExpiries.begin(); expiry != end; ++expiry)
+        m_handlers.onOlderVersionsExpired(expiry->second);
+    m_versionExpiries.erase(m_versionExpiries.begin(), end);
+}
+
 void FleetWatch::handleMissingEndpoint(const core::EndpointId &id)
 {
     if (!m_endpoints.contains(id) || m_missingEndpoints.contains(id))
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -157,6 +157,8 @@
             [this](const fleet::AnnouncedVersion &version) {
                 m_coordinator.setAnnouncedVersion(version);
             },
+        .onOlderVersionsExpired
+        = [this](const fleet::AnnouncedVersion &version) { giveUpOlderVersions(version); },
     };
 }
 
@@ -318,6 +320,13 @@
         task->giveUpConnecting(id, cause);
 }
 
+void Gateway::giveUpOlderVersions(const fleet::AnnouncedVersion &newest)
+{
+    const auto requests = m_requests;
+    for (const auto &[number, task] : requests)
+        task->giveUpOlderVersion(newest);
+}
+
 void Gateway::handleView()
 {
     if (m_idleLimitDaemonCount != m_context.daemonCount)
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -56,6 +56,8 @@
     void updateIdleLimits();
     /// Sends the requests that still wait for a connection to this endpoint to other endpoints.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
+    /// Ends waits for endpoints that hold an older version of the adapter.
+    void giveUpOlderVersions(const fleet::AnnouncedVersion &newest);
     /// Applies changed bounds and regions; addresses change only with a restart.
     void reloadSettings();
     void stop();
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -366,6 +366,21 @@
     });
 }
 
+// The request waits in the endpoint's queue and would begin on the version that it finds there.
+void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
+{
+    const bool hasBegun = m_headAt != core::TimePoint();
+    const fleet::AdapterKey key {newest.model, newest.adapter};
+    if (m_isDone || !m_isSent || hasBegun || adapterKey() != key
+        || m_adapterVersion.value_or(newest.version) >= newest.version)
+        return;
+    runGuarded([this] {
+        dropConnection();
+        m_interruptedAt = now(); // The newer version may have to be loaded first.
+        handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
+    });
+}
+
 void RequestTask::send(const fleet::Endpoint &endpoint)
 {
     setWaitsForLoad(false);
@@ -373,6 +388,7 @@
     m_endpoint = endpoint.id;
     m_incarnation = endpoint.startTime;
     m_softwareVersion = endpoint.softwareVersion;
+    m_adapterVersion = m_finder.heldVersion(endpoint.id, now());
     m_finder.markTried(endpoint.id);
     m_isSent = true;
     m_sentAt = now();
@@ -398,7 +414,8 @@
     platform::ForwardFields forward;
     forward.endpoint = endpoint.id;
     forward.deadline = deadline() - now();
-    forward.adapterVersion = m_finder.versionAt(endpoint.id, now());
+    if (m_finder.expectedVersion())
+        forward.adapterVersion = m_adapterVersion;
     if (m_isForwarding) {
         m_events.startNextRun();
         forward.lastEventId = m_events.lastId();
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -38,6 +38,9 @@
     /// Sends the request to another endpoint if it is assigned to this one but not sent yet,
     /// because the endpoint accepts no more requests.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
+    /// Ends the current exchange if it has not begun and the endpoint holds an older version of the
+    /// adapter.
+    void giveUpOlderVersion(const fleet::AnnouncedVersion &newest);
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
     bool isWaiting() const { return m_isWaiting || m_awaitsRecord; }
@@ -159,6 +162,7 @@
     core::EndpointId m_endpoint;
     fleet::StartTime m_incarnation {};       ///< Of the endpoint, when the request was sent.
     core::SoftwareVersion m_softwareVersion; ///< The same.
+    std::optional<int> m_adapterVersion;     ///< That the endpoint held then, if known.
     /// Where the stream began; events of another software version must not follow.
     std::optional<StreamOrigin> m_origin;
     int m_sends = 0;
--- a/tests/auto/watchrelay/relayfixture.h
+++ b/tests/auto/watchrelay/relayfixture.h
@@ -49,7 +49,8 @@
                          leavingSeen += endpoint.isLeaving ? 1 : 0;
                      },
                  .onEndpointRemoved = [this](const core::EndpointId &) { ++removalsSeen; },
-                 .onVersionAnnounced = [](const fleet::AnnouncedVersion &) {}})
+                 .onVersionAnnounced = [](const fleet::AnnouncedVersion &) {},
+                 .onOlderVersionsExpired = [](const fleet::AnnouncedVersion &) {}})
     { }
 
     std::uint64_t generation() const
