Serve only when the announced versions of the adapters are known

Cause: a daemon was ready with the configuration and the endpoints. While the list of versions did not arrive, it used any version of any adapter.

Change: the versions are part of the initial state, for readiness, for requests that wait for it and for what counts as reaching the store.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -94,7 +94,7 @@
 
 bool FleetWatch::isInitialized() const
 {
-    return m_routes && m_endpointFollower.hasInitialList();
+    return m_routes && m_endpointFollower.hasInitialList() && m_versionFollower.hasInitialList();
 }
 
 bool FleetWatch::isInitializing() const
@@ -105,7 +105,8 @@
 bool FleetWatch::isStoreReachable() const
 {
     return m_configurationFollower.contact().isReachable()
-        && m_endpointFollower.contact().isReachable();
+        && m_endpointFollower.contact().isReachable()
+        && m_versionFollower.contact().isReachable();
 }
 
 const fleet::Endpoint *FleetWatch::endpoint(const core::EndpointId &id) const
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -40,7 +40,7 @@
     static core::Duration watchWait(const fleet::Bounds &bounds);
 
     void start();
-    /// Whether configuration and endpoints were read completely at least once.
+    /// Whether configuration, endpoints and versions were read completely at least once.
     bool isInitialized() const;
     /// Whether isInitialized() may become true at any moment: it is still false, but the last calls
     /// to the store succeeded.
--- a/tests/e2e/tst_adapterversions.cpp
+++ b/tests/e2e/tst_adapterversions.cpp
@@ -79,3 +79,17 @@
     cr_assert_eq(answer->head.status, 200, "%s", platform.output().c_str());
     cr_assert_str_eq(last->head.headers.value("Expect-Version").c_str(), "2");
 }
+
+// Guards against a daemon that serves before it knows which versions are announced, and so uses
+// superseded ones for as long as the list of versions does not arrive.
+Test(adapterversions, daemonIsNotReadyBeforeItKnowsTheVersions, .timeout = 120)
+{
+    VersionFixture fixture;
+    fixture.platform.store.setSilentKind("versions");
+    fixture.announce(2);
+    fixture.configure();
+    cr_assert_not(fixture.platform.waitUntil(
+        [&] { return fixture.platform.pollReadiness() == 200; }, std::chrono::seconds(3)));
+    fixture.platform.store.setSilentKind({});
+    cr_assert(fixture.waitUntilReady());
+}
