Answer 404 only from a configuration that is certain to be recent

What callers saw: 404 on routes that had been added more than config_ms before; clients do not repeat a request after 404.

Cause: a daemon answered 404 from a configuration of any age. While its watch was silent, or its relay and the spare relay were, that age exceeded the bound.

Change: 404 needs a configuration that is certain up to 0.8 of the bound before the request arrived; otherwise the daemon asks the store at once and answers 503 if the store has failed. After a relay that did not answer, the spare relay and the store are asked for the state at once instead of for a further wait.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -26,6 +26,10 @@
 constexpr double versionGraceFraction = 0.45;
 constexpr double versionBoundFraction = 0.9;
 
+// A route that is not found may be missing in a configuration that is older than this fraction of
+// the bound. The remaining time covers the way of the request.
+constexpr double configurationAgeFraction = 0.8;
+
 // Bounds the memory.
 constexpr std::size_t maxDepartedEndpoints = 1000;
 
@@ -43,6 +47,7 @@
     : m_timers(timers)
     , m_handlers(std::move(handlers))
     , m_recordExpiry(bounds.recordExpiry)
+    , m_maxConfigurationAge(core::scaled(bounds.configuration, configurationAgeFraction))
     , m_versionLimits {core::scaled(bounds.version, versionGraceFraction),
                        core::scaled(bounds.version, versionBoundFraction)}
     , m_outage({bounds.heartbeat, reappearanceTime})
@@ -105,8 +110,20 @@
 bool FleetWatch::isStoreReachable() const
 {
     return m_configurationFollower.contact().isReachable()
-        && m_endpointFollower.contact().isReachable()
-        && m_versionFollower.contact().isReachable();
+        && m_endpointFollower.contact().isReachable() && m_versionFollower.contact().isReachable();
+}
+
+bool FleetWatch::isConfigurationCurrent(core::TimePoint arrival) const
+{
+    return m_configurationFollower.contact().confirmedAt() >= arrival - m_maxConfigurationAge;
+}
+
+bool FleetWatch::confirmConfiguration()
+{
+    if (!m_configurationFollower.contact().isReachable())
+        return false;
+    m_configurationFollower.confirm();
+    return true;
 }
 
 const fleet::Endpoint *FleetWatch::endpoint(const core::EndpointId &id) const
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -46,6 +46,12 @@
     /// to the store succeeded.
     bool isInitializing() const;
     bool isStoreReachable() const;
+    /// Whether the configuration includes all changes that must be in force for a request that
+    /// arrived at `arrival`.
+    bool isConfigurationCurrent(core::TimePoint arrival) const;
+    /// Asks the store at once for a newer configuration, unless the last call to it failed. Returns
+    /// whether it can be known soon.
+    bool confirmConfiguration();
     /// The list of endpoints includes all changes that were made before this time.
     core::TimePoint endpointsConfirmedAt() const
     {
@@ -97,6 +103,7 @@
     net::TimerService &m_timers;
     Handlers m_handlers;
     core::Duration m_recordExpiry;
+    core::Duration m_maxConfigurationAge;
     decisions::VersionLimits m_versionLimits;
     decisions::StoreOutage m_outage;
     StoreFollower m_configurationFollower;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -99,10 +99,7 @@
     m_routes = m_context.watch.routes();
     m_route = m_routes->find(m_exchange->head.headers.value("Host"), m_exchange->head.target);
     if (m_route == nullptr) {
-        const http::MessageHead &head = m_exchange->head;
-        fail(404,
-             absl::StrCat("no route for ", head.headers.value("Host"),
-                          head.target.substr(0, head.target.find('?'))));
+        handleMissingRoute();
         return;
     }
     m_identity = makeIdentity();
@@ -121,6 +118,24 @@
         chooseEndpoint();
 }
 
+// A client does not repeat a request after 404, so that it must not follow from a configuration
+// that may lack the route.
+void RequestTask::handleMissingRoute()
+{
+    const http::MessageHead &head = m_exchange->head;
+    if (m_context.watch.isConfigurationCurrent(m_exchange->receivedAt)) {
+        fail(404,
+             absl::StrCat("no route for ", head.headers.value("Host"),
+                          head.target.substr(0, head.target.find('?'))));
+        return;
+    }
+    m_routes.reset();
+    m_isWaiting = !m_context.stopRequestedAt && m_context.watch.confirmConfiguration()
+        && now() - m_exchange->receivedAt < maxConfigurationWait;
+    if (!m_isWaiting)
+        refuse("the configuration may be outdated", startRetryAfter);
+}
+
 bool RequestTask::isRejectedForCrashes()
 {
     const auto cause = m_context.crashes.rejectionCause(m_identity);
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -64,6 +64,8 @@
     void findOrigin();
     void applyOrigin(const StreamOrigin &origin);
     bool isTakeUp() const;
+    /// Answers 404, once it is certain that no configuration that must be in force has the route.
+    void handleMissingRoute();
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
     bool isRejectedForCrashes();
     /// Whether the answer to a send can be expected to be complete before the process is killed.
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -38,7 +38,8 @@
 // A connection that ends this long after a watch was sent was cut off while the watch waited; a
 // store that rejects this daemon ends it earlier, also in another region.
 constexpr core::Duration minCutOffTime = std::chrono::milliseconds(200);
-// For the repetition of such a watch, so that its response shows at once whether the store serves.
+// For the repetition of such a watch, and of one that a relay did not answer, so that the response
+// shows at once how things stand.
 constexpr core::Duration repeatedWatchWait = std::chrono::milliseconds(10);
 
 /// Whether a relay answered from the era that the daemon knows, or from a later one.
@@ -181,8 +182,12 @@
              if (relay.address == relayAddress)
                  suspendRelay(relay, watch.kind, response);
              // The failure of a relay doesn't imply a failure of the store, which counts as
-             // unreachable only if the remaining ways fail as well.
-             this->watch(watch, margin, handler);
+             // unreachable only if the remaining ways fail as well. After a relay that did not
+             // answer, the state is asked for at once, because a change may be that late already.
+             platform::WatchRequest next = watch;
+             if (!response.ok())
+                 next.wait = std::min(watch.wait, repeatedWatchWait);
+             this->watch(next, margin, handler);
          });
 }
 
@@ -233,7 +238,7 @@
     // Both relays failed or reported a lost store, so no third daemon is tried, and the wait is
     // short, so that the relays are tried again soon.
     direct.wait = std::min(watch.wait, relayWait);
-    watchStore(direct, relayMargin,
+    watchStore(direct, direct.wait < relayWait ? margin : relayMargin,
                [this, kind = watch.kind, handler = std::move(handler)](auto answer) {
                    recordDirectWatch(kind, answer);
                    handler(std::move(answer));
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -28,6 +28,23 @@
                                 std::chrono::seconds(3)));
 }
 
+// Guards against a configuration that is late because a daemon waits in full for each of two silent
+// relays. The rest of the 3 s covers a store that answers late.
+Test(watchrelay, twoSilentRelaysAreLeftEarly, .timeout = 60)
+{
+    Fixture fixture;
+    http::Server spare(fixture.loop, fixture.timers,
+                       [&](const auto &exchange) { fixture.unanswered.push_back(exchange); });
+    cr_assert(spare.listen(fixture.spareRelayAddress).ok());
+    fixture.follower.transport.setRelays(fixture.relayAddress, fixture.spareRelayAddress);
+    fixture.isRelaySilent = true;
+    const int before = fixture.relayRequests;
+    cr_assert(fixture.waitUntil([&] { return fixture.relayRequests >= before + 3; }));
+    fixture.store.put("config", "main", configuration(2));
+    cr_assert(
+        fixture.waitUntil([&] { return fixture.follower.generation() == 2; }, milliseconds(2000)));
+}
+
 // Guards against a relay that cannot reach the store and still answers watches as if nothing had
 // changed.
 Test(watchrelay, relayWithoutTheStoreRejectsWatches, .timeout = 60)
--- a/tests/e2e/tst_platformtrouble.cpp
+++ b/tests/e2e/tst_platformtrouble.cpp
@@ -343,3 +343,26 @@
     // It must be answered, whether it is refused or runs.
     cr_assert(answer->isComplete, "no answer; the daemon wrote:\n%s", fixture.output().c_str());
 }
+
+// Guards against 404 for a route that was added longer ago than the bound of 3 s, from a daemon
+// whose watch of the configuration has gone silent. Clients do not repeat a request after 404.
+Test(platformtrouble, addedRouteIsFoundWhileTheWatchIsSilent, .timeout = 60)
+{
+    constexpr core::Duration bound = std::chrono::seconds(3);
+    PlatformFixture fixture;
+    json routes = defaultRoutes();
+    routes.push_back(route("/added/", "plain", "idempotent"));
+    std::optional<core::TimePoint> addedAt;
+    fixture.store.silenceNextWatch("config", [&] {
+        fixture.store.put("config", "main", configuration(2, routes));
+        addedAt = fixture.timers.now();
+    });
+    cr_assert(fixture.waitUntil([&] { return addedAt.has_value(); }));
+    fixture.runLoopFor(bound + milliseconds(10));
+    for (int number = 0; number < 10; ++number) {
+        const AnswerPtr answer = fixture.call("/added/x", "late" + std::to_string(number));
+        cr_expect_eq(answer->head.status, 200, "%d, %.2f s after the route was added",
+                     answer->head.status, core::toSeconds(answer->startedAt - *addedAt));
+        fixture.runLoopFor(milliseconds(10));
+    }
+}
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -251,6 +251,12 @@
     m_lateAnswers = {kind, delay, period};
 }
 
+void FakeStore::silenceNextWatch(const std::string &kind, std::function<void()> onSilenced)
+{
+    m_silencedWatchKind = kind;
+    m_onSilenced = std::move(onSilenced);
+}
+
 core::Duration FakeStore::nextDelay(const std::string &kind)
 {
     const bool isLate = m_lateAnswers.period > 0 && kind == m_lateAnswers.kind
@@ -265,6 +271,12 @@
     Watch watch {kind, since, exchange, {}};
     if (respondToWatch(watch, false))
         return;
+    if (kind == m_silencedWatchKind) {
+        m_silencedWatchKind.clear();
+        m_unanswered.push_back(exchange);
+        m_onSilenced();
+        return;
+    }
     m_watches.push_back(std::move(watch));
     const auto entry = std::prev(m_watches.end());
     entry->timeout = m_timers.once(std::chrono::milliseconds(waitMilliseconds), [this, entry] {
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -32,6 +32,9 @@
     void resumeWatches();
     /// Closes the connections of the waiting watches without a response, in an orderly way.
     void cutWatches();
+    /// The next watch of the kind that has to wait gets no answer, as if its connection had gone
+    /// silent; `onSilenced` is called when it arrives.
+    void silenceNextWatch(const std::string &kind, std::function<void()> onSilenced);
     /// While set, calls that concern this kind of object get no answer; empty for none.
     void setSilentKind(const std::string &kind) { m_silentKind = kind; }
     /// From now on the answers to a part of the watches of a kind arrive late: every `period`th one
@@ -122,6 +125,8 @@
     std::uint64_t m_oldestRevision = 0;
     std::list<Watch> m_watches;
     std::string m_silentKind;
+    std::string m_silencedWatchKind;
+    std::function<void()> m_onSilenced;
     LateAnswers m_lateAnswers;
     std::list<net::TimerService::Subscription> m_lateAnswerTimers;
     int m_watchCount = 0;
