Close a connection on which a copy of an earlier response was read

Cause: orders and reports have no id. When a late copy of a report was read as the response to an order, it was recognised, but the connection was kept, and the order's own response was taken for that to the next call. The same held for a report request that got the response to an order.

Change: a call may state which responses can be its own. After another one it fails with an unknown outcome, as a lost response does, and its connection is closed.

Evidence: connectionWithACopyIsNotUsedAgain; with the connection kept, as before, the third call got the 202 of the second one.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -55,6 +55,11 @@
     return decisions::OrderOutcome::Unknown;
 }
 
+bool isReport(const http::Response &response)
+{
+    return response.status == 200 && platform::decodeReport(response.body).ok();
+}
+
 constexpr const char *nameOf(decisions::OrderOutcome outcome)
 {
     switch (outcome) {
@@ -365,7 +370,10 @@
                 m_planner.applyReport(id, *report, sentAt);
                 schedulePlanning();
             },
-            {.maxResponseBytes = maxEndpointResponseBytes});
+            {.maxResponseBytes = maxEndpointResponseBytes,
+             .isOwnResponse = [](const http::Response &response) {
+                 return response.status != 200 || isReport(response);
+             }});
     }
 }
 
@@ -441,14 +449,14 @@
             const observability::EventLoopProfiler::Scope scope(m_profiler, "order responses");
             if (response.ok())
                 applyEndpointState(planned.endpoint, *response, sentAt);
-            // A late second copy of the response to a report request has status 200 as well.
-            const bool isOwn = response.ok() && !platform::decodeReport(response->body).ok();
-            const auto result = isOwn ? platform::orderResultFromStatus(response->status)
-                                      : platform::OrderResult::Unknown;
+            const auto result = response.ok() ? platform::orderResultFromStatus(response->status)
+                                              : platform::OrderResult::Unknown;
             handleOrderResponse(planned, outcomeOf(result), response.ok() ? response->status : 0,
                                 sentAt, sends + 1);
         },
-        {.maxResponseBytes = maxEndpointResponseBytes, .needsOwnSuccess = !planned.isLoad});
+        {.maxResponseBytes = maxEndpointResponseBytes,
+         .needsOwnSuccess = !planned.isLoad,
+         .isOwnResponse = [](const http::Response &response) { return !isReport(response); }});
 }
 
 void Coordinator::handleOrderResponse(const decisions::PlannedOrder &planned,
--- a/src/libs/http/controlclient.cpp
+++ b/src/libs/http/controlclient.cpp
@@ -43,6 +43,7 @@
     std::unique_ptr<ClientConnection> connection;
     Response response;
     Handler handler;
+    std::function<bool(const Response &)> isOwnResponse;
     net::TimerService::Subscription timeout;
     core::Duration extension {}; ///< Of the current timeout.
 };
@@ -70,6 +71,7 @@
     m_calls.push_back(call);
     call->peer = peer;
     call->handler = std::move(handler);
+    call->isOwnResponse = options.isOwnResponse;
     const auto unlimitedIdleTime = [](const ClientConnection &) { return core::Duration::max(); };
     IdleConnections &idle = idleConnectionsTo(peer);
     const std::set<ConnectionNumber> excluded
@@ -107,7 +109,7 @@
         if (!held)
             return;
         if (isComplete(end)) {
-            finish(held, std::move(held->response));
+            finishWithResponse(held);
             return;
         }
         const bool isNotSent = end == ExchangeEnd::ConnectFailed;
@@ -153,11 +155,28 @@
           });
 }
 
+void ControlClient::finishWithResponse(const std::shared_ptr<Call> &call)
+{
+    if (!call->isOwnResponse || call->isOwnResponse(call->response)) {
+        finish(call, std::move(call->response));
+        return;
+    }
+    closeLater(m_loop, std::move(call->connection));
+    finish(call,
+           core::withOutcome(core::makeError(absl::StatusCode::kUnavailable, "call",
+                                             call->peer.toString(), "response to another call"),
+                             core::Outcome::Unknown));
+}
+
 void ControlClient::finish(const std::shared_ptr<Call> &call, absl::StatusOr<Response> result)
 {
     std::erase(m_calls, call);
     call->timeout.cancel();
     auto connection = std::move(call->connection);
+    if (!connection) {
+        call->handler(std::move(result));
+        return;
+    }
     // One of the connection's callbacks may be running, so it is kept or destroyed from the loop.
     m_loop.post(
         [this, alive = m_isAlive, peer = call->peer,
--- a/src/libs/http/controlclient.h
+++ b/src/libs/http/controlclient.h
@@ -47,6 +47,10 @@
         /// A late second copy of an earlier response must not be taken for the success of this
         /// call; connections on which that could happen are not used for it.
         bool needsOwnSuccess = false;
+        /// Whether a response can be that to this call; empty if any can. Another one is the copy
+        /// of an earlier response: the call fails with kUnavailable and Outcome::Unknown, and its
+        /// connection is closed, because the own response would be taken for that to the next call.
+        std::function<bool(const Response &)> isOwnResponse {};
     };
 
     /// Sends `request` and calls `handler` once, from the loop. The response must begin
@@ -69,6 +73,8 @@
     void setTimeout(const std::shared_ptr<Call> &call, core::Duration timeout);
     void armTimeout(const std::shared_ptr<Call> &call, core::TimePoint dueAt,
                     core::Duration maxExtension);
+    void finishWithResponse(const std::shared_ptr<Call> &call);
+    /// Keeps the connection for further calls, unless it was closed, and reports the result.
     void finish(const std::shared_ptr<Call> &call, absl::StatusOr<Response> result);
 
     net::EventLoop &m_loop;
--- a/tests/auto/controlclient/tst_controlclient.cpp
+++ b/tests/auto/controlclient/tst_controlclient.cpp
@@ -7,6 +7,8 @@
 
 #include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace jackdawlead;
 
@@ -82,6 +84,53 @@
     cr_assert_eq(fixture.peer.accepted(), 1);
 }
 
+// Guards against the answer to an order that is taken for that to the next call: a late copy of a
+// report was read instead, and the own answer was still on its way on the same connection.
+Test(controlclient, connectionWithACopyIsNotUsedAgain, .timeout = 30)
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    testsupport::PortPicker ports;
+    const net::Address address {"127.0.0.1", ports.take()};
+    int requests = 0;
+    net::TimerService::Subscription ownAnswer;
+    testsupport::RawPeer peer(loop, address, [&](http::Connection &connection, auto) {
+        if (++requests == 1) {
+            connection.write(std::string(report));
+        } else if (requests == 2) {
+            connection.write(std::string(report)); // A copy; the own answer follows later.
+            ownAnswer = timers.once(std::chrono::milliseconds(60), [&] {
+                // A later connection may have the address of a closed one.
+                if (peer.accepted() == 1 && peer.isOpen(connection))
+                    connection.write(std::string(accepted));
+            });
+        }
+    });
+    http::ControlClient client(loop, timers);
+    std::vector<int> statuses;
+    const auto call = [&](const http::ControlClient::Options &options) {
+        net::HttpRequest request;
+        request.method = "POST";
+        request.path = "/order";
+        client.call(
+            address, request, std::chrono::milliseconds(300),
+            [&](const auto &response) { statuses.push_back(response.ok() ? response->status : 0); },
+            options);
+        const std::size_t expected = statuses.size() + 1;
+        cr_assert(testsupport::waitUntil(
+            loop, timers, [&] { return statuses.size() == expected; }, std::chrono::seconds(5)));
+    };
+    const http::ControlClient::Options order {
+        .isOwnResponse = [](const http::Response &response) { return response.body.empty(); }};
+    call({});
+    testsupport::runFor(loop, timers, std::chrono::milliseconds(20));
+    call(order);
+    testsupport::runFor(loop, timers, std::chrono::milliseconds(5));
+    call(order); // Gets no answer of its own.
+    cr_assert(statuses == (std::vector<int> {200, 0, 0}), "the third call got %d", statuses[2]);
+    cr_assert_eq(peer.accepted(), 2);
+}
+
 // Guards against a response without end that a daemon keeps, for each endpoint that it asks.
 Test(controlclient, responseOverItsLimitEndsTheCall, .timeout = 30)
 {
