Gateway: readable start, and the store counts as out as before

clang-format had torn the arguments of a call apart. Versions count for the initial state only: that their calls fail is no sign that the whole store is out, from which take-ups of streams infer the software version.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -110,7 +110,7 @@
 bool FleetWatch::isStoreReachable() const
 {
     return m_configurationFollower.contact().isReachable()
-        && m_endpointFollower.contact().isReachable() && m_versionFollower.contact().isReachable();
+        && m_endpointFollower.contact().isReachable();
 }
 
 bool FleetWatch::isConfigurationCurrent(core::TimePoint arrival) const
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -207,22 +207,20 @@
     m_watch.start();
     m_election.start();
     m_coordinator.start();
-    m_streams.start(
-        {.endpoints = [this]() -> const auto & { return m_watch.endpoints();
-}
-, .confirmedAt = [this] { return m_watch.endpointsConfirmedAt(); },
-  .confirm = [this] { m_watch.confirmEndpoints(); }, .isStoreOut = [this] {
-      return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeer();
-  }
-} // namespace jackdawlead::gateway
-,
-        [this] {
-    return m_election.isHolder(); });
-m_retryTimer = m_timers.every(retryPeriod, [this] { retryWaitingRequests(); });
-observability::log({.step = "start",
-                    .message = absl::StrCat("callers at ", m_settings.callerAddress.toString(),
-                                            ", store at ", m_settings.store.toString())});
-return absl::OkStatus();
+    StreamVersions::EndpointList list;
+    list.endpoints = [this]() -> const std::map<core::EndpointId, fleet::Endpoint> & {
+        return m_watch.endpoints();
+    };
+    list.confirmedAt = [this] { return m_watch.endpointsConfirmedAt(); };
+    list.confirm = [this] { m_watch.confirmEndpoints(); };
+    list.isStoreOut
+        = [this] { return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeer(); };
+    m_streams.start(std::move(list), [this] { return m_election.isHolder(); });
+    m_retryTimer = m_timers.every(retryPeriod, [this] { retryWaitingRequests(); });
+    observability::log({.step = "start",
+                        .message = absl::StrCat("callers at ", m_settings.callerAddress.toString(),
+                                                ", store at ", m_settings.store.toString())});
+    return absl::OkStatus();
 }
 
 void Gateway::run()
