--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -25,7 +25,7 @@
     /// list are changes. Returns whether the change is relevant to other daemons.
     using EventHandler = std::function<bool(const platform::ObjectEvent &)>;
 
-    /// What the followers of all kinds share. Precondition: outlives them.
+    /// What the followers of all kinds share. Precondition: the references outlive the followers.
     struct Shared
     {
         platform::ObjectStoreClient &store;
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -17,8 +17,8 @@
 class StoreTransport
 {
 public:
-    /// Returns the address of a daemon that can forward calls, if another one is known.
     using AnswerHandler = std::function<void(platform::StoreAnswer)>;
+    /// Returns the address of a daemon that can forward calls, if another one is known.
     using PeerFinder = std::function<std::optional<net::Address>()>;
 
     StoreTransport(http::ControlClient &controlClient, net::TimerService &timers,
@@ -103,8 +103,10 @@
                       AnswerHandler handler);
     void watchDirectly(const platform::WatchRequest &watch, core::Duration margin,
                        AnswerHandler handler);
+    /// After `response` to a watch of the kind, or after none.
     void suspendRelay(Relay &relay, platform::ObjectKind kind,
                       const absl::StatusOr<http::Response> &response);
+    /// Suspends the direct watches after a failure.
     void recordDirectWatch(platform::ObjectKind kind, const platform::StoreAnswer &answer);
     std::optional<net::Address> usablePeer() const;
     using StoreCall = std::function<void(AnswerHandler)>;
