--- a/tests/e2e/tst_adapterversions.cpp
+++ b/tests/e2e/tst_adapterversions.cpp
@@ -77,7 +77,8 @@
               core::toSeconds(platform.timers.now() - announcedAt), platform.output().c_str());
     cr_assert(platform.waitUntil([&] { return answer->isEnded; }));
     cr_assert_eq(answer->head.status, 200, "%s", platform.output().c_str());
-    cr_assert_str_eq(last->head.headers.value("Expect-Version").c_str(), "2");
+    const std::string expected = last->head.headers.value("Expect-Version");
+    cr_assert_str_eq(expected.c_str(), "2");
 }
 
 // Guards against a daemon that serves before it knows which versions are announced, and so uses
