Expire older versions only for announcements after the initial list

Cause: each version of the initial list was taken for an announcement that queued requests have to be checked against, although none was sent before.

Change: the initial list expires nothing, and only the requests that wait at an older version are collected, as for other waiting requests.

Evidence: versionsOfTheInitialListExpireNoRequests failed before (one expiry instead of none) and passes now; adapterversions passes as before.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -279,8 +279,10 @@
         {.step = "adapter version",
          .message = absl::StrCat(announced->model.value(), "/", announced->adapter.value(),
                                  " version ", announced->version, " announced")});
-    m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
-                              *announced);
+    // No request is sent before the initial list is complete.
+    if (m_versionFollower.hasInitialList())
+        m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
+                                  *announced);
     m_handlers.onVersionAnnounced(*announced);
 }
 
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -320,9 +320,13 @@
 
 void Gateway::giveUpOlderVersions(const fleet::AnnouncedVersion &newest)
 {
-    const auto requests = m_requests;
-    for (const auto &[number, task] : requests)
-        task->giveUpOlderVersion(newest);
+    std::vector<std::shared_ptr<RequestTask>> affected;
+    for (const auto &[number, task] : m_requests) {
+        if (task->isQueuedAtOlderVersion(newest))
+            affected.push_back(task);
+    }
+    for (const auto &task : affected)
+        task->giveUpOlderVersion();
 }
 
 void Gateway::handleView()
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -381,14 +381,17 @@
     });
 }
 
-// The request waits in the endpoint's queue and would begin on the version that it finds there.
-void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
+bool RequestTask::isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const
 {
     const bool hasBegun = m_headAt != core::TimePoint();
     const fleet::AdapterKey key {newest.model, newest.adapter};
-    if (m_isDone || !m_isSent || hasBegun || adapterKey() != key
-        || m_adapterVersion.value_or(newest.version) >= newest.version)
-        return;
+    return !m_isDone && m_isSent && !hasBegun && adapterKey() == key
+        && m_adapterVersion.value_or(newest.version) < newest.version;
+}
+
+// The request would begin on the version that it finds at the end of the queue.
+void RequestTask::giveUpOlderVersion()
+{
     runGuarded([this] {
         dropConnection();
         m_interruptedAt = now(); // The newer version may have to be loaded first.
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -38,9 +38,11 @@
     /// Sends the request to another endpoint if it is assigned to this one but not sent yet,
     /// because the endpoint accepts no more requests.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
-    /// Ends the current exchange if it has not begun and the endpoint holds an older version of the
-    /// adapter.
-    void giveUpOlderVersion(const fleet::AnnouncedVersion &newest);
+    /// Whether an endpoint that holds an older version of the adapter has not begun to answer.
+    bool isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const;
+    /// Sends the request to an endpoint with a newer version. Precondition:
+    /// isQueuedAtOlderVersion().
+    void giveUpOlderVersion();
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
     bool isWaiting() const { return m_isWaiting || m_awaitsRecord; }
--- a/tests/auto/watchrelay/relayfixture.h
+++ b/tests/auto/watchrelay/relayfixture.h
@@ -34,6 +34,7 @@
     int leavingSeen = 0;
     int removalsSeen = 0;
     int endpointsSeen = 0;
+    int versionsExpired = 0;
     FleetWatch watch;
 
     Follower(net::EventLoop &loop, net::TimerService &timerService,
@@ -50,7 +51,8 @@
                      },
                  .onEndpointRemoved = [this](const core::EndpointId &) { ++removalsSeen; },
                  .onVersionAnnounced = [](const fleet::AnnouncedVersion &) {},
-                 .onOlderVersionsExpired = [](const fleet::AnnouncedVersion &) {}})
+                 .onOlderVersionsExpired
+                 = [this](const fleet::AnnouncedVersion &) { ++versionsExpired; }})
     { }
 
     std::uint64_t generation() const
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -236,6 +236,20 @@
     cr_assert(fixture.waitUntil(checkRequired, 2 * bound));
 }
 
+// Guards against a daemon that looks through its requests once for each of some ten thousand
+// adapters when it starts: none was sent before the versions were known.
+Test(watchrelay, versionsOfTheInitialListExpireNoRequests, .timeout = 60)
+{
+    Fixture fixture;
+    const fleet::AdapterKey key {core::ModelId("m"), core::AdapterId("a")};
+    cr_assert_eq(fixture.follower.watch.lowestAllowedVersion(key).value_or(0), 2);
+    fixture.runLoopFor(milliseconds(300));
+    cr_assert_eq(fixture.follower.versionsExpired, 0);
+    fixture.store.put("versions", "m.a", {{"model", "m"}, {"adapter", "a"}, {"version", 3}});
+    cr_assert(fixture.waitUntil([&] { return fixture.follower.versionsExpired == 1; },
+                                std::chrono::seconds(5)));
+}
+
 // Guards against an endpoint that stays in use past its bound of 3 s because the watches of another
 // kind fail: that counted as an outage of the store, in which entries may expire, and kept all
 // watches away from the relay and the store.
