storecontact: bring back two checks that the move of the outages dropped

The tests of outages went to storeoutage, and with them the count of failures and whether the store counts as reachable after each call, which the new class doesn't have.

--- a/tests/auto/storecontact/tst_storecontact.cpp
+++ b/tests/auto/storecontact/tst_storecontact.cpp
@@ -16,6 +16,22 @@
 
 } // namespace
 
+// Guards against a reader that counts as connected after a failure, or whose failures, from which
+// the delay of the next call follows, are not counted from the last success.
+Test(storecontact, failuresCountUntilTheNextSuccess)
+{
+    StoreContact contact;
+    for (int time = 0; time < 5000; time += 500) {
+        contact.recordSuccess(at(time));
+        cr_assert(contact.isReachable());
+        for (int failure = 1; failure <= 3; ++failure) {
+            contact.recordFailure();
+            cr_assert_not(contact.isReachable());
+            cr_assert_eq(contact.failures(), failure);
+        }
+    }
+}
+
 // Guards against state that counts as known up to the end of a wait, or to a failed call.
 Test(storecontact, stateIsConfirmedAsOfTheLastAnsweredCall)
 {
