Soak: the expected bytes in a file of their own

Nothing but the place changed; the comment of removalAfterAnOutageCountsFromTheStableStore says what it guards against.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -1,5 +1,7 @@
 #include "callers.h"
 
+#include "expectedbytes.h"
+
 #include <algorithm>
 #include <utility>
 
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -107,17 +107,6 @@
     ProcessIncarnation incarnation;
 };
 
-/// The bytes that endpoints send and callers expect. All of them contain the id of their request.
-std::string expectedBody(const core::RequestId &id);
-std::string expectedEvents(const core::RequestId &id, int from, int to,
-                           const std::string &softwareVersion = "v1");
-/// The number of events in the stream of a request.
-int eventCount(const core::RequestId &id);
-/// The number of whole events, and the software version that wrote the first one.
-int countEvents(const std::string &body);
-std::string softwareVersionOf(const std::string &body);
-std::string expectedStamp(const core::RequestId &id, int status);
-
 /// Checks what callers and endpoints recorded against the rules. The soak reports each disturbance
 /// of processes, store and endpoints, because the time bounds apply only to daemons that have been
 /// undisturbed for the stable window.
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -1,5 +1,7 @@
 #include "endpoints.h"
 
+#include "expectedbytes.h"
+
 #include <algorithm>
 
 namespace jackdawlead::soak {
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -1,4 +1,5 @@
 #include "soak/checker.h"
+#include "soak/expectedbytes.h"
 
 #include "support/process.h"
 
@@ -231,8 +232,9 @@
     fixture.expectOnlyViolationsOf(Check::LeftEndpoint);
 }
 
-// An endpoint that leaves right after an outage may have lost its record in it, so that daemons let
-// it time to return. The bound counts from the time at which the store is stable again.
+// Guards against a violation that is reported although the store was not stable when it
+// acknowledged the removal, so that daemons let the endpoint time to return, and against a removal
+// that is never checked for this reason.
 Test(soakchecker, removalAfterAnOutageCountsFromTheStableStore)
 {
     CheckerFixture fixture;
