Log why a silent endpoint is replaced, each repeated send, and who closed

The log could not tell the hypotheses of the postmortem apart: it had no line for a send that followed a silence, nothing on the endpoint that was dropped or on its replacement, and not who closed the connection of an answer in parts. New steps: `silent endpoint` and `send`; `abort stream` and `caller left` state the last event that the client has.

Test: platformlogs/explainShowsASilentEndpointAndTheSecondSend. The conversion to milliseconds stands once, in core.

--- a/src/libs/core/time.h
+++ b/src/libs/core/time.h
@@ -22,6 +22,12 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// For logs and wire formats; truncated to whole milliseconds.
+inline long long toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// The duration times `factor`, truncated to whole microseconds.
 inline Duration scaled(Duration duration, double factor)
 {
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -77,11 +77,6 @@
     return "unknown";
 }
 
-long long toMilliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 Coordinator::Coordinator(const fleet::HostSettings &settings, net::TimerService &timers,
@@ -135,17 +130,17 @@
     const int daemonCount = static_cast<int>(m_daemons.size());
     const bool isOverloaded = m_profiler.longestTimerDelay() > tickPeriod * 2;
     const auto level = isOverloaded ? observability::LogLevel::Warn : observability::LogLevel::Info;
-    observability::log(
-        {.level = level,
-         .step = "coordinator",
-         .message = absl::StrCat(
-             m_profiler.takeSummary(), "; daemons ", daemonCount, ", endpoints ",
-             m_planner.endpoints().size(), ", with a pending order ", withOrder,
-             ", without a report ", needingReport, ", adapters with waiting requests ",
-             waitingRequests().size(), ", report interval ",
-             toMilliseconds(m_pace.period(daemonCount)), " ms, minimum interval of demand reports ",
-             toMilliseconds(m_pace.demandPause(daemonCount)), " ms, concurrent load limit ",
-             m_planner.concurrentLoadLimit())});
+    observability::log({.level = level,
+                        .step = "coordinator",
+                        .message = absl::StrCat(
+                            m_profiler.takeSummary(), "; daemons ", daemonCount, ", endpoints ",
+                            m_planner.endpoints().size(), ", with a pending order ", withOrder,
+                            ", without a report ", needingReport,
+                            ", adapters with waiting requests ", waitingRequests().size(),
+                            ", report interval ", core::toMilliseconds(m_pace.period(daemonCount)),
+                            " ms, minimum interval of demand reports ",
+                            core::toMilliseconds(m_pace.demandPause(daemonCount)),
+                            " ms, concurrent load limit ", m_planner.concurrentLoadLimit())});
 }
 
 void Coordinator::tick()
@@ -465,10 +460,10 @@
 {
     observability::log(
         {.step = planned.isLoad ? "order load" : "order unload",
-         .message
-         = absl::StrCat(planned.model.value(), "/", planned.adapter.value(), " ", nameOf(outcome),
-                        ", status ", status, " after ", toMilliseconds(m_timers.now() - sentAt),
-                        " ms, revision ", planned.orderRevision, ", sends ", sends),
+         .message = absl::StrCat(planned.model.value(), "/", planned.adapter.value(), " ",
+                                 nameOf(outcome), ", status ", status, " after ",
+                                 core::toMilliseconds(m_timers.now() - sentAt), " ms, revision ",
+                                 planned.orderRevision, ", sends ", sends),
          .peer = planned.endpoint.value()});
     m_profiler.count(nameOf(outcome));
     m_metrics.recordOrderOutcome(planned.isLoad ? "load" : "unload", nameOf(outcome));
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -69,14 +69,16 @@
 // A request that only waits in the endpoint's queue stays there unless another endpoint is
 // available, because otherwise it would have no endpoint or go to the end of the same queue. The
 // same endpoint is an option only if the connection was reused, because that one may be dead.
-bool RequestTask::hasReplacement()
+std::optional<core::EndpointId> RequestTask::findReplacement()
 {
     if (!m_exchange->isOpen() || !canFinishBeforeStop()
         || !m_context.budgets[m_service].canTake(now())
         || !m_context.crashes.mayRunAgain(m_identity))
-        return false;
+        return std::nullopt;
     const auto choice = m_finder.choose(now());
-    return choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->isReused());
+    const bool isDifferent
+        = choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->isReused());
+    return isDifferent ? choice.endpoint : std::nullopt;
 }
 
 void RequestTask::handleStall()
@@ -86,7 +88,10 @@
         || m_sends >= (m_isForwarding ? maxSendsPerStream : maxSends);
     if (isLastRun || deadline() - now() < minRemainingTime)
         return;
-    if (!hasReplacement()) {
+    const auto replacement = findReplacement();
+    if (replacement || !std::exchange(m_isSilenceLogged, true))
+        logSilence(replacement);
+    if (!replacement) {
         m_stallTimer = m_context.timers.once(replacementInterval, [this] {
             if (m_isSent && !m_isDone)
                 runGuarded([this] { armStallTimer(); });
@@ -279,6 +284,48 @@
                         .request = m_fields.id.value()});
 }
 
+// A first send has no line, because a request that succeeds at once must not write to the log.
+void RequestTask::logRepeatedSend() const
+{
+    if (m_sends == 1)
+        return;
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "send",
+         .message = absl::StrCat("send ", m_sends, ", ",
+                                 core::toMilliseconds(now() - m_exchange->receivedAt),
+                                 " ms after its arrival, ", describeProgress(),
+                                 ", in progress there ", std::lround(m_loadAtSend)),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
+}
+
+void RequestTask::logSilence(const std::optional<core::EndpointId> &replacement)
+{
+    const core::TimePoint activeAt = m_context.pool.lastActivityAt(m_endpoint);
+    const std::string activity = activeAt == core::TimePoint()
+        ? std::string("never")
+        : absl::StrCat(core::toMilliseconds(now() - activeAt), " ms ago");
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "silent endpoint",
+         .message = absl::StrCat("sent ", core::toMilliseconds(now() - m_sentAt), " ms ago, run ",
+                                 m_runBeganAt ? "has begun" : "has not begun", ", ",
+                                 describeProgress(), ", endpoint last active ", activity,
+                                 ", replacement ", replacement ? replacement->value() : "none"),
+         .peer = m_endpoint.value(),
+         .request = m_fields.id.value()});
+}
+
+std::string RequestTask::describeProgress() const
+{
+    if (!m_times.hasEvents())
+        return "no event forwarded";
+    const auto lastId = m_events.lastId();
+    return absl::StrCat("event ", lastId ? std::to_string(*lastId) : "without id", " forwarded ",
+                        core::toMilliseconds(now() - m_times.lastAt()), " ms ago");
+}
+
 void RequestTask::applyBackpressure()
 {
     const std::size_t limit
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -17,11 +17,6 @@
 constexpr core::Duration disconnectedWorkTimeout = std::chrono::seconds(10);
 constexpr double retryAfterJitter = 0.5;
 
-long long inMilliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace
 
 bool RequestTask::recordFailedSend(Failure failure)
@@ -78,7 +73,7 @@
     if (m_isSent || m_runs > 0)
         fail(504,
              absl::StrCat("no answer within the deadline of ",
-                          inMilliseconds(deadline() - m_exchange->receivedAt), " ms"));
+                          core::toMilliseconds(deadline() - m_exchange->receivedAt), " ms"));
     else
         refuse("no endpoint within the deadline", busyRetryAfter);
 }
@@ -103,10 +98,13 @@
     if (m_isDone)
         return;
     const bool mustFinish = m_isSent && !m_route->isRepeatable() && !m_route->isStream;
+    // Otherwise the log could not tell whether the caller or the daemon closed the connection.
+    const bool isAnswerPartial = m_isForwarding || m_sends > 1;
     observability::log(
-        {.level = observability::LogLevel::Debug,
+        {.level = isAnswerPartial ? observability::LogLevel::Info : observability::LogLevel::Debug,
          .step = "caller left",
-         .message = mustFinish ? "request continues at the endpoint" : "request is aborted",
+         .message = mustFinish ? std::string("request continues at the endpoint")
+                               : absl::StrCat("request is aborted, ", describeProgress()),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
     finish();
@@ -126,9 +124,10 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "refuse",
-         .message = absl::StrCat(
-             core::toAbsl(cause), ", model ", m_fields.model.value(), "/", m_fields.adapter.value(),
-             ", held ", inMilliseconds(now() - m_exchange->receivedAt), " ms, sends ", m_sends),
+         .message = absl::StrCat(core::toAbsl(cause), ", model ", m_fields.model.value(), "/",
+                                 m_fields.adapter.value(), ", held ",
+                                 core::toMilliseconds(now() - m_exchange->receivedAt),
+                                 " ms, sends ", m_sends),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
     const core::Duration delay
@@ -146,8 +145,9 @@
         {.level = observability::LogLevel::Info,
          .step = "abort stream",
          .message = absl::StrCat(
-             core::toAbsl(cause), ", ", inMilliseconds(now() - m_exchange->receivedAt),
-             " ms after its arrival and ", inMilliseconds(now() - interruptedAt),
+             core::toAbsl(cause), ", ", describeProgress(), ", connection closed ",
+             core::toMilliseconds(now() - m_exchange->receivedAt), " ms after its arrival and ",
+             core::toMilliseconds(now() - interruptedAt),
              " ms after the stream was interrupted, sends ", m_sends, ", may have run ", m_runs),
          .peer = m_endpoint.value(),
          .request = m_fields.id.value()});
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -416,6 +416,7 @@
     m_answerShare.resize(0);
     m_isStream = false;
     m_isSound = false;
+    m_isSilenceLogged = false;
     m_awaitsRecord = false;
     m_runBeganAt.reset();
     m_headAt = {};
@@ -456,6 +457,7 @@
     m_connection = m_context.pool.take(endpoint, !m_route->isRepeatable(), m_usedConnections);
     m_usedConnections.insert(m_connection->number());
     m_connection->send(request, std::move(observer));
+    logRepeatedSend();
     armStallTimer();
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -130,8 +130,9 @@
     core::Duration stallLimit() const;
     void armStallTimer();
     void handleStall();
-    /// Whether the request can be sent to another endpoint, or over another connection, now.
-    bool hasReplacement();
+    /// The endpoint to which the request can be sent instead now; the same one if another
+    /// connection may help.
+    std::optional<core::EndpointId> findReplacement();
     void handleDeadline();
     void handleDisconnect();
     void refuse(std::string_view cause, core::Duration retryAfter);
@@ -146,6 +147,11 @@
     void recordPrefillCost();
     void recordRunTime();
     void logIfLate() const;
+    void logRepeatedSend() const;
+    /// Logs what is known of the silent endpoint and of its replacement, if there is one.
+    void logSilence(const std::optional<core::EndpointId> &replacement);
+    /// The last event that the client has, as text for the log.
+    std::string describeProgress() const;
     fleet::AdapterKey adapterKey() const { return {m_fields.model, m_fields.adapter}; }
     core::TimePoint deadline() const;
     core::TimePoint now() const { return m_context.timers.now(); }
@@ -191,6 +197,7 @@
     bool m_isStreamMalformed = false;
     std::optional<core::TimePoint> m_runBeganAt; ///< First event of the current run.
     bool m_isSound = false;                      ///< The current run was recorded as sound.
+    bool m_isSilenceLogged = false;              ///< Of the current run.
     EventFilter m_events;
     StreamTimes m_times;
     core::TimePoint m_sentAt;
--- a/src/libs/gateway/streamtimes.cpp
+++ b/src/libs/gateway/streamtimes.cpp
@@ -6,15 +6,6 @@
 
 namespace jackdawlead::gateway {
 
-namespace {
-
-long long milliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-} // namespace
-
 void StreamTimes::recordEvents(core::TimePoint now)
 {
     if (!hasEvents())
@@ -33,9 +24,9 @@
 
 std::string StreamTimes::describe(core::TimePoint receivedAt, core::TimePoint sentAt) const
 {
-    return absl::StrCat("first event after ", milliseconds(m_firstAt - receivedAt),
-                        " ms, sent after ", milliseconds(sentAt - receivedAt),
-                        " ms, longest pause ", milliseconds(m_longestGap), " ms");
+    return absl::StrCat("first event after ", core::toMilliseconds(m_firstAt - receivedAt),
+                        " ms, sent after ", core::toMilliseconds(sentAt - receivedAt),
+                        " ms, longest pause ", core::toMilliseconds(m_longestGap), " ms");
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/observability/eventloopprofiler.cpp
+++ b/src/libs/observability/eventloopprofiler.cpp
@@ -7,15 +7,6 @@
 
 namespace jackdawlead::observability {
 
-namespace {
-
-long long toMilliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-} // namespace
-
 EventLoopProfiler::Scope::Scope(EventLoopProfiler &profiler, std::string_view kind)
     : m_profiler(profiler)
     , m_kind(kind)
@@ -42,12 +33,13 @@
 {
     if (m_totals.empty())
         return {};
-    std::string text = absl::StrCat("longest delay of a timer ",
-                                    toMilliseconds(std::exchange(m_longestTimerDelay, {})), " ms");
+    std::string text
+        = absl::StrCat("longest delay of a timer ",
+                       core::toMilliseconds(std::exchange(m_longestTimerDelay, {})), " ms");
     for (const auto &[kind, totals] : m_totals) {
         absl::StrAppend(&text, ", ", std::string(kind), " ", totals.count);
         if (totals.time > core::Duration::zero())
-            absl::StrAppend(&text, " in ", toMilliseconds(totals.time), " ms");
+            absl::StrAppend(&text, " in ", core::toMilliseconds(totals.time), " ms");
     }
     m_totals.clear();
     return text;
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -36,11 +36,6 @@
     return names;
 }
 
-long long toMilliseconds(core::Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 std::optional<std::uint64_t> parseNumber(const std::string &text)
 {
     std::uint64_t number = 0;
@@ -137,7 +132,7 @@
             absl::StrAppend(&text, name, ": ", value, "\r\n");
     }
     absl::StrAppend(&text, wire::expectInstance, ": ", fields.endpoint.value(), "\r\n",
-                    wire::deadlineMs, ": ", toMilliseconds(fields.deadline), "\r\n");
+                    wire::deadlineMs, ": ", core::toMilliseconds(fields.deadline), "\r\n");
     if (fields.adapterVersion)
         absl::StrAppend(&text, wire::expectVersion, ": ", *fields.adapterVersion, "\r\n");
     if (fields.priority)
--- a/tests/e2e/tst_platformlogs.cpp
+++ b/tests/e2e/tst_platformlogs.cpp
@@ -114,3 +114,29 @@
                       explained.c_str());
     }
 }
+
+// Guards against a stream whose second send leaves no trace: why it was made, where to, and what
+// the caller had by then.
+Test(platformlogs, explainShowsASilentEndpointAndTheSecondSend, .timeout = 60)
+{
+    Fixture fixture("model");
+    FakeEndpoint::Exchange silent;
+    fixture.first.run = fixture.second.run = [&](const FakeEndpoint::Exchange &exchange) {
+        if (silent) {
+            stream(exchange, 6, false);
+            return;
+        }
+        silent = exchange;
+        exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+        exchange->writeChunk(events(1, 3));
+    };
+    cr_assert_eq(fixture.call("/stream/a", "r1", "base")->body, events(1, 6));
+    fixture.runLoopFor(milliseconds(200));
+    const bool wasFirst = silent->head.headers.value("Expect-Instance") == fixture.first.id;
+    const std::string &other = (wasFirst ? fixture.second : fixture.first).id;
+    const std::string explained = explain(fixture, "r1");
+    for (const std::string &part : {std::string("run has begun, event 3 forwarded"),
+                                    "replacement " + other, "[" + other + "]: send 2, "})
+        cr_assert_neq(explained.find(part), std::string::npos, "%s missing:\n%s", part.c_str(),
+                      explained.c_str());
+}
