--- a/tests/e2e/tst_plannedstop.cpp
+++ b/tests/e2e/tst_plannedstop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <list>
 
 using namespace jackdawlead;
 using namespace jackdawlead::testsupport;
@@ -14,7 +15,7 @@
 {
     PlatformFixture platform;
     core::Duration workTime {};
-    std::vector<net::TimerService::Subscription> work;
+    std::list<net::TimerService::Subscription> work;
     std::vector<std::string> accepted; ///< Ids of the requests that endpoints began to run.
     std::vector<std::pair<std::string, AnswerPtr>> answers;
 
@@ -22,34 +23,62 @@
         : workTime(time)
     {
         constexpr int timeoutMilliseconds = 6000;
+        constexpr int streamTimeoutMilliseconds = 12000;
         platform.store.put(
             "config", "main",
-            configuration(
-                2,
-                {route("/get/", "plain", "idempotent", false, timeoutMilliseconds),
-                 route("/order/", "plain", "non_idempotent", false, timeoutMilliseconds)}));
+            configuration(2,
+                          {route("/get/", "plain", "idempotent", false, timeoutMilliseconds),
+                           route("/order/", "plain", "non_idempotent", false, timeoutMilliseconds),
+                           route("/stream/", "plain", "stream", true, streamTimeoutMilliseconds),
+                           route("/ready/", "plain", "idempotent")}));
         for (FakeEndpoint *endpoint : {&platform.first, &platform.second})
             endpoint->run = [this](const FakeEndpoint::Exchange &exchange) { run(exchange); };
-        platform.runLoopFor(milliseconds(300));
+        cr_assert(platform.waitUntilServed("/ready/a"));
+        accepted.clear();
     }
 
     void run(const FakeEndpoint::Exchange &exchange)
     {
+        if (exchange->head.target.starts_with("/ready/")) {
+            exchange->respond(200, FakeEndpoint::stamped(exchange), "ready");
+            return;
+        }
         accepted.push_back(exchange->head.headers.value("Request-Id"));
+        if (exchange->head.target.starts_with("/stream/")) {
+            exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+            continueStream(exchange, 1, platform.timers.now() + workTime);
+            return;
+        }
         work.push_back(platform.timers.once(workTime, [exchange] {
             exchange->respond(200, FakeEndpoint::stamped(exchange), "whole answer");
         }));
     }
 
+    /// Sends an event every 100 ms until the end of the work.
+    void continueStream(const FakeEndpoint::Exchange &exchange, int next, core::TimePoint end)
+    {
+        exchange->writeChunk(event(next));
+        const core::Duration left = end - platform.timers.now();
+        if (left <= core::Duration::zero()) {
+            exchange->finishChunked();
+            return;
+        }
+        work.push_back(platform.timers.once(
+            std::min<core::Duration>(left, milliseconds(100)),
+            [this, exchange, next, end] { continueStream(exchange, next + 1, end); }));
+    }
+
     void send(const std::string &path)
     {
         const std::string id = path.substr(1, 1) + std::to_string(answers.size());
-        answers.emplace_back(
-            id,
-            platform.send(platform.callerPort,
-                          "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
-                              + "\r\nDeadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody",
-                          id));
+        const char *deadline = path.starts_with("/stream/") ? "12000" : "6000";
+        answers.emplace_back(id,
+                             platform.send(platform.callerPort,
+                                           "POST " + path
+                                               + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id
+                                               + "\r\nDeadline-Ms: " + deadline
+                                               + "\r\nContent-Length: 4\r\n\r\nbody",
+                                           id));
     }
 
     bool areAllEnded() const
@@ -58,11 +87,11 @@
     }
 
     /// Lets the daemon learn how long the endpoints work.
-    void warmUp()
+    void warmUp(const std::string &path = "/get/a")
     {
         constexpr int requests = 10;
         for (int number = 0; number < requests; ++number)
-            send("/get/a");
+            send(path);
         cr_assert(platform.waitUntil([this] { return areAllEnded(); }));
         answers.clear();
         accepted.clear();
@@ -73,14 +102,15 @@
         return std::ranges::find(accepted, id) != accepted.end();
     }
 
-    /// Stops the daemon, sends a request of each kind each 100 ms until its process is gone, and
+    /// Stops the daemon, sends a request to each path in each period until its process is gone, and
     /// checks that each was answered completely, or refused and not run.
-    void checkPlannedStop()
+    void checkPlannedStop(const std::vector<std::string> &paths = {"/order/a", "/get/a"},
+                          core::Duration period = milliseconds(100))
     {
         platform.daemon.signal(SIGTERM);
-        const auto sender = platform.timers.every(milliseconds(100), [this] {
-            send("/order/a");
-            send("/get/a");
+        const auto sender = platform.timers.every(period, [this, &paths] {
+            for (const std::string &path : paths)
+                send(path);
         });
         cr_assert(platform.waitUntil([this] { return platform.daemon.exitCode().has_value(); }));
         cr_assert_eq(*platform.daemon.exitCode(), 0);
@@ -115,6 +145,37 @@
     fixture.checkPlannedStop();
 }
 
+// Guards against streams that are accepted in a planned stop because earlier ones took less time,
+// and are cut off when the process ends.
+Test(plannedstop, streamsThatBecomeSlowerAreNotCutOff, .timeout = 120)
+{
+    struct Case
+    {
+        core::Duration before;
+        core::Duration after;
+    };
+    const Case cases[] = {{milliseconds(500), milliseconds(5500)},
+                          {milliseconds(1000), milliseconds(4500)},
+                          {milliseconds(100), milliseconds(6300)},
+                          {milliseconds(2500), milliseconds(4800)}};
+    for (const Case &times : cases) {
+        Fixture fixture(times.before);
+        fixture.warmUp("/stream/a");
+        fixture.workTime = times.after;
+        fixture.checkPlannedStop({"/stream/a"});
+    }
+}
+
+// The same for work that is answered at once, and may not be repeated.
+Test(plannedstop, workThatBecomesSlowerIsNotCutOff, .timeout = 60)
+{
+    Fixture fixture(milliseconds(100));
+    fixture.warmUp();
+    fixture.workTime = milliseconds(4800);
+    // A shorter period fills the endpoints, so that they accept nothing late in the stop.
+    fixture.checkPlannedStop({"/order/a"}, milliseconds(300));
+}
+
 // The same without earlier answers, so that only the limits of the requests are known.
 Test(plannedstop, workOfUnknownTimeIsNotCutOff, .timeout = 60)
 {
