--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -326,7 +326,7 @@
             affected.push_back(task);
     }
     for (const auto &task : affected)
-        task->giveUpOlderVersion();
+        task->giveUpOlderVersion(newest);
 }
 
 void Gateway::handleView()
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -17,12 +17,6 @@
 constexpr std::size_t maxUnsentBytes = 256 * 1024;
 /// The same while the buffers of the process are nearly full.
 constexpr std::size_t maxUnsentBytesUnderPressure = 16 * 1024;
-// Clients disconnect after a gap of two seconds or more; a second run needs half of that.
-constexpr core::Duration minStallLimit = std::chrono::milliseconds(1100);
-constexpr int slowEndpointFactor = 2; ///< Clients of streams disconnect after 3.2 s or more.
-// Interval of the search for an endpoint that can replace a stalled one.
-constexpr core::Duration replacementInterval = std::chrono::milliseconds(100);
-constexpr int stallGapFactor = 4; ///< Target gaps after which a stream counts as stalled.
 // Endpoints that a prompt crashes do so as they begin to answer; later events show that it is
 // sound.
 constexpr core::Duration soundRunTime = std::chrono::milliseconds(500);
@@ -37,96 +31,31 @@
 
 } // namespace
 
-core::Duration RequestTask::stallLimit() const
-{
-    if (m_isForwarding)
-        return std::max<core::Duration>(minStallLimit, m_route->targetGap * stallGapFactor);
-    return std::max<core::Duration>(minStallLimit, m_route->targetLatency * 2);
-}
-
-// The timer is restarted only when it fires, not for each event, because events are frequent and
-// stalls are rare.
-void RequestTask::armStallTimer()
-{
-    if (!m_route->isRepeatable())
-        return;
-    const core::TimePoint lastActivityAt = std::max({m_sentAt, m_headAt, m_times.lastAt()});
-    // If the endpoint sends to other requests, it is slow, or only this connection is dead.
-    const bool isEndpointSilent = now() - m_context.pool.lastActivityAt(m_endpoint) >= stallLimit();
-    const core::Duration limit
-        = isEndpointSilent ? stallLimit() : stallLimit() * slowEndpointFactor;
-    const core::Duration remaining = lastActivityAt + limit - now();
-    if (remaining <= core::Duration::zero()) {
-        handleStall();
-        return;
-    }
-    m_stallTimer = m_context.timers.once(remaining, [this] {
-        if (m_isSent && !m_isDone)
-            runGuarded([this] { armStallTimer(); });
-    });
-}
-
-// A request that only waits in the endpoint's queue stays there unless another endpoint is
-// available, because otherwise it would have no endpoint or go to the end of the same queue. The
-// same endpoint is an option only if the connection was reused, because that one may be dead.
-std::optional<core::EndpointId> RequestTask::findReplacement()
-{
-    if (!m_exchange->isOpen() || !canFinishBeforeStop()
-        || !m_context.budgets[m_service].canTake(now())
-        || !m_context.crashes.mayRunAgain(m_identity))
-        return std::nullopt;
-    const auto choice = m_finder.choose(now());
-    const bool isDifferent
-        = choice.endpoint && (*choice.endpoint != m_endpoint || m_connection->isReused());
-    return isDifferent ? choice.endpoint : std::nullopt;
-}
-
-void RequestTask::handleStall()
-{
-    // If no further run is allowed, the request can only wait.
-    const bool isLastRun = m_runs + 1 >= m_route->maxAttempts
-        || m_sends >= (m_isForwarding ? maxSendsPerStream : maxSends);
-    if (isLastRun || deadline() - now() < minRemainingTime)
-        return;
-    const auto replacement = findReplacement();
-    if (replacement || !std::exchange(m_isSilenceLogged, true))
-        logSilence(replacement);
-    if (!replacement) {
-        m_stallTimer = m_context.timers.once(replacementInterval, [this] {
-            if (m_isSent && !m_isDone)
-                runGuarded([this] { armStallTimer(); });
-        });
-        return;
-    }
-    dropConnection();
-    m_interruptedAt = now();
-    m_context.pool.health(m_endpoint).recordErrorResponse(now());
-    handleSendFailure(Failure::MayHaveRun, "endpoint was silent for too long");
-}
-
 void RequestTask::handleHead(http::MessageHead &head)
 {
-    m_traits = platform::parseResponseTraits(head);
-    m_headAt = now();
-    m_context.pool.recordActivity(m_endpoint);
-    const bool isOwnAnswer = m_traits.isStamped && !m_traits.isMisdirected;
+    m_attempt->traits = platform::parseResponseTraits(head);
+    m_attempt->headAt = now();
+    m_context.pool.recordActivity(m_attempt->endpoint);
+    const bool isOwnAnswer = m_attempt->traits.isStamped && !m_attempt->traits.isMisdirected;
     m_context.limits.recordResponse(
-        m_endpoint, m_incarnation,
-        platform::parseRequestLimit(head.status, head.headers, m_endpoint), isOwnAnswer, m_sentAt);
+        m_attempt->endpoint, m_attempt->incarnation,
+        platform::parseRequestLimit(head.status, head.headers, m_attempt->endpoint), isOwnAnswer,
+        m_attempt->sentAt);
     applyEndpointState(head);
     // The end of such an answer does not show whether the endpoint is sound, but its begin does.
     if (isOwnAnswer && head.status < 500 && !head.isDelimited())
-        m_context.pool.health(m_endpoint).recordSuccess();
-    m_isStream = isStreamHead(head);
-    m_answer = std::move(head);
-    if (!m_isStream && m_exchange->head.method != "HEAD")
-        reserveAnswer(m_answer.contentLength);
+        m_context.pool.health(m_attempt->endpoint).recordSuccess();
+    m_attempt->isStream = isStreamHead(head);
+    m_attempt->answer = std::move(head);
+    if (!m_attempt->isStream && m_exchange->head.method != "HEAD")
+        reserveAnswer(m_attempt->answer.contentLength);
 }
 
 bool RequestTask::isStreamHead(const http::MessageHead &head) const
 {
-    return m_route->isStream && head.status == 200 && m_traits.isStamped
-        && !m_traits.hasContentEncoding && (!m_isForwarding || mediaTypeOf(head) == m_mediaType);
+    return m_route->isStream && head.status == 200 && m_attempt->traits.isStamped
+        && !m_attempt->traits.hasContentEncoding
+        && (!m_isForwarding || mediaTypeOf(head) == m_mediaType);
 }
 
 // The head is forwarded only with the first event, so that the client can still get an error status
@@ -136,94 +65,98 @@
     if (m_isForwarding)
         return;
     m_isForwarding = true;
-    m_awaitsRecord = false;
-    m_mediaType = mediaTypeOf(m_answer);
+    m_attempt->awaitsRecord = false;
+    m_mediaType = mediaTypeOf(m_attempt->answer);
     if (!m_origin)
-        applyOrigin({m_service, m_softwareVersion});
+        applyOrigin({m_service, m_attempt->softwareVersion});
     m_context.streams.recordBegin(begunBy(), *m_origin);
-    m_exchange->startChunked(m_answer.status, platform::forwardedResponseHeaders(m_answer));
+    m_exchange->startChunked(m_attempt->answer.status,
+                             platform::forwardedResponseHeaders(m_attempt->answer));
 }
 
 // The handlers run in the next event loop iteration because they may end other requests.
 void RequestTask::applyEndpointState(const http::MessageHead &head)
 {
-    const bool isLeaving = platform::announcesLeaving(head.headers, m_endpoint);
-    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_endpoint);
-    if (endpoint == nullptr || (!isLeaving && !m_traits.retryAfter))
+    const bool isLeaving = platform::announcesLeaving(head.headers, m_attempt->endpoint);
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_attempt->endpoint);
+    if (endpoint == nullptr || (!isLeaving && !m_attempt->traits.retryAfter))
         return;
-    if (m_traits.retryAfter)
-        m_context.pool.setBackoff(*endpoint, now() + *m_traits.retryAfter);
-    m_context.loop.post(
-        [&context = m_context, isLeaving, id = m_endpoint, startTime = endpoint->startTime] {
-            if (isLeaving) {
-                context.leaving[id] = startTime;
-                context.watch.markEndpointLeaving(id, startTime);
-            } else {
-                context.onEndpointBackoff(id);
-            }
-        });
+    if (m_attempt->traits.retryAfter)
+        m_context.pool.setBackoff(*endpoint, now() + *m_attempt->traits.retryAfter);
+    m_context.loop.post([&context = m_context, isLeaving, id = m_attempt->endpoint,
+                         startTime = endpoint->startTime] {
+        if (isLeaving) {
+            context.leaving[id] = startTime;
+            context.watch.markEndpointLeaving(id, startTime);
+        } else {
+            context.onEndpointBackoff(id);
+        }
+    });
 }
 
 void RequestTask::handleBody(std::string_view bytes)
 {
-    if (!m_isStream) {
+    if (!m_attempt->isStream) {
         bufferAnswer(bytes);
         return;
     }
-    if (m_isStreamMalformed)
+    if (m_attempt->isStreamMalformed)
         return;
     std::string events;
-    const auto lastId = m_events.lastId();
-    m_isStreamMalformed = m_events.feed(bytes, events) == EventFilter::Result::Broken;
-    if (m_isStreamMalformed)
+    const auto lastId = m_attempt->events.lastId();
+    m_attempt->isStreamMalformed
+        = m_attempt->events.feed(bytes, events) == EventFilter::Result::Broken;
+    if (m_attempt->isStreamMalformed)
         endExchangeAsMalformed(); // The remaining bytes may be endless.
     // Comments are no progress, because a stalled endpoint may continue to send them.
-    const bool hasProgress = m_events.lastId() != lastId
-        || (!m_events.lastId() && events.find(dataField) != std::string::npos);
-    if (!shareAnswer(m_heldEvents.size() + events.size() + m_events.incompleteEvent().size()))
+    const bool hasProgress = m_attempt->events.lastId() != lastId
+        || (!m_attempt->events.lastId() && events.find(dataField) != std::string::npos);
+    if (!shareAnswer(m_attempt->heldEvents.size() + events.size()
+                     + m_attempt->events.incompleteEvent().size()))
         return;
-    m_heldEvents += events;
+    m_attempt->heldEvents += events;
     if (hasProgress)
         handleProgress();
     if (m_isForwarding)
         forwardEvents();
-    else if (m_heldEvents.size() > maxUnsentBytes)
+    else if (m_attempt->heldEvents.size() > maxUnsentBytes)
         endExchangeAsMalformed(); // Endless comments without an event.
 }
 
 void RequestTask::handleProgress()
 {
-    m_context.pool.recordActivity(m_endpoint);
+    m_context.pool.recordActivity(m_attempt->endpoint);
+    dropOtherAttempts();
     recordPrefillCost();
-    endPrefill();
-    if (!m_runBeganAt)
-        m_runBeganAt = now();
-    if (!m_isSound && now() - *m_runBeganAt >= soundRunTime)
+    endPrefill(*m_attempt);
+    if (!m_attempt->runBeganAt)
+        m_attempt->runBeganAt = now();
+    if (!m_attempt->isSound && now() - *m_attempt->runBeganAt >= soundRunTime)
         recordSoundRun();
     if (m_isForwarding) {
         m_times.recordEvents(now());
         return;
     }
-    if (!m_awaitsRecord)
+    if (!m_attempt->awaitsRecord)
         m_context.streams.recordBegin(
-            begunBy(), m_origin.value_or(StreamOrigin {m_service, m_softwareVersion}));
+            begunBy(), m_origin.value_or(StreamOrigin {m_service, m_attempt->softwareVersion}));
     forwardEvents();
 }
 
 // A client that has an event may take the stream up at a daemon that knows it only from the store.
 void RequestTask::forwardEvents()
 {
-    m_awaitsRecord = !m_isForwarding && !m_origin && m_route->isRepeatable()
-        && m_context.streams.mustHoldFirstEvent(m_fields.id, m_service, *m_runBeganAt);
-    if (m_awaitsRecord)
+    m_attempt->awaitsRecord = !m_isForwarding && !m_origin && m_route->isRepeatable()
+        && m_context.streams.mustHoldFirstEvent(m_fields.id, m_service, *m_attempt->runBeganAt);
+    if (m_attempt->awaitsRecord)
         return;
     if (!m_isForwarding)
         m_times.recordEvents(now());
     startForwarding();
-    if (m_heldEvents.empty())
+    if (m_attempt->heldEvents.empty())
         return;
-    m_exchange->writeChunk(std::exchange(m_heldEvents, {}));
-    m_answerShare.resize(m_events.incompleteEvent().size());
+    m_exchange->writeChunk(std::exchange(m_attempt->heldEvents, {}));
+    m_attempt->answerShare.resize(m_attempt->events.incompleteEvent().size());
     applyBackpressure();
 }
 
@@ -236,18 +169,18 @@
 
 void RequestTask::recordSoundRun()
 {
-    m_isSound = true;
+    m_attempt->isSound = true;
     m_context.crashes.recordSound(m_identity);
 }
 
 void RequestTask::endExchangeAsMalformed()
 {
-    m_context.loop.post([weak = weak_from_this(), send = m_sends] {
+    m_context.loop.post([weak = weak_from_this(), number = m_attempt->number] {
         const auto self = weak.lock();
-        if (!self || !self->m_isSent || self->m_sends != send)
+        if (!self || !self->selectAttempt(number))
             return;
         self->runGuarded([&self] {
-            self->m_connection->abandon();
+            self->m_attempt->connection->abandon();
             self->handleExchangeEnd(http::ExchangeEnd::Malformed);
         });
     });
@@ -255,83 +188,43 @@
 
 void RequestTask::recordPrefillCost()
 {
-    if (m_pendingPrefillTokens == 0)
+    if (m_attempt->pendingPrefillTokens == 0)
         return;
-    m_context.cost.recordFirstEvent(m_pendingPrefillTokens, now() - m_sentAt, m_wasLightlyLoaded);
+    m_context.cost.recordFirstEvent(m_attempt->pendingPrefillTokens, now() - m_attempt->sentAt,
+                                    m_attempt->wasLightlyLoaded);
     m_context.pool.setPrefillTokensPerSecond(m_context.cost.tokensPerSecond());
 }
 
 void RequestTask::recordRunTime()
 {
     ServiceRunTimes &times = m_context.runTimes[m_service];
-    (m_route->isStream ? times.streams : times.answers).record(now() - m_sentAt);
+    (m_route->isStream ? times.streams : times.answers).record(now() - m_attempt->sentAt);
 }
 
-void RequestTask::endPrefill()
+void RequestTask::endPrefill(RequestAttempt &attempt)
 {
-    m_context.pool.endPrefill(m_endpoint, std::exchange(m_pendingPrefillTokens, 0));
+    m_context.pool.endPrefill(attempt.endpoint, std::exchange(attempt.pendingPrefillTokens, 0));
 }
 
 void RequestTask::logIfLate() const
 {
     if (!m_times.isLate(*m_route, m_exchange->receivedAt))
         return;
-    observability::log({.level = observability::LogLevel::Info,
-                        .step = "late",
-                        .message = absl::StrCat(m_times.describe(m_exchange->receivedAt, m_sentAt),
-                                                ", in progress there ", std::lround(m_loadAtSend)),
-                        .peer = m_endpoint.value(),
-                        .request = m_fields.id.value()});
-}
-
-// A first send has no line, because a request that succeeds at once must not write to the log.
-void RequestTask::logRepeatedSend() const
-{
-    if (m_sends == 1)
-        return;
-    observability::log(
-        {.level = observability::LogLevel::Info,
-         .step = "send",
-         .message = absl::StrCat("send ", m_sends, ", ",
-                                 core::toMilliseconds(now() - m_exchange->receivedAt),
-                                 " ms after its arrival, ", describeProgress(),
-                                 ", in progress there ", std::lround(m_loadAtSend)),
-         .peer = m_endpoint.value(),
-         .request = m_fields.id.value()});
-}
-
-void RequestTask::logSilence(const std::optional<core::EndpointId> &replacement)
-{
-    const core::TimePoint activeAt = m_context.pool.lastActivityAt(m_endpoint);
-    const std::string activity = activeAt == core::TimePoint()
-        ? std::string("never")
-        : absl::StrCat(core::toMilliseconds(now() - activeAt), " ms ago");
     observability::log(
         {.level = observability::LogLevel::Info,
-         .step = "silent endpoint",
-         .message = absl::StrCat("sent ", core::toMilliseconds(now() - m_sentAt), " ms ago, run ",
-                                 m_runBeganAt ? "has begun" : "has not begun", ", ",
-                                 describeProgress(), ", endpoint last active ", activity,
-                                 ", replacement ", replacement ? replacement->value() : "none"),
-         .peer = m_endpoint.value(),
+         .step = "late",
+         .message = absl::StrCat(m_times.describe(m_exchange->receivedAt, m_attempt->sentAt),
+                                 ", in progress there ", std::lround(m_attempt->loadAtSend)),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
 }
 
-std::string RequestTask::describeProgress() const
-{
-    if (!m_times.hasEvents())
-        return "no event forwarded";
-    const auto lastId = m_events.lastId();
-    return absl::StrCat("event ", lastId ? std::to_string(*lastId) : "without id", " forwarded ",
-                        core::toMilliseconds(now() - m_times.lastAt()), " ms ago");
-}
-
 void RequestTask::applyBackpressure()
 {
     const std::size_t limit
         = m_context.buffers.isLargePartUsed() ? maxUnsentBytesUnderPressure : maxUnsentBytes;
-    if (m_connection && m_isSent)
-        m_connection->setReadEnabled(m_exchange->pendingOutput() < limit);
+    if (m_attempt->connection && m_attempt->isInProgress)
+        m_attempt->connection->setReadEnabled(m_exchange->pendingOutput() < limit);
 }
 
 // The framing of an answer says where its bytes end, not whether its last event is whole: an
@@ -341,46 +234,49 @@
     const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
     // An endpoint that ends after the head leaves the same bytes as one without anything to say.
     constexpr int firstFailureStatus = 300;
-    if (isAtClose && !m_isStream && m_answer.status < firstFailureStatus && m_answerBody.empty())
+    if (isAtClose && !m_attempt->isStream && m_attempt->answer.status < firstFailureStatus
+        && m_attempt->answerBody.empty())
         return http::ExchangeEnd::Broken;
-    const bool isWhole = m_events.endsBetweenEvents() && (m_runBeganAt || !isAtClose);
-    if (!m_isStream || !http::isComplete(end) || isWhole)
+    const bool isWhole
+        = m_attempt->events.endsBetweenEvents() && (m_attempt->runBeganAt || !isAtClose);
+    if (!m_attempt->isStream || !http::isComplete(end) || isWhole)
         return end;
     m_context.metrics.recordTruncatedStream(isAtClose);
-    const std::string lastEvent
-        = m_events.lastId() ? absl::StrCat("event ", *m_events.lastId()) : std::string("no event");
+    const std::string lastEvent = m_attempt->events.lastId()
+        ? absl::StrCat("event ", *m_attempt->events.lastId())
+        : std::string("no event");
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "truncated stream",
          .message
          = absl::StrCat("stream ended inside an event or before its first one, ",
                         isAtClose ? "with its connection, " : "with a regular end of its framing, ",
-                        m_events.incompleteEvent().size(), " bytes after ", lastEvent),
-         .peer = m_endpoint.value(),
+                        m_attempt->events.incompleteEvent().size(), " bytes after ", lastEvent),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
     return isAtClose ? http::ExchangeEnd::Broken : http::ExchangeEnd::Malformed;
 }
 
 void RequestTask::handleExchangeEnd(http::ExchangeEnd reportedEnd)
 {
-    m_isSent = false;
-    m_awaitsRecord = false;
+    m_attempt->isInProgress = false;
+    m_attempt->awaitsRecord = false;
     const http::ExchangeEnd end = verifiedEnd(reportedEnd);
     if (http::isComplete(end))
-        m_context.pool.recordActivity(m_endpoint);
-    endPrefill();
-    m_context.pool.endRequest(m_endpoint, adapterKey());
-    m_context.pool.giveBack(m_endpoint, std::move(m_connection));
+        m_context.pool.recordActivity(m_attempt->endpoint);
+    endPrefill(*m_attempt);
+    m_context.pool.endRequest(m_attempt->endpoint, adapterKey());
+    m_context.pool.giveBack(m_attempt->endpoint, std::move(m_attempt->connection));
     if (m_isDone) {
         // The client disconnected while at-most-once work ran, which must not be aborted.
         m_onDone(shared_from_this());
         return;
     }
-    if (http::isComplete(end) && m_traits.isNotRun) {
+    if (http::isComplete(end) && m_attempt->traits.isNotRun) {
         handleRefusal();
         return;
     }
-    if (m_isStream || m_isForwarding) {
+    if (m_attempt->isStream || m_isForwarding) {
         handleStreamEnd(end);
         return;
     }
@@ -398,9 +294,10 @@
 void RequestTask::handleConnectionFailure(http::ExchangeEnd end)
 {
     if (end == http::ExchangeEnd::Broken)
-        m_context.crashes.recordBrokenExchange(m_endpoint, m_incarnation, m_identity);
+        m_context.crashes.recordBrokenExchange(m_attempt->endpoint, m_attempt->incarnation,
+                                               m_identity);
     else
-        m_context.crashes.recordConnectionFailure(m_endpoint, m_incarnation);
+        m_context.crashes.recordConnectionFailure(m_attempt->endpoint, m_attempt->incarnation);
 }
 
 // The fingerprint uses host, path and body because they are equal in every retry by the client; the
@@ -424,32 +321,33 @@
 {
     // It is not known whether the earlier run broke off after its last event. The client can ask
     // for the rest and sees then that an endpoint has none.
-    const bool isEmptyRest = m_isForwarding && !m_runBeganAt;
-    if (http::isComplete(end) && m_isStream && !m_isStreamMalformed && !isEmptyRest) {
-        if (m_answer.isDelimited())
-            m_context.pool.health(m_endpoint).recordSuccess();
-        if (m_answer.isDelimited() && m_runBeganAt)
+    const bool isEmptyRest = m_isForwarding && !m_attempt->runBeganAt;
+    if (http::isComplete(end) && m_attempt->isStream && !m_attempt->isStreamMalformed
+        && !isEmptyRest) {
+        if (m_attempt->answer.isDelimited())
+            m_context.pool.health(m_attempt->endpoint).recordSuccess();
+        if (m_attempt->answer.isDelimited() && m_attempt->runBeganAt)
             recordSoundRun();
-        if (m_runBeganAt && !m_isForwarding)
+        if (m_attempt->runBeganAt && !m_isForwarding)
             m_times.recordEvents(now());
         logIfLate();
         if (m_times.hasEvents()) {
             m_context.metrics.recordFirstEvent(m_times.firstAt() - m_exchange->receivedAt);
             m_context.metrics.recordLongestPause(m_times.longestGap());
-            if (m_sends == 1 && m_runBeganAt)
-                m_context.cost.recordStreamDuration(m_times.lastAt() - *m_runBeganAt);
+            if (m_sends == 1 && m_attempt->runBeganAt)
+                m_context.cost.recordStreamDuration(m_times.lastAt() - *m_attempt->runBeganAt);
         }
         recordRunTime();
-        m_status = m_answer.status;
+        m_status = m_attempt->answer.status;
         startForwarding();
-        m_exchange->writeChunk(m_heldEvents + m_events.incompleteEvent());
+        m_exchange->writeChunk(m_attempt->heldEvents + m_attempt->events.incompleteEvent());
         m_exchange->finishChunked();
         finish();
         return;
     }
-    m_isStreamMalformed = false;
-    if (http::isComplete(end) && (!m_isStream || isEmptyRest)) {
-        m_context.pool.health(m_endpoint).recordErrorResponse(now());
+    m_attempt->isStreamMalformed = false;
+    if (http::isComplete(end) && (!m_attempt->isStream || isEmptyRest)) {
+        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
         m_interruptedAt = now();
         handleSendFailure(Failure::MayHaveRun, "answer is not the rest of the stream");
         return;
@@ -466,41 +364,46 @@
 
 void RequestTask::sendBufferedAnswer()
 {
-    const bool isUsable
-        = !m_traits.hasContentEncoding && (m_traits.isStamped || m_answer.status >= 300);
-    const bool isFailure = m_answer.status >= 500;
+    const bool isUsable = !m_attempt->traits.hasContentEncoding
+        && (m_attempt->traits.isStamped || m_attempt->answer.status >= 300);
+    const bool isFailure = m_attempt->answer.status >= 500;
     if (!isUsable) {
-        m_context.pool.health(m_endpoint).recordErrorResponse(now());
+        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
         handleSendFailure(Failure::MayHaveRun, "answer is not the endpoint's own");
         return;
     }
     if (isFailure)
-        m_context.pool.health(m_endpoint).recordErrorResponse(now());
-    else if (m_answer.isDelimited())
-        m_context.pool.health(m_endpoint).recordSuccess();
+        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
+    else if (m_attempt->answer.isDelimited())
+        m_context.pool.health(m_attempt->endpoint).recordSuccess();
     const bool isLate = deadline() - now() < minRemainingTime;
+    if (isFailure && !m_otherAttempts.empty()) {
+        continueOtherAttempt(Failure::MayHaveRun, "endpoint failed");
+        return;
+    }
     if (isFailure && !isLate && recordFailedSend(Failure::MayHaveRun)) {
         chooseEndpoint();
         return;
     }
     recordRunTime();
-    m_exchange->respond(m_answer.status, platform::forwardedResponseHeaders(m_answer),
-                        m_answerBody);
-    m_status = m_answer.status;
+    m_exchange->respond(m_attempt->answer.status,
+                        platform::forwardedResponseHeaders(m_attempt->answer),
+                        m_attempt->answerBody);
+    m_status = m_attempt->answer.status;
     finish();
 }
 
 void RequestTask::handleRefusal()
 {
     m_finder.recordRefusal(now());
-    if (m_traits.isMisdirected) {
+    if (m_attempt->traits.isMisdirected) {
         const fleet::AdapterKey key = adapterKey();
-        m_context.placement.recordPlacementMiss(m_endpoint, key);
-        m_context.placementMisses[m_endpoint].insert(key);
+        m_context.placement.recordPlacementMiss(m_attempt->endpoint, key);
+        m_context.placementMisses[m_attempt->endpoint].insert(key);
     }
     handleSendFailure(Failure::NotRun,
-                      m_traits.isMisdirected ? "endpoint lacks model, adapter or version"
-                                             : "endpoint refused");
+                      m_attempt->traits.isMisdirected ? "endpoint lacks model, adapter or version"
+                                                      : "endpoint refused");
 }
 
 } // namespace jackdawlead::gateway
--- /dev/null
+++ b/src/libs/gateway/requestattempt.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decisions/bufferbudget.h"
+#include "fleet/endpoint.h"
+#include "gateway/eventfilter.h"
+#include "http/clientconnection.h"
+#include "platform/endpointcodec.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jackdawlead::gateway {
+
+/// One send of a request to an endpoint, and what that endpoint has answered so far. Thread safety:
+/// the event loop's thread only.
+struct RequestAttempt
+{
+    explicit RequestAttempt(decisions::BufferBudget &buffers)
+        : answerShare(buffers)
+    { }
+
+    /// Whether the endpoint has sent nothing of its answer yet.
+    bool isQueued() const { return isInProgress && headAt == core::TimePoint(); }
+
+    int number = 0; ///< Counts the sends of the request.
+    core::EndpointId endpoint;
+    fleet::StartTime incarnation {};       ///< Of the endpoint, when the request was sent.
+    core::SoftwareVersion softwareVersion; ///< The same.
+    std::optional<int> adapterVersion;     ///< That the endpoint held then, if known.
+    std::unique_ptr<http::ClientConnection> connection;
+    bool isInProgress = false; ///< An exchange is in progress.
+    core::TimePoint sentAt;
+    core::TimePoint headAt;         ///< When the head arrived.
+    double loadAtSend = 0;          ///< Slots in use at the endpoint when the request was sent.
+    int pendingPrefillTokens = 0;   ///< Until the first event.
+    bool wasLightlyLoaded = false;  ///< The endpoint had no pending prefill and few streams then.
+    bool isSilenceReported = false; ///< The log names the silence of the endpoint.
+    bool isSilenceCounted = false;  ///< The health of the endpoint takes it into account.
+
+    http::MessageHead answer;
+    platform::ResponseTraits traits;
+    std::string answerBody;
+    decisions::BufferBudget::Share answerShare; ///< Of answerBody and heldEvents.
+    bool isStream = false;                      ///< The endpoint answers with a stream.
+    bool isStreamMalformed = false;
+    bool awaitsRecord = false; ///< The first event is held until the stream is recorded.
+    bool isSound = false;      ///< The run was recorded as sound.
+    std::optional<core::TimePoint> runBeganAt; ///< The first event of this run.
+    EventFilter events;
+    std::string heldEvents; ///< Complete events that were not forwarded yet.
+};
+
+} // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestbuffers.cpp
+++ b/src/libs/gateway/requestbuffers.cpp
@@ -25,12 +25,12 @@
     if (length > maxBufferedAnswer)
         endExchangeAsMalformed();
     else if (shareAnswer(length))
-        m_answerBody.reserve(length);
+        m_attempt->answerBody.reserve(length);
 }
 
 bool RequestTask::shareAnswer(std::size_t bytes)
 {
-    if (m_answerShare.tryResize(bytes))
+    if (m_attempt->answerShare.tryResize(bytes))
         return true;
     endExchangeOverBudget();
     return false;
@@ -40,22 +40,22 @@
 {
     if (m_isDone)
         return;
-    if (m_answerBody.size() + bytes.size() > maxBufferedAnswer)
+    if (m_attempt->answerBody.size() + bytes.size() > maxBufferedAnswer)
         endExchangeAsMalformed(); // Too large to buffer, and possibly endless.
-    else if (shareAnswer(capacityAfterAppend(m_answerBody, bytes.size())))
-        m_answerBody.append(bytes);
+    else if (shareAnswer(capacityAfterAppend(m_attempt->answerBody, bytes.size())))
+        m_attempt->answerBody.append(bytes);
 }
 
 void RequestTask::endExchangeOverBudget()
 {
-    m_context.loop.post([weak = weak_from_this(), send = m_sends] {
+    m_context.loop.post([weak = weak_from_this(), number = m_attempt->number] {
         const auto self = weak.lock();
-        if (!self || !self->m_isSent || self->m_sends != send || self->m_isDone)
+        if (!self || self->m_isDone || !self->selectAttempt(number))
             return;
         self->runGuarded([&self] {
             self->dropConnection();
-            self->m_answerBody = {};
-            self->m_answerShare.resize(0);
+            self->m_attempt->answerBody = {};
+            self->m_attempt->answerShare.resize(0);
             self->m_interruptedAt = self->now();
             self->handleSendFailure(Failure::MayHaveRun, "buffers of the process are full");
         });
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -39,13 +39,17 @@
 
 void RequestTask::handleSendFailure(Failure failure, std::string_view cause)
 {
+    if (!m_otherAttempts.empty()) {
+        continueOtherAttempt(failure, cause);
+        return;
+    }
     const bool isRetried = recordFailedSend(failure);
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = isRetried ? "send again" : "give up",
          .message = absl::StrCat(core::toAbsl(cause), ", sends ", m_sends, ", may have run ",
-                                 m_runs, ", status ", m_answer.status),
-         .peer = m_endpoint.value(),
+                                 m_runs, ", status ", m_attempt->answer.status),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
     if (isRetried) {
         m_context.metrics.recordRetry(std::string(cause));
@@ -70,7 +74,7 @@
         abortStream("the deadline has passed");
         return;
     }
-    if (m_isSent || m_runs > 0)
+    if (m_attempt->isInProgress || m_runs > 0)
         fail(504,
              absl::StrCat("no answer within the deadline of ",
                           core::toMilliseconds(deadline() - m_exchange->receivedAt), " ms"));
@@ -86,7 +90,7 @@
         constexpr std::string_view cause = "the daemon stops";
         if (m_isForwarding)
             abortStream(cause);
-        else if (m_isSent || m_runs > 0)
+        else if (m_attempt->isInProgress || m_runs > 0)
             fail(504, cause);
         else
             refuse(cause, busyRetryAfter);
@@ -97,7 +101,8 @@
 {
     if (m_isDone)
         return;
-    const bool mustFinish = m_isSent && !m_route->isRepeatable() && !m_route->isStream;
+    const bool mustFinish
+        = m_attempt->isInProgress && !m_route->isRepeatable() && !m_route->isStream;
     // Otherwise the log could not tell whether the caller or the daemon closed the connection.
     const bool isAnswerPartial = m_isForwarding || m_sends > 1;
     observability::log(
@@ -105,7 +110,7 @@
          .step = "caller left",
          .message = mustFinish ? std::string("request continues at the endpoint")
                                : absl::StrCat("request is aborted, ", describeProgress()),
-         .peer = m_endpoint.value(),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
     finish();
 }
@@ -128,7 +133,7 @@
                                  m_fields.adapter.value(), ", held ",
                                  core::toMilliseconds(now() - m_exchange->receivedAt),
                                  " ms, sends ", m_sends),
-         .peer = m_endpoint.value(),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
     const core::Duration delay
         = core::scaled(retryAfter, 1.0 + retryAfterJitter * m_context.uniformRandom());
@@ -149,7 +154,7 @@
              core::toMilliseconds(now() - m_exchange->receivedAt), " ms after its arrival and ",
              core::toMilliseconds(now() - interruptedAt),
              " ms after the stream was interrupted, sends ", m_sends, ", may have run ", m_runs),
-         .peer = m_endpoint.value(),
+         .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
     m_exchange->abort();
     finish();
@@ -160,7 +165,7 @@
     observability::log({.level = observability::LogLevel::Info,
                         .step = "fail",
                         .message = absl::StrCat("status ", status, ", ", core::toAbsl(cause)),
-                        .peer = m_endpoint.value(),
+                        .peer = m_attempt->endpoint.value(),
                         .request = m_fields.id.value()});
     m_exchange->respond(status, {}, {});
     m_status = status;
@@ -169,16 +174,21 @@
 
 void RequestTask::dropConnection()
 {
-    if (!m_connection)
+    dropConnection(*m_attempt);
+}
+
+void RequestTask::dropConnection(RequestAttempt &attempt)
+{
+    if (!attempt.connection)
         return;
-    if (m_isSent) {
-        endPrefill();
-        m_context.pool.endRequest(m_endpoint, adapterKey());
+    if (attempt.isInProgress) {
+        endPrefill(attempt);
+        m_context.pool.endRequest(attempt.endpoint, adapterKey());
     }
-    m_isSent = false;
-    m_awaitsRecord = false;
-    m_connection->abandon();
-    m_context.pool.giveBack(m_endpoint, std::move(m_connection));
+    attempt.isInProgress = false;
+    attempt.awaitsRecord = false;
+    attempt.connection->abandon();
+    m_context.pool.giveBack(attempt.endpoint, std::move(attempt.connection));
 }
 
 void RequestTask::finish()
@@ -189,12 +199,13 @@
     setWaitsForPermit({});
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
-    m_answerBody = {};
-    m_answerShare.resize(0);
+    dropOtherAttempts();
+    m_attempt->answerBody = {};
+    m_attempt->answerShare.resize(0);
     m_context.metrics.recordResponse(m_status, now() - m_exchange->receivedAt);
     // At-most-once work that was sent keeps its connection until it ends; other work is aborted.
-    const bool mustFinish
-        = m_isSent && m_route != nullptr && !m_route->isRepeatable() && !m_route->isStream;
+    const bool mustFinish = m_attempt->isInProgress && m_route != nullptr
+        && !m_route->isRepeatable() && !m_route->isStream;
     if (mustFinish) {
         m_deadlineTimer = m_context.timers.once(disconnectedWorkTimeout, [this] {
             dropConnection();
--- /dev/null
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -0,0 +1,214 @@
+#include "gateway/requesttask.h"
+
+#include "core/text.h"
+#include "gateway/sendlimits.h"
+#include "observability/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jackdawlead::gateway {
+
+namespace {
+
+// Clients disconnect after a gap of two seconds or more; a second run needs half of that.
+constexpr core::Duration minStallLimit = std::chrono::milliseconds(1100);
+constexpr int slowEndpointFactor = 2; ///< Clients of streams disconnect after 3.2 s or more.
+// Interval of the search for an endpoint that can replace a stalled one.
+constexpr core::Duration replacementInterval = std::chrono::milliseconds(100);
+constexpr int stallGapFactor = 4; ///< Target gaps after which a stream counts as stalled.
+// Kept for an endpoint that breaks off after replacements refused the request.
+constexpr int reservedSends = 1;
+
+} // namespace
+
+bool RequestTask::selectAttempt(int number)
+{
+    if (m_attempt->number == number)
+        return m_attempt->isInProgress;
+    const auto found = std::ranges::find(m_otherAttempts, number, &RequestAttempt::number);
+    if (found == m_otherAttempts.end())
+        return false;
+    std::swap(m_attempt, *found);
+    return true;
+}
+
+std::vector<const RequestAttempt *> RequestTask::attemptsInProgress() const
+{
+    std::vector<const RequestAttempt *> attempts;
+    if (m_attempt->isInProgress)
+        attempts.push_back(m_attempt.get());
+    for (const auto &attempt : m_otherAttempts)
+        attempts.push_back(attempt.get());
+    return attempts;
+}
+
+void RequestTask::dropOtherAttempts()
+{
+    for (const auto &attempt : std::exchange(m_otherAttempts, {})) {
+        if (attempt->connection->mayHaveSent())
+            ++m_runs;
+        const std::string cause = m_isDone
+            ? std::string("the request has ended")
+            : absl::StrCat("send ", m_attempt->number, " serves the request");
+        observability::log(
+            {.level = observability::LogLevel::Info,
+             .step = "drop",
+             .message = absl::StrCat("send ", attempt->number, " after ",
+                                     core::toMilliseconds(now() - attempt->sentAt), " ms: ", cause),
+             .peer = attempt->endpoint.value(),
+             .request = m_fields.id.value()});
+        dropConnection(*attempt);
+    }
+}
+
+void RequestTask::continueOtherAttempt(Failure failure, std::string_view cause)
+{
+    if (failure == Failure::MayHaveRun)
+        ++m_runs;
+    const core::EndpointId failed = m_attempt->endpoint;
+    const int failedNumber = m_attempt->number;
+    m_attempt = std::move(m_otherAttempts.back());
+    m_otherAttempts.pop_back();
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "continue",
+         .message = absl::StrCat("send ", failedNumber, " to ", failed.value(),
+                                 " failed: ", core::toAbsl(cause), "; send ", m_attempt->number,
+                                 " is still in progress, may have run ", m_runs),
+         .peer = m_attempt->endpoint.value(),
+         .request = m_fields.id.value()});
+    checkStallAfter(replacementInterval);
+}
+
+core::Duration RequestTask::stallLimit() const
+{
+    if (m_isForwarding)
+        return std::max<core::Duration>(minStallLimit, m_route->targetGap * stallGapFactor);
+    return std::max<core::Duration>(minStallLimit, m_route->targetLatency * 2);
+}
+
+// The timer is restarted only when it fires, not for each event, because events are frequent and
+// stalls are rare.
+void RequestTask::armStallTimer()
+{
+    if (!m_route->isRepeatable())
+        return;
+    core::TimePoint lastActivityAt = m_times.lastAt();
+    for (const RequestAttempt *attempt : attemptsInProgress())
+        lastActivityAt = std::max({lastActivityAt, attempt->sentAt, attempt->headAt});
+    // If the endpoint sends to other requests, it is slow, or only this connection is dead.
+    const bool isEndpointSilent
+        = now() - m_context.pool.lastActivityAt(m_attempt->endpoint) >= stallLimit();
+    const core::Duration limit
+        = isEndpointSilent ? stallLimit() : stallLimit() * slowEndpointFactor;
+    const core::Duration remaining = lastActivityAt + limit - now();
+    if (remaining <= core::Duration::zero())
+        handleStall();
+    else
+        checkStallAfter(remaining);
+}
+
+void RequestTask::checkStallAfter(core::Duration delay)
+{
+    if (!m_route->isRepeatable())
+        return;
+    m_stallTimer = m_context.timers.once(delay, [this] {
+        if (m_attempt->isInProgress && !m_isDone)
+            runGuarded([this] { armStallTimer(); });
+    });
+}
+
+// The silent endpoint may go on at any moment, and the other one may refuse the request or let it
+// wait. So both have it until one of them sends an event or an answer.
+void RequestTask::handleStall()
+{
+    const int inProgress = static_cast<int>(m_otherAttempts.size()) + 1;
+    const int sendLimit = (m_isForwarding ? maxSendsPerStream : maxSends) - reservedSends;
+    // If no further run is allowed, the request can only wait.
+    const bool isLastRun = m_runs + inProgress >= m_route->maxAttempts || m_sends >= sendLimit;
+    if (isLastRun || deadline() - now() < minRemainingTime)
+        return;
+    const fleet::Endpoint *replacement = findReplacement();
+    if (replacement != nullptr || !std::exchange(m_attempt->isSilenceReported, true))
+        logSilence(replacement);
+    if (replacement == nullptr || !m_context.budgets[m_service].tryTake(now())) {
+        checkStallAfter(replacementInterval);
+        return;
+    }
+    if (!std::exchange(m_attempt->isSilenceCounted, true))
+        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
+    m_context.metrics.recordRetry("endpoint was silent for too long");
+    send(*replacement);
+}
+
+// The same endpoint is an option only if the connection was reused, because that one may be dead.
+// Otherwise the request would wait twice in one queue.
+const fleet::Endpoint *RequestTask::findReplacement()
+{
+    if (!m_exchange->isOpen() || !canFinishBeforeStop()
+        || !m_context.budgets[m_service].canTake(now())
+        || !m_context.crashes.mayRunAgain(m_identity)
+        || m_context.crashes.blockedPart(m_identity) != nullptr)
+        return nullptr;
+    const auto choice = m_finder.choose(now());
+    if (!choice.endpoint)
+        return nullptr;
+    const bool isThereAlready = std::ranges::any_of(attemptsInProgress(), [&](const auto *attempt) {
+        return attempt->endpoint == *choice.endpoint && !attempt->connection->isReused();
+    });
+    if (isThereAlready)
+        return nullptr;
+    const fleet::Endpoint &endpoint = *m_context.watch.endpoint(*choice.endpoint);
+    const bool mayBegin = !m_route->isStream || m_origin
+        || m_context.streams.mayBegin(m_fields.id, {m_service, endpoint.softwareVersion});
+    return mayBegin ? &endpoint : nullptr;
+}
+
+// A first send has no line, because a request that succeeds at once must not write to the log.
+void RequestTask::logRepeatedSend() const
+{
+    if (m_sends == 1)
+        return;
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "send",
+         .message = absl::StrCat("send ", m_sends, ", ",
+                                 core::toMilliseconds(now() - m_exchange->receivedAt),
+                                 " ms after its arrival, ", describeProgress(),
+                                 ", in progress there ", std::lround(m_attempt->loadAtSend)),
+         .peer = m_attempt->endpoint.value(),
+         .request = m_fields.id.value()});
+}
+
+void RequestTask::logSilence(const fleet::Endpoint *replacement)
+{
+    const core::TimePoint activeAt = m_context.pool.lastActivityAt(m_attempt->endpoint);
+    const std::string activity = activeAt == core::TimePoint()
+        ? std::string("never")
+        : absl::StrCat(core::toMilliseconds(now() - activeAt), " ms ago");
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "silent endpoint",
+         .message
+         = absl::StrCat("sent ", core::toMilliseconds(now() - m_attempt->sentAt), " ms ago, run ",
+                        m_attempt->runBeganAt ? "has begun" : "has not begun", ", ",
+                        describeProgress(), ", endpoint last active ", activity, ", replacement ",
+                        replacement != nullptr ? replacement->id.value() : "none"),
+         .peer = m_attempt->endpoint.value(),
+         .request = m_fields.id.value()});
+}
+
+std::string RequestTask::describeProgress() const
+{
+    if (!m_times.hasEvents())
+        return "no event forwarded";
+    const auto lastId = m_attempt->events.lastId();
+    return absl::StrCat("event ", lastId ? std::to_string(*lastId) : "without id", " forwarded ",
+                        core::toMilliseconds(now() - m_times.lastAt()), " ms ago");
+}
+
+} // namespace jackdawlead::gateway
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -48,11 +48,12 @@
     , m_exchange(std::move(exchange))
     , m_onDone(std::move(onDone))
     , m_finder(m_context, m_fields)
-    , m_answerShare(m_context.buffers)
+    , m_attempt(std::make_unique<RequestAttempt>(m_context.buffers))
 { }
 
 RequestTask::~RequestTask()
 {
+    dropOtherAttempts();
     dropConnection();
 }
 
@@ -64,7 +65,7 @@
     observability::log({.level = observability::LogLevel::Error,
                         .step = "give up",
                         .message = "request aborted after an exception",
-                        .peer = m_endpoint.value(),
+                        .peer = m_attempt->endpoint.value(),
                         .request = m_fields.id.value()});
     net::runGuarded("request", [this] {
         m_exchange->abort();
@@ -358,7 +359,7 @@
     if (!isWaiting() || m_isDone)
         return;
     runGuarded([this] {
-        if (m_awaitsRecord)
+        if (m_attempt->awaitsRecord)
             forwardEvents();
         else if (!m_routes)
             resolveOrWait();
@@ -373,29 +374,49 @@
 // receive no new requests.
 void RequestTask::giveUpConnecting(const core::EndpointId &id, std::string_view cause)
 {
-    if (m_isDone || !m_isSent || m_endpoint != id || m_connection->mayHaveSent())
-        return;
-    runGuarded([this, cause] {
-        dropConnection();
-        handleSendFailure(Failure::NotSent, cause);
-    });
+    for (const RequestAttempt *attempt : attemptsInProgress()) {
+        if (m_isDone || attempt->endpoint != id || attempt->connection->mayHaveSent())
+            continue;
+        runGuarded([this, number = attempt->number, cause] {
+            selectAttempt(number);
+            dropConnection();
+            handleSendFailure(Failure::NotSent, cause);
+        });
+        return; // Another attempt at the same endpoint was sent before.
+    }
 }
 
 bool RequestTask::isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const
 {
-    const bool hasBegun = m_headAt != core::TimePoint();
+    return !m_isDone && std::ranges::any_of(attemptsInProgress(), [&](const auto *attempt) {
+        return isQueuedAtOlderVersion(*attempt, newest);
+    });
+}
+
+bool RequestTask::isQueuedAtOlderVersion(const RequestAttempt &attempt,
+                                         const fleet::AnnouncedVersion &newest) const
+{
     const fleet::AdapterKey key {newest.model, newest.adapter};
-    return !m_isDone && m_isSent && !hasBegun && adapterKey() == key
-        && m_adapterVersion.value_or(newest.version) < newest.version;
+    return attempt.isQueued() && adapterKey() == key
+        && attempt.adapterVersion.value_or(newest.version) < newest.version;
 }
 
 // The request would begin on the version that it finds at the end of the queue.
-void RequestTask::giveUpOlderVersion()
+void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
 {
-    runGuarded([this] {
-        dropConnection();
-        m_interruptedAt = now(); // The newer version may have to be loaded first.
-        handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
+    std::vector<int> affected;
+    for (const RequestAttempt *attempt : attemptsInProgress()) {
+        if (isQueuedAtOlderVersion(*attempt, newest))
+            affected.push_back(attempt->number);
+    }
+    runGuarded([this, &affected] {
+        for (const int number : affected) {
+            if (m_isDone || !selectAttempt(number))
+                continue;
+            dropConnection();
+            m_interruptedAt = now(); // The newer version may have to be loaded first.
+            handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
+        }
     });
 }
 
@@ -403,62 +424,75 @@
 {
     setWaitsForLoad(false);
     ++m_sends;
-    m_endpoint = endpoint.id;
-    m_incarnation = endpoint.startTime;
-    m_softwareVersion = endpoint.softwareVersion;
-    m_adapterVersion = m_finder.heldVersion(endpoint.id, now());
-    m_finder.markTried(endpoint.id);
-    m_isSent = true;
-    m_sentAt = now();
-    if (m_sends == 1)
-        m_context.metrics.recordWaitTime(m_sentAt - m_exchange->receivedAt);
-    m_answerBody = {};
-    m_answerShare.resize(0);
-    m_isStream = false;
-    m_isSound = false;
-    m_isSilenceLogged = false;
-    m_awaitsRecord = false;
-    m_runBeganAt.reset();
-    m_headAt = {};
-    m_heldEvents.clear();
-    m_loadAtSend = m_context.pool.load(endpoint.id, endpoint.slots)
+    auto attempt = std::make_unique<RequestAttempt>(m_context.buffers);
+    attempt->number = m_sends;
+    attempt->endpoint = endpoint.id;
+    attempt->incarnation = endpoint.startTime;
+    attempt->softwareVersion = endpoint.softwareVersion;
+    attempt->adapterVersion = m_finder.heldVersion(endpoint.id, now());
+    attempt->isInProgress = true;
+    attempt->sentAt = now();
+    attempt->loadAtSend = m_context.pool.load(endpoint.id, endpoint.slots)
         + m_context.pool.otherDaemonsLoad(endpoint.id);
     constexpr double lowUtilization = 0.5;
-    m_wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
-        && m_loadAtSend < lowUtilization * endpoint.slots;
+    attempt->wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
+        && attempt->loadAtSend < lowUtilization * endpoint.slots;
+    attempt->pendingPrefillTokens = m_fields.promptTokens;
+    platform::ForwardFields forward;
+    if (m_isForwarding) {
+        attempt->events = m_attempt->events;
+        attempt->events.startNextRun();
+        forward.lastEventId = attempt->events.lastId();
+    } else if (isTakeUp()) {
+        attempt->events.startAfter(*m_fields.lastEventId);
+    }
+    if (m_attempt->isInProgress)
+        m_otherAttempts.push_back(std::move(m_attempt));
+    m_attempt = std::move(attempt);
+
+    m_finder.markTried(endpoint.id);
+    if (m_sends == 1)
+        m_context.metrics.recordWaitTime(m_attempt->sentAt - m_exchange->receivedAt);
     m_context.pool.beginRequest(endpoint.id, adapterKey());
     m_context.limits.takePermit(endpoint);
-    m_pendingPrefillTokens = m_fields.promptTokens;
-    m_context.pool.beginPrefill(endpoint.id, m_pendingPrefillTokens);
-    platform::ForwardFields forward;
+    m_context.pool.beginPrefill(endpoint.id, m_attempt->pendingPrefillTokens);
     forward.endpoint = endpoint.id;
     forward.deadline = deadline() - now();
     if (m_finder.expectedVersion())
-        forward.adapterVersion = m_adapterVersion;
-    if (m_isForwarding) {
-        m_events.startNextRun();
-        forward.lastEventId = m_events.lastId();
-    } else {
-        m_events = EventFilter();
-        if (isTakeUp())
-            m_events.startAfter(*m_fields.lastEventId);
-    }
+        forward.adapterVersion = m_attempt->adapterVersion;
+    startExchange(endpoint, forward);
+    logRepeatedSend();
+    armStallTimer();
+}
+
+void RequestTask::startExchange(const fleet::Endpoint &endpoint,
+                                const platform::ForwardFields &forward)
+{
     http::OutgoingRequest request;
     request.bytes = platform::formatForwardedRequest(m_exchange->head, m_exchange->body, forward);
     request.isHead = m_exchange->head.method == "HEAD";
     request.idField = platform::requestIdField();
     request.id = m_fields.id.value();
     http::ExchangeObserver observer;
-    observer.onHead = [this](http::MessageHead &head) { handleHead(head); };
-    observer.onBody = [this](const std::string &bytes) { handleBody(bytes); };
-    observer.onEnd = [this](http::ExchangeEnd end) { handleExchangeEnd(end); };
+    const int number = m_attempt->number;
+    observer.onHead = [this, number](http::MessageHead &head) {
+        if (selectAttempt(number))
+            handleHead(head);
+    };
+    observer.onBody = [this, number](const std::string &bytes) {
+        if (selectAttempt(number))
+            handleBody(bytes);
+    };
+    observer.onEnd = [this, number](http::ExchangeEnd end) {
+        if (selectAttempt(number))
+            handleExchangeEnd(end);
+    };
     // A second copy of an earlier response would be taken for that to this send, because both have
     // the id of the request.
-    m_connection = m_context.pool.take(endpoint, !m_route->isRepeatable(), m_usedConnections);
-    m_usedConnections.insert(m_connection->number());
-    m_connection->send(request, std::move(observer));
-    logRepeatedSend();
-    armStallTimer();
+    m_attempt->connection
+        = m_context.pool.take(endpoint, !m_route->isRepeatable(), m_usedConnections);
+    m_usedConnections.insert(m_attempt->connection->number());
+    m_attempt->connection->send(request, std::move(observer));
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/endpointfinder.h"
-#include "gateway/eventfilter.h"
+#include "gateway/requestattempt.h"
 #include "gateway/requestcontext.h"
 #include "gateway/streamtimes.h"
 #include "http/server.h"
@@ -13,15 +13,17 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace jackdawlead::gateway {
 
 /// Serves one request of a client: selects an endpoint, sends the request, forwards the answer and
-/// retries where that is allowed. Owns the connection to the endpoint. Implemented in
-/// requesttask.cpp (until the request is sent), requestresume.cpp (streams that clients take up),
-/// requestanswer.cpp (the endpoint's answer), requestbuffers.cpp (the memory that it takes) and
-/// requestend.cpp (retries and the end of the request). Thread safety: the event loop's thread
-/// only.
+/// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
+/// endpoint at a time, unless that one is silent; then the first one that goes on serves it.
+/// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
+/// clients take up), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp (silent
+/// endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries and the
+/// end of the request). Thread safety: the event loop's thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -40,12 +42,11 @@
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
     /// Whether an endpoint that holds an older version of the adapter has not begun to answer.
     bool isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const;
-    /// Sends the request to an endpoint with a newer version. Precondition:
-    /// isQueuedAtOlderVersion().
-    void giveUpOlderVersion();
+    /// Takes the request from the queues of the endpoints that hold an older version.
+    void giveUpOlderVersion(const fleet::AnnouncedVersion &newest);
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
-    bool isWaiting() const { return m_isWaiting || m_awaitsRecord; }
+    bool isWaiting() const { return m_isWaiting || m_attempt->awaitsRecord; }
 
 private:
     /// Whether a request may have run on the endpoint with which the exchange failed.
@@ -86,8 +87,21 @@
     core::Duration maxResumeWait() const;
     core::TimePoint waitDeadline(decisions::NoEndpointReason reason) const;
     core::TimePoint waitDeadlineFromArrival(decisions::NoEndpointReason reason) const;
+    /// Sends the request. An attempt in progress goes on beside the new one.
     void send(const fleet::Endpoint &endpoint);
 
+    void startExchange(const fleet::Endpoint &endpoint, const platform::ForwardFields &forward);
+    /// Makes the attempt the current one; returns false if it is no longer in progress.
+    bool selectAttempt(int number);
+    std::vector<const RequestAttempt *> attemptsInProgress() const;
+    /// Whether an endpoint with an older version has the request in its queue.
+    bool isQueuedAtOlderVersion(const RequestAttempt &attempt,
+                                const fleet::AnnouncedVersion &newest) const;
+    /// Abandons all attempts but the current one, which serves the request.
+    void dropOtherAttempts();
+    /// Continues with another attempt after the current one has failed. Precondition: there is one.
+    void continueOtherAttempt(Failure failure, std::string_view cause);
+
     void handleHead(http::MessageHead &head);
     /// Whether the answer is a stream and, if a stream has begun, may be the rest of it.
     bool isStreamHead(const http::MessageHead &head) const;
@@ -129,10 +143,12 @@
     /// Time without activity of the endpoint after which the exchange counts as stalled.
     core::Duration stallLimit() const;
     void armStallTimer();
+    void checkStallAfter(core::Duration delay);
+    /// Sends the request to another endpoint as well, if one takes it now.
     void handleStall();
-    /// The endpoint to which the request can be sent instead now; the same one if another
-    /// connection may help.
-    std::optional<core::EndpointId> findReplacement();
+    /// An endpoint to which the request can also be sent now; one that has it already only if
+    /// another connection may help.
+    const fleet::Endpoint *findReplacement();
     void handleDeadline();
     void handleDisconnect();
     void refuse(std::string_view cause, core::Duration retryAfter);
@@ -140,16 +156,18 @@
     /// Aborts an answer that was forwarded in part.
     void abortStream(std::string_view cause);
     void finish();
+    /// Abandons the current attempt.
     void dropConnection();
+    void dropConnection(RequestAttempt &attempt);
     /// Reads from the endpoint only while the client keeps up with the answer.
     void applyBackpressure();
-    void endPrefill();
+    void endPrefill(RequestAttempt &attempt);
     void recordPrefillCost();
     void recordRunTime();
     void logIfLate() const;
     void logRepeatedSend() const;
     /// Logs what is known of the silent endpoint and of its replacement, if there is one.
-    void logSilence(const std::optional<core::EndpointId> &replacement);
+    void logSilence(const fleet::Endpoint *replacement);
     /// The last event that the client has, as text for the log.
     std::string describeProgress() const;
     fleet::AdapterKey adapterKey() const { return {m_fields.model, m_fields.adapter}; }
@@ -167,46 +185,25 @@
     core::ServiceId m_service;
     EndpointFinder m_finder;
 
-    std::unique_ptr<http::ClientConnection> m_connection;
+    std::unique_ptr<RequestAttempt> m_attempt; ///< The latest one that did something; never null.
+    std::vector<std::unique_ptr<RequestAttempt>> m_otherAttempts; ///< All are in progress.
     std::set<http::ConnectionNumber> m_usedConnections;
-    core::EndpointId m_endpoint;
-    fleet::StartTime m_incarnation {};       ///< Of the endpoint, when the request was sent.
-    core::SoftwareVersion m_softwareVersion; ///< The same.
-    std::optional<int> m_adapterVersion;     ///< That the endpoint held then, if known.
     /// Where the stream began; events of another software version must not follow.
     std::optional<StreamOrigin> m_origin;
     int m_sends = 0;
-    int m_runs = 0; ///< Sends that may have run.
+    int m_runs = 0; ///< Sends that may have run and have ended.
     bool m_isWaiting = false;
     bool m_waitsForLoad = false;                     ///< Is counted in RequestContext::waiting.
     std::optional<core::EndpointId> m_awaitedPermit; ///< Is counted in RequestContext::limits.
     bool m_isPreferenceRecorded = false;             ///< See RateLimits::recordPreference().
-    bool m_isSent = false;                           ///< An exchange is in progress.
     bool m_isDone = false;
 
-    int m_status = 0; ///< Sent to the client; zero if the answer was aborted.
-    http::MessageHead m_answer;
-    platform::ResponseTraits m_traits;
-    std::string m_answerBody;
-    decisions::BufferBudget::Share m_answerShare; ///< Of m_answerBody and the held events.
-    bool m_isStream = false;                      ///< The current endpoint answers with a stream.
-    std::string m_mediaType;                      ///< Of the stream that has begun.
+    int m_status = 0;                ///< Sent to the client; zero if the answer was aborted.
+    std::string m_mediaType;         ///< Of the stream that has begun.
     bool m_isForwarding = false;     ///< The head was forwarded; events follow as they arrive.
-    bool m_awaitsRecord = false;     ///< The first event is held until the stream is recorded.
     bool m_needsRetryBudget = false; ///< The next send must be taken from the retry budget.
-    bool m_isStreamMalformed = false;
-    std::optional<core::TimePoint> m_runBeganAt; ///< First event of the current run.
-    bool m_isSound = false;                      ///< The current run was recorded as sound.
-    bool m_isSilenceLogged = false;              ///< Of the current run.
-    EventFilter m_events;
     StreamTimes m_times;
-    core::TimePoint m_sentAt;
-    core::TimePoint m_headAt; ///< When the current endpoint's head arrived.
-    std::string m_heldEvents; ///< Complete events that were not forwarded yet.
-    std::optional<core::TimePoint> m_interruptedAt; ///< When an exchange last stalled or broke.
-    double m_loadAtSend = 0;         ///< Slots in use at the endpoint when the request was sent.
-    int m_pendingPrefillTokens = 0;  ///< Of the current send, until its first event.
-    bool m_wasLightlyLoaded = false; ///< The endpoint had no pending prefill and few streams then.
+    std::optional<core::TimePoint> m_interruptedAt; ///< When an exchange last broke.
     net::TimerService::Subscription m_deadlineTimer;
     net::TimerService::Subscription m_stallTimer;
 };
