Take no endpoint for silent whose client reads too slowly

While a client reads too slowly the daemon reads nothing from the endpoint.

Silence is now measured only while the daemon reads.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -219,12 +219,17 @@
          .request = m_fields.id.value()});
 }
 
-void RequestTask::applyBackpressure()
+bool RequestTask::isClientSlow() const
 {
     const std::size_t limit
         = m_context.buffers.isLargePartUsed() ? maxUnsentBytesUnderPressure : maxUnsentBytes;
+    return m_exchange->pendingOutput() >= limit;
+}
+
+void RequestTask::applyBackpressure()
+{
     if (m_attempt->connection && m_attempt->isInProgress)
-        m_attempt->connection->setReadEnabled(m_exchange->pendingOutput() < limit);
+        m_attempt->connection->setReadEnabled(!isClientSlow());
 }
 
 // The framing of an answer says where its bytes end, not whether its last event is whole: an
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -97,6 +97,10 @@
 {
     if (!m_route->isRepeatable())
         return;
+    if (isClientSlow()) {
+        checkStallAfter(replacementInterval);
+        return;
+    }
     core::TimePoint lastActivityAt = m_times.lastAt();
     for (const RequestAttempt *attempt : attemptsInProgress())
         lastActivityAt = std::max({lastActivityAt, attempt->sentAt, attempt->headAt});
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -159,6 +159,8 @@
     /// Abandons the current attempt.
     void dropConnection();
     void dropConnection(RequestAttempt &attempt);
+    /// Whether the client reads so slowly that nothing more is read from the endpoint.
+    bool isClientSlow() const;
     /// Reads from the endpoint only while the client keeps up with the answer.
     void applyBackpressure();
     void endPrefill(RequestAttempt &attempt);
--- a/tests/e2e/tst_silentendpoints.cpp
+++ b/tests/e2e/tst_silentendpoints.cpp
@@ -168,3 +168,43 @@
                                 milliseconds(400)),
               "%s", fixture.output().c_str());
 }
+
+// Guards against taking an endpoint for silent from which the daemon doesn't read, because its
+// client reads too slowly.
+Test(silentendpoints, slowClientDoesNotReplaceItsEndpoint, .timeout = 60)
+{
+    constexpr int lastEvent = 2000;
+    const std::string data = "data: " + std::string(8 * 1024, 'x') + "\n\n";
+    const auto streamLongEvents = [&data](const FakeEndpoint::Exchange &exchange) {
+        exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+        for (int id = 1; id <= lastEvent; ++id)
+            exchange->writeChunk("id: " + std::to_string(id) + "\n" + data);
+        exchange->finishChunked();
+    };
+    Fixture fixture("model", streamLongEvents, refuse);
+    http::Connection client(fixture.loop, {"127.0.0.1", fixture.callerPort}, limit);
+    std::string received;
+    client.setHandlers({.onConnected =
+                            [&client] {
+                                client.write(
+                                    "POST /stream/a HTTP/1.1\r\nHost: a.example\r\n"
+                                    "Request-Id: r1\r\nDeadline-Ms: 4000\r\nModel: base\r\n"
+                                    "Token-Count: 10,10\r\nContent-Length: 4\r\n\r\nbody");
+                                client.setReadEnabled(false);
+                            },
+                        .onData =
+                            [&] {
+                                received += client.received();
+                                client.consume(client.received().size());
+                            },
+                        .onDrained = {},
+                        .onClosed = [](http::CloseReason) {}});
+    cr_assert(fixture.waitUntil([&] { return fixture.silent != nullptr; }));
+    // Longer than the time after which a silent endpoint is replaced, which is 1.1 s.
+    fixture.runLoopFor(milliseconds(2600));
+    cr_assert_eq(fixture.otherSends, 0, "%s", fixture.output().c_str());
+    client.setReadEnabled(true);
+    cr_assert(fixture.waitUntil([&] { return received.ends_with("\r\n0\r\n\r\n"); }), "%s",
+              fixture.output().c_str());
+    cr_assert_eq(fixture.otherSends, 0, "%s", fixture.output().c_str());
+}
