Accept no request in a planned stop that only a prediction lets end in time

Cause: a prediction was used as a bound, and nothing corrected it. A refusal costs the caller one retry elsewhere, a cut the whole answer.

- Only in the first fifth of the time until answers are due does a prediction suffice; by then most clients are sent elsewhere.
Later a request must end by its own limit, or even if it takes ten times longer than any before.
- The prediction no longer counts once requests that were sent after SIGTERM take longer than those before it.
- The same decides on sends after a break, on requests that waited for a load, a permit or a record, and on second attempts at a silent endpoint.

RunTimeEstimator::record() takes two times instead of a duration; the checks of its tests are unchanged.

--- a/src/libs/decisions/runtimeestimator.h
+++ b/src/libs/decisions/runtimeestimator.h
@@ -5,23 +5,53 @@
 #include <array>
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace jackdawlead::decisions {
 
+/// How certain a prediction must be.
+enum class Confidence {
+    Likely,        ///< Requests may become somewhat slower.
+    NearlyCertain, ///< Also covers endpoints that suddenly become many times slower.
+};
+
 /// Predicts how long a request may take at an endpoint from the latest ones that were answered.
 /// Thread safety: one thread at a time.
 class RunTimeEstimator
 {
 public:
-    void record(core::Duration duration);
-    /// A duration that hardly any request exceeds; empty while there are too few samples.
-    std::optional<core::Duration> longestExpected() const;
+    /// Records a request that was answered at `now`.
+    void record(core::TimePoint sentAt, core::TimePoint now);
+    /// A duration that hardly any request exceeds; empty while there are too few samples, and once
+    /// the prediction is refuted.
+    std::optional<core::Duration> longestExpected(Confidence confidence = Confidence::Likely) const;
+
+    /// From now on requests are compared with the samples until `now`. Those that take up to
+    /// `negligible` never count as slow.
+    void beginObservation(core::TimePoint now, core::Duration negligible);
+    /// Refutes the prediction if requests that were sent since beginObservation() take much longer
+    /// than those before. `inProgress` are the times at which unanswered requests were sent.
+    void checkInProgress(const std::vector<core::TimePoint> &inProgress, core::TimePoint now);
+    bool isRefuted() const { return m_isRefuted; }
 
 private:
     static constexpr std::size_t sampleCount = 64;
 
+    struct Request
+    {
+        core::TimePoint sentAt;
+        core::Duration duration;
+    };
+
+    /// Precondition: there is a sample.
+    core::Duration longestSample() const;
+
     std::array<core::Duration, sampleCount> m_samples {}; ///< Ring buffer of the latest samples.
     std::size_t m_recorded = 0;
+    std::optional<core::TimePoint> m_observedFrom;
+    core::Duration m_slowTime {};    ///< Requests that take longer are slow.
+    std::vector<Request> m_answered; ///< Sent and answered since m_observedFrom.
+    bool m_isRefuted = false;
 };
 
 /// Whether work that begins at `now` is expected to end by `end`. It takes `limit` at most, and
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -22,6 +22,11 @@
 constexpr core::Duration rotationLeaveTime = std::chrono::milliseconds(2600);
 // Subtracted from the time until SIGKILL, for the last answers in flight.
 constexpr core::Duration stopMargin = std::chrono::milliseconds(400);
+// Part of that time in which a request is sent although only a prediction lets it end in time. Most
+// clients are sent elsewhere by then, and what takes several times longer still ends.
+constexpr double predictionShare = 0.2;
+// Requests that take less of that time end in time however much slower they become.
+constexpr double negligibleShare = 0.05;
 // For answers to requests that are still open then; they need one event loop iteration.
 constexpr core::Duration finalAnswersTime = std::chrono::milliseconds(150);
 constexpr std::string_view leavingCause = "endpoint leaves before the connection is open";
@@ -108,7 +113,8 @@
                  = [this](const core::EndpointId &id) { giveUpConnecting(id, backoffCause); },
                  .random = std::mt19937_64(std::random_device()()),
                  .stopRequestedAt = {},
-                 .answersDueAt = {}}
+                 .answersDueAt = {},
+                 .predictionsUntil = {}}
     , m_election(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
                  leaseLimits(m_settings), [this] { return m_peerLink.isCoordinatorReachable(); })
     , m_peerLink(m_context, m_controlClient, m_storeTransport, m_relay, m_election,
@@ -371,16 +377,35 @@
     m_context.stopRequestedAt = m_timers.now();
     m_context.answersDueAt
         = m_timers.now() + m_settings.bounds.grace - stopMargin - finalAnswersTime;
+    const core::Duration answerTime = m_context.answersDueAt - m_timers.now();
+    m_context.predictionsUntil = m_timers.now() + core::scaled(answerTime, predictionShare);
+    for (auto &[service, times] : m_context.runTimes) {
+        const core::Duration negligible = core::scaled(answerTime, negligibleShare);
+        times.streams.beginObservation(m_timers.now(), negligible);
+        times.answers.beginObservation(m_timers.now(), negligible);
+    }
     observability::log({.step = "stop", .message = "SIGTERM received"});
     m_callerServer.disableKeepAlive();
     m_election.release();
     m_stopTimer = m_timers.every(stopCheckPeriod, [this] { checkStopped(); });
 }
 
+void Gateway::checkRunTimes()
+{
+    using Kind = std::pair<core::ServiceId, bool>;
+    std::map<Kind, std::vector<core::TimePoint>> sentAt;
+    for (const auto &[number, task] : m_requests) {
+        if (const auto request = task->inProgress())
+            sentAt[{request->service, request->isStream}].push_back(request->sentAt);
+    }
+    for (const auto &[kind, times] : sentAt)
+        m_context.runTimes[kind.first].of(kind.second).checkInProgress(times, m_timers.now());
+}
+
 void Gateway::checkStopped()
 {
-    const core::Duration elapsed = m_timers.now() - *m_context.stopRequestedAt;
-    if (elapsed < rotationLeaveTime)
+    checkRunTimes();
+    if (m_timers.now() - *m_context.stopRequestedAt < rotationLeaveTime)
         return;
     m_callerServer.closeIdle();
     const bool isDone = m_requests.empty() && m_callerServer.openConnectionCount() == 0;
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -62,6 +62,8 @@
     void reloadSettings();
     void stop();
     void checkStopped();
+    /// Compares the expected times of requests with those in progress.
+    void checkRunTimes();
     FleetWatch::Handlers watchHandlers();
     RateLimits::Handlers limitHandlers();
 
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -197,8 +197,7 @@
 
 void RequestTask::recordRunTime()
 {
-    ServiceRunTimes &times = m_context.runTimes[m_service];
-    (m_route->isStream ? times.streams : times.answers).record(now() - m_attempt->sentAt);
+    m_context.runTimes[m_service].of(m_route->isStream).record(m_attempt->sentAt, now());
 }
 
 void RequestTask::endPrefill(RequestAttempt &attempt)
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -32,6 +32,8 @@
 {
     decisions::RunTimeEstimator streams;
     decisions::RunTimeEstimator answers; ///< Of requests that are no streams.
+
+    decisions::RunTimeEstimator &of(bool isStream) { return isStream ? streams : answers; }
 };
 
 /// State that all requests of a daemon share. Thread safety: the event loop's thread only.
@@ -78,6 +80,9 @@
     std::optional<core::TimePoint> stopRequestedAt;
     /// By when answers must be complete, once SIGTERM was received.
     core::TimePoint answersDueAt;
+    /// Until when a request is sent if it is likely to end in time, once SIGTERM was received;
+    /// later this must be nearly certain.
+    core::TimePoint predictionsUntil;
 
     double uniformRandom() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
 };
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -46,6 +46,15 @@
     return attempts;
 }
 
+std::optional<RequestInProgress> RequestTask::inProgress() const
+{
+    const auto attempts = attemptsInProgress();
+    if (attempts.empty())
+        return std::nullopt;
+    const auto *first = *std::ranges::min_element(attempts, {}, &RequestAttempt::sentAt);
+    return RequestInProgress {m_service, m_route->isStream, first->sentAt};
+}
+
 void RequestTask::dropOtherAttempts()
 {
     for (const auto &attempt : std::exchange(m_otherAttempts, {})) {
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -150,16 +150,17 @@
     return true;
 }
 
-// A stopping daemon accepts only requests that it can finish; clients retry at another daemon.
+// A stopping daemon accepts only requests that it can finish; clients retry at another daemon. A
+// wrong prediction costs the whole answer, a refusal one retry.
 bool RequestTask::canFinishBeforeStop() const
 {
     if (!m_context.stopRequestedAt)
         return true;
-    std::optional<core::Duration> expected;
-    if (const auto times = m_context.runTimes.find(m_service); times != m_context.runTimes.end()) {
-        const ServiceRunTimes &known = times->second;
-        expected = (m_route->isStream ? known.streams : known.answers).longestExpected();
-    }
+    const auto confidence = now() <= m_context.predictionsUntil
+        ? decisions::Confidence::Likely
+        : decisions::Confidence::NearlyCertain;
+    const auto expected
+        = m_context.runTimes[m_service].of(m_route->isStream).longestExpected(confidence);
     return decisions::canEndBy(m_context.answersDueAt, now(), deadline() - now(), expected);
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -17,6 +17,14 @@
 
 namespace jackdawlead::gateway {
 
+/// A request at an endpoint.
+struct RequestInProgress
+{
+    core::ServiceId service;
+    bool isStream = false;
+    core::TimePoint sentAt;
+};
+
 /// Serves one request of a client: selects an endpoint, sends the request, forwards the answer and
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
 /// endpoint at a time, unless that one is silent; then the first one that goes on serves it.
@@ -46,6 +54,8 @@
     void giveUpOlderVersion(const fleet::AnnouncedVersion &newest);
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
+    /// The request at the endpoint that has it longest; empty if none has it.
+    std::optional<RequestInProgress> inProgress() const;
     bool isWaiting() const { return m_isWaiting || m_attempt->awaitsRecord; }
 
 private:
--- a/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
+++ b/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
@@ -19,9 +19,9 @@
 {
     RunTimeEstimator estimator;
     for (int number = 0; number < 7; ++number)
-        estimator.record(milliseconds(10));
+        estimator.record(now, now + milliseconds(10));
     cr_assert_not(estimator.longestExpected().has_value());
-    estimator.record(milliseconds(10));
+    estimator.record(now, now + milliseconds(10));
     cr_assert(estimator.longestExpected().has_value());
 }
 
@@ -30,12 +30,12 @@
 Test(runtimeestimator, predictionCoversTheSlowestRecentRequest)
 {
     RunTimeEstimator estimator;
-    estimator.record(seconds(3));
+    estimator.record(now, now + seconds(3));
     for (int number = 0; number < 20; ++number)
-        estimator.record(milliseconds(60));
+        estimator.record(now, now + milliseconds(60));
     cr_assert_geq(*estimator.longestExpected(), seconds(3));
     for (int number = 0; number < 64; ++number)
-        estimator.record(milliseconds(60));
+        estimator.record(now, now + milliseconds(60));
     cr_assert_lt(*estimator.longestExpected(), milliseconds(100));
 }
 
@@ -50,3 +50,80 @@
     cr_assert_not(canEndBy(end, now, seconds(9), seconds(3)));
     cr_assert(canEndBy(end, now, seconds(1), seconds(3)));
 }
+
+namespace {
+
+/// An estimator with answers after 400 ms, to which requests since `now` are compared.
+RunTimeEstimator observedEstimator()
+{
+    RunTimeEstimator estimator;
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now - seconds(1), now - milliseconds(600));
+    estimator.beginObservation(now, milliseconds(100));
+    return estimator;
+}
+
+} // namespace
+
+// Guards against a prediction from earlier answers that requests in progress have already shown to
+// be wrong.
+Test(runtimeestimator, slowRequestsRefuteThePrediction)
+{
+    RunTimeEstimator estimator = observedEstimator();
+    const std::vector<core::TimePoint> sentAt(5, now);
+    estimator.checkInProgress(sentAt, now + milliseconds(350));
+    cr_assert_not(estimator.isRefuted());
+    estimator.checkInProgress(sentAt, now + milliseconds(700));
+    cr_assert(estimator.isRefuted());
+    cr_assert_not(estimator.longestExpected(Confidence::NearlyCertain).has_value());
+}
+
+// Guards against answers that are left out because they are complete: endpoints that became slower
+// have few requests in progress when few arrive.
+Test(runtimeestimator, slowAnswersRefuteThePrediction)
+{
+    RunTimeEstimator estimator = observedEstimator();
+    for (int number = 0; number < 5; ++number)
+        estimator.record(now, now + milliseconds(900));
+    estimator.checkInProgress({}, now + seconds(1));
+    cr_assert(estimator.isRefuted());
+}
+
+// Guards against a single endpoint that hangs, and against requests that hung before, so that all
+// other requests are refused.
+Test(runtimeestimator, fewHangingRequestsRefuteNothing)
+{
+    RunTimeEstimator estimator = observedEstimator();
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now, now + milliseconds(400));
+    std::vector<core::TimePoint> sentAt(4, now);
+    estimator.checkInProgress(sentAt, now + seconds(1));
+    cr_assert_not(estimator.isRefuted());
+    sentAt.assign(20, now - seconds(4));
+    estimator.checkInProgress(sentAt, now + seconds(1));
+    cr_assert_not(estimator.isRefuted());
+}
+
+// Guards against work that is accepted late in a stop although it ends in time only if endpoints
+// stay as fast as they were.
+Test(runtimeestimator, nearlyCertainPredictionLeavesRoomForASlowEndpoint)
+{
+    RunTimeEstimator estimator;
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now, now + milliseconds(500));
+    cr_assert_lt(*estimator.longestExpected(), seconds(1));
+    cr_assert_geq(*estimator.longestExpected(Confidence::NearlyCertain), seconds(5));
+}
+
+// Guards against short work that is refused because it became a little slower.
+Test(runtimeestimator, negligibleTimesRefuteNothing)
+{
+    RunTimeEstimator estimator;
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now - seconds(1), now - milliseconds(980));
+    estimator.beginObservation(now, milliseconds(100));
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now, now + milliseconds(90));
+    estimator.checkInProgress({}, now + seconds(1));
+    cr_assert_not(estimator.isRefuted());
+}
