--- a/bench/stopbench.cpp
+++ b/bench/stopbench.cpp
@@ -113,6 +113,7 @@
             estimator.beginObservation(now, due / 20);
         if (isStopping && Policy::checksInProgress) {
             std::vector<core::TimePoint> sentAt;
+            sentAt.reserve(running.size());
             for (const Stream &stream : running)
                 sentAt.push_back(stream.sentAt);
             estimator.checkInProgress(sentAt, now);
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -25,55 +25,6 @@
 
 } // namespace
 
-bool RequestTask::selectAttempt(int number)
-{
-    if (m_attempt->number == number)
-        return m_attempt->isInProgress;
-    const auto found = std::ranges::find(m_otherAttempts, number, &RequestAttempt::number);
-    if (found == m_otherAttempts.end())
-        return false;
-    std::swap(m_attempt, *found);
-    return true;
-}
-
-std::vector<const RequestAttempt *> RequestTask::attemptsInProgress() const
-{
-    std::vector<const RequestAttempt *> attempts;
-    if (m_attempt->isInProgress)
-        attempts.push_back(m_attempt.get());
-    for (const auto &attempt : m_otherAttempts)
-        attempts.push_back(attempt.get());
-    return attempts;
-}
-
-std::optional<RequestInProgress> RequestTask::inProgress() const
-{
-    const auto attempts = attemptsInProgress();
-    if (attempts.empty())
-        return std::nullopt;
-    const auto *first = *std::ranges::min_element(attempts, {}, &RequestAttempt::sentAt);
-    return RequestInProgress {m_service, m_route->isStream, first->sentAt};
-}
-
-void RequestTask::dropOtherAttempts()
-{
-    for (const auto &attempt : std::exchange(m_otherAttempts, {})) {
-        if (attempt->connection->mayHaveSent())
-            ++m_runs;
-        const std::string cause = m_isDone
-            ? std::string("the request has ended")
-            : absl::StrCat("send ", m_attempt->number, " serves the request");
-        observability::log(
-            {.level = observability::LogLevel::Info,
-             .step = "drop",
-             .message = absl::StrCat("send ", attempt->number, " after ",
-                                     core::toMilliseconds(now() - attempt->sentAt), " ms: ", cause),
-             .peer = attempt->endpoint.value(),
-             .request = m_fields.id.value()});
-        dropConnection(*attempt);
-    }
-}
-
 void RequestTask::continueOtherAttempt(Failure failure, std::string_view cause)
 {
     if (failure == Failure::MayHaveRun)
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -371,56 +371,6 @@
     });
 }
 
-// Opening a connection may take a second, a third of the time after which a leaving endpoint must
-// receive no new requests.
-void RequestTask::giveUpConnecting(const core::EndpointId &id, std::string_view cause)
-{
-    for (const RequestAttempt *attempt : attemptsInProgress()) {
-        if (m_isDone || attempt->endpoint != id || attempt->connection->mayHaveSent())
-            continue;
-        runGuarded([this, number = attempt->number, cause] {
-            selectAttempt(number);
-            dropConnection();
-            handleSendFailure(Failure::NotSent, cause);
-        });
-        return; // Another attempt at the same endpoint was sent before.
-    }
-}
-
-bool RequestTask::isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const
-{
-    return !m_isDone && std::ranges::any_of(attemptsInProgress(), [&](const auto *attempt) {
-        return isQueuedAtOlderVersion(*attempt, newest);
-    });
-}
-
-bool RequestTask::isQueuedAtOlderVersion(const RequestAttempt &attempt,
-                                         const fleet::AnnouncedVersion &newest) const
-{
-    const fleet::AdapterKey key {newest.model, newest.adapter};
-    return attempt.isQueued() && adapterKey() == key
-        && attempt.adapterVersion.value_or(newest.version) < newest.version;
-}
-
-// The request would begin on the version that it finds at the end of the queue.
-void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
-{
-    std::vector<int> affected;
-    for (const RequestAttempt *attempt : attemptsInProgress()) {
-        if (isQueuedAtOlderVersion(*attempt, newest))
-            affected.push_back(attempt->number);
-    }
-    runGuarded([this, &affected] {
-        for (const int number : affected) {
-            if (m_isDone || !selectAttempt(number))
-                continue;
-            dropConnection();
-            m_interruptedAt = now(); // The newer version may have to be loaded first.
-            handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
-        }
-    });
-}
-
 void RequestTask::send(const fleet::Endpoint &endpoint)
 {
     setWaitsForLoad(false);
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -29,9 +29,10 @@
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
 /// endpoint at a time, unless that one is silent; then the first one that goes on serves it.
 /// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
-/// clients take up), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp (silent
-/// endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries and the
-/// end of the request). Thread safety: the event loop's thread only.
+/// clients take up), requestattempts.cpp (the attempts in progress), requestanswer.cpp (the
+/// endpoint's answer), requestreplacement.cpp (silent endpoints), requestbuffers.cpp (the memory
+/// that it takes) and requestend.cpp (retries and the end of the request). Thread safety: the event
+/// loop's thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
