Remove records of streams only as they were listed

The coordinator removed records of streams by name.

The removal now names the revision that was listed. A record that has changed stays, and the coordinator looks again.

--- a/src/libs/gateway/streamversions.cpp
+++ b/src/libs/gateway/streamversions.cpp
@@ -332,7 +332,7 @@
             return;
         }
         for (const platform::StoredObject &record : page->items)
-            m_recordsToRemove.push_back(record.name);
+            m_recordsToRemove.push_back(record);
         m_areRecordsLeft = page->hasMore;
         removeNext();
     });
@@ -342,14 +342,15 @@
 {
     if (m_recordsToRemove.empty())
         return;
-    const std::string name = std::move(m_recordsToRemove.back());
+    const platform::StoredObject record = std::move(m_recordsToRemove.back());
     m_recordsToRemove.pop_back();
     ++m_storeCalls;
-    m_store.remove(platform::ObjectKind::Streams, name, [this, alive = m_isAlive](auto result) {
+    m_store.remove(platform::ObjectKind::Streams, record, [this, alive = m_isAlive](auto result) {
         if (!*alive)
             return;
-        if (!result.ok() && !absl::IsNotFound(result.status()))
-            m_areRecordsLeft = true;
+        const bool isGone = result.ok() ? result->isWritten : absl::IsNotFound(result.status());
+        if (!isGone)
+            m_areRecordsLeft = true; // Its daemon has written it meanwhile.
         removeNext();
     });
 }
--- a/src/libs/gateway/streamversions.h
+++ b/src/libs/gateway/streamversions.h
@@ -161,7 +161,7 @@
     core::TimePoint m_knownAsOf; ///< When the last complete fetch started.
 
     bool m_areRecordsLeft = true; ///< The store may hold records that are no longer needed.
-    std::vector<std::string> m_recordsToRemove;
+    std::vector<platform::StoredObject> m_recordsToRemove;
     std::uint64_t m_storeCalls = 0;
     net::TimerService::Subscription m_publishTimer;
     net::TimerService::Subscription m_historyTimer;
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -307,16 +307,25 @@
           std::move(handler));
 }
 
-void ObjectStoreClient::remove(ObjectKind kind, const std::string &name,
+void ObjectStoreClient::remove(ObjectKind kind, const StoredObject &object,
                                Handler<WriteResult> handler)
 {
     net::HttpRequest request;
     request.method = "DELETE";
-    request.path = absl::StrCat(collectionPath(kind), "/", name);
+    request.path = absl::StrCat(collectionPath(kind), "/", object.name,
+                                "?revision=", object.position.revision);
     m_transport(request, timeoutFor(kind), [this, handler = std::move(handler)](auto response) {
-        handler(decodeResponse<WriteResult>(response, [](std::string_view, core::StoreEra) {
-            return WriteResult {true, {}};
-        }));
+        const bool isConflict = response.ok() && response->status == 409;
+        if (isConflict)
+            response->status = 200;
+        const auto decode = [isConflict](std::string_view text, core::StoreEra era) {
+            WriteResult result;
+            result.isWritten = !isConflict;
+            if (isConflict)
+                result.object = decodeObject(text, era);
+            return result;
+        };
+        handler(decodeResponse<WriteResult>(response, decode));
     });
 }
 
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -116,8 +116,8 @@
                 Handler<WriteResult> handler);
     /// Replaces the object if it still has the revision of `object`.
     void replace(ObjectKind kind, const StoredObject &object, Handler<WriteResult> handler);
-    /// Removes the object, whatever its revision.
-    void remove(ObjectKind kind, const std::string &name, Handler<WriteResult> handler);
+    /// Removes the object if it still has the revision of `object`.
+    void remove(ObjectKind kind, const StoredObject &object, Handler<WriteResult> handler);
     /// The newest era that a response stated.
     core::StoreEra era() const { return m_era; }
 
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -203,6 +203,11 @@
     } else if (spec(kind, name).is_null()) {
         reject(*exchange, 404);
     } else if (method == "DELETE") {
+        const Object &object = m_contents.kinds[kind][name];
+        if (query.contains("revision") && std::stoull(query["revision"]) != object.revision) {
+            respond(*exchange, 409, encode(name, object));
+            return;
+        }
         remove(kind, name);
         respond(*exchange, 200, json::object());
     } else {
