Read again from every endpoint once a slow client has caught up

Reading pauses at 256 KB of unsent output and goes on when all of it is written.

Reading is now paused and resumed for all attempts at once, and silence is measured from the moment at which reading goes on. The pause between two sends doubles instead, and refused ones do not count against the sends of a request that breaks off later. - A first event that waits for its record is no silence.

Tests: silentendpoints/clientThatReadsAgainGetsItsStream, failureOfTheReplacementLosesNoAnswer, refusalsForAMomentEndNoSearch. slowClientDoesNotReplaceItsEndpoint now has the segments and buffers of a real link: with those of the loopback device output never fell below the limit, so that it passed with the fault.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -20,6 +20,7 @@
 // Endpoints that a prompt crashes do so as they begin to answer; later events show that it is
 // sound.
 constexpr core::Duration soundRunTime = std::chrono::milliseconds(500);
+constexpr int firstFailureStatus = 300;
 constexpr std::string_view dataField = "data:"; ///< Events have it, comments don't.
 
 /// The type and subtype of the answer's content, in lower case; empty if they are not stated.
@@ -218,17 +219,19 @@
          .request = m_fields.id.value()});
 }
 
-bool RequestTask::isClientSlow() const
+// Once paused, reading goes on when all output was written, which calls this again.
+void RequestTask::applyBackpressure()
 {
     const std::size_t limit
         = m_context.buffers.isLargePartUsed() ? maxUnsentBytesUnderPressure : maxUnsentBytes;
-    return m_exchange->pendingOutput() >= limit;
-}
-
-void RequestTask::applyBackpressure()
-{
-    if (m_attempt->connection && m_attempt->isInProgress)
-        m_attempt->connection->setReadEnabled(!isClientSlow());
+    const bool isPaused = m_exchange->pendingOutput() >= limit;
+    if (isPaused == m_isReadPaused)
+        return;
+    m_isReadPaused = isPaused;
+    if (!isPaused)
+        m_readResumedAt = now();
+    for (const RequestAttempt *attempt : attemptsInProgress())
+        attempt->connection->setReadEnabled(!isPaused);
 }
 
 // The framing of an answer says where its bytes end, not whether its last event is whole: an
@@ -237,7 +240,6 @@
 {
     const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
     // An endpoint that ends after the head leaves the same bytes as one without anything to say.
-    constexpr int firstFailureStatus = 300;
     if (isAtClose && !m_attempt->isStream && m_attempt->answer.status < firstFailureStatus
         && m_attempt->answerBody.empty())
         return http::ExchangeEnd::Broken;
@@ -381,8 +383,8 @@
     else if (m_attempt->answer.isDelimited())
         m_context.pool.health(m_attempt->endpoint).recordSuccess();
     const bool isLate = deadline() - now() < minRemainingTime;
-    if (isFailure && !m_otherAttempts.empty()) {
-        continueOtherAttempt(Failure::MayHaveRun, "endpoint failed");
+    if (m_attempt->answer.status >= firstFailureStatus && !m_otherAttempts.empty()) {
+        continueOtherAttempt(Failure::MayHaveRun, "endpoint answered with a failure");
         return;
     }
     if (isFailure && !isLate && recordFailedSend(Failure::MayHaveRun)) {
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -26,7 +26,8 @@
         if (!m_route->isRepeatable() || m_runs >= m_route->maxAttempts)
             return false;
     }
-    if (m_sends >= (m_isForwarding ? maxSendsPerStream : maxSends) || !m_exchange->isOpen())
+    const int sends = m_sends - m_refusedReplacements;
+    if (sends >= (m_isForwarding ? maxSendsPerStream : maxSends) || !m_exchange->isOpen())
         return false;
     if (failure == Failure::MayHaveRun && !m_context.crashes.mayRunAgain(m_identity))
         return false;
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -20,8 +20,8 @@
 // Interval of the search for an endpoint that can replace a stalled one.
 constexpr core::Duration replacementInterval = std::chrono::milliseconds(100);
 constexpr int stallGapFactor = 4; ///< Target gaps after which a stream counts as stalled.
-// Kept for an endpoint that breaks off after replacements refused the request.
-constexpr int reservedSends = 1;
+// Bounds what a silent endpoint costs others; the pause between two sends doubles.
+constexpr int maxRefusedReplacements = 6;
 
 } // namespace
 
@@ -29,6 +29,10 @@
 {
     if (failure == Failure::MayHaveRun)
         ++m_runs;
+    else
+        ++m_refusedReplacements;
+    const core::Duration pause = replacementInterval * (2 << std::min(m_failedReplacements, 4));
+    ++m_failedReplacements;
     const core::EndpointId failed = m_attempt->endpoint;
     const int failedNumber = m_attempt->number;
     m_attempt = std::move(m_otherAttempts.back());
@@ -41,7 +45,7 @@
                                  " is still in progress, may have run ", m_runs),
          .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
-    checkStallAfter(replacementInterval);
+    checkStallAfter(pause);
 }
 
 core::Duration RequestTask::stallLimit() const
@@ -57,11 +61,12 @@
 {
     if (!m_route->isRepeatable())
         return;
-    if (isClientSlow()) {
+    // The daemon itself holds back what the endpoint sends.
+    if (m_isReadPaused || m_attempt->awaitsRecord) {
         checkStallAfter(replacementInterval);
         return;
     }
-    core::TimePoint lastActivityAt = m_times.lastAt();
+    core::TimePoint lastActivityAt = std::max(m_times.lastAt(), m_readResumedAt);
     for (const RequestAttempt *attempt : attemptsInProgress())
         lastActivityAt = std::max({lastActivityAt, attempt->sentAt, attempt->headAt});
     // If the endpoint sends to other requests, it is slow, or only this connection is dead.
@@ -91,9 +96,9 @@
 void RequestTask::handleStall()
 {
     const int inProgress = static_cast<int>(m_otherAttempts.size()) + 1;
-    const int sendLimit = (m_isForwarding ? maxSendsPerStream : maxSends) - reservedSends;
     // If no further run is allowed, the request can only wait.
-    const bool isLastRun = m_runs + inProgress >= m_route->maxAttempts || m_sends >= sendLimit;
+    const bool isLastRun = m_runs + inProgress >= m_route->maxAttempts
+        || m_refusedReplacements >= maxRefusedReplacements;
     if (isLastRun || deadline() - now() < minRemainingTime)
         return;
     const fleet::Endpoint *replacement = findReplacement();
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -443,6 +443,7 @@
     m_attempt->connection
         = m_context.pool.take(endpoint, !m_route->isRepeatable(), m_usedConnections);
     m_usedConnections.insert(m_attempt->connection->number());
+    m_attempt->connection->setReadEnabled(!m_isReadPaused);
     m_attempt->connection->send(request, std::move(observer));
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -170,9 +170,7 @@
     /// Abandons the current attempt.
     void dropConnection();
     void dropConnection(RequestAttempt &attempt);
-    /// Whether the client reads so slowly that nothing more is read from the endpoint.
-    bool isClientSlow() const;
-    /// Reads from the endpoint only while the client keeps up with the answer.
+    /// Reads from the endpoints only while the client keeps up with the answer.
     void applyBackpressure();
     void endPrefill(RequestAttempt &attempt);
     void recordPrefillCost();
@@ -215,6 +213,10 @@
     std::string m_mediaType;         ///< Of the stream that has begun.
     bool m_isForwarding = false;     ///< The head was forwarded; events follow as they arrive.
     bool m_needsRetryBudget = false; ///< The next send must be taken from the retry budget.
+    bool m_isReadPaused = false; ///< Nothing is read from the endpoints; see applyBackpressure().
+    core::TimePoint m_readResumedAt;
+    int m_refusedReplacements = 0; ///< Sends beside a silent endpoint that certainly did not run.
+    int m_failedReplacements = 0;  ///< All that failed.
     StreamTimes m_times;
     std::optional<core::TimePoint> m_interruptedAt; ///< When an exchange last broke.
     net::TimerService::Subscription m_deadlineTimer;
--- a/tests/e2e/tst_silentendpoints.cpp
+++ b/tests/e2e/tst_silentendpoints.cpp
@@ -2,6 +2,14 @@
 
 #include <criterion/criterion.h>
 
+#include <arpa/inet.h>
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace jackdawlead;
 using namespace jackdawlead::testsupport;
 
@@ -55,6 +63,111 @@
     exchange->writeChunk(events(1, 3));
 }
 
+/// A client with the small segments and buffers of a real link, which reads when it is told to.
+class SlowClient
+{
+public:
+    explicit SlowClient(std::uint16_t port)
+        : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        constexpr int bufferBytes = 32 * 1024;
+        constexpr int segmentBytes = 1400;
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &bufferBytes, sizeof bufferBytes);
+        setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+        cr_assert_eq(connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+        const std::string request = "POST /stream/a HTTP/1.1\r\nHost: a.example\r\n"
+                                    "Request-Id: r1\r\nDeadline-Ms: 12000\r\nModel: base\r\n"
+                                    "Token-Count: 10,10\r\nContent-Length: 4\r\n\r\nbody";
+        cr_assert_eq(::write(m_socket, request.data(), request.size()),
+                     static_cast<ssize_t>(request.size()));
+        fcntl(m_socket, F_SETFL, O_NONBLOCK);
+    }
+    ~SlowClient() { ::close(m_socket); }
+    SlowClient(const SlowClient &) = delete;
+    SlowClient &operator=(const SlowClient &) = delete;
+
+    void read(std::size_t maxBytes)
+    {
+        std::string buffer(maxBytes, '\0');
+        const ssize_t size = ::read(m_socket, buffer.data(), maxBytes);
+        if (size > 0)
+            m_received.append(buffer, 0, static_cast<std::size_t>(size));
+        else
+            m_isClosed = size == 0 || errno != EAGAIN;
+    }
+    bool isComplete() const { return m_received.ends_with("\r\n0\r\n\r\n"); }
+    bool isClosed() const { return m_isClosed; }
+
+private:
+    int m_socket;
+    std::string m_received;
+    bool m_isClosed = false;
+};
+
+/// Sends a complete stream of 2.4 MB, more than the buffers between endpoint and client hold.
+void streamLongEvents(const FakeEndpoint::Exchange &exchange)
+{
+    const std::string data = "data: " + std::string(8 * 1024, 'x') + "\n\n";
+    exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+    for (int id = 1; id <= 300; ++id)
+        exchange->writeChunk("id: " + std::to_string(id) + "\n" + data);
+    exchange->finishChunked();
+}
+
+json routesWithLongStreams()
+{
+    json routes = defaultRoutes();
+    for (json &entry : routes)
+        entry["timeout_ms"] = 12000;
+    return routes;
+}
+
+/// Checks that a client that reads slowly, and then everything, gets its stream from one endpoint.
+void checkSlowClient(const std::function<void(const FakeEndpoint::Exchange &)> &other)
+{
+    Fixture fixture("model", streamLongEvents, other);
+    json routes = routesWithLongStreams();
+    routes.push_back(route("/ready/", "model", "idempotent"));
+    fixture.store.put("config", "main", configuration(2, routes));
+    const auto run = fixture.first.run;
+    fixture.first.run = fixture.second.run = [](const FakeEndpoint::Exchange &exchange) {
+        exchange->respond(200, FakeEndpoint::stamped(exchange), "ready");
+    };
+    cr_assert(fixture.waitUntilServed("/ready/a"));
+    fixture.first.run = fixture.second.run = run;
+    SlowClient client(fixture.callerPort);
+    const core::TimePoint startedAt = fixture.timers.now();
+    const auto reader = fixture.timers.every(milliseconds(50), [&] {
+        const bool isSlow = fixture.timers.now() - startedAt < milliseconds(2500);
+        for (int reads = isSlow ? 1 : 40; reads > 0; --reads)
+            client.read(2500);
+    });
+    cr_assert(fixture.waitUntil([&] { return client.isComplete() || client.isClosed(); }), "%s",
+              fixture.output().c_str());
+    cr_assert(client.isComplete(), "%s", fixture.output().c_str());
+    cr_assert_eq(fixture.otherSends, 0, "%s", fixture.output().c_str());
+}
+
+/// Checks that a failure of the endpoint with the second send ends no run at the first one.
+void checkFailedReplacement(int status, bool isStamped)
+{
+    Fixture fixture("plain", keep, [=](const FakeEndpoint::Exchange &exchange) {
+        exchange->respond(status, isStamped ? FakeEndpoint::stamped(exchange) : net::Headers(),
+                          "failure");
+    });
+    const auto answer = fixture.start("/get/a", "r1");
+    cr_assert(fixture.waitForSecondSend());
+    fixture.runLoopFor(milliseconds(200));
+    fixture.silent->respond(200, FakeEndpoint::stamped(fixture.silent), "whole answer");
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert_eq(answer->head.status, 200, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, "whole answer");
+}
+
 } // namespace
 
 // Guards against giving up a stream whose endpoint is silent for a while, for another endpoint that
@@ -173,38 +286,44 @@
 // client reads too slowly.
 Test(silentendpoints, slowClientDoesNotReplaceItsEndpoint, .timeout = 60)
 {
-    constexpr int lastEvent = 2000;
-    const std::string data = "data: " + std::string(8 * 1024, 'x') + "\n\n";
-    const auto streamLongEvents = [&data](const FakeEndpoint::Exchange &exchange) {
-        exchange->startChunked(200, FakeEndpoint::stamped(exchange));
-        for (int id = 1; id <= lastEvent; ++id)
-            exchange->writeChunk("id: " + std::to_string(id) + "\n" + data);
-        exchange->finishChunked();
+    checkSlowClient(refuse);
+}
+
+// Guards against an endpoint that is never read again after the request was sent to another one
+// while its client was slow.
+Test(silentendpoints, clientThatReadsAgainGetsItsStream, .timeout = 60)
+{
+    checkSlowClient(keep);
+}
+
+// Guards against an error of the other endpoint that ends a run in progress.
+Test(silentendpoints, failureOfTheReplacementLosesNoAnswer, .timeout = 60)
+{
+    checkFailedReplacement(500, true);
+    checkFailedReplacement(404, true);
+    checkFailedReplacement(429, false);
+}
+
+// Guards against a request that stays with a dead endpoint until its deadline, because the other
+// one refused it twice within a moment.
+Test(silentendpoints, refusalsForAMomentEndNoSearch, .timeout = 60)
+{
+    constexpr int refusals = 2;
+    int sends = 0;
+    Fixture fixture("plain", keep, [&sends](const FakeEndpoint::Exchange &exchange) {
+        if (++sends <= refusals)
+            refuse(exchange);
+        else
+            exchange->respond(200, FakeEndpoint::stamped(exchange), "whole answer");
+    });
+    const auto run = fixture.first.run;
+    fixture.first.run = fixture.second.run = [&](const FakeEndpoint::Exchange &exchange) {
+        const bool isDead = fixture.silent
+            && exchange->head.headers.value("Expect-Instance")
+                == fixture.silent->head.headers.value("Expect-Instance");
+        if (!isDead)
+            run(exchange);
     };
-    Fixture fixture("model", streamLongEvents, refuse);
-    http::Connection client(fixture.loop, {"127.0.0.1", fixture.callerPort}, limit);
-    std::string received;
-    client.setHandlers({.onConnected =
-                            [&client] {
-                                client.write(
-                                    "POST /stream/a HTTP/1.1\r\nHost: a.example\r\n"
-                                    "Request-Id: r1\r\nDeadline-Ms: 4000\r\nModel: base\r\n"
-                                    "Token-Count: 10,10\r\nContent-Length: 4\r\n\r\nbody");
-                                client.setReadEnabled(false);
-                            },
-                        .onData =
-                            [&] {
-                                received += client.received();
-                                client.consume(client.received().size());
-                            },
-                        .onDrained = {},
-                        .onClosed = [](http::CloseReason) {}});
-    cr_assert(fixture.waitUntil([&] { return fixture.silent != nullptr; }));
-    // Longer than the time after which a silent endpoint is replaced, which is 1.1 s.
-    fixture.runLoopFor(milliseconds(2600));
-    cr_assert_eq(fixture.otherSends, 0, "%s", fixture.output().c_str());
-    client.setReadEnabled(true);
-    cr_assert(fixture.waitUntil([&] { return received.ends_with("\r\n0\r\n\r\n"); }), "%s",
-              fixture.output().c_str());
-    cr_assert_eq(fixture.otherSends, 0, "%s", fixture.output().c_str());
+    const auto answer = fixture.call("/get/a", "r1");
+    cr_assert_eq(answer->head.status, 200, "%s", fixture.output().c_str());
 }
