Know the times of each route, and act on the first slow request of a stop

A request that ran has nothing to lose by a further send: it only needs the time that others took. - Failures and the rests of streams counted as run times.

Tests: plannedstop/longWorkAmongShortIsNotCutOff, rareRequestsThatBecomeSlowerAreNotCutOff, brokenStreamIsResumed.

--- a/src/libs/decisions/runtimeestimator.cpp
+++ b/src/libs/decisions/runtimeestimator.cpp
@@ -12,7 +12,6 @@
 constexpr double nearlyCertainFactor = 10;
 // A single endpoint that hangs must not refute the prediction for all others.
 constexpr double maxSlowShare = 0.5;
-constexpr int minCompared = 4;
 
 } // namespace
 
@@ -25,17 +24,28 @@
 
 core::Duration RunTimeEstimator::longestSample() const
 {
-    const auto end
-        = m_samples.begin() + static_cast<std::ptrdiff_t>(std::min(m_recorded, sampleCount));
-    return *std::max_element(m_samples.begin(), end);
+    // Samples that were not recorded yet are zero.
+    return *std::ranges::max_element(m_samples);
 }
 
 std::optional<core::Duration> RunTimeEstimator::longestExpected(Confidence confidence) const
 {
-    if (m_recorded < minSamples || m_isRefuted)
+    if (m_recorded < minSamples || (m_isRefuted && confidence != Confidence::Possible))
         return std::nullopt;
-    return core::scaled(longestSample(),
-                        confidence == Confidence::Likely ? likelyFactor : nearlyCertainFactor);
+    return scaledLongest(confidence);
+}
+
+core::Duration RunTimeEstimator::scaledLongest(Confidence confidence) const
+{
+    switch (confidence) {
+    case Confidence::Likely:
+        return core::scaled(longestSample(), likelyFactor);
+    case Confidence::NearlyCertain:
+        return core::scaled(longestSample(), nearlyCertainFactor);
+    case Confidence::Possible:
+        break;
+    }
+    return longestSample();
 }
 
 void RunTimeEstimator::beginObservation(core::TimePoint now, core::Duration negligible)
@@ -43,13 +53,13 @@
     m_observedFrom = now;
     m_answered.clear();
     m_isRefuted = false;
-    m_slowTime = m_recorded > 0 ? std::max(longestSample(), negligible) : negligible;
+    m_slowTime = std::max(longestSample(), negligible);
 }
 
 void RunTimeEstimator::checkInProgress(const std::vector<core::TimePoint> &inProgress,
                                        core::TimePoint now)
 {
-    if (!m_observedFrom || m_recorded < minSamples || m_isRefuted)
+    if (!m_observedFrom)
         return;
     // Later requests have had no time to be slow.
     const core::TimePoint latest = now - m_slowTime;
@@ -67,7 +77,7 @@
         ++compared;
         slow += request.duration > m_slowTime ? 1 : 0;
     }
-    m_isRefuted = compared >= minCompared && slow > maxSlowShare * compared;
+    m_isRefuted = slow > maxSlowShare * compared;
 }
 
 bool canEndBy(core::TimePoint end, core::TimePoint now, core::Duration limit,
--- a/src/libs/decisions/runtimeestimator.h
+++ b/src/libs/decisions/runtimeestimator.h
@@ -11,6 +11,7 @@
 
 /// How certain a prediction must be.
 enum class Confidence {
+    Possible,      ///< As long as the latest ones, whatever requests in progress show.
     Likely,        ///< Requests may become somewhat slower.
     NearlyCertain, ///< Also covers endpoints that suddenly become many times slower.
 };
@@ -26,6 +27,9 @@
     /// the prediction is refuted.
     std::optional<core::Duration> longestExpected(Confidence confidence = Confidence::Likely) const;
 
+    /// The longest sample, with the same margins; zero without samples.
+    core::Duration scaledLongest(Confidence confidence) const;
+
     /// From now on requests are compared with the samples until `now`. Those that take up to
     /// `negligible` never count as slow.
     void beginObservation(core::TimePoint now, core::Duration negligible);
@@ -43,7 +47,6 @@
         core::Duration duration;
     };
 
-    /// Precondition: there is a sample.
     core::Duration longestSample() const;
 
     std::array<core::Duration, sampleCount> m_samples {}; ///< Ring buffer of the latest samples.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -299,6 +299,7 @@
         m_context.budgets[service.service].setLimits(budget);
     }
     updateIdleLimits();
+    m_context.runTimes.retainRoutes(m_watch.routes()->configuration().routes);
     m_streams.setLongestStream(m_watch.routes()->longestStream());
     m_coordinator.applyConfiguration();
 }
@@ -379,11 +380,7 @@
         = m_timers.now() + m_settings.bounds.grace - stopMargin - finalAnswersTime;
     const core::Duration answerTime = m_context.answersDueAt - m_timers.now();
     m_context.predictionsUntil = m_timers.now() + core::scaled(answerTime, predictionShare);
-    for (auto &[service, times] : m_context.runTimes) {
-        const core::Duration negligible = core::scaled(answerTime, negligibleShare);
-        times.streams.beginObservation(m_timers.now(), negligible);
-        times.answers.beginObservation(m_timers.now(), negligible);
-    }
+    m_context.runTimes.beginObservation(m_timers.now(), core::scaled(answerTime, negligibleShare));
     observability::log({.step = "stop", .message = "SIGTERM received"});
     m_callerServer.disableKeepAlive();
     m_election.release();
@@ -392,14 +389,13 @@
 
 void Gateway::checkRunTimes()
 {
-    using Kind = std::pair<core::ServiceId, bool>;
-    std::map<Kind, std::vector<core::TimePoint>> sentAt;
+    std::vector<RequestInProgress> requests;
+    requests.reserve(m_requests.size());
     for (const auto &[number, task] : m_requests) {
         if (const auto request = task->inProgress())
-            sentAt[{request->service, request->isStream}].push_back(request->sentAt);
+            requests.push_back(*request);
     }
-    for (const auto &[kind, times] : sentAt)
-        m_context.runTimes[kind.first].of(kind.second).checkInProgress(times, m_timers.now());
+    m_context.runTimes.checkInProgress(requests, m_timers.now());
 }
 
 void Gateway::checkStopped()
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -196,9 +196,11 @@
     m_context.pool.setPrefillTokensPerSecond(m_context.cost.tokensPerSecond());
 }
 
+// Failures and the rest of a stream take less time than whole answers.
 void RequestTask::recordRunTime()
 {
-    m_context.runTimes[m_service].of(m_route->isStream).record(m_attempt->sentAt, now());
+    if (m_attempt->answer.status < firstFailureStatus && m_runs == 0 && !isTakeUp())
+        m_context.runTimes.record(m_service, *m_route, m_attempt->sentAt, now());
 }
 
 void RequestTask::endPrefill(RequestAttempt &attempt)
--- a/src/libs/gateway/requestattempts.cpp
+++ b/src/libs/gateway/requestattempts.cpp
@@ -36,7 +36,7 @@
     if (attempts.empty())
         return std::nullopt;
     const auto *first = *std::ranges::min_element(attempts, {}, &RequestAttempt::sentAt);
-    return RequestInProgress {m_service, m_route->isStream, first->sentAt};
+    return RequestInProgress {m_service, m_route, first->sentAt};
 }
 
 void RequestTask::dropOtherAttempts()
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -7,13 +7,13 @@
 #include "decisions/placementview.h"
 #include "decisions/requestcostestimator.h"
 #include "decisions/retrybudget.h"
-#include "decisions/runtimeestimator.h"
 #include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
 #include "gateway/crashguard.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/ratelimits.h"
+#include "gateway/runtimes.h"
 #include "gateway/streamversions.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -27,15 +27,6 @@
 
 namespace jackdawlead::gateway {
 
-/// How long the requests of one service take from the send to the end of the answer.
-struct ServiceRunTimes
-{
-    decisions::RunTimeEstimator streams;
-    decisions::RunTimeEstimator answers; ///< Of requests that are no streams.
-
-    decisions::RunTimeEstimator &of(bool isStream) { return isStream ? streams : answers; }
-};
-
 /// State that all requests of a daemon share. Thread safety: the event loop's thread only.
 struct RequestContext
 {
@@ -52,7 +43,7 @@
     decisions::BufferBudget &buffers;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
-    std::map<core::ServiceId, ServiceRunTimes> runTimes;
+    RunTimes runTimes;
     decisions::RequestCostEstimator cost; ///< Of requests for models.
     /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -151,16 +151,17 @@
 }
 
 // A stopping daemon accepts only requests that it can finish; clients retry at another daemon. A
-// wrong prediction costs the whole answer, a refusal one retry.
+// wrong prediction costs the whole answer, a refusal one retry. A request that ran already has
+// nothing to lose by a further send.
 bool RequestTask::canFinishBeforeStop() const
 {
     if (!m_context.stopRequestedAt)
         return true;
-    const auto confidence = now() <= m_context.predictionsUntil
-        ? decisions::Confidence::Likely
-        : decisions::Confidence::NearlyCertain;
-    const auto expected
-        = m_context.runTimes[m_service].of(m_route->isStream).longestExpected(confidence);
+    auto confidence = now() <= m_context.predictionsUntil ? decisions::Confidence::Likely
+                                                          : decisions::Confidence::NearlyCertain;
+    if (m_runs > 0)
+        confidence = decisions::Confidence::Possible;
+    const auto expected = m_context.runTimes.longestExpected(m_service, *m_route, confidence);
     return decisions::canEndBy(m_context.answersDueAt, now(), deadline() - now(), expected);
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -17,14 +17,6 @@
 
 namespace jackdawlead::gateway {
 
-/// A request at an endpoint.
-struct RequestInProgress
-{
-    core::ServiceId service;
-    bool isStream = false;
-    core::TimePoint sentAt;
-};
-
 /// Serves one request of a client: selects an endpoint, sends the request, forwards the answer and
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
 /// endpoint at a time, unless that one is silent; then the first one that goes on serves it.
--- a/tests/e2e/tst_plannedstop.cpp
+++ b/tests/e2e/tst_plannedstop.cpp
@@ -166,6 +166,84 @@
     }
 }
 
+// Guards against the same at a rate at which few requests tell that work has become slower.
+Test(plannedstop, rareRequestsThatBecomeSlowerAreNotCutOff, .timeout = 120)
+{
+    struct Case
+    {
+        const char *path;
+        core::Duration before;
+        core::Duration after;
+        core::Duration period;
+    };
+    const Case cases[] = {{"/stream/a", milliseconds(100), milliseconds(5000), milliseconds(1500)},
+                          {"/stream/a", milliseconds(400), milliseconds(4800), milliseconds(900)},
+                          {"/order/a", milliseconds(100), milliseconds(4800), milliseconds(1500)}};
+    for (const Case &rare : cases) {
+        Fixture fixture(rare.before);
+        fixture.warmUp(rare.path);
+        fixture.workTime = rare.after;
+        fixture.checkPlannedStop({rare.path}, rare.period);
+    }
+}
+
+// Guards against work that is accepted late in a stop because most other work of its service is
+// short.
+Test(plannedstop, longWorkAmongShortIsNotCutOff, .timeout = 60)
+{
+    Fixture fixture(milliseconds(20));
+    for (FakeEndpoint *endpoint : {&fixture.platform.first, &fixture.platform.second})
+        endpoint->run = [&fixture](const FakeEndpoint::Exchange &exchange) {
+            const bool isOrder = exchange->head.target.starts_with("/order/");
+            fixture.workTime = milliseconds(isOrder ? 3000 : 20);
+            fixture.run(exchange);
+        };
+    fixture.warmUp("/order/a");
+    constexpr int rounds = 8; // More than the answers that are remembered.
+    for (int round = 0; round < rounds; ++round)
+        fixture.warmUp("/get/a");
+    fixture.platform.daemon.signal(SIGTERM);
+    int ticks = 0;
+    constexpr int orderTick = 100; // 5 s after SIGTERM.
+    const auto sender = fixture.platform.timers.every(
+        milliseconds(50), [&] { fixture.send(++ticks == orderTick ? "/order/a" : "/get/a"); });
+    cr_assert(
+        fixture.platform.waitUntil([&] { return fixture.platform.daemon.exitCode().has_value(); }));
+    cr_assert(fixture.platform.waitUntil([&] { return fixture.areAllEnded(); }));
+    for (const auto &[id, answer] : fixture.answers)
+        cr_assert(!id.starts_with("o") || !fixture.hasRun(id) || answer->head.status == 200,
+                  "%s ran, status %d\n%s", id.c_str(), answer->head.status,
+                  fixture.platform.output().c_str());
+}
+
+// Guards against giving up the rest of a stream whose endpoint breaks off in a stop, although
+// another one would go on with it in time.
+Test(plannedstop, brokenStreamIsResumed, .timeout = 60)
+{
+    Fixture fixture(milliseconds(900));
+    fixture.warmUp("/stream/a");
+    fixture.platform.daemon.signal(SIGTERM);
+    fixture.platform.runLoopFor(milliseconds(1000));
+    bool hasBroken = false;
+    for (FakeEndpoint *endpoint : {&fixture.platform.first, &fixture.platform.second})
+        endpoint->run = [&](const FakeEndpoint::Exchange &exchange) {
+            if (std::exchange(hasBroken, true)) {
+                stream(exchange, 6, false);
+                return;
+            }
+            exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+            exchange->writeChunk(events(1, 3));
+            // By then only what is nearly certain to end is accepted.
+            fixture.work.push_back(fixture.platform.timers.once(milliseconds(1000),
+                                                                [exchange] { exchange->abort(); }));
+        };
+    fixture.send("/stream/a");
+    cr_assert(fixture.platform.waitUntil([&] { return fixture.areAllEnded(); }));
+    const auto &answer = fixture.answers.front().second;
+    cr_assert(answer->isComplete, "%s", fixture.platform.output().c_str());
+    cr_assert_eq(answer->body, events(1, 6));
+}
+
 // The same for work that is answered at once, and may not be repeated.
 Test(plannedstop, workThatBecomesSlowerIsNotCutOff, .timeout = 60)
 {
