Let clients pause for as long as the design says

A client that read nothing for over 3 s was reset, and its answer lost: the time after which unacknowledged bytes count as a lost peer was also set on the connections of clients, and the kernel applies it to a peer that is alive but reads nothing. The limit for such clients is 30 s.

Connections that the daemon opens keep the 3 s, which bound how long a watch on a dead connection lasts.

Test, which failed before: silentendpoints/pausedClientGetsItsStream.

--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -22,6 +22,8 @@
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
 constexpr unsigned unacknowledgedMilliseconds = 3000;
+// The kernel counts a peer that reads nothing as unacknowledged as well. Clients may pause.
+constexpr unsigned pausedClientMilliseconds = 30000;
 
 timeval toTimeval(core::Duration duration)
 {
@@ -41,7 +43,7 @@
     : m_buffer(bufferevent_socket_new(loop.base(), socket, BEV_OPT_CLOSE_ON_FREE))
     , m_isConnected(true)
 {
-    setSocketOptions(socket);
+    setSocketOptions(socket, pausedClientMilliseconds);
     setCallbacks();
     bufferevent_enable(m_buffer, EV_READ | EV_WRITE);
 }
@@ -68,14 +70,14 @@
     bufferevent_free(m_buffer);
 }
 
-void Connection::setSocketOptions(int socket)
+void Connection::setSocketOptions(int socket, unsigned userTimeoutMilliseconds)
 {
     setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, probeIdleSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
     setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, probeCount);
-    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMilliseconds);
+    setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
 }
 
 void Connection::setCallbacks()
@@ -125,7 +127,7 @@
     if ((events & BEV_EVENT_CONNECTED) != 0) {
         m_isConnected = true;
         bufferevent_set_timeouts(m_buffer, nullptr, nullptr);
-        setSocketOptions(bufferevent_getfd(m_buffer));
+        setSocketOptions(bufferevent_getfd(m_buffer), unacknowledgedMilliseconds);
         runHandler(m_handlers.onConnected);
         return;
     }
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -67,7 +67,7 @@
     void handleEvent(short events);
     void handleDrained();
     void reportClosed(CloseReason reason);
-    static void setSocketOptions(int socket);
+    static void setSocketOptions(int socket, unsigned userTimeoutMilliseconds);
 
     bufferevent *m_buffer = nullptr;
     Handlers m_handlers;
--- a/tests/e2e/tst_silentendpoints.cpp
+++ b/tests/e2e/tst_silentendpoints.cpp
@@ -92,6 +92,8 @@
 
     void read(std::size_t maxBytes)
     {
+        if (maxBytes == 0)
+            return;
         std::string buffer(maxBytes, '\0');
         const ssize_t size = ::read(m_socket, buffer.data(), maxBytes);
         if (size > 0)
@@ -126,8 +128,10 @@
     return routes;
 }
 
-/// Checks that a client that reads slowly, and then everything, gets its stream from one endpoint.
-void checkSlowClient(const std::function<void(const FakeEndpoint::Exchange &)> &other)
+/// Checks that a client gets its stream from one endpoint if it reads `slowBytes` each 50 ms for
+/// `slowTime`, and then everything.
+void checkSlowClient(const std::function<void(const FakeEndpoint::Exchange &)> &other,
+                     std::size_t slowBytes, core::Duration slowTime)
 {
     Fixture fixture("model", streamLongEvents, other);
     json routes = routesWithLongStreams();
@@ -142,9 +146,9 @@
     SlowClient client(fixture.callerPort);
     const core::TimePoint startedAt = fixture.timers.now();
     const auto reader = fixture.timers.every(milliseconds(50), [&] {
-        const bool isSlow = fixture.timers.now() - startedAt < milliseconds(2500);
-        for (int reads = isSlow ? 1 : 40; reads > 0; --reads)
-            client.read(2500);
+        constexpr std::size_t fastBytes = 100000;
+        const bool isSlow = fixture.timers.now() - startedAt < slowTime;
+        client.read(isSlow ? slowBytes : fastBytes);
     });
     cr_assert(fixture.waitUntil([&] { return client.isComplete() || client.isClosed(); }), "%s",
               fixture.output().c_str());
@@ -286,14 +290,20 @@
 // client reads too slowly.
 Test(silentendpoints, slowClientDoesNotReplaceItsEndpoint, .timeout = 60)
 {
-    checkSlowClient(refuse);
+    checkSlowClient(refuse, 2500, milliseconds(2500));
 }
 
 // Guards against an endpoint that is never read again after the request was sent to another one
 // while its client was slow.
 Test(silentendpoints, clientThatReadsAgainGetsItsStream, .timeout = 60)
 {
-    checkSlowClient(keep);
+    checkSlowClient(keep, 2500, milliseconds(2500));
+}
+
+// Guards against closing the connection of a client that reads nothing for some seconds.
+Test(silentendpoints, pausedClientGetsItsStream, .timeout = 60)
+{
+    checkSlowClient(refuse, 0, milliseconds(4500));
 }
 
 // Guards against an error of the other endpoint that ends a run in progress.
