Log how old an announced version can be at most

The log showed when a daemon learned of a version, but not up to when it had known the state before. Without that a run on a superseded version can't be told from an announcement that was learned late.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -35,6 +36,15 @@
 
 constexpr char configurationName[] = "main";
 
+/// How old a change that was made after `madeAfter` may be, for the log.
+std::string describeMaxAge(core::TimePoint now, core::TimePoint madeAfter)
+{
+    if (madeAfter == core::TimePoint())
+        return "of unknown age";
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - madeAfter);
+    return absl::StrCat("at most ", age.count(), " ms ago");
+}
+
 } // namespace
 
 core::Duration FleetWatch::watchWait(const fleet::Bounds &bounds)
@@ -278,7 +288,8 @@
     observability::log(
         {.step = "adapter version",
          .message = absl::StrCat(announced->model.value(), "/", announced->adapter.value(),
-                                 " version ", announced->version, " announced")});
+                                 " version ", announced->version, " announced, ",
+                                 describeMaxAge(m_timers.now(), madeAfter))});
     // No request is sent before the initial list is complete.
     if (m_versionFollower.hasInitialList())
         m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
