Read the late answer to a watch that was given up

With half of the store's answers to watches of versions 1.5 s late, a daemon learned of an announcement up to 6.1 s after it (trial with six real daemons) and sent requests to an older version for as long. A watch is given up 0.8 s after its wait and its answer was discarded; so were those of the short watches that repeat it. With all answers late a daemon behind a relay learned nothing any more.

The watch still counts as failed after the same time, for the relay, its daemons and the next call. The connection is read for another 2.5 s, and changes in the answer are taken if the known state is still the one from which that watch began, so that a late answer can't undo later changes.

Evidence: watchrelay/announcementsAreLearnedWhileAllAnswersAreLate fails with the time to read late answers set to zero and passes with 2.5 s.

--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -125,11 +125,17 @@
         wait = std::min(wait, watchWaitAfterFailure);
     else if (m_hasNewChanges && m_kind == platform::ObjectKind::AdapterVersions)
         wait = std::min(wait, watchWaitAfterChange);
-    m_store.watch(m_kind, m_position, wait,
-                  [this, number = ++m_watchNumber, alive = m_isAlive](auto events) {
-                      if (*alive)
-                          handleWatchResult(number, std::move(events));
-                  });
+    m_isWatching = true;
+    m_store.watch(
+        m_kind, m_position, wait,
+        [this, number = ++m_watchNumber, since = m_position, alive = m_isAlive](auto events) {
+            if (!*alive)
+                return;
+            if (number == m_watchNumber && m_isWatching)
+                handleWatchResult(std::move(events));
+            else
+                handleLateAnswer(since, std::move(events));
+        });
 }
 
 // Takes the place of the waiting watch, whose later result could undo changes that are known then.
@@ -141,20 +147,20 @@
     m_isConfirming = true;
     m_confirmStartedAt = now;
     m_nextCallTimer.cancel();
+    m_isWatching = true;
     m_store.watchCurrent(m_kind, m_position, confirmWait,
                          [this, number = ++m_watchNumber, alive = m_isAlive](auto events) {
                              if (!*alive)
                                  return;
                              m_isConfirming = false;
-                             handleWatchResult(number, std::move(events));
+                             if (number == m_watchNumber && m_isWatching)
+                                 handleWatchResult(std::move(events));
                          });
 }
 
-void StoreFollower::handleWatchResult(std::uint64_t callNumber,
-                                      absl::StatusOr<platform::ObjectEvents> events)
+void StoreFollower::handleWatchResult(absl::StatusOr<platform::ObjectEvents> events)
 {
-    if (callNumber != m_watchNumber)
-        return;
+    m_isWatching = false;
     if (!events.ok()) {
         handleFailure(events.status());
         return;
@@ -180,6 +186,18 @@
         watchNext();
 }
 
+// The answer takes the place of the call or the delay that followed the failure. Without changes it
+// tells no more than the later calls, and after a change of the known state it could undo changes.
+void StoreFollower::handleLateAnswer(const core::StorePosition &since,
+                                     absl::StatusOr<platform::ObjectEvents> events)
+{
+    if (m_isListing || m_isConfirming || !events.ok() || events->events.empty()
+        || since != m_position)
+        return;
+    m_nextCallTimer.cancel();
+    handleWatchResult(std::move(events));
+}
+
 // Ignores an event whose handler throws; without the guard, following the store would end.
 void StoreFollower::processEvents(std::vector<platform::ObjectEvent> &events)
 {
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -61,7 +61,10 @@
     void listNext();
     void finishList();
     void watchNext();
-    void handleWatchResult(std::uint64_t callNumber, absl::StatusOr<platform::ObjectEvents> events);
+    void handleWatchResult(absl::StatusOr<platform::ObjectEvents> events);
+    /// Takes the changes in the answer to a watch from `since` that was given up.
+    void handleLateAnswer(const core::StorePosition &since,
+                          absl::StatusOr<platform::ObjectEvents> events);
     void handleFailure(const absl::Status &status);
     void recordSuccess(core::TimePoint asOf);
     /// Continues from `position`, which may be in a new era.
@@ -86,7 +89,8 @@
     bool m_hasInitialList = false;
     decisions::StoreContact m_contact;
     bool m_hasNewChanges = false;    ///< The last watch reported changes.
-    std::uint64_t m_watchNumber = 0; ///< Results of earlier watches are ignored.
+    std::uint64_t m_watchNumber = 0; ///< Of the last watch.
+    bool m_isWatching = false;       ///< The last watch has no result yet.
     bool m_isConfirming = false;
     core::TimePoint m_confirmStartedAt;
     std::minstd_rand m_random;
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -35,6 +35,11 @@
 // time by which an outage extends the bounds, 6 s and more in all site files.
 constexpr core::Duration directWatchRetryDelay = std::chrono::milliseconds(2500);
 
+// How long the answer of the store to a watch is still read after the watch was given up. A store
+// whose answers are all later than the margin of a watch would bring no change at all otherwise. An
+// older answer is of no use for the shortest bound of 3 s.
+constexpr core::Duration lateAnswerTime = std::chrono::milliseconds(2500);
+
 // A connection that ends this long after a watch was sent was cut off while the watch waited; a
 // store that rejects this daemon ends it earlier, also in another region.
 constexpr core::Duration minCutOffTime = std::chrono::milliseconds(200);
@@ -100,7 +105,8 @@
          handler = std::move(handler)](auto response) {
             const bool isWaitOver = m_timers.now() - sentAt >= wait;
             handler({std::move(response), sentAt, isWaitOver ? sentAt + wait : sentAt});
-        });
+        },
+        {.lateResponseTime = timed.lateAnswerTime});
 }
 
 void StoreTransport::callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
@@ -274,7 +280,14 @@
 void StoreTransport::watchStore(const platform::WatchRequest &watch, core::Duration margin,
                                 AnswerHandler handler)
 {
-    const auto onAnswer = [this, watch, margin, handler = std::move(handler)](auto answer) {
+    const auto sendToStore
+        = [this, margin](const platform::WatchRequest &sent, AnswerHandler onAnswer) {
+              TimedRequest timed = timedRequest(sent, margin);
+              if (!sent.mustBeCurrent)
+                  timed.lateAnswerTime = lateAnswerTime;
+              send(m_store, timed, std::move(onAnswer));
+          };
+    const auto onAnswer = [this, watch, sendToStore, handler = std::move(handler)](auto answer) {
         if (!isBroken(answer.response) || m_timers.now() - answer.sentAt < minCutOffTime) {
             handler(std::move(answer));
             return;
@@ -284,9 +297,9 @@
                             .message = "waiting watch was cut off, repeated"});
         platform::WatchRequest repeated = watch;
         repeated.wait = std::min(watch.wait, repeatedWatchWait);
-        send(m_store, timedRequest(repeated, margin), handler);
+        sendToStore(repeated, handler);
     };
-    send(m_store, timedRequest(watch, margin), onAnswer);
+    sendToStore(watch, onAnswer);
 }
 
 void StoreTransport::callPeer(const net::Address &peer, const TimedRequest &timed,
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -28,7 +28,8 @@
     void call(const net::HttpRequest &request, core::Duration timeout,
               http::ControlClient::Handler handler);
     /// Waits for changes: at the relay of the failure domain, at the spare relay if that fails, and
-    /// otherwise at the store. Only the failure of the last one is reported to `handler`. A watch
+    /// otherwise at the store. Only the failure of the last one is reported to `handler`, which is
+    /// called again if the store answers a watch after it has failed for its lateness. A watch
     /// that the store cuts off while it waits is no failure; it is repeated at once. While
     /// there is a relay, the store is not watched for some seconds after a watch of it failed: for
     /// that kind of object, and for the others too unless it answered one of them meanwhile.
@@ -69,7 +70,8 @@
     {
         net::HttpRequest request;
         core::Duration timeout {};
-        core::Duration wait {}; ///< Of a watch; zero for other calls.
+        core::Duration wait {};           ///< Of a watch; zero for other calls.
+        core::Duration lateAnswerTime {}; ///< How long an answer is awaited after the timeout.
     };
     /// Until when a receiver is not asked, because it failed.
     struct Suspension
--- a/src/libs/http/controlclient.cpp
+++ b/src/libs/http/controlclient.cpp
@@ -46,6 +46,8 @@
     std::function<bool(const Response &)> isOwnResponse;
     net::TimerService::Subscription timeout;
     core::Duration extension {}; ///< Of the current timeout.
+    core::Duration lateResponseTime {};
+    bool isTimedOut = false; ///< The handler knows it; only a success is still reported.
 };
 
 ControlClient::ControlClient(net::EventLoop &loop, net::TimerService &timers)
@@ -72,6 +74,7 @@
     call->peer = peer;
     call->handler = std::move(handler);
     call->isOwnResponse = options.isOwnResponse;
+    call->lateResponseTime = options.lateResponseTime;
     const auto unlimitedIdleTime = [](const ClientConnection &) { return core::Duration::max(); };
     IdleConnections &idle = idleConnectionsTo(peer);
     const std::set<ConnectionNumber> excluded
@@ -149,12 +152,24 @@
                   armTimeout(held, now + extension, maxExtension);
                   return;
               }
-              finish(held,
-                     core::makeError(absl::StatusCode::kDeadlineExceeded, "call",
-                                     held->peer.toString(), "no answer in time"));
+              handleTimeout(held);
           });
 }
 
+void ControlClient::handleTimeout(const std::shared_ptr<Call> &call)
+{
+    const absl::Status status = core::makeError(absl::StatusCode::kDeadlineExceeded, "call",
+                                                call->peer.toString(), "no answer in time");
+    const core::Duration lateTime = std::exchange(call->lateResponseTime, {});
+    if (lateTime == core::Duration::zero()) {
+        finish(call, status);
+        return;
+    }
+    call->isTimedOut = true;
+    setTimeout(call, lateTime);
+    call->handler(status);
+}
+
 void ControlClient::finishWithResponse(const std::shared_ptr<Call> &call)
 {
     if (!call->isOwnResponse || call->isOwnResponse(call->response)) {
@@ -172,9 +187,11 @@
 {
     std::erase(m_calls, call);
     call->timeout.cancel();
+    const bool isReported = !call->isTimedOut || (result.ok() && result->status == 200);
     auto connection = std::move(call->connection);
     if (!connection) {
-        call->handler(std::move(result));
+        if (isReported)
+            call->handler(std::move(result));
         return;
     }
     // One of the connection's callbacks may be running, so it is kept or destroyed from the loop.
@@ -184,7 +201,8 @@
             if (*alive)
                 idleConnectionsTo(peer).keep(std::move(*held), m_timers.now());
         });
-    call->handler(std::move(result));
+    if (isReported)
+        call->handler(std::move(result));
 }
 
 } // namespace jackdawlead::http
--- a/src/libs/http/controlclient.h
+++ b/src/libs/http/controlclient.h
@@ -51,12 +51,15 @@
         /// of an earlier response: the call fails with kUnavailable and Outcome::Unknown, and its
         /// connection is closed, because the own response would be taken for that to the next call.
         std::function<bool(const Response &)> isOwnResponse {};
+        /// How long a response is still awaited after the call has timed out; the handler is called
+        /// a second time if it arrives with status 200.
+        core::Duration lateResponseTime {};
     };
 
-    /// Sends `request` and calls `handler` once, from the loop. The response must begin
-    /// within `timeout` and end within three seconds after that; both times are extended by the
-    /// time for which the loop was blocked, to twice as much at most. Destroying the client drops
-    /// the call.
+    /// Sends `request` and calls `handler` from the loop, once unless the options tell otherwise.
+    /// The response must begin within `timeout` and end within three seconds after that; both times
+    /// are extended by the time for which the loop was blocked, to twice as much at most.
+    /// Destroying the client drops the call.
     void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
               Handler handler, const Options &options);
     void call(const net::Address &peer, const net::HttpRequest &request, core::Duration timeout,
@@ -71,6 +74,7 @@
 
     IdleConnections &idleConnectionsTo(const net::Address &peer);
     void setTimeout(const std::shared_ptr<Call> &call, core::Duration timeout);
+    void handleTimeout(const std::shared_ptr<Call> &call);
     void armTimeout(const std::shared_ptr<Call> &call, core::TimePoint dueAt,
                     core::Duration maxExtension);
     void finishWithResponse(const std::shared_ptr<Call> &call);
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -98,7 +98,8 @@
     using Transport = std::function<void(const net::HttpRequest &, core::Duration timeout,
                                          http::ControlClient::Handler)>;
 
-    /// Sends one watch; it ends `margin` after its wait at the latest.
+    /// Sends one watch; it ends `margin` after its wait at the latest. An answer that arrives after
+    /// that is passed on as well.
     using WatchTransport = std::function<void(const WatchRequest &, core::Duration margin,
                                               std::function<void(StoreAnswer)>)>;
 
@@ -106,7 +107,8 @@
 
     void list(ObjectKind kind, const std::string &after, Handler<ObjectPage> handler);
     void read(ObjectKind kind, const std::string &name, Handler<StoredObject> handler);
-    /// Waits up to `wait` for changes after `since`.
+    /// Waits up to `wait` for changes after `since`. After an error because the answer is late, the
+    /// handler is called again when it arrives.
     void watch(ObjectKind kind, const core::StorePosition &since, core::Duration wait,
                Handler<ObjectEvents> handler);
     /// The same, but the response includes all changes that were made before the call.
--- a/tests/auto/controlclient/tst_controlclient.cpp
+++ b/tests/auto/controlclient/tst_controlclient.cpp
@@ -142,3 +142,32 @@
     cr_assert_eq(fixture.call(large, {.maxResponseBytes = limit}), 0);
     cr_assert_eq(fixture.call(large, {}), 200);
 }
+
+// Guards against a response that is discarded because it arrives after the timeout of a call for
+// which a late one is of use.
+Test(controlclient, lateSuccessIsReportedAfterTheTimeout, .timeout = 30)
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    testsupport::PortPicker ports;
+    const net::Address address {"127.0.0.1", ports.take()};
+    http::Connection *waiting = nullptr;
+    testsupport::RawPeer peer {
+        loop, address, [&waiting](http::Connection &connection, auto) { waiting = &connection; }};
+    http::ControlClient client {loop, timers};
+    std::vector<int> statuses;
+    net::HttpRequest request;
+    request.path = "/watch";
+    client.call(address, request, std::chrono::milliseconds(50),
+                [&statuses](const auto &response) {
+                    statuses.push_back(response.ok() ? response->status : 0);
+                },
+                {.lateResponseTime = std::chrono::seconds(10)});
+    cr_assert(testsupport::waitUntil(
+        loop, timers, [&] { return waiting && !statuses.empty(); }, std::chrono::seconds(10)));
+    cr_assert_eq(statuses.front(), 0);
+    waiting->write(done);
+    cr_assert(testsupport::waitUntil(
+        loop, timers, [&statuses] { return statuses.size() == 2; }, std::chrono::seconds(5)));
+    cr_assert_eq(statuses.back(), 200);
+}
--- a/tests/auto/watchrelay/tst_watchrelay.cpp
+++ b/tests/auto/watchrelay/tst_watchrelay.cpp
@@ -236,6 +236,27 @@
     cr_assert(fixture.waitUntil(checkRequired, 2 * bound));
 }
 
+// Guards against a daemon that learns of no version while all answers of the store are late: a
+// watch was given up 0.8 s after its wait, and so was each repetition, and the answers were
+// discarded.
+Test(watchrelay, announcementsAreLearnedWhileAllAnswersAreLate, .timeout = 120)
+{
+    Fixture fixture;
+    fixture.store.delayWatchAnswers("versions", milliseconds(1500), 1);
+    for (int version = 3; version < 8; ++version) {
+        fixture.store.put("versions", "m.a",
+                          {{"model", "m"}, {"adapter", "a"}, {"version", version}});
+        const auto isRequired = [version](const Follower &daemon) {
+            const fleet::AdapterKey key {core::ModelId("m"), core::AdapterId("a")};
+            return daemon.watch.lowestAllowedVersion(key) == version;
+        };
+        cr_assert(fixture.waitUntil([&] { return isRequired(fixture.relayDaemon); }),
+                  "the relay does not know version %d", version);
+        cr_assert(fixture.waitUntil([&] { return isRequired(fixture.follower); }),
+                  "the daemon behind the relay does not know version %d", version);
+    }
+}
+
 // Guards against a daemon that looks through its requests once for each of some ten thousand
 // adapters when it starts: none was sent before the versions were known.
 Test(watchrelay, versionsOfTheInitialListExpireNoRequests, .timeout = 60)
