--- a/src/libs/decisions/runtimeestimator.cpp
+++ b/src/libs/decisions/runtimeestimator.cpp
@@ -10,6 +10,8 @@
 // Endpoints become slower while they take over the requests of a daemon that stops.
 constexpr double likelyFactor = 1.25;
 constexpr double nearlyCertainFactor = 10;
+// Also of work that has always been short: one pause of its endpoint may take that long.
+constexpr core::Duration minNearlyCertain = std::chrono::seconds(2);
 // A single endpoint that hangs must not refute the prediction for all others.
 constexpr double maxSlowShare = 0.5;
 
@@ -41,7 +43,7 @@
     case Confidence::Likely:
         return core::scaled(longestSample(), likelyFactor);
     case Confidence::NearlyCertain:
-        return core::scaled(longestSample(), nearlyCertainFactor);
+        return std::max(minNearlyCertain, core::scaled(longestSample(), nearlyCertainFactor));
     case Confidence::Possible:
         break;
     }
--- a/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
+++ b/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
@@ -127,3 +127,13 @@
     estimator.checkInProgress({}, now + seconds(1));
     cr_assert_not(estimator.isRefuted());
 }
+
+// Guards against short work that is accepted in the last second of a stop and cut off by a pause of
+// its endpoint.
+Test(runtimeestimator, nearlyCertainPredictionOfShortWorkHasAMinimum)
+{
+    RunTimeEstimator estimator;
+    for (int number = 0; number < 8; ++number)
+        estimator.record(now, now + milliseconds(60));
+    cr_assert_geq(*estimator.longestExpected(Confidence::NearlyCertain), seconds(2));
+}
