Let the soak play silent endpoints and streams that become slow in a stop

- An endpoint sends nothing for 1.2 to 2.4 s and then goes on, while the others of its service refuse most requests.
FakeEndpoint::pause() holds what arrives.
- Half as many callers more send requests for streams of 2 to 3 s.
- In every second series, streams take 0.5 s until a SIGTERM, and part of them 3 to 5.5 s from then on.
Callers send to the end of the final stop.
- The check lost-answer: an answer that an endpoint works on and did not itself interrupt ends whole, at undisturbed processes.
The report counts the others by cause.

notRunAnswerAfterRunIsDetected and requestCutOffByPlannedStopIsDetected now expect a violation of lost-answer besides their own one. The checks of received answers move to answerchecks.cpp, streams to endpointstreams.cpp and the fixture of the tests to checkerfixture.h, without changes of what they check.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -18,6 +18,7 @@
 constexpr double disconnectShare = 0.04; ///< Of requests, aborted by their caller.
 constexpr int maxTakeUps = 3;            ///< Of one stream.
 constexpr core::Duration minTimeForTakeUp = milliseconds(300);
+constexpr milliseconds maxUsualDeadline {4000}; ///< Exceeded on routes with a longer timeout.
 constexpr core::Duration connectTimeout = milliseconds(1000);
 /// A caller aborts an exchange that has not ended this long after its time limit.
 constexpr core::Duration answerGrace = milliseconds(3000);
@@ -25,13 +26,13 @@
 } // namespace
 
 Callers::Callers(net::EventLoop &loop, Schedule &schedule, Checker &checker, const Daemons &daemons,
-                 std::uint64_t seed, int count)
+                 std::uint64_t seed, int count, std::string idPrefix)
     : m_loop(loop)
     , m_schedule(schedule)
     , m_checker(checker)
     , m_daemons(daemons)
     , m_random(seed)
-    , m_prefix("s" + std::to_string(seed) + "-")
+    , m_idPrefix(std::move(idPrefix))
 {
     for (int number = 0; number < count; ++number) {
         Caller &caller = *m_callers.emplace_back(std::make_unique<Caller>());
@@ -73,7 +74,9 @@
     Attempt attempt;
     attempt.request.kind = route.kind;
     attempt.request.route = route.prefix;
-    attempt.request.deadline = m_random.duration(milliseconds(2500), milliseconds(4000));
+    attempt.request.deadline = route.timeout > maxUsualDeadline
+        ? m_random.duration(milliseconds(10000), milliseconds(12000))
+        : m_random.duration(milliseconds(2500), maxUsualDeadline);
     attempt.request.timeLeft = std::min(attempt.request.deadline, route.timeout);
     attempt.model = m_random.chance(adapterShare)
         ? "base/a" + std::to_string(m_random.number(1, adapterCount))
@@ -141,7 +144,7 @@
 {
     const PooledConnection &pooled = caller.pool[caller.daemon];
     SentRequest &request = attempt.request;
-    request.id = core::RequestId(m_prefix + std::to_string(++m_sent));
+    request.id = core::RequestId(m_idPrefix + std::to_string(++m_sent));
     request.incarnation = pooled.incarnation;
     attempt.sentAt = m_schedule.now();
     caller.isBusy = true;
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -31,8 +31,9 @@
 {
 public:
     /// Precondition: all reference arguments outlive this object.
+    /// Request ids begin with `idPrefix`.
     Callers(net::EventLoop &loop, Schedule &schedule, Checker &checker, const Daemons &daemons,
-            std::uint64_t seed, int count);
+            std::uint64_t seed, int count, std::string idPrefix);
 
     /// Sets the routes for further requests: those of all versions and those that were added or
     /// removed recently.
@@ -87,7 +88,7 @@
     Checker &m_checker;
     const Daemons &m_daemons;
     RandomSource m_random;
-    std::string m_prefix; ///< Of request ids.
+    std::string m_idPrefix;
     std::vector<TargetRoute> m_permanentRoutes;
     std::vector<TargetRoute> m_changeableRoutes;
     std::vector<std::unique_ptr<Caller>> m_callers;
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -1,7 +1,5 @@
 #include "checker.h"
 
-#include "expectedbytes.h"
-
 #include <algorithm>
 
 namespace jackdawlead::soak {
@@ -12,17 +10,6 @@
 
 /// If the soak's heartbeats are further apart than this, all measured times are inexact.
 constexpr core::Duration maxHeartbeatInterval = milliseconds(250);
-/// Whatever blocked the soak may block daemons for up to this much longer.
-constexpr core::Duration stallSlack = milliseconds(1000);
-/// An answer may arrive this long after its time limit, and a request may arrive at an endpoint
-/// this long after its caller disconnected. The deadline sent to an endpoint may exceed the time
-/// left to the caller by as much.
-constexpr core::Duration answerSlack = milliseconds(500);
-/// A stopping process may close a connection while a request that it has not read is on its way. A
-/// request that was sent longer ago than this counts as read.
-constexpr core::Duration closeSlack = milliseconds(1000);
-/// Requests sent at most this long after the start of a planned stop must end before the process.
-constexpr core::Duration earlyStopPhase = std::chrono::seconds(3);
 /// An order sent before its process was frozen arrives within this time after it resumed.
 constexpr core::Duration resumeSlack = milliseconds(1000);
 /// A daemon keeps a request limit from this time after it received it.
@@ -30,13 +17,6 @@
 constexpr core::Duration limitWindow = std::chrono::seconds(4);
 constexpr double limitFactor = 1.5;
 constexpr double limitSlack = 5;
-/// After this share of the grace time, requests that began early in the stop may be cut off.
-constexpr double earlyGraceShare = 5.0 / 6;
-
-bool meansNotRun(int status)
-{
-    return status == 503 || status == 429 || status == 408 || status == 421;
-}
 
 } // namespace
 
@@ -58,6 +38,7 @@
         {Check::RequestLimit, "request-limit"},
         {Check::InTime, "in-time"},
         {Check::AdapterVersion, "adapter-version"},
+        {Check::LostAnswer, "lost-answer"},
         {Check::ProcessUp, "process-up"},
     };
     return names.at(check);
@@ -203,12 +184,6 @@
         && at - undisturbedSince > m_bounds.stableWindow;
 }
 
-bool Checker::wasDisturbed(const ProcessState &process, core::TimePoint from) const
-{
-    return process.isFrozen || process.frozenUntil + m_bounds.stableWindow > from
-        || m_stalledUntil + stallSlack > from;
-}
-
 void Checker::addViolation(Check check, const Request &request, const std::string &description)
 {
     m_violations.push_back({check,
@@ -281,6 +256,8 @@
     }
     Request &request = found->second;
     ++request.runs;
+    request.latestRunAt = endpoint;
+    request.isLatestRunInterrupted = false;
     if (request.runs > 1 && !isRepeatable(request.sent.kind))
         addViolation(Check::RunOnce, request, "ran a second time, at " + endpoint.value());
     if (request.isReportedNotRun)
@@ -325,10 +302,14 @@
                          + std::to_string(next->first) + " was announced");
 }
 
-void Checker::answerInterrupted(const core::RequestId &id)
+void Checker::answerInterrupted(const core::RequestId &id, const core::EndpointId &endpoint)
 {
-    if (const auto request = m_requests.find(id); request != m_requests.end())
-        request->second.isInterrupted = true;
+    const auto found = m_requests.find(id);
+    if (found == m_requests.end())
+        return;
+    Request &request = found->second;
+    request.isInterrupted = true;
+    request.isLatestRunInterrupted |= request.latestRunAt == endpoint;
 }
 
 void Checker::orderReceived(const core::EndpointId &endpoint, const core::HostId &holder,
@@ -348,131 +329,4 @@
     highest = std::max(highest, token);
 }
 
-void Checker::requestAbandoned(const core::RequestId &id, core::TimePoint at)
-{
-    count(Check::LeftCaller);
-    m_requests.at(id).abandonedAt = at;
-}
-
-void Checker::requestEnded(const core::RequestId &id, const ReceivedAnswer &answer,
-                           core::TimePoint at)
-{
-    if (m_lastHeartbeatAt != core::TimePoint {})
-        recordHeartbeat(at);
-    Request &request = m_requests.at(id);
-    if (!answer.requestId.empty() && answer.requestId != id.value())
-        addViolation(Check::OwnAnswer, request, "received the answer to " + answer.requestId);
-    if (!answer.stamp.empty() && answer.stamp != expectedStamp(id, answer.status))
-        addViolation(Check::OwnAnswer, request,
-                     std::to_string(answer.status) + " carries the stamp " + answer.stamp);
-    if (answer.status == 200)
-        checkSuccess(request, answer);
-    if (answer.status == 404)
-        checkNotFound(request);
-    else if (answer.status >= 300 && answer.status < 500 && !meansNotRun(answer.status))
-        addViolation(Check::OwnAnswer, request,
-                     std::to_string(answer.status) + " for a valid request");
-    if (meansNotRun(answer.status) && answer.isComplete) {
-        count(Check::NotRun);
-        request.isReportedNotRun = true;
-        if (request.runs > 0)
-            addViolation(Check::NotRun, request,
-                         std::to_string(answer.status) + " although it had run");
-    }
-    checkEnd(request, answer, at);
-}
-
-void Checker::checkSuccess(const Request &request, const ReceivedAnswer &answer)
-{
-    count(Check::OwnAnswer);
-    if (answer.requestId.empty() || answer.stamp.empty())
-        addViolation(Check::OwnAnswer, request, "success without id or stamp");
-    if (request.runs == 0)
-        addViolation(Check::OwnAnswer, request, "success although it never ran");
-    if (isStream(request.sent.kind)) {
-        checkEvents(request, answer);
-        return;
-    }
-    if (!answer.isComplete)
-        return;
-    count(Check::WholeAnswer);
-    if (answer.body != expectedBody(request.sent.id))
-        addViolation(Check::WholeAnswer, request,
-                     "complete answer with a wrong body: " + answer.body);
-}
-
-void Checker::checkEvents(const Request &request, const ReceivedAnswer &answer)
-{
-    const SentRequest &sent = request.sent;
-    const bool isTakeUp = !sent.begunBy.isEmpty();
-    const Check check = isTakeUp ? Check::TakeUp : Check::StreamEvents;
-    count(check);
-    const core::RequestId &id = isTakeUp ? sent.begunBy : sent.id;
-    const std::string expected
-        = expectedEvents(id, sent.firstEvent, eventCount(id),
-                         isTakeUp ? sent.softwareVersion : softwareVersionOf(answer.body));
-    if (!expected.starts_with(answer.body))
-        addViolation(check, request,
-                     "unexpected events instead of " + expected + " received: " + answer.body);
-    else if (answer.isComplete && answer.body != expected)
-        addViolation(check, request, "complete stream without its last events: " + answer.body);
-}
-
-void Checker::checkNotFound(const Request &request)
-{
-    const Route &route = m_routes.at(request.sent.route);
-    count(Check::ConfigurationOrder);
-    if (request.minVersion >= route.added && !route.removed)
-        addViolation(Check::ConfigurationOrder, request,
-                     "404 for a route of all versions that its process may use");
-    ProcessState &process = m_processes.at(request.sent.incarnation);
-    // Only the removal of the route explains the 404, so the process uses that version.
-    if (request.minVersion >= route.added && route.removed)
-        process.minVersion = std::max(process.minVersion, *route.removed);
-}
-
-void Checker::checkEnd(const Request &request, const ReceivedAnswer &answer, core::TimePoint at)
-{
-    const ProcessState &process = m_processes.at(request.sent.incarnation);
-    const bool isTimeOver = at - request.sentAt >= request.sent.timeLeft;
-    // After its head was sent, an interrupted stream can only end incomplete. Any other request can
-    // still be answered with an error.
-    const bool mayBeIncomplete = isStream(request.sent.kind) && answer.status != 0
-        && (request.isInterrupted || isTimeOver);
-    const bool isCut = !mayBeIncomplete && (answer.status == 0 || !answer.isComplete);
-    if (process.isKilled || !answer.wasConnected || wasDisturbed(process, request.sentAt))
-        return;
-    count(Check::InTime);
-    if (at - request.sentAt > request.sent.timeLeft + answerSlack)
-        addViolation(Check::InTime, request,
-                     "ended after " + std::to_string(core::toSeconds(at - request.sentAt))
-                         + " s, the limit is "
-                         + std::to_string(core::toSeconds(request.sent.timeLeft)) + " s");
-    if (process.stopRequestedAt) {
-        checkPlannedStop(request, isCut, at);
-        return;
-    }
-    if (isCut)
-        addViolation(Check::InTime, request,
-                     "cut off with " + std::to_string(answer.body.size()) + " bytes of status "
-                         + std::to_string(answer.status) + " after "
-                         + std::to_string(core::toSeconds(at - request.sentAt)) + " s");
-}
-
-void Checker::checkPlannedStop(const Request &request, bool isCut, core::TimePoint at)
-{
-    const core::TimePoint stopRequestedAt
-        = *m_processes.at(request.sent.incarnation).stopRequestedAt;
-    count(Check::PlannedStop);
-    const bool isLateInGrace = request.sentAt - stopRequestedAt <= earlyStopPhase
-        && at - stopRequestedAt >= core::scaled(m_bounds.grace, earlyGraceShare);
-    const bool crossedClose = request.runs == 0 && at - request.sentAt <= closeSlack;
-    if (isCut && !isLateInGrace && !crossedClose)
-        addViolation(Check::PlannedStop, request,
-                     "cut off " + std::to_string(core::toSeconds(at - stopRequestedAt))
-                         + " s after SIGTERM, "
-                         + std::to_string(core::toSeconds(at - request.sentAt))
-                         + " s after it was sent, runs: " + std::to_string(request.runs));
-}
-
 } // namespace jackdawlead::soak
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -50,6 +50,8 @@
     AdapterVersion,     ///< No request runs on a version of its adapter that was superseded longer
                         ///< ago than the bound.
     InTime,             ///< Each request is answered at most half a second after its time limit.
+    LostAnswer,         ///< An answer that an endpoint works on, and did not itself interrupt, ends
+                        ///< whole.
     ProcessUp           ///< No process exits unless the soak stops or kills it.
 };
 
@@ -61,7 +63,8 @@
     Check::Deadline,     Check::ConfigurationOrder,
     Check::PlannedStop,  Check::OneHolder,
     Check::RequestLimit, Check::AdapterVersion,
-    Check::InTime,       Check::ProcessUp,
+    Check::InTime,       Check::LostAnswer,
+    Check::ProcessUp,
 };
 
 std::string nameOf(Check check);
@@ -151,15 +154,17 @@
     void endpointRemoved(const core::EndpointId &endpoint);
 
     void requestSent(const SentRequest &request, core::TimePoint at);
-    /// An endpoint has received a request with `deadline`, whether it runs or is refused.
+    /// An endpoint has received a request with `deadline`, whether it runs or is refused. It may
+    /// have arrived before the latest other report.
     void requestReceived(const core::RequestId &id, const core::EndpointId &endpoint,
                          core::Duration deadline, core::TimePoint at);
     void requestRan(const core::RequestId &id, const core::EndpointId &endpoint);
     /// A request begins to run on this version of its adapter.
     void adapterRan(const core::RequestId &id, const core::AdapterId &adapter, int version,
                     core::TimePoint at);
-    /// The endpoint interrupts its answer or stops sending.
-    void answerInterrupted(const core::RequestId &id);
+    /// The endpoint interrupts its answer or stops sending for good. A silence after which it goes
+    /// on is no interruption.
+    void answerInterrupted(const core::RequestId &id, const core::EndpointId &endpoint);
     /// An endpoint has received an order. Orders shortly after a frozen process resumed are not
     /// checked, because they may have been sent before it was frozen.
     void orderReceived(const core::EndpointId &endpoint, const core::HostId &holder,
@@ -170,6 +175,8 @@
 
     const std::map<Check, int> &counts() const { return m_counts; }
     const std::vector<Violation> &violations() const { return m_violations; }
+    /// The number of answers that an endpoint worked on and that did not end whole, by cause.
+    const std::map<std::string, int> &unfinishedAnswers() const { return m_unfinishedAnswers; }
 
 private:
     struct ProcessState
@@ -193,7 +200,9 @@
         ConfigurationVersion minVersion; ///< The oldest version that its daemon may use.
         std::optional<core::TimePoint> abandonedAt {};
         int runs = 0;
-        bool isInterrupted = false;
+        bool isInterrupted = false; ///< At any endpoint.
+        core::EndpointId latestRunAt {};
+        bool isLatestRunInterrupted = false;
         bool isReportedNotRun = false;
     };
 
@@ -219,6 +228,17 @@
     void checkNotFound(const Request &request);
     void checkEnd(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
     void checkPlannedStop(const Request &request, bool isCut, core::TimePoint at);
+    /// Whether the request was sent so early in a planned stop, and its endpoint worked so long,
+    /// that the end of the grace time may cut it off.
+    bool isLateInGrace(const Request &request, core::TimePoint at) const;
+    void checkLostAnswer(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
+    /// What excuses an answer that did not end whole; empty if nothing does.
+    std::string excuseOf(const Request &request, core::TimePoint at) const;
+
+    /// An answer may arrive this long after its time limit, and a request may arrive at an endpoint
+    /// this long after its caller disconnected. The deadline sent to an endpoint may exceed the
+    /// time left to the caller by as much.
+    static constexpr core::Duration answerSlack = std::chrono::milliseconds(500);
 
     Bounds m_bounds;
     std::map<ProcessIncarnation, ProcessState> m_processes;
@@ -238,6 +258,7 @@
     core::TimePoint m_stalledUntil;
     int m_stalls = 0;
     std::map<Check, int> m_counts;
+    std::map<std::string, int> m_unfinishedAnswers;
     std::vector<Violation> m_violations;
 };
 
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -12,11 +12,9 @@
 using testsupport::FakeEndpoint;
 
 constexpr char recordKind[] = "servers";
-constexpr int maxJoinedEvents = 3;     ///< In one write.
 constexpr int endpointsPerService = 3; ///< With one unavailable, two remain for a request.
-/// Share of requests that each kind of endpoint fault affects. All kinds together stay below the
-/// retry budget, a fifth of the requests.
-constexpr double faultShare = 0.025;
+/// Share of requests that an endpoint refuses while another one of its service is silent.
+constexpr double refusalShareInSilence = 0.7;
 /// How long a leaving endpoint still serves: longer than the bound of 3 s, so that requests sent to
 /// it too late are detected.
 constexpr milliseconds minLeavingTime {7000};
@@ -101,6 +99,7 @@
     , m_store(store)
     , m_random(seed)
     , m_availabilityRandom(seed + 1)
+    , m_silenceRandom(seed + 3)
     , m_faults(faults)
 {
     for (const std::string service : {"plain", "model"}) {
@@ -202,13 +201,13 @@
 bool Endpoints::crash()
 {
     Endpoint *const endpoint = pickAvailable();
-    if (endpoint == nullptr)
+    if (endpoint == nullptr || endpoint->fake->isPaused())
         return false;
     ++m_faults["endpoint: crashes and comes back"];
     endpoint->isUnavailable = endpoint->isCrashed = true;
     for (const auto &[id, weak] : std::exchange(endpoint->openExchanges, {})) {
         if (const Exchange exchange = weak.lock()) {
-            m_checker.answerInterrupted(id);
+            m_checker.answerInterrupted(id, core::EndpointId(endpoint->fake->id));
             exchange->abort();
         }
     }
@@ -303,13 +302,13 @@
 {
     const core::RequestId id(exchange->head.headers.value("Request-Id"));
     const core::EndpointId endpointId(endpoint.fake->id);
-    m_checker.requestReceived(id, endpointId, deadlineOf(exchange->head), m_schedule.now());
+    m_checker.requestReceived(id, endpointId, deadlineOf(exchange->head), exchange->receivedAt);
     if (endpoint.isCrashed) {
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
         exchange->abort();
         return;
     }
-    if (m_random.chance(faultShare)) {
+    if (m_random.chance(isOtherSilent(endpoint) ? refusalShareInSilence : faultShare)) {
         ++m_faults["endpoint: refuses, not executed"];
         net::Headers refusal {{"Not-Executed", "1"}};
         if (m_random.chance(0.2))
@@ -335,19 +334,20 @@
 void Endpoints::answer(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
 {
     const core::Duration delay = m_random.duration(milliseconds(0), milliseconds(60));
+    const core::EndpointId endpointId(endpoint.fake->id);
     if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: breaks off, no byte sent"];
-        m_checker.answerInterrupted(id);
-        m_schedule.after(delay, [exchange] { exchange->abort(); });
+        m_checker.answerInterrupted(id, endpointId);
+        sendAfter(endpoint, delay, [exchange] { exchange->abort(); });
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: breaks off midway"];
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
         exchange->startChunked(200, answerHeaders(endpoint, id, 200));
         exchange->writeChunk(expectedBody(id).substr(0, 100));
-        m_schedule.after(delay, [exchange] { exchange->abort(); });
+        sendAfter(endpoint, delay, [exchange] { exchange->abort(); });
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: silent"];
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: own failure"];
         exchange->respond(500, answerHeaders(endpoint, id, 500), "failed");
@@ -357,83 +357,10 @@
             ++m_faults["endpoint: slow"];
         const core::Duration time
             = isSlow ? m_random.duration(milliseconds(300), milliseconds(1500)) : delay;
-        m_schedule.after(time, [this, &endpoint, exchange, id] {
+        sendAfter(endpoint, time, [this, &endpoint, exchange, id] {
             exchange->respond(200, answerHeaders(endpoint, id, 200), expectedBody(id));
         });
     }
 }
 
-void Endpoints::startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
-{
-    static const std::vector<std::string> ends {
-        "stream ends before its first event", "stream breaks off midway",
-        "stream breaks off inside an event", "stream stalls"};
-    const std::string after = exchange->head.headers.value("Last-Event-Id");
-    const auto stream = std::make_shared<Stream>();
-    stream->exchange = exchange;
-    stream->id = id;
-    const std::string begunBy = exchange->head.headers.value("Resumes");
-    stream->begunBy = begunBy.empty() ? id : core::RequestId(begunBy);
-    stream->softwareVersion = endpoint.fake->softwareVersion;
-    stream->next = after.empty() ? 1 : std::stoi(after) + 1;
-    stream->last = eventCount(stream->begunBy);
-    stream->pause = m_random.duration(milliseconds(5), milliseconds(50));
-    if (stream->next <= stream->last && m_random.chance(faultShare * 3)) {
-        stream->end = ends[static_cast<std::size_t>(m_random.number(0, 3))];
-        ++m_faults["endpoint: " + stream->end];
-        m_checker.answerInterrupted(id);
-        const int first = stream->next;
-        stream->last
-            = stream->end == ends[0] ? first - 1 : m_random.number(first, stream->last) - 1;
-    }
-    exchange->startChunked(200, answerHeaders(endpoint, id, 200));
-    continueStream(stream);
-}
-
-void Endpoints::continueStream(const std::shared_ptr<Stream> &stream)
-{
-    if (!stream->exchange->isOpen())
-        return;
-    if (stream->next > stream->last) {
-        endStream(*stream);
-        return;
-    }
-    core::Duration pause = stream->pause;
-    const int last = std::min(stream->last, stream->next + m_random.number(0, maxJoinedEvents - 1));
-    const std::string text
-        = expectedEvents(stream->begunBy, stream->next, last, stream->softwareVersion);
-    stream->next = last + 1;
-    // The pieces arrive one by one, cut anywhere, also within an event's field.
-    const auto cut
-        = static_cast<std::size_t>(m_random.number(1, static_cast<int>(text.size()) - 1));
-    stream->exchange->writeChunk(text.substr(0, cut));
-    m_schedule.after(std::min<core::Duration>(pause / 2, milliseconds(10)),
-                     [exchange = stream->exchange, rest = text.substr(cut)] {
-                         if (exchange->isOpen())
-                             exchange->writeChunk(rest);
-                     });
-    if (m_random.chance(faultShare)) {
-        ++m_faults["endpoint: slow event"];
-        pause = m_random.duration(milliseconds(300), milliseconds(700));
-    }
-    m_schedule.after(pause, [this, stream] { continueStream(stream); });
-}
-
-void Endpoints::endStream(const Stream &stream)
-{
-    if (stream.end.empty()) {
-        stream.exchange->finishChunked();
-        return;
-    }
-    if (stream.end == "stream stalls")
-        return;
-    if (stream.end == "stream breaks off inside an event") {
-        const std::string text
-            = expectedEvents(stream.begunBy, stream.next, stream.next, stream.softwareVersion);
-        const int cut = m_random.number(1, static_cast<int>(text.size()) - 1);
-        stream.exchange->writeChunk(text.substr(0, static_cast<std::size_t>(cut)));
-    }
-    stream.exchange->abort();
-}
-
 } // namespace jackdawlead::soak
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -8,6 +8,7 @@
 #include "support/ports.h"
 #include "support/rawpeer.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,17 @@
 
 namespace jackdawlead::soak {
 
+/// Share of requests that each kind of endpoint fault affects. All kinds together stay below the
+/// retry budget, a fifth of the requests.
+inline constexpr double faultShare = 0.025;
+
+/// How long streams with longStreamPrefix take.
+enum class StreamPace {
+    Usual, ///< 2 to 3 s
+    Quick, ///< 0.5 s
+    Slowed ///< Part of them several times longer than quick ones.
+};
+
 /// Number of injected faults, by kind.
 using FaultCounts = std::map<std::string, int>;
 
@@ -57,6 +69,11 @@
     bool crash();
     /// Lets the endpoints of one service announce request limits, change them and lift them.
     bool limitRequests();
+    /// One endpoint sends nothing for a while and then goes on where it stopped. The others of its
+    /// service refuse most requests meanwhile, so that a replacement often finds no endpoint.
+    bool silence();
+    /// Also applies to streams in progress.
+    void setPace(StreamPace pace) { m_pace = pace; }
     /// Sets the newest version of an adapter, which loads fetch from now on.
     void setNewestVersion(const core::AdapterId &adapter, int version)
     {
@@ -76,10 +93,12 @@
         bool isUnavailable = false; ///< Leaving or crashed.
         bool isCrashed = false;     ///< Aborts each exchange.
         std::vector<std::pair<core::RequestId, std::weak_ptr<http::ServerExchange>>> openExchanges;
+        std::vector<std::function<void()>> held; ///< To be sent after its silence.
     };
     /// A stream in progress: its remaining events and how it ends.
     struct Stream
     {
+        Endpoint *endpoint = nullptr;
         Exchange exchange;
         core::RequestId id;
         core::RequestId begunBy; ///< The attempt that brought the first event.
@@ -88,6 +107,8 @@
         int last = 0;
         std::string end; ///< The kind of fault that ends it; empty for a complete stream.
         core::Duration pause {};
+        core::Duration usualTime {};  ///< Of a long stream.
+        core::Duration slowedTime {}; ///< The same while they are slowed.
     };
 
     Endpoint *pickAvailable();
@@ -98,6 +119,12 @@
     void answer(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id);
     void startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id);
     void continueStream(const std::shared_ptr<Stream> &stream);
+    core::Duration pauseOf(const Stream &stream) const;
+    /// Sends now, or after the endpoint's silence.
+    static void send(Endpoint &endpoint, std::function<void()> work);
+    void sendAfter(Endpoint &endpoint, core::Duration delay, std::function<void()> work);
+    static void resume(Endpoint &endpoint);
+    bool isOtherSilent(const Endpoint &endpoint) const;
     void endStream(const Stream &stream);
     void limitForAWhile(Endpoint &endpoint);
     void setLimit(Endpoint &endpoint, const std::string &perSecond);
@@ -108,6 +135,8 @@
     testsupport::FakeStore &m_store;
     RandomSource m_random;             ///< For single requests.
     RandomSource m_availabilityRandom; ///< For leaving, crashing and restarting endpoints.
+    RandomSource m_silenceRandom;
+    StreamPace m_pace = StreamPace::Usual;
     FaultCounts &m_faults;
     testsupport::PortPicker m_picker;
     std::map<std::string, nlohmann::json> m_records; ///< As last written; null if removed.
--- a/soak/expectedbytes.cpp
+++ b/soak/expectedbytes.cpp
@@ -34,9 +34,15 @@
     return first.substr(first.rfind(' ') + 1);
 }
 
+bool isLongStream(const core::RequestId &id)
+{
+    return id.value().starts_with(longStreamPrefix);
+}
+
 int eventCount(const core::RequestId &id)
 {
-    constexpr int minEvents = 4;
+    // The pauses between the events of a long stream stay near the gap target of its route.
+    const int minEvents = isLongStream(id) ? 20 : 4;
     constexpr std::size_t range = 8;
     return minEvents + static_cast<int>(std::hash<std::string> {}(id.value()) % range);
 }
--- a/soak/expectedbytes.h
+++ b/soak/expectedbytes.h
@@ -10,6 +10,9 @@
 std::string expectedBody(const core::RequestId &id);
 std::string expectedEvents(const core::RequestId &id, int from, int to,
                            const std::string &softwareVersion = "v1");
+/// Requests whose ids begin with this have streams that last seconds.
+inline constexpr char longStreamPrefix[] = "long";
+bool isLongStream(const core::RequestId &id);
 /// The number of events in the stream of a request.
 int eventCount(const core::RequestId &id);
 /// The number of whole events, and the software version that wrote the first one.
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -1,5 +1,7 @@
 #include "soakrun.h"
 
+#include "expectedbytes.h"
+
 #include "support/loopwait.h"
 #include "support/platformconfig.h"
 
@@ -19,7 +21,14 @@
 /// Faults are injected in the first phase of a series. The rest is longer than the stable window,
 /// so that the time bounds of undisturbed daemons are checked as well.
 constexpr core::Duration seriesPeriod = seconds(12);
+/// Of a series with a slow stop, whose grace time ends before the next series.
+constexpr core::Duration slowStopSeriesPeriod = seconds(18);
 constexpr milliseconds faultPhase {4000};
+/// From the start of a series. More than 3 s after the SIGTERM, a daemon that was disturbed in the
+/// first phase has been undisturbed for the stable window.
+constexpr core::Duration slowStopDelay = milliseconds(7500);
+/// How long callers still send in the final planned stop: up to the end of the grace time.
+constexpr milliseconds finalSending {7000};
 constexpr int minFaults = 4; ///< In a series.
 constexpr int maxFaults = 7;
 constexpr core::Duration finalCalm = seconds(8); ///< No series starts in it.
@@ -56,7 +65,11 @@
     , m_endpoints(m_loop, m_timers, m_schedule, m_checker, m_store, options.seed * 10, m_faults)
     , m_daemons(m_schedule, m_checker, m_bounds, options.daemons, m_storePort,
                 Daemons::Files {options.program, folder})
-    , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers)
+    , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers,
+                "s" + std::to_string(options.seed) + "-")
+    , m_longStreamCallers(m_loop, m_schedule, m_checker, m_daemons, options.seed * 10 + 8,
+                          options.callers / 2,
+                          longStreamPrefix + std::to_string(options.seed) + "-")
     , m_faultRandom(options.seed * 10 + 5)
     , m_configurationRandom(options.seed * 10 + 6)
     , m_versionRandom(options.seed * 10 + 7)
@@ -67,11 +80,18 @@
                          permanentRoute("/stream/", RequestKind::ResumableStream,
                                         milliseconds(4000)),
                          permanentRoute("/once/", RequestKind::SingleStream, milliseconds(4000))}
+    , m_longStreamRoutes {permanentRoute("/long/", RequestKind::ResumableStream,
+                                         milliseconds(12000)),
+                          permanentRoute("/longonce/", RequestKind::SingleStream,
+                                         milliseconds(12000))}
     , m_startedAt(m_loop.now())
 {
     std::vector<std::string> added;
-    for (const TargetRoute &route : m_permanentRoutes)
-        added.push_back(route.prefix);
+    for (const auto &group : {m_permanentRoutes, m_longStreamRoutes}) {
+        for (const TargetRoute &route : group)
+            added.push_back(route.prefix);
+    }
+    m_longStreamCallers.setRoutes(m_longStreamRoutes, {});
     writeConfiguration(added, {});
     m_schedule.after(firstSeriesDelay, [this] { startSeries(); });
     m_schedule.after(firstSeriesDelay, [this] { changeConfiguration(); });
@@ -87,10 +107,14 @@
     // The final planned stop happens while callers still send requests.
     ++m_faults["daemon: all stopped by SIGTERM"];
     m_daemons.terminateAll();
-    testsupport::runFor(m_loop, m_timers, milliseconds(1500));
+    testsupport::runFor(m_loop, m_timers, finalSending);
     m_callers.stopSending();
+    m_longStreamCallers.stopSending();
     const bool haveAllEnded = testsupport::waitUntil(
-        m_loop, m_timers, [this] { return m_daemons.haveAllEnded() && m_callers.areIdle(); },
+        m_loop, m_timers,
+        [this] {
+            return m_daemons.haveAllEnded() && m_callers.areIdle() && m_longStreamCallers.areIdle();
+        },
         m_bounds.grace + seconds(4));
     if (!haveAllEnded)
         std::cout << "daemons or callers did not end\n";
@@ -129,6 +153,7 @@
         {"", [this] { return m_endpoints.startLeaving(); }},
         {"", [this] { return m_endpoints.crash(); }},
         {"", [this] { return m_endpoints.limitRequests(); }},
+        {"", [this] { return m_endpoints.silence(); }},
     };
 }
 
@@ -144,7 +169,41 @@
     // undisturbed.
     m_schedule.after(faultPhase, [this] { m_endpoints.startLeaving(); });
     m_schedule.after(faultPhase, [this] { m_endpoints.limitRequests(); });
-    m_schedule.after(seriesPeriod, [this] { startSeries(); });
+    const bool isSlowStop = ++m_seriesCount % 2 == 0;
+    if (isSlowStop)
+        scheduleSlowStop();
+    else
+        scheduleSilences();
+    m_schedule.after(isSlowStop ? slowStopSeriesPeriod : seriesPeriod, [this] { startSeries(); });
+}
+
+void SoakRun::scheduleSilences()
+{
+    m_endpoints.setPace(StreamPace::Usual);
+    for (const milliseconds delay : {milliseconds(4200), milliseconds(6800), milliseconds(9400)})
+        m_schedule.after(delay, [this] { m_endpoints.silence(); });
+}
+
+void SoakRun::scheduleSlowStop()
+{
+    m_endpoints.setPace(StreamPace::Quick);
+    m_schedule.after(slowStopDelay, [this] {
+        if (!terminateAny())
+            return;
+        ++m_faults["daemon: SIGTERM, streams become slow"];
+        m_endpoints.setPace(StreamPace::Slowed);
+        m_schedule.after(m_bounds.grace, [this] { m_endpoints.setPace(StreamPace::Usual); });
+    });
+}
+
+bool SoakRun::terminateAny()
+{
+    const std::size_t first = pickDaemon();
+    for (std::size_t number = 0; number < m_daemons.count(); ++number) {
+        if (m_daemons.terminate((first + number) % m_daemons.count(), seconds(1)))
+            return true;
+    }
+    return false;
 }
 
 void SoakRun::injectNext()
@@ -283,7 +342,7 @@
                                  const std::vector<std::string> &removed)
 {
     nlohmann::json routes = nlohmann::json::array();
-    for (const auto &group : {m_permanentRoutes, m_addedRoutes}) {
+    for (const auto &group : {m_permanentRoutes, m_longStreamRoutes, m_addedRoutes}) {
         for (const TargetRoute &route : group)
             routes.push_back(toJson(route));
     }
@@ -308,8 +367,8 @@
                           [](int sum, const auto &entry) { return sum + entry.second; });
     std::cout << "seed " << m_options.seed << ", "
               << std::chrono::duration_cast<seconds>(m_loop.now() - m_startedAt).count()
-              << " s: " << m_callers.sent() << " requests, " << faults << " faults, "
-              << m_checker.violations().size() << " violations" << std::endl;
+              << " s: " << m_callers.sent() + m_longStreamCallers.sent() << " requests, " << faults
+              << " faults, " << m_checker.violations().size() << " violations" << std::endl;
     m_schedule.after(seconds(5), [this] { printProgress(); });
 }
 
@@ -318,10 +377,18 @@
     std::cout << "faults played:\n";
     for (const auto &[name, count] : m_faults)
         std::cout << "  " << count << "  " << name << "\n";
-    std::cout << "requests: " << m_callers.sent() << ", ended with";
-    for (const auto &[status, count] : m_callers.outcomes())
-        std::cout << " " << status << ": " << count << ";";
-    std::cout << " (0: no answer, -1: the caller left)\nchecks made:\n";
+    for (const auto &[name, callers] :
+         {std::pair {"requests", &m_callers},
+          std::pair {"requests for long streams", &m_longStreamCallers}}) {
+        std::cout << name << ": " << callers->sent() << ", ended with";
+        for (const auto &[status, count] : callers->outcomes())
+            std::cout << " " << status << ": " << count << ";";
+        std::cout << " (0: no answer, -1: the caller left)\n";
+    }
+    std::cout << "answers that began and did not end whole:\n";
+    for (const auto &[cause, count] : m_checker.unfinishedAnswers())
+        std::cout << "  " << count << "  " << cause << "\n";
+    std::cout << "checks made:\n";
     bool isPassed = m_checker.violations().empty();
     for (const auto &[check, count] : m_checker.counts()) {
         std::cout << "  " << count << "  " << nameOf(check) << (count == 0 ? ": NONE" : "") << "\n";
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -18,7 +18,7 @@
     std::uint64_t seed = 1;
     std::chrono::seconds time {60}; ///< Until the final planned stop.
     int daemons = 3;
-    int callers = 24;
+    int callers = 24; ///< Half as many more send only requests for long streams.
     /// Without faults of daemons and of the store, and endpoints neither leave nor crash. Rules for
     /// which nothing is left to check may stay unchecked.
     bool isCalm = false;
@@ -46,6 +46,11 @@
     };
 
     void startSeries();
+    /// After the faults of a series: endpoints are silent, or streams become slow in a planned
+    /// stop.
+    void scheduleSilences();
+    void scheduleSlowStop();
+    bool terminateAny();
     void injectNext();
     bool disturbStore(testsupport::FakeStore::Mode mode);
     bool suspendWatches();
@@ -79,6 +84,7 @@
     Endpoints m_endpoints;
     Daemons m_daemons;
     Callers m_callers;
+    Callers m_longStreamCallers;
     RandomSource m_faultRandom;
     RandomSource m_configurationRandom;
     RandomSource m_versionRandom;
@@ -87,9 +93,11 @@
     std::vector<std::size_t> m_remainingKinds;
     ConfigurationVersion m_version {1};
     std::vector<TargetRoute> m_permanentRoutes;
+    std::vector<TargetRoute> m_longStreamRoutes;
     std::vector<TargetRoute> m_addedRoutes;
     std::vector<TargetRoute> m_removedRoutes;
     int m_routeNumber = 0;
+    int m_seriesCount = 0;
     nlohmann::json m_configuration;                   ///< As last written.
     std::map<std::string, nlohmann::json> m_versions; ///< Announced, by the name of the record.
     bool m_areAnswersLate = false;
--- a/tests/e2e/tst_soak.cpp
+++ b/tests/e2e/tst_soak.cpp
@@ -1,10 +1,7 @@
-#include "soak/checker.h"
-#include "soak/expectedbytes.h"
+#include "checkerfixture.h"
 
 #include "support/process.h"
 
-#include <criterion/criterion.h>
-
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -16,63 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-const core::EndpointId endpoint("e-first");
-
-/// A checker with one process and routes of the configuration versions 1 and 2: `/get/` is in both,
-/// `/old/` only in the first one and `/new/` only in the second one.
-struct CheckerFixture
-{
-    ProcessIncarnation incarnation {1};
-    core::TimePoint now {seconds(100)};
-    Checker checker {Bounds {}};
-
-    CheckerFixture()
-    {
-        checker.processStarted(incarnation, now);
-        checker.configurationWritten(ConfigurationVersion(1), {"/get/", "/old/"}, {}, now);
-        now += seconds(20);
-        checker.configurationWritten(ConfigurationVersion(2), {"/new/"}, {"/old/"}, now);
-    }
-
-    core::RequestId send(const std::string &id, RequestKind kind, const std::string &route)
-    {
-        checker.requestSent({core::RequestId(id), kind, route, incarnation, seconds(4), seconds(4)},
-                            now);
-        return core::RequestId(id);
-    }
-    void run(const core::RequestId &id)
-    {
-        checker.requestReceived(id, endpoint, seconds(4), now);
-        checker.requestRan(id, endpoint);
-    }
-    void succeed(const core::RequestId &id, const std::string &body)
-    {
-        checker.requestEnded(id, {200, id.value(), expectedStamp(id, 200), body, true, true}, now);
-    }
-    void fail(const core::RequestId &id, int status)
-    {
-        checker.requestEnded(id, {status, {}, {}, {}, true, true}, now);
-    }
-    /// The connection ends without an answer.
-    void endWithoutAnswer(const core::RequestId &id) { checker.requestEnded(id, {}, now); }
-
-    void expectNoViolation() const
-    {
-        for (const Violation &violation : checker.violations())
-            cr_assert(false, "%s", violation.description.c_str());
-    }
-    void expectOnlyViolationsOf(Check check) const
-    {
-        cr_assert_not(checker.violations().empty());
-        for (const Violation &violation : checker.violations())
-            cr_assert_eq(violation.check, check, "%s", violation.description.c_str());
-    }
-};
-
-} // namespace
-
 // Guards against a checker that reports permitted behaviour as a violation.
 Test(soakchecker, validRequestsCauseNoViolation)
 {
@@ -82,7 +22,7 @@
     fixture.succeed(plain, expectedBody(plain));
     const auto repeated = fixture.send("r2", RequestKind::Repeatable, "/get/");
     fixture.run(repeated);
-    fixture.checker.answerInterrupted(repeated);
+    fixture.checker.answerInterrupted(repeated, endpoint);
     fixture.run(repeated);
     fixture.succeed(repeated, expectedBody(repeated));
     const auto refused = fixture.send("r3", RequestKind::Unrepeatable, "/get/");
@@ -115,7 +55,7 @@
     const auto id = fixture.send("r1", RequestKind::Unrepeatable, "/get/");
     fixture.run(id);
     fixture.fail(id, 503);
-    fixture.expectOnlyViolationsOf(Check::NotRun);
+    fixture.expectViolationsOf({Check::NotRun, Check::LostAnswer});
 }
 
 Test(soakchecker, runAfterNotRunAnswerIsDetected)
@@ -295,7 +235,7 @@
     fixture.run(id);
     fixture.checker.stopRequested(fixture.incarnation, fixture.now);
     fixture.endWithoutAnswer(id);
-    fixture.expectOnlyViolationsOf(Check::PlannedStop);
+    fixture.expectViolationsOf({Check::PlannedStop, Check::LostAnswer});
 }
 
 // Guards against a violation that is reported because a stopping daemon closed a connection before
@@ -325,7 +265,7 @@
     CheckerFixture fixture;
     const auto begun = fixture.send("r1", RequestKind::SingleStream, "/get/");
     fixture.run(begun);
-    fixture.checker.answerInterrupted(begun);
+    fixture.checker.answerInterrupted(begun, endpoint);
     fixture.checker.requestEnded(
         begun,
         {200, begun.value(), expectedStamp(begun, 200), expectedEvents(begun, 1, 2), false, true},
@@ -333,7 +273,7 @@
     fixture.expectNoViolation();
     const auto plain = fixture.send("r2", RequestKind::Unrepeatable, "/get/");
     fixture.run(plain);
-    fixture.checker.answerInterrupted(plain);
+    fixture.checker.answerInterrupted(plain, endpoint);
     fixture.endWithoutAnswer(plain);
     fixture.expectOnlyViolationsOf(Check::InTime);
 }
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -377,8 +377,21 @@
     return fields;
 }
 
+void FakeEndpoint::resume()
+{
+    m_isPaused = false;
+    for (const Exchange &exchange : std::exchange(m_held, {})) {
+        if (exchange->isOpen())
+            serve(exchange);
+    }
+}
+
 void FakeEndpoint::serve(const Exchange &exchange)
 {
+    if (m_isPaused) {
+        m_held.push_back(exchange);
+        return;
+    }
     const std::string &target = exchange->head.target;
     if (exchange->head.headers.value("Expect-Instance") != id) {
         exchange->respond(421, {{"Instance-Id", id}}, {});
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -152,6 +152,12 @@
     /// does not listen until it is restarted.
     void crash();
     bool isCrashed() const { return !m_server; }
+    /// Until resume(), messages that arrive are not answered and not handled.
+    void pause() { m_isPaused = true; }
+    /// Handles the messages that arrived meanwhile, in their order, except those of clients that
+    /// disconnected.
+    void resume();
+    bool isPaused() const { return m_isPaused; }
     /// The entry that the endpoint writes to the store.
     nlohmann::json record(const std::string &service, const std::string &state = "ready") const;
     /// Handles a request that runs; the default sends a complete, stamped response.
@@ -194,6 +200,8 @@
     std::unique_ptr<http::Server> m_server;
     int m_startTime = 1;
     int m_orderRevision = 0;
+    bool m_isPaused = false;
+    std::vector<Exchange> m_held;          ///< Received while paused.
     std::map<std::string, int> m_adapters; ///< With their versions.
 };
 
