Give silent endpoints of the soak replacements that refuse

Silences now have a series of their own without planned leaving and limits, the model service has two endpoints of each version, and the service refuses until some time after the silence.

--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -12,9 +12,6 @@
 using testsupport::FakeEndpoint;
 
 constexpr char recordKind[] = "servers";
-constexpr int endpointsPerService = 3; ///< With one unavailable, two remain for a request.
-/// Share of requests that an endpoint refuses while another one of its service is silent.
-constexpr double refusalShareInSilence = 0.7;
 /// How long a leaving endpoint still serves: longer than the bound of 3 s, so that requests sent to
 /// it too late are detected.
 constexpr milliseconds minLeavingTime {7000};
@@ -102,8 +99,10 @@
     , m_silenceRandom(seed + 3)
     , m_faults(faults)
 {
-    for (const std::string service : {"plain", "model"}) {
-        for (int number = 0; number < endpointsPerService; ++number) {
+    // With one unavailable, two remain for a request. A stream needs another endpoint of its
+    // software version to go on.
+    for (const auto &[service, count] : {std::pair<std::string, int> {"plain", 3}, {"model", 4}}) {
+        for (int number = 0; number < count; ++number) {
             auto endpoint = std::make_unique<Endpoint>();
             endpoint->name = service + std::to_string(number);
             endpoint->service = service;
@@ -308,7 +307,7 @@
         exchange->abort();
         return;
     }
-    if (m_random.chance(isOtherSilent(endpoint) ? refusalShareInSilence : faultShare)) {
+    if (m_random.chance(refusalShareOf(endpoint.service))) {
         ++m_faults["endpoint: refuses, not executed"];
         net::Headers refusal {{"Not-Executed", "1"}};
         if (m_random.chance(0.2))
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -69,9 +69,10 @@
     bool crash();
     /// Lets the endpoints of one service announce request limits, change them and lift them.
     bool limitRequests();
-    /// One endpoint sends nothing for a while and then goes on where it stopped. The others of its
-    /// service refuse most requests meanwhile, so that a replacement often finds no endpoint.
-    bool silence();
+    /// One endpoint sends nothing for a while and then goes on where it stopped. Until some time
+    /// later its service refuses many requests, so that a replacement often finds no endpoint.
+    /// Returns whether that was possible.
+    bool silence(const std::string &service);
     /// Also applies to streams in progress.
     void setPace(StreamPace pace) { m_pace = pace; }
     /// Sets the newest version of an adapter, which loads fetch from now on.
@@ -95,6 +96,12 @@
         std::vector<std::pair<core::RequestId, std::weak_ptr<http::ServerExchange>>> openExchanges;
         std::vector<std::function<void()>> held; ///< To be sent after its silence.
     };
+    /// Around the silence of an endpoint, all endpoints of its service refuse requests.
+    struct Refusal
+    {
+        core::TimePoint until;
+        double share = 0;
+    };
     /// A stream in progress: its remaining events and how it ends.
     struct Stream
     {
@@ -124,7 +131,7 @@
     static void send(Endpoint &endpoint, std::function<void()> work);
     void sendAfter(Endpoint &endpoint, core::Duration delay, std::function<void()> work);
     static void resume(Endpoint &endpoint);
-    bool isOtherSilent(const Endpoint &endpoint) const;
+    double refusalShareOf(const std::string &service) const;
     void endStream(const Stream &stream);
     void limitForAWhile(Endpoint &endpoint);
     void setLimit(Endpoint &endpoint, const std::string &perSecond);
@@ -136,6 +143,7 @@
     RandomSource m_random;             ///< For single requests.
     RandomSource m_availabilityRandom; ///< For leaving, crashing and restarting endpoints.
     RandomSource m_silenceRandom;
+    std::map<std::string, Refusal> m_refusals; ///< By service.
     StreamPace m_pace = StreamPace::Usual;
     FaultCounts &m_faults;
     testsupport::PortPicker m_picker;
--- a/soak/endpointstreams.cpp
+++ b/soak/endpointstreams.cpp
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr int maxJoinedEvents = 3; ///< In one write.
+constexpr core::Duration refusalAfterSilence = milliseconds(2500);
 constexpr core::Duration quickTime = milliseconds(500);
 /// Of long streams. The others leave their callers free, so that they send to a stopping daemon
 /// until it exits.
@@ -19,10 +20,8 @@
 
 } // namespace
 
-bool Endpoints::silence()
+bool Endpoints::silence(const std::string &service)
 {
-    // Streams are in the model service.
-    const std::string service = m_silenceRandom.chance(0.75) ? "model" : "plain";
     std::vector<Endpoint *> candidates;
     for (const auto &endpoint : m_endpoints) {
         if (endpoint->service != service)
@@ -38,8 +37,11 @@
     Endpoint *const endpoint = candidates[static_cast<std::size_t>(
         m_silenceRandom.number(0, static_cast<int>(candidates.size()) - 1))];
     endpoint->fake->pause();
-    m_schedule.after(m_silenceRandom.duration(milliseconds(1200), milliseconds(2400)),
-                     [endpoint] { resume(*endpoint); });
+    const core::Duration time = m_silenceRandom.duration(milliseconds(1200), milliseconds(2400));
+    m_schedule.after(time, [endpoint] { resume(*endpoint); });
+    // Longer than a caller waits for the rest of a stream that broke off.
+    m_refusals[service]
+        = {m_schedule.now() + time + refusalAfterSilence, m_silenceRandom.number(50, 95) / 100.0};
     return true;
 }
 
@@ -50,12 +52,11 @@
         work();
 }
 
-bool Endpoints::isOtherSilent(const Endpoint &endpoint) const
+double Endpoints::refusalShareOf(const std::string &service) const
 {
-    return std::ranges::any_of(m_endpoints, [&](const auto &other) {
-        return other.get() != &endpoint && other->service == endpoint.service
-            && other->fake->isPaused();
-    });
+    const auto refusal = m_refusals.find(service);
+    const bool isRefusing = refusal != m_refusals.end() && m_schedule.now() < refusal->second.until;
+    return isRefusing ? refusal->second.share : faultShare;
 }
 
 void Endpoints::send(Endpoint &endpoint, std::function<void()> work)
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -20,7 +20,7 @@
 constexpr core::Duration firstSeriesDelay = seconds(2);
 /// Faults are injected in the first phase of a series. The rest is longer than the stable window,
 /// so that the time bounds of undisturbed daemons are checked as well.
-constexpr core::Duration seriesPeriod = seconds(12);
+constexpr core::Duration silenceSeriesPeriod = seconds(16);
 /// Of a series with a slow stop, whose grace time ends before the next series.
 constexpr core::Duration slowStopSeriesPeriod = seconds(18);
 constexpr milliseconds faultPhase {4000};
@@ -38,6 +38,8 @@
 constexpr milliseconds minCopyPeriod {2000};
 constexpr milliseconds maxCopyPeriod {9000};
 constexpr core::Duration rewriteDelay = milliseconds(200);
+/// Routes with a longer timeout are those of long streams.
+constexpr core::Duration minLongStreamTimeout = seconds(4);
 constexpr std::size_t maxShownViolations = 10;
 constexpr char versionKind[] = "versions";
 constexpr int announcedAdapters = 6; ///< Of all adapters; few, so that each is announced often.
@@ -51,11 +53,14 @@
 {
     const bool isForStreams = isStream(route.kind);
     const std::string unrepeatableKind = isForStreams ? "stream" : "non_idempotent";
-    return testsupport::route(
+    nlohmann::json spec = testsupport::route(
         route.prefix, isForStreams ? "model" : "plain",
         route.kind == RequestKind::Repeatable ? "idempotent" : unrepeatableKind,
         route.kind == RequestKind::ResumableStream,
         static_cast<int>(std::chrono::duration_cast<milliseconds>(route.timeout).count()));
+    if (isForStreams && route.timeout > minLongStreamTimeout)
+        spec["max_attempts"] = 3;
+    return spec;
 }
 
 } // namespace
@@ -68,7 +73,7 @@
     , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers,
                 "s" + std::to_string(options.seed) + "-")
     , m_longStreamCallers(m_loop, m_schedule, m_checker, m_daemons, options.seed * 10 + 8,
-                          options.callers / 2,
+                          options.callers * 2 / 3,
                           longStreamPrefix + std::to_string(options.seed) + "-")
     , m_faultRandom(options.seed * 10 + 5)
     , m_configurationRandom(options.seed * 10 + 6)
@@ -153,7 +158,7 @@
         {"", [this] { return m_endpoints.startLeaving(); }},
         {"", [this] { return m_endpoints.crash(); }},
         {"", [this] { return m_endpoints.limitRequests(); }},
-        {"", [this] { return m_endpoints.silence(); }},
+        {"", [this] { return m_endpoints.silence(m_faultRandom.chance(0.5) ? "model" : "plain"); }},
     };
 }
 
@@ -165,27 +170,25 @@
     for (int number = 0; number < count; ++number)
         m_schedule.after(m_faultRandom.duration(milliseconds(0), faultPhase),
                          [this] { injectNext(); });
-    // One endpoint leaves, and those of a service announce limits, while everything else is
-    // undisturbed.
-    m_schedule.after(faultPhase, [this] { m_endpoints.startLeaving(); });
-    m_schedule.after(faultPhase, [this] { m_endpoints.limitRequests(); });
-    const bool isSlowStop = ++m_seriesCount % 2 == 0;
-    if (isSlowStop)
-        scheduleSlowStop();
-    else
-        scheduleSilences();
-    m_schedule.after(isSlowStop ? slowStopSeriesPeriod : seriesPeriod, [this] { startSeries(); });
+    const core::Duration period
+        = ++m_seriesCount % 2 == 0 ? scheduleSlowStop() : scheduleSilences();
+    m_schedule.after(period, [this] { startSeries(); });
 }
 
-void SoakRun::scheduleSilences()
+core::Duration SoakRun::scheduleSilences()
 {
     m_endpoints.setPace(StreamPace::Usual);
-    for (const milliseconds delay : {milliseconds(4200), milliseconds(6800), milliseconds(9400)})
-        m_schedule.after(delay, [this] { m_endpoints.silence(); });
+    for (const auto &[delay, service] : {std::pair {milliseconds(4500), "model"},
+                                         {milliseconds(7500), "plain"},
+                                         {milliseconds(10500), "model"}})
+        m_schedule.after(delay, [this, name = service] { m_endpoints.silence(name); });
+    return silenceSeriesPeriod;
 }
 
-void SoakRun::scheduleSlowStop()
+core::Duration SoakRun::scheduleSlowStop()
 {
+    m_schedule.after(faultPhase, [this] { m_endpoints.startLeaving(); });
+    m_schedule.after(faultPhase, [this] { m_endpoints.limitRequests(); });
     m_endpoints.setPace(StreamPace::Quick);
     m_schedule.after(slowStopDelay, [this] {
         if (!terminateAny())
@@ -194,6 +197,7 @@
         m_endpoints.setPace(StreamPace::Slowed);
         m_schedule.after(m_bounds.grace, [this] { m_endpoints.setPace(StreamPace::Usual); });
     });
+    return slowStopSeriesPeriod;
 }
 
 bool SoakRun::terminateAny()
