Check requests that wait at a silent endpoint of the soak

A request that arrives in the silence runs after it, unless the daemon gives it up; it counts as worked on from its arrival, as the endpoint accepted it. Two of three routes of long streams are repeatable, since only their streams are ever sent to another endpoint, and more requests are refused around a silence.

--- a/soak/answerchecks.cpp
+++ b/soak/answerchecks.cpp
@@ -40,7 +40,7 @@
     count(Check::LeftCaller);
     Request &request = m_requests.at(id);
     request.abandonedAt = at;
-    if (request.runs > 0)
+    if (!request.latestEndpoint.isEmpty())
         ++m_unfinishedAnswers["the caller left"];
 }
 
@@ -174,7 +174,7 @@
 void Checker::checkLostAnswer(const Request &request, const ReceivedAnswer &answer,
                               core::TimePoint at)
 {
-    if (request.runs == 0)
+    if (request.latestEndpoint.isEmpty())
         return;
     // An endpoint's own failure, which carries its stamp, is a whole answer as well.
     const bool isWhole = answer.isComplete && !answer.stamp.empty();
@@ -195,7 +195,7 @@
                  "ended with status " + std::to_string(answer.status) + " and "
                      + std::to_string(answer.body.size()) + " bytes after "
                      + std::to_string(core::toSeconds(at - request.sentAt)) + " s while "
-                     + request.latestRunAt.value() + " worked on it" + inStop);
+                     + request.latestEndpoint.value() + " worked on it" + inStop);
 }
 
 std::string Checker::excuseOf(const Request &request, core::TimePoint at) const
@@ -208,7 +208,7 @@
         return "the process was frozen or the soak held up";
     if (at - request.sentAt >= request.sent.timeLeft)
         return "the time limit was reached";
-    if (request.isLatestRunInterrupted)
+    if (request.isInterruptedThere)
         return "the endpoint interrupted it";
     if (isLateInGrace(request, at))
         return "the grace time of a planned stop ended";
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -245,6 +245,18 @@
                          + " s after it began to leave");
 }
 
+void Checker::setLatestEndpoint(Request &request, const core::EndpointId &endpoint)
+{
+    request.latestEndpoint = endpoint;
+    request.isInterruptedThere = false;
+}
+
+void Checker::requestAccepted(const core::RequestId &id, const core::EndpointId &endpoint)
+{
+    if (const auto request = m_requests.find(id); request != m_requests.end())
+        setLatestEndpoint(request->second, endpoint);
+}
+
 void Checker::requestRan(const core::RequestId &id, const core::EndpointId &endpoint)
 {
     count(Check::RunOnce);
@@ -256,8 +268,7 @@
     }
     Request &request = found->second;
     ++request.runs;
-    request.latestRunAt = endpoint;
-    request.isLatestRunInterrupted = false;
+    setLatestEndpoint(request, endpoint);
     if (request.runs > 1 && !isRepeatable(request.sent.kind))
         addViolation(Check::RunOnce, request, "ran a second time, at " + endpoint.value());
     if (request.isReportedNotRun)
@@ -309,7 +320,7 @@
         return;
     Request &request = found->second;
     request.isInterrupted = true;
-    request.isLatestRunInterrupted |= request.latestRunAt == endpoint;
+    request.isInterruptedThere |= request.latestEndpoint == endpoint;
 }
 
 void Checker::orderReceived(const core::EndpointId &endpoint, const core::HostId &holder,
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -158,6 +158,8 @@
     /// have arrived before the latest other report.
     void requestReceived(const core::RequestId &id, const core::EndpointId &endpoint,
                          core::Duration deadline, core::TimePoint at);
+    /// An endpoint holds a request that it will run, unless the daemon gives it up before.
+    void requestAccepted(const core::RequestId &id, const core::EndpointId &endpoint);
     void requestRan(const core::RequestId &id, const core::EndpointId &endpoint);
     /// A request begins to run on this version of its adapter.
     void adapterRan(const core::RequestId &id, const core::AdapterId &adapter, int version,
@@ -200,9 +202,9 @@
         ConfigurationVersion minVersion; ///< The oldest version that its daemon may use.
         std::optional<core::TimePoint> abandonedAt {};
         int runs = 0;
-        bool isInterrupted = false; ///< At any endpoint.
-        core::EndpointId latestRunAt {};
-        bool isLatestRunInterrupted = false;
+        bool isInterrupted = false;         ///< At any endpoint.
+        core::EndpointId latestEndpoint {}; ///< That accepted or ran it.
+        bool isInterruptedThere = false;    ///< By the latest endpoint.
         bool isReportedNotRun = false;
     };
 
@@ -232,6 +234,7 @@
     /// that the end of the grace time may cut it off.
     bool isLateInGrace(const Request &request, core::TimePoint at) const;
     void checkLostAnswer(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
+    static void setLatestEndpoint(Request &request, const core::EndpointId &endpoint);
     /// What excuses an answer that did not end whole; empty if nothing does.
     std::string excuseOf(const Request &request, core::TimePoint at) const;
 
--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -111,6 +111,9 @@
             endpoint->fake->run = [this, owner = endpoint.get()](const Exchange &exchange) {
                 serve(*owner, exchange);
             };
+            endpoint->fake->onHeld = [this, owner = endpoint.get()](const Exchange &exchange) {
+                accept(*owner, exchange);
+            };
             endpoint->fake->onOrder = [this, owner = endpoint.get()](const nlohmann::json &order) {
                 m_checker.orderReceived(
                     core::EndpointId(owner->fake->id),
@@ -307,7 +310,8 @@
         exchange->abort();
         return;
     }
-    if (m_random.chance(refusalShareOf(endpoint.service))) {
+    const bool wasAccepted = endpoint.accepted.erase(id) > 0;
+    if (!wasAccepted && m_random.chance(refusalShareOf(endpoint.service))) {
         ++m_faults["endpoint: refuses, not executed"];
         net::Headers refusal {{"Not-Executed", "1"}};
         if (m_random.chance(0.2))
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -95,6 +96,7 @@
         bool isCrashed = false;     ///< Aborts each exchange.
         std::vector<std::pair<core::RequestId, std::weak_ptr<http::ServerExchange>>> openExchanges;
         std::vector<std::function<void()>> held; ///< To be sent after its silence.
+        std::set<core::RequestId> accepted;      ///< During its silence, to run after it.
     };
     /// Around the silence of an endpoint, all endpoints of its service refuse requests.
     struct Refusal
@@ -122,6 +124,7 @@
     void writeRecord(const std::string &id, const nlohmann::json &record);
     void removeRecord(const std::string &id);
     void restart(Endpoint &endpoint, bool hasNewId);
+    void accept(Endpoint &endpoint, const Exchange &exchange);
     void serve(Endpoint &endpoint, const Exchange &exchange);
     void answer(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id);
     void startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id);
--- a/soak/endpointstreams.cpp
+++ b/soak/endpointstreams.cpp
@@ -41,13 +41,21 @@
     m_schedule.after(time, [endpoint] { resume(*endpoint); });
     // Longer than a caller waits for the rest of a stream that broke off.
     m_refusals[service]
-        = {m_schedule.now() + time + refusalAfterSilence, m_silenceRandom.number(50, 95) / 100.0};
+        = {m_schedule.now() + time + refusalAfterSilence, m_silenceRandom.number(70, 97) / 100.0};
     return true;
 }
 
+void Endpoints::accept(Endpoint &endpoint, const Exchange &exchange)
+{
+    const core::RequestId id(exchange->head.headers.value("Request-Id"));
+    endpoint.accepted.insert(id);
+    m_checker.requestAccepted(id, core::EndpointId(endpoint.fake->id));
+}
+
 void Endpoints::resume(Endpoint &endpoint)
 {
     endpoint.fake->resume();
+    endpoint.accepted.clear();
     for (const auto &work : std::exchange(endpoint.held, {}))
         work();
 }
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -87,6 +87,8 @@
                          permanentRoute("/once/", RequestKind::SingleStream, milliseconds(4000))}
     , m_longStreamRoutes {permanentRoute("/long/", RequestKind::ResumableStream,
                                          milliseconds(12000)),
+                          permanentRoute("/longer/", RequestKind::ResumableStream,
+                                         milliseconds(12000)),
                           permanentRoute("/longonce/", RequestKind::SingleStream,
                                          milliseconds(12000))}
     , m_startedAt(m_loop.now())
--- a/tests/e2e/tst_soakanswers.cpp
+++ b/tests/e2e/tst_soakanswers.cpp
@@ -24,6 +24,18 @@
     cr_assert_eq(failed.checker.unfinishedAnswers().at("lost"), 1);
 }
 
+// Guards against a soak that passes although a daemon gives up a request that waits at a silent
+// endpoint, which would have run it.
+Test(soakchecker, acceptedRequestGivenUpIsDetected)
+{
+    CheckerFixture fixture;
+    const auto id = fixture.send("r1", RequestKind::Repeatable, "/get/");
+    fixture.checker.requestAccepted(id, endpoint);
+    fixture.now += seconds(2);
+    fixture.fail(id, 502);
+    fixture.expectOnlyViolationsOf(Check::LostAnswer);
+}
+
 // Guards against an interruption at one endpoint that excuses the answer of the next one, or of an
 // endpoint that did not run the request.
 Test(soakchecker, interruptionExcusesOnlyTheInterruptedRun)
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -390,6 +390,9 @@
 {
     if (m_isPaused) {
         m_held.push_back(exchange);
+        const bool isRequest = !exchange->head.target.starts_with("/-/");
+        if (onHeld && isRequest && retryAfter.empty() && !isMisdirected(exchange->head))
+            onHeld(exchange);
         return;
     }
     const std::string &target = exchange->head.target;
@@ -419,20 +422,27 @@
                           {});
         return;
     }
-    const std::string requestedModel = exchange->head.headers.value("Model");
-    const std::size_t slash = requestedModel.find('/');
-    if (slash != std::string::npos) {
-        const int held = heldVersion(requestedModel.substr(slash + 1));
-        const std::string expected = exchange->head.headers.value("Expect-Version");
-        if (held == 0 || (!expected.empty() && expected != std::to_string(held))) {
-            exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
-            return;
-        }
+    if (isMisdirected(exchange->head)) {
+        exchange->respond(421, withNotices({{"Instance-Id", id}}), {});
+        return;
     }
     runs.push_back(exchange->head.headers.value("Request-Id"));
     run(exchange);
 }
 
+bool FakeEndpoint::isMisdirected(const http::MessageHead &head) const
+{
+    if (head.headers.value("Expect-Instance") != id)
+        return true;
+    const std::string requestedModel = head.headers.value("Model");
+    const std::size_t slash = requestedModel.find('/');
+    if (slash == std::string::npos)
+        return false;
+    const int held = heldVersion(requestedModel.substr(slash + 1));
+    const std::string expected = head.headers.value("Expect-Version");
+    return held == 0 || (!expected.empty() && expected != std::to_string(held));
+}
+
 int FakeEndpoint::heldVersion(const std::string &adapter) const
 {
     const auto held = m_adapters.find(adapter);
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -166,6 +166,8 @@
     std::function<int(const std::string &adapter)> newestVersion;
     /// The version at which the endpoint holds the adapter; 0 if it doesn't.
     int heldVersion(const std::string &adapter) const;
+    /// Called with each request that arrives while paused and will run after it, if set.
+    std::function<void(const Exchange &)> onHeld;
     /// Called with each received order, if set.
     std::function<void(const nlohmann::json &order)> onOrder;
     /// Ids of the requests that ran, in their order.
@@ -193,6 +195,8 @@
 private:
     void serve(const Exchange &exchange);
     void order(const Exchange &exchange);
+    /// Whether the request names another incarnation, or an adapter that is not held.
+    bool isMisdirected(const http::MessageHead &head) const;
     void listen();
 
     net::EventLoop &m_loop;
