Play the silences of the soak while streams have replacements

The faults of the store in the first phase of a series excused most streams that were given up, since silences came right after it, and planned leaving and limits of the model service left streams without a replacement. Silences now come when a daemon can have been undisturbed for the stable window, and leaving and limits concern the plain service in that series.

--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -148,14 +148,14 @@
                                        {"Keep-Alive", "timeout=20"}});
 }
 
-Endpoints::Endpoint *Endpoints::pickAvailable()
+Endpoints::Endpoint *Endpoints::pickAvailable(const std::string &service)
 {
     std::vector<Endpoint *> available;
     for (const auto &endpoint : m_endpoints) {
         const bool isOneUnavailable = std::ranges::any_of(m_endpoints, [&](const auto &other) {
             return other->isUnavailable && other->service == endpoint->service;
         });
-        if (!isOneUnavailable)
+        if (!isOneUnavailable && (service.empty() || endpoint->service == service))
             available.push_back(endpoint.get());
     }
     if (available.empty())
@@ -164,9 +164,9 @@
         m_availabilityRandom.number(0, static_cast<int>(available.size()) - 1))];
 }
 
-bool Endpoints::startLeaving()
+bool Endpoints::startLeaving(const std::string &service)
 {
-    Endpoint *const endpoint = pickAvailable();
+    Endpoint *const endpoint = pickAvailable(service);
     if (endpoint == nullptr)
         return false;
     endpoint->isUnavailable = true;
@@ -218,9 +218,10 @@
     return true;
 }
 
-bool Endpoints::limitRequests()
+bool Endpoints::limitRequests(const std::string &ofService)
 {
-    const std::string service = m_availabilityRandom.chance(0.5) ? "plain" : "model";
+    const std::string drawn = m_availabilityRandom.chance(0.5) ? "plain" : "model";
+    const std::string &service = ofService.empty() ? drawn : ofService;
     bool isAnyLimited = false;
     for (const auto &endpoint : m_endpoints) {
         const bool canAnnounce = !endpoint->isUnavailable && endpoint->fake->requestLimit.empty();
--- a/soak/endpoints.h
+++ b/soak/endpoints.h
@@ -65,11 +65,12 @@
               testsupport::FakeStore &store, std::uint64_t seed, FaultCounts &faults);
 
     /// Lets one endpoint leave or crash and returns whether one was available. At most one endpoint
-    /// of a service is unavailable at a time, so that the others serve its requests.
-    bool startLeaving();
+    /// of a service is unavailable at a time, so that the others serve its requests. Without a
+    /// service, any one is chosen.
+    bool startLeaving(const std::string &service = {});
     bool crash();
     /// Lets the endpoints of one service announce request limits, change them and lift them.
-    bool limitRequests();
+    bool limitRequests(const std::string &ofService = {});
     /// One endpoint sends nothing for a while and then goes on where it stopped. Until some time
     /// later its service refuses many requests, so that a replacement often finds no endpoint.
     /// Returns whether that was possible.
@@ -120,7 +121,7 @@
         core::Duration slowedTime {}; ///< The same while they are slowed.
     };
 
-    Endpoint *pickAvailable();
+    Endpoint *pickAvailable(const std::string &service = {});
     void writeRecord(const std::string &id, const nlohmann::json &record);
     void removeRecord(const std::string &id);
     void restart(Endpoint &endpoint, bool hasNewId);
--- a/soak/endpointstreams.cpp
+++ b/soak/endpointstreams.cpp
@@ -12,7 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr int maxJoinedEvents = 3; ///< In one write.
-constexpr core::Duration refusalAfterSilence = milliseconds(2500);
+/// From the begin of a silence: longer than a caller waits for the next event of its stream.
+constexpr core::Duration refusalTime = milliseconds(2700);
 constexpr core::Duration quickTime = milliseconds(500);
 /// Of long streams. The others leave their callers free, so that they send to a stopping daemon
 /// until it exits.
@@ -39,9 +40,7 @@
     endpoint->fake->pause();
     const core::Duration time = m_silenceRandom.duration(milliseconds(1200), milliseconds(2400));
     m_schedule.after(time, [endpoint] { resume(*endpoint); });
-    // Longer than a caller waits for the rest of a stream that broke off.
-    m_refusals[service]
-        = {m_schedule.now() + time + refusalAfterSilence, m_silenceRandom.number(70, 97) / 100.0};
+    m_refusals[service] = {m_schedule.now() + refusalTime, m_silenceRandom.number(70, 97) / 100.0};
     return true;
 }
 
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -20,7 +20,7 @@
 constexpr core::Duration firstSeriesDelay = seconds(2);
 /// Faults are injected in the first phase of a series. The rest is longer than the stable window,
 /// so that the time bounds of undisturbed daemons are checked as well.
-constexpr core::Duration silenceSeriesPeriod = seconds(16);
+constexpr core::Duration silenceSeriesPeriod = seconds(18);
 /// Of a series with a slow stop, whose grace time ends before the next series.
 constexpr core::Duration slowStopSeriesPeriod = seconds(18);
 constexpr milliseconds faultPhase {4000};
@@ -73,8 +73,7 @@
     , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers,
                 "s" + std::to_string(options.seed) + "-")
     , m_longStreamCallers(m_loop, m_schedule, m_checker, m_daemons, options.seed * 10 + 8,
-                          options.callers * 2 / 3,
-                          longStreamPrefix + std::to_string(options.seed) + "-")
+                          options.callers, longStreamPrefix + std::to_string(options.seed) + "-")
     , m_faultRandom(options.seed * 10 + 5)
     , m_configurationRandom(options.seed * 10 + 6)
     , m_versionRandom(options.seed * 10 + 7)
@@ -177,20 +176,27 @@
     m_schedule.after(period, [this] { startSeries(); });
 }
 
+void SoakRun::scheduleLeavingAndLimits(const std::string &service)
+{
+    m_schedule.after(faultPhase, [this, service] { m_endpoints.startLeaving(service); });
+    m_schedule.after(faultPhase, [this, service] { m_endpoints.limitRequests(service); });
+}
+
 core::Duration SoakRun::scheduleSilences()
 {
+    scheduleLeavingAndLimits("plain");
     m_endpoints.setPace(StreamPace::Usual);
-    for (const auto &[delay, service] : {std::pair {milliseconds(4500), "model"},
-                                         {milliseconds(7500), "plain"},
-                                         {milliseconds(10500), "model"}})
+    for (const auto &[delay, service] : {std::pair {milliseconds(7000), "model"},
+                                         {milliseconds(9000), "plain"},
+                                         {milliseconds(11000), "model"},
+                                         {milliseconds(14500), "model"}})
         m_schedule.after(delay, [this, name = service] { m_endpoints.silence(name); });
     return silenceSeriesPeriod;
 }
 
 core::Duration SoakRun::scheduleSlowStop()
 {
-    m_schedule.after(faultPhase, [this] { m_endpoints.startLeaving(); });
-    m_schedule.after(faultPhase, [this] { m_endpoints.limitRequests(); });
+    scheduleLeavingAndLimits({});
     m_endpoints.setPace(StreamPace::Quick);
     m_schedule.after(slowStopDelay, [this] {
         if (!terminateAny())
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -18,7 +18,7 @@
     std::uint64_t seed = 1;
     std::chrono::seconds time {60}; ///< Until the final planned stop.
     int daemons = 3;
-    int callers = 24; ///< Two thirds as many more send only requests for long streams.
+    int callers = 24; ///< As many more send only requests for long streams.
     /// Without faults of daemons and of the store, and endpoints neither leave nor crash. Rules for
     /// which nothing is left to check may stay unchecked.
     bool isCalm = false;
@@ -46,9 +46,12 @@
     };
 
     void startSeries();
-    /// What follows the first phase of a series: endpoints are silent while all of them serve, or
-    /// streams become slow in a planned stop, while one endpoint leaves and others are limited.
-    /// Return how long the series lasts.
+    /// One endpoint leaves, and those of a service announce limits, while everything else is
+    /// undisturbed. Without a service, any one is chosen.
+    void scheduleLeavingAndLimits(const std::string &service);
+    /// What follows the first phase of a series: endpoints are silent, or streams become slow in a
+    /// planned stop. Return how long the series lasts. Around silences the model service is not
+    /// limited, so that its streams can go on at other endpoints.
     core::Duration scheduleSilences();
     core::Duration scheduleSlowStop();
     bool terminateAny();
