--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -21,6 +21,9 @@
 /// Faults are injected in the first phase of a series. The rest is longer than the stable window,
 /// so that the time bounds of undisturbed daemons are checked as well.
 constexpr core::Duration silenceSeriesPeriod = seconds(18);
+/// The bound of a leaving endpoint counts from the stable window after the last fault of the store,
+/// and ends before the endpoint is removed.
+constexpr core::Duration undisturbedLeavingDelay = milliseconds(7500);
 /// Of a series with a slow stop, whose grace time ends before the next series.
 constexpr core::Duration slowStopSeriesPeriod = seconds(18);
 constexpr milliseconds faultPhase {4000};
@@ -176,15 +179,15 @@
     m_schedule.after(period, [this] { startSeries(); });
 }
 
-void SoakRun::scheduleLeavingAndLimits(const std::string &service)
+void SoakRun::scheduleLeavingAndLimits(core::Duration delay, const std::string &service)
 {
-    m_schedule.after(faultPhase, [this, service] { m_endpoints.startLeaving(service); });
-    m_schedule.after(faultPhase, [this, service] { m_endpoints.limitRequests(service); });
+    m_schedule.after(delay, [this, service] { m_endpoints.startLeaving(service); });
+    m_schedule.after(delay, [this, service] { m_endpoints.limitRequests(service); });
 }
 
 core::Duration SoakRun::scheduleSilences()
 {
-    scheduleLeavingAndLimits("plain");
+    scheduleLeavingAndLimits(undisturbedLeavingDelay, "plain");
     m_endpoints.setPace(StreamPace::Usual);
     for (const auto &[delay, service] : {std::pair {milliseconds(7000), "model"},
                                          {milliseconds(9000), "plain"},
@@ -196,7 +199,7 @@
 
 core::Duration SoakRun::scheduleSlowStop()
 {
-    scheduleLeavingAndLimits({});
+    scheduleLeavingAndLimits(faultPhase, {});
     m_endpoints.setPace(StreamPace::Quick);
     m_schedule.after(slowStopDelay, [this] {
         if (!terminateAny())
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -48,7 +48,7 @@
     void startSeries();
     /// One endpoint leaves, and those of a service announce limits, while everything else is
     /// undisturbed. Without a service, any one is chosen.
-    void scheduleLeavingAndLimits(const std::string &service);
+    void scheduleLeavingAndLimits(core::Duration delay, const std::string &service);
     /// What follows the first phase of a series: endpoints are silent, or streams become slow in a
     /// planned stop. Return how long the series lasts. Around silences the model service is not
     /// limited, so that its streams can go on at other endpoints.
