--- a/soak/endpoints.cpp
+++ b/soak/endpoints.cpp
@@ -12,11 +12,6 @@
 using testsupport::FakeEndpoint;
 
 constexpr char recordKind[] = "servers";
-constexpr int maxJoinedEvents = 3;     ///< In one write.
-constexpr int endpointsPerService = 3; ///< With one unavailable, two remain for a request.
-/// Share of requests that each kind of endpoint fault affects. All kinds together stay below the
-/// retry budget, a fifth of the requests.
-constexpr double faultShare = 0.025;
 /// How long a leaving endpoint still serves: longer than the bound of 3 s, so that requests sent to
 /// it too late are detected.
 constexpr milliseconds minLeavingTime {7000};
@@ -101,10 +96,13 @@
     , m_store(store)
     , m_random(seed)
     , m_availabilityRandom(seed + 1)
+    , m_silenceRandom(seed + 3)
     , m_faults(faults)
 {
-    for (const std::string service : {"plain", "model"}) {
-        for (int number = 0; number < endpointsPerService; ++number) {
+    // With one unavailable, two remain for a request. A stream needs another endpoint of its
+    // software version to go on.
+    for (const auto &[service, count] : {std::pair<std::string, int> {"plain", 3}, {"model", 4}}) {
+        for (int number = 0; number < count; ++number) {
             auto endpoint = std::make_unique<Endpoint>();
             endpoint->name = service + std::to_string(number);
             endpoint->service = service;
@@ -113,6 +111,9 @@
             endpoint->fake->run = [this, owner = endpoint.get()](const Exchange &exchange) {
                 serve(*owner, exchange);
             };
+            endpoint->fake->onHeld = [this, owner = endpoint.get()](const Exchange &exchange) {
+                accept(*owner, exchange);
+            };
             endpoint->fake->onOrder = [this, owner = endpoint.get()](const nlohmann::json &order) {
                 m_checker.orderReceived(
                     core::EndpointId(owner->fake->id),
@@ -147,14 +148,14 @@
                                        {"Keep-Alive", "timeout=20"}});
 }
 
-Endpoints::Endpoint *Endpoints::pickAvailable()
+Endpoints::Endpoint *Endpoints::pickAvailable(const std::string &service)
 {
     std::vector<Endpoint *> available;
     for (const auto &endpoint : m_endpoints) {
         const bool isOneUnavailable = std::ranges::any_of(m_endpoints, [&](const auto &other) {
             return other->isUnavailable && other->service == endpoint->service;
         });
-        if (!isOneUnavailable)
+        if (!isOneUnavailable && (service.empty() || endpoint->service == service))
             available.push_back(endpoint.get());
     }
     if (available.empty())
@@ -163,9 +164,9 @@
         m_availabilityRandom.number(0, static_cast<int>(available.size()) - 1))];
 }
 
-bool Endpoints::startLeaving()
+bool Endpoints::startLeaving(const std::string &service)
 {
-    Endpoint *const endpoint = pickAvailable();
+    Endpoint *const endpoint = pickAvailable(service);
     if (endpoint == nullptr)
         return false;
     endpoint->isUnavailable = true;
@@ -202,13 +203,13 @@
 bool Endpoints::crash()
 {
     Endpoint *const endpoint = pickAvailable();
-    if (endpoint == nullptr)
+    if (endpoint == nullptr || endpoint->fake->isPaused())
         return false;
     ++m_faults["endpoint: crashes and comes back"];
     endpoint->isUnavailable = endpoint->isCrashed = true;
     for (const auto &[id, weak] : std::exchange(endpoint->openExchanges, {})) {
         if (const Exchange exchange = weak.lock()) {
-            m_checker.answerInterrupted(id);
+            m_checker.answerInterrupted(id, core::EndpointId(endpoint->fake->id));
             exchange->abort();
         }
     }
@@ -217,9 +218,10 @@
     return true;
 }
 
-bool Endpoints::limitRequests()
+bool Endpoints::limitRequests(const std::string &ofService)
 {
-    const std::string service = m_availabilityRandom.chance(0.5) ? "plain" : "model";
+    const std::string drawn = m_availabilityRandom.chance(0.5) ? "plain" : "model";
+    const std::string &service = ofService.empty() ? drawn : ofService;
     bool isAnyLimited = false;
     for (const auto &endpoint : m_endpoints) {
         const bool canAnnounce = !endpoint->isUnavailable && endpoint->fake->requestLimit.empty();
@@ -303,13 +305,14 @@
 {
     const core::RequestId id(exchange->head.headers.value("Request-Id"));
     const core::EndpointId endpointId(endpoint.fake->id);
-    m_checker.requestReceived(id, endpointId, deadlineOf(exchange->head), m_schedule.now());
+    m_checker.requestReceived(id, endpointId, deadlineOf(exchange->head), exchange->receivedAt);
     if (endpoint.isCrashed) {
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
         exchange->abort();
         return;
     }
-    if (m_random.chance(faultShare)) {
+    const bool wasAccepted = endpoint.accepted.erase(id) > 0;
+    if (!wasAccepted && m_random.chance(refusalShareOf(endpoint.service))) {
         ++m_faults["endpoint: refuses, not executed"];
         net::Headers refusal {{"Not-Executed", "1"}};
         if (m_random.chance(0.2))
@@ -335,19 +338,20 @@
 void Endpoints::answer(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
 {
     const core::Duration delay = m_random.duration(milliseconds(0), milliseconds(60));
+    const core::EndpointId endpointId(endpoint.fake->id);
     if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: breaks off, no byte sent"];
-        m_checker.answerInterrupted(id);
-        m_schedule.after(delay, [exchange] { exchange->abort(); });
+        m_checker.answerInterrupted(id, endpointId);
+        sendAfter(endpoint, delay, [exchange] { exchange->abort(); });
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: breaks off midway"];
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
         exchange->startChunked(200, answerHeaders(endpoint, id, 200));
         exchange->writeChunk(expectedBody(id).substr(0, 100));
-        m_schedule.after(delay, [exchange] { exchange->abort(); });
+        sendAfter(endpoint, delay, [exchange] { exchange->abort(); });
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: silent"];
-        m_checker.answerInterrupted(id);
+        m_checker.answerInterrupted(id, endpointId);
     } else if (m_random.chance(faultShare)) {
         ++m_faults["endpoint: own failure"];
         exchange->respond(500, answerHeaders(endpoint, id, 500), "failed");
@@ -357,83 +361,10 @@
             ++m_faults["endpoint: slow"];
         const core::Duration time
             = isSlow ? m_random.duration(milliseconds(300), milliseconds(1500)) : delay;
-        m_schedule.after(time, [this, &endpoint, exchange, id] {
+        sendAfter(endpoint, time, [this, &endpoint, exchange, id] {
             exchange->respond(200, answerHeaders(endpoint, id, 200), expectedBody(id));
         });
     }
 }
 
-void Endpoints::startStream(Endpoint &endpoint, const Exchange &exchange, const core::RequestId &id)
-{
-    static const std::vector<std::string> ends {
-        "stream ends before its first event", "stream breaks off midway",
-        "stream breaks off inside an event", "stream stalls"};
-    const std::string after = exchange->head.headers.value("Last-Event-Id");
-    const auto stream = std::make_shared<Stream>();
-    stream->exchange = exchange;
-    stream->id = id;
-    const std::string begunBy = exchange->head.headers.value("Resumes");
-    stream->begunBy = begunBy.empty() ? id : core::RequestId(begunBy);
-    stream->softwareVersion = endpoint.fake->softwareVersion;
-    stream->next = after.empty() ? 1 : std::stoi(after) + 1;
-    stream->last = eventCount(stream->begunBy);
-    stream->pause = m_random.duration(milliseconds(5), milliseconds(50));
-    if (stream->next <= stream->last && m_random.chance(faultShare * 3)) {
-        stream->end = ends[static_cast<std::size_t>(m_random.number(0, 3))];
-        ++m_faults["endpoint: " + stream->end];
-        m_checker.answerInterrupted(id);
-        const int first = stream->next;
-        stream->last
-            = stream->end == ends[0] ? first - 1 : m_random.number(first, stream->last) - 1;
-    }
-    exchange->startChunked(200, answerHeaders(endpoint, id, 200));
-    continueStream(stream);
-}
-
-void Endpoints::continueStream(const std::shared_ptr<Stream> &stream)
-{
-    if (!stream->exchange->isOpen())
-        return;
-    if (stream->next > stream->last) {
-        endStream(*stream);
-        return;
-    }
-    core::Duration pause = stream->pause;
-    const int last = std::min(stream->last, stream->next + m_random.number(0, maxJoinedEvents - 1));
-    const std::string text
-        = expectedEvents(stream->begunBy, stream->next, last, stream->softwareVersion);
-    stream->next = last + 1;
-    // The pieces arrive one by one, cut anywhere, also within an event's field.
-    const auto cut
-        = static_cast<std::size_t>(m_random.number(1, static_cast<int>(text.size()) - 1));
-    stream->exchange->writeChunk(text.substr(0, cut));
-    m_schedule.after(std::min<core::Duration>(pause / 2, milliseconds(10)),
-                     [exchange = stream->exchange, rest = text.substr(cut)] {
-                         if (exchange->isOpen())
-                             exchange->writeChunk(rest);
-                     });
-    if (m_random.chance(faultShare)) {
-        ++m_faults["endpoint: slow event"];
-        pause = m_random.duration(milliseconds(300), milliseconds(700));
-    }
-    m_schedule.after(pause, [this, stream] { continueStream(stream); });
-}
-
-void Endpoints::endStream(const Stream &stream)
-{
-    if (stream.end.empty()) {
-        stream.exchange->finishChunked();
-        return;
-    }
-    if (stream.end == "stream stalls")
-        return;
-    if (stream.end == "stream breaks off inside an event") {
-        const std::string text
-            = expectedEvents(stream.begunBy, stream.next, stream.next, stream.softwareVersion);
-        const int cut = m_random.number(1, static_cast<int>(text.size()) - 1);
-        stream.exchange->writeChunk(text.substr(0, static_cast<std::size_t>(cut)));
-    }
-    stream.exchange->abort();
-}
-
 } // namespace jackdawlead::soak
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -152,6 +152,12 @@
     /// does not listen until it is restarted.
     void crash();
     bool isCrashed() const { return !m_server; }
+    /// Until resume(), messages that arrive are not answered and not handled.
+    void pause() { m_isPaused = true; }
+    /// Handles the messages that arrived meanwhile, in their order, except those of clients that
+    /// disconnected.
+    void resume();
+    bool isPaused() const { return m_isPaused; }
     /// The entry that the endpoint writes to the store.
     nlohmann::json record(const std::string &service, const std::string &state = "ready") const;
     /// Handles a request that runs; the default sends a complete, stamped response.
@@ -160,6 +166,8 @@
     std::function<int(const std::string &adapter)> newestVersion;
     /// The version at which the endpoint holds the adapter; 0 if it doesn't.
     int heldVersion(const std::string &adapter) const;
+    /// Called with each request that arrives while paused and will run after it, if set.
+    std::function<void(const Exchange &)> onHeld;
     /// Called with each received order, if set.
     std::function<void(const nlohmann::json &order)> onOrder;
     /// Ids of the requests that ran, in their order.
@@ -187,6 +195,8 @@
 private:
     void serve(const Exchange &exchange);
     void order(const Exchange &exchange);
+    /// Whether the request names another incarnation, or an adapter that is not held.
+    bool isMisdirected(const http::MessageHead &head) const;
     void listen();
 
     net::EventLoop &m_loop;
@@ -194,6 +204,8 @@
     std::unique_ptr<http::Server> m_server;
     int m_startTime = 1;
     int m_orderRevision = 0;
+    bool m_isPaused = false;
+    std::vector<Exchange> m_held;          ///< Received while paused.
     std::map<std::string, int> m_adapters; ///< With their versions.
 };
 
