Soak: a stream that breaks off after its last event has no rest

The excuse holds only if the caller has every event.

Test: soakchecker/streamThatBreaksOffAfterItsLastEventIsExcused.

--- a/soak/answerchecks.cpp
+++ b/soak/answerchecks.cpp
@@ -92,16 +92,27 @@
                      "complete answer with a wrong body: " + answer.body);
 }
 
-void Checker::checkEvents(const Request &request, const ReceivedAnswer &answer)
+std::string Checker::expectedStream(const Request &request, const ReceivedAnswer &answer)
 {
     const SentRequest &sent = request.sent;
     const bool isTakeUp = !sent.begunBy.isEmpty();
+    const core::RequestId &id = isTakeUp ? sent.begunBy : sent.id;
+    return expectedEvents(id, sent.firstEvent, eventCount(id),
+                          isTakeUp ? sent.softwareVersion : softwareVersionOf(answer.body));
+}
+
+bool Checker::hasAllEvents(const Request &request, const ReceivedAnswer &answer)
+{
+    return isStream(request.sent.kind) && answer.status == 200
+        && answer.body == expectedStream(request, answer);
+}
+
+void Checker::checkEvents(const Request &request, const ReceivedAnswer &answer)
+{
+    const bool isTakeUp = !request.sent.begunBy.isEmpty();
     const Check check = isTakeUp ? Check::TakeUp : Check::StreamEvents;
     count(check);
-    const core::RequestId &id = isTakeUp ? sent.begunBy : sent.id;
-    const std::string expected
-        = expectedEvents(id, sent.firstEvent, eventCount(id),
-                         isTakeUp ? sent.softwareVersion : softwareVersionOf(answer.body));
+    const std::string expected = expectedStream(request, answer);
     if (!expected.starts_with(answer.body))
         addViolation(check, request,
                      "unexpected events instead of " + expected + " received: " + answer.body);
@@ -178,7 +189,10 @@
         return;
     // An endpoint's own failure, which carries its stamp, is a whole answer as well.
     const bool isWhole = answer.isComplete && !answer.stamp.empty();
-    const std::string excuse = excuseOf(request, at);
+    std::string excuse = excuseOf(request, at);
+    // The next endpoint has no rest, from which the daemon can't tell that the stream was whole.
+    if (excuse.empty() && request.isInterrupted && hasAllEvents(request, answer))
+        excuse = "the stream broke off after its last event";
     if (isWhole || excuse.empty())
         count(Check::LostAnswer);
     if (isWhole)
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -226,6 +226,9 @@
     void checkEndpoint(const Request &request, const core::EndpointId &endpoint,
                        core::TimePoint at);
     void checkSuccess(const Request &request, const ReceivedAnswer &answer);
+    /// The events that a whole answer to the request has.
+    static std::string expectedStream(const Request &request, const ReceivedAnswer &answer);
+    static bool hasAllEvents(const Request &request, const ReceivedAnswer &answer);
     void checkEvents(const Request &request, const ReceivedAnswer &answer);
     void checkNotFound(const Request &request);
     void checkEnd(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
--- a/tests/e2e/tst_soakanswers.cpp
+++ b/tests/e2e/tst_soakanswers.cpp
@@ -57,6 +57,26 @@
     excused.expectNoViolation();
 }
 
+// Guards against a violation for a stream that broke off after its last event, of which the next
+// endpoint has no rest, and against taking any interrupted stream for one.
+Test(soakchecker, streamThatBreaksOffAfterItsLastEventIsExcused)
+{
+    for (const bool hasAll : {true, false}) {
+        CheckerFixture fixture;
+        const auto id = fixture.send("r1", RequestKind::ResumableStream, "/get/");
+        fixture.run(id);
+        fixture.checker.answerInterrupted(id, endpoint);
+        fixture.checker.requestRan(id, core::EndpointId("e-second"));
+        const std::string body = expectedEvents(id, 1, eventCount(id) - (hasAll ? 0 : 1), "v1");
+        fixture.checker.requestEnded(
+            id, {200, id.value(), expectedStamp(id, 200), body, false, true}, fixture.now);
+        if (hasAll)
+            fixture.expectNoViolation();
+        else
+            fixture.expectOnlyViolationsOf(Check::LostAnswer);
+    }
+}
+
 // Guards against a violation for an answer that the daemon may end, or that it may lose because of
 // a disturbance, and against a cause that the report does not count.
 Test(soakchecker, excusedAnswersAreCountedByCause)
