--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -107,18 +107,19 @@
 {
     caller.daemon
         = static_cast<std::size_t>(m_random.number(0, static_cast<int>(m_daemons.count()) - 1));
-    PooledConnection &pooled = caller.pool[caller.daemon];
-    if (pooled.connection && pooled.connection->isReusable() && m_random.chance(reuseShare))
+    const auto pooled = caller.pool.find(caller.daemon);
+    const bool isReusable = pooled != caller.pool.end() && pooled->second.connection->isReusable();
+    if (isReusable && m_random.chance(reuseShare))
         return true;
     const auto incarnation = m_daemons.incarnation(caller.daemon);
     if (!incarnation)
         return false;
     const net::Address address {"127.0.0.1", m_daemons.callerPort(caller.daemon)};
-    pooled
-        = {std::make_unique<http::ClientConnection>(m_loop, address, connectTimeout), *incarnation};
-    pooled.connection->setIdleEndHandler([this, &caller, daemon = caller.daemon] {
+    auto connection = std::make_unique<http::ClientConnection>(m_loop, address, connectTimeout);
+    connection->setIdleEndHandler([this, &caller, daemon = caller.daemon] {
         m_schedule.after({}, [&caller, daemon] { removeIfClosed(caller, daemon); });
     });
+    caller.pool[caller.daemon] = {std::move(connection), *incarnation};
     return true;
 }
 
