Hold no deadline against a process that was frozen as a request was sent

Requests for long streams outlast the stable window, so that a process that read one late, after it had been frozen, counted as undisturbed when it sent it on.

The daemon can't know of the time before it reads a request. A test covers both directions.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -219,6 +219,9 @@
     if (request.abandonedAt && at - *request.abandonedAt > answerSlack)
         addViolation(Check::LeftCaller, request,
                      "reached " + endpoint.value() + " after its caller disconnected");
+    // The process may have read a long request only when it resumed, several seconds before.
+    if (m_processes.at(request.sent.incarnation).frozenUntil > request.sentAt)
+        return;
     count(Check::Deadline);
     if (deadline > request.sentAt + request.sent.deadline - at + answerSlack)
         addViolation(Check::Deadline, request,
--- a/tests/e2e/tst_soakanswers.cpp
+++ b/tests/e2e/tst_soakanswers.cpp
@@ -36,6 +36,27 @@
     fixture.expectOnlyViolationsOf(Check::LostAnswer);
 }
 
+// Guards against a violation that is reported because a frozen process read a request late, and
+// forwarded it again after the stable window, which long streams outlast.
+Test(soakchecker, deadlineOfRequestReadLateIsNoViolation)
+{
+    for (const bool isFrozen : {true, false}) {
+        CheckerFixture fixture;
+        const auto id = fixture.send("r1", RequestKind::ResumableStream, "/get/");
+        if (isFrozen)
+            fixture.checker.processFrozen(fixture.incarnation, true, fixture.now);
+        fixture.now += seconds(1);
+        if (isFrozen)
+            fixture.checker.processFrozen(fixture.incarnation, false, fixture.now);
+        fixture.now += Bounds {}.stableWindow + milliseconds(100);
+        fixture.checker.requestReceived(id, endpoint, seconds(4), fixture.now);
+        if (isFrozen)
+            fixture.expectNoViolation();
+        else
+            fixture.expectOnlyViolationsOf(Check::Deadline);
+    }
+}
+
 // Guards against an interruption at one endpoint that excuses the answer of the next one, or of an
 // endpoint that did not run the request.
 Test(soakchecker, interruptionExcusesOnlyTheInterruptedRun)
