Take a late answer for changes, not for contact with the store

Found by reading: the answer to a watch that had been given up counted as a success of the store's calls. One that was written before an outage could end that outage up to 2.5 s early, and entries of endpoints that expired in it would count as gone as soon as the store returned.

Test: storecontact/lateAnswerIsNoSignOfAReachableStore (the interface that it tests is new). watchrelay, controlclient and adapterversions pass.

--- a/src/libs/decisions/storecontact.h
+++ b/src/libs/decisions/storecontact.h
@@ -13,6 +13,9 @@
     /// A call is answered; the answer includes all changes that were made before `asOf`, which may
     /// be long ago.
     void recordSuccess(core::TimePoint asOf);
+    /// The answer to a call that counted as failed has arrived. It brings changes, but does not
+    /// show that the store can be called now.
+    void recordLateAnswer(core::TimePoint asOf);
     void recordFailure() { ++m_failures; }
 
     /// Whether the last call succeeded.
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -166,20 +166,25 @@
         return;
     }
     recordSuccess(events->asOf);
-    if (events->sinceEra != m_position.era) {
+    applyWatchAnswer(*std::move(events));
+}
+
+void StoreFollower::applyWatchAnswer(platform::ObjectEvents events)
+{
+    if (events.sinceEra != m_position.era) {
         // The store came back from a copy and has given out the watched revision again.
         start();
         return;
     }
-    moveTo(events->position);
-    m_objects.applyEvents(events->events);
-    const bool hasEvents = !events->events.empty();
+    moveTo(events.position);
+    m_objects.applyEvents(events.events);
+    const bool hasEvents = !events.events.empty();
     m_hasNewChanges = hasEvents;
-    processEvents(events->events);
+    processEvents(events.events);
     core::Duration nextDelay {};
     if (hasEvents)
         nextDelay = m_kind == platform::ObjectKind::Endpoints ? endpointEventDelay : eventDelay;
-    m_relay.recordWatchResult(m_kind, *events, nextDelay);
+    m_relay.recordWatchResult(m_kind, events, nextDelay);
     if (hasEvents)
         m_nextCallTimer = m_timers.once(nextDelay, [this] { watchNext(); });
     else
@@ -195,7 +200,9 @@
         || since != m_position)
         return;
     m_nextCallTimer.cancel();
-    handleWatchResult(std::move(events));
+    m_isWatching = false;
+    m_contact.recordLateAnswer(events->asOf);
+    applyWatchAnswer(*std::move(events));
 }
 
 // Ignores an event whose handler throws; without the guard, following the store would end.
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -62,6 +62,7 @@
     void finishList();
     void watchNext();
     void handleWatchResult(absl::StatusOr<platform::ObjectEvents> events);
+    void applyWatchAnswer(platform::ObjectEvents events);
     /// Takes the changes in the answer to a watch from `since` that was given up.
     void handleLateAnswer(const core::StorePosition &since,
                           absl::StatusOr<platform::ObjectEvents> events);
--- a/tests/auto/storecontact/tst_storecontact.cpp
+++ b/tests/auto/storecontact/tst_storecontact.cpp
@@ -70,3 +70,17 @@
     cr_assert_eq(contact.changedAfter(), core::TimePoint());
     cr_assert_eq(contact.confirmedAt(), at(0));
 }
+
+// Guards against an outage that ends with an answer that was written before it: entries that
+// expired in it would count as gone as soon as the store returns.
+Test(storecontact, lateAnswerIsNoSignOfAReachableStore)
+{
+    StoreContact contact;
+    contact.recordSuccess(at(0));
+    contact.recordFailure();
+    contact.recordLateAnswer(at(500));
+    cr_assert_not(contact.isReachable());
+    cr_assert_eq(contact.failures(), 1);
+    cr_assert_eq(contact.changedAfter(), at(0));
+    cr_assert_eq(contact.confirmedAt(), at(500));
+}
