RunTimes among the decisions; comments that say what the code does

RunTimes has no sockets, clocks or threads, so that it belongs to decisions. It gets a test of its own, routesKeepTheirOwnTimes; before, only a test with real daemons covered it.

--- a/src/libs/decisions/runtimeestimator.cpp
+++ b/src/libs/decisions/runtimeestimator.cpp
@@ -12,7 +12,7 @@
 constexpr double nearlyCertainFactor = 10;
 // Also of work that has always been short: one pause of its endpoint may take that long.
 constexpr core::Duration minNearlyCertain = std::chrono::seconds(2);
-// A single endpoint that hangs must not refute the prediction for all others.
+// An endpoint that hangs does not refute the prediction while others answer in time.
 constexpr double maxSlowShare = 0.5;
 
 } // namespace
--- a/src/libs/decisions/runtimeestimator.h
+++ b/src/libs/decisions/runtimeestimator.h
@@ -23,18 +23,16 @@
 public:
     /// Records a request that was answered at `now`.
     void record(core::TimePoint sentAt, core::TimePoint now);
-    /// A duration that hardly any request exceeds; empty while there are too few samples, and once
-    /// the prediction is refuted.
+    /// A duration that hardly any request exceeds; empty while there are too few samples, and while
+    /// the prediction is refuted unless Confidence::Possible suffices.
     std::optional<core::Duration> longestExpected(Confidence confidence = Confidence::Likely) const;
-
     /// The longest sample, with the same margins; zero without samples.
     core::Duration scaledLongest(Confidence confidence) const;
-
     /// From now on requests are compared with the samples until `now`. Those that take up to
     /// `negligible` never count as slow.
     void beginObservation(core::TimePoint now, core::Duration negligible);
-    /// Refutes the prediction if requests that were sent since beginObservation() take much longer
-    /// than those before. `inProgress` are the times at which unanswered requests were sent.
+    /// Refutes the prediction while most requests that were sent since beginObservation() take
+    /// longer than any before. `inProgress` are the times at which unanswered requests were sent.
     void checkInProgress(const std::vector<core::TimePoint> &inProgress, core::TimePoint now);
     bool isRefuted() const { return m_isRefuted; }
 
--- a/src/libs/decisions/runtimes.cpp
+++ b/src/libs/decisions/runtimes.cpp
@@ -1,9 +1,9 @@
-#include "gateway/runtimes.h"
+#include "decisions/runtimes.h"
 
 #include <algorithm>
 #include <set>
 
-namespace jackdawlead::gateway {
+namespace jackdawlead::decisions {
 
 RunTimes::ServiceKey RunTimes::keyOf(const core::ServiceId &service, const fleet::Route &route)
 {
@@ -24,7 +24,7 @@
 
 std::optional<core::Duration> RunTimes::longestExpected(const core::ServiceId &service,
                                                         const fleet::Route &route,
-                                                        decisions::Confidence confidence) const
+                                                        Confidence confidence) const
 {
     const auto all = m_services.find(keyOf(service, route));
     const auto expected = all != m_services.end() ? all->second.longestExpected(confidence)
@@ -32,7 +32,7 @@
     const auto own = m_routes.find(keyOf(route));
     if (!expected || own == m_routes.end())
         return expected;
-    if (own->second.isRefuted() && confidence != decisions::Confidence::Possible)
+    if (own->second.isRefuted() && confidence != Confidence::Possible)
         return std::nullopt;
     return std::max(*expected, own->second.scaledLongest(confidence));
 }
@@ -67,4 +67,4 @@
     std::erase_if(m_routes, [&](const auto &entry) { return !retained.contains(entry.first); });
 }
 
-} // namespace jackdawlead::gateway
+} // namespace jackdawlead::decisions
--- a/src/libs/decisions/runtimes.h
+++ b/src/libs/decisions/runtimes.h
@@ -11,7 +11,7 @@
 #include <utility>
 #include <vector>
 
-namespace jackdawlead::gateway {
+namespace jackdawlead::decisions {
 
 /// A request at an endpoint.
 struct RequestInProgress
@@ -32,7 +32,7 @@
     /// A duration that hardly any request of the route exceeds; empty if that is not known.
     std::optional<core::Duration> longestExpected(const core::ServiceId &service,
                                                   const fleet::Route &route,
-                                                  decisions::Confidence confidence) const;
+                                                  Confidence confidence) const;
     /// See RunTimeEstimator::beginObservation().
     void beginObservation(core::TimePoint now, core::Duration negligible);
     /// Compares the predictions with the requests in progress.
@@ -47,8 +47,8 @@
     static ServiceKey keyOf(const core::ServiceId &service, const fleet::Route &route);
     static RouteKey keyOf(const fleet::Route &route);
 
-    std::map<ServiceKey, decisions::RunTimeEstimator> m_services;
-    std::map<RouteKey, decisions::RunTimeEstimator> m_routes;
+    std::map<ServiceKey, RunTimeEstimator> m_services;
+    std::map<RouteKey, RunTimeEstimator> m_routes;
 };
 
-} // namespace jackdawlead::gateway
+} // namespace jackdawlead::decisions
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -41,8 +41,7 @@
 {
     if (madeAfter == core::TimePoint())
         return "of unknown age";
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - madeAfter);
-    return absl::StrCat("at most ", age.count(), " ms ago");
+    return absl::StrCat("at most ", core::toMilliseconds(now - madeAfter), " ms ago");
 }
 
 } // namespace
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -389,7 +389,7 @@
 
 void Gateway::checkRunTimes()
 {
-    std::vector<RequestInProgress> requests;
+    std::vector<decisions::RequestInProgress> requests;
     requests.reserve(m_requests.size());
     for (const auto &[number, task] : m_requests) {
         if (const auto request = task->inProgress())
--- a/src/libs/gateway/requestattempts.cpp
+++ b/src/libs/gateway/requestattempts.cpp
@@ -30,13 +30,13 @@
     return attempts;
 }
 
-std::optional<RequestInProgress> RequestTask::inProgress() const
+std::optional<decisions::RequestInProgress> RequestTask::inProgress() const
 {
     const auto attempts = attemptsInProgress();
     if (attempts.empty())
         return std::nullopt;
     const auto *first = *std::ranges::min_element(attempts, {}, &RequestAttempt::sentAt);
-    return RequestInProgress {m_service, m_route, first->sentAt};
+    return decisions::RequestInProgress {m_service, m_route, first->sentAt};
 }
 
 void RequestTask::dropOtherAttempts()
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -7,13 +7,13 @@
 #include "decisions/placementview.h"
 #include "decisions/requestcostestimator.h"
 #include "decisions/retrybudget.h"
+#include "decisions/runtimes.h"
 #include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
 #include "gateway/crashguard.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/ratelimits.h"
-#include "gateway/runtimes.h"
 #include "gateway/streamversions.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -43,7 +43,7 @@
     decisions::BufferBudget &buffers;
     decisions::PlacementView placement;
     std::map<core::ServiceId, decisions::RetryBudget> budgets;
-    RunTimes runTimes;
+    decisions::RunTimes runTimes;
     decisions::RequestCostEstimator cost; ///< Of requests for models.
     /// Requests for adapters since the last report to the coordinator.
     std::unordered_map<fleet::AdapterKey, int> demand;
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -61,7 +61,7 @@
 {
     if (!m_route->isRepeatable())
         return;
-    // The daemon itself holds back what the endpoint sends.
+    // The daemon itself delays what the endpoint sends.
     if (m_isReadPaused || m_attempt->awaitsRecord) {
         checkStallAfter(replacementInterval);
         return;
@@ -91,8 +91,8 @@
     });
 }
 
-// The silent endpoint may go on at any moment, and the other one may refuse the request or let it
-// wait. So both have it until one of them sends an event or an answer.
+// The silent endpoint may resume at any moment, and the other one may refuse the request or queue
+// it. So both keep it until one of them sends an event or an answer.
 void RequestTask::handleStall()
 {
     const int inProgress = static_cast<int>(m_otherAttempts.size()) + 1;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -19,7 +19,7 @@
 
 /// Serves one request of a client: selects an endpoint, sends the request, forwards the answer and
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
-/// endpoint at a time, unless that one is silent; then the first one that goes on serves it.
+/// endpoint at a time, unless that one is silent; then the first one that makes progress serves it.
 /// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
 /// clients take up), requestattempts.cpp (the attempts in progress), requestanswer.cpp (the
 /// endpoint's answer), requestreplacement.cpp (silent endpoints), requestbuffers.cpp (the memory
@@ -48,7 +48,7 @@
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
     /// The request at the endpoint that has it longest; empty if none has it.
-    std::optional<RequestInProgress> inProgress() const;
+    std::optional<decisions::RequestInProgress> inProgress() const;
     bool isWaiting() const { return m_isWaiting || m_attempt->awaitsRecord; }
 
 private:
--- a/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
+++ b/tests/auto/runtimeestimator/tst_runtimeestimator.cpp
@@ -1,4 +1,5 @@
 #include "decisions/runtimeestimator.h"
+#include "decisions/runtimes.h"
 
 #include <criterion/criterion.h>
 
@@ -137,3 +138,25 @@
         estimator.record(now, now + milliseconds(60));
     cr_assert_geq(*estimator.longestExpected(Confidence::NearlyCertain), seconds(2));
 }
+
+// Guards against a rare route with long work that is predicted from the short work of its service,
+// and against times of routes that are kept for ever.
+Test(runtimeestimator, routesKeepTheirOwnTimes)
+{
+    const core::ServiceId service("plain");
+    fleet::Route shortWork;
+    shortWork.pathPrefix = "/get/";
+    fleet::Route longWork;
+    longWork.pathPrefix = "/order/";
+    RunTimes times;
+    times.record(service, longWork, now, now + seconds(3));
+    for (int number = 0; number < 64; ++number)
+        times.record(service, shortWork, now, now + milliseconds(20));
+    const auto expected = [&](const fleet::Route &route) {
+        return *times.longestExpected(service, route, Confidence::Likely);
+    };
+    cr_assert_lt(expected(shortWork), milliseconds(100));
+    cr_assert_gt(expected(longWork), seconds(3));
+    times.retainRoutes({shortWork});
+    cr_assert_lt(expected(longWork), milliseconds(100));
+}
