Log the configuration beside answers that end before they are whole

Neither a log line nor a metric said which configuration was in force, and since when, as a run or an answer was ended. So nobody could count whether a daemon cuts answers more often beside a change of the configuration, which is what tells the hypotheses of the incident apart. 'abort stream' and 'drop' name it, 'jackdawlead_interrupted_answers_total' counts by it, and 'jackdawctl explain' shows the lines 'drop', 'continue' and 'configuration'.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -172,6 +172,7 @@
     m_configurationEra = object.position.era;
     m_configurationHash = hash;
     m_routes = std::make_shared<const decisions::RouteTable>(*std::move(configuration));
+    m_configuredAt = m_timers.now();
     observability::log(
         {.step = "configuration",
          .message = absl::StrCat("version ", m_routes->generation().value(),
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -62,6 +62,8 @@
     /// The configuration in force; nullptr until one is known. Its generation never decreases while
     /// the process runs.
     const std::shared_ptr<const decisions::RouteTable> &routes() const { return m_routes; }
+    /// Since when it is in force here; the clock's epoch until one is known.
+    core::TimePoint configuredAt() const { return m_configuredAt; }
     const std::map<core::EndpointId, fleet::Endpoint> &endpoints() const { return m_endpoints; }
     const fleet::Endpoint *endpoint(const core::EndpointId &id) const;
     /// Marks an incarnation of an endpoint as leaving, because the endpoint announced it to this or
@@ -112,6 +114,7 @@
     StoreFollower m_endpointFollower;
     StoreFollower m_versionFollower;
     std::shared_ptr<const decisions::RouteTable> m_routes;
+    core::TimePoint m_configuredAt;
     core::StoreEra m_configurationEra;   ///< Of the record of m_routes.
     std::size_t m_configurationHash = 0; ///< The same.
     std::map<core::EndpointId, fleet::Endpoint> m_endpoints;
--- a/src/libs/gateway/requestattempts.cpp
+++ b/src/libs/gateway/requestattempts.cpp
@@ -51,7 +51,9 @@
             {.level = observability::LogLevel::Info,
              .step = "drop",
              .message = absl::StrCat("send ", attempt->number, " after ",
-                                     core::toMilliseconds(now() - attempt->sentAt), " ms: ", cause),
+                                     core::toMilliseconds(now() - attempt->sentAt), " ms, ",
+                                     attempt->isQueued() ? "without an answer" : "while it answers",
+                                     ": ", cause, ", ", describeConfiguration()),
              .peer = attempt->endpoint.value(),
              .request = m_fields.id.value()});
         dropConnection(*attempt);
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -16,6 +16,8 @@
 // which is 4 s for such work on both deployments.
 constexpr core::Duration disconnectedWorkTimeout = std::chrono::seconds(10);
 constexpr double retryAfterJitter = 0.5;
+// Added to the bound within which a configuration must be in force, for what it may have caused.
+constexpr core::Duration configurationEffectTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -150,13 +152,17 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "abort stream",
-         .message = absl::StrCat(
-             core::toAbsl(cause), ", ", describeProgress(), ", connection closed ",
-             core::toMilliseconds(now() - m_exchange->receivedAt), " ms after its arrival and ",
-             core::toMilliseconds(now() - interruptedAt),
-             " ms after the stream was interrupted, sends ", m_sends, ", may have run ", m_runs),
+         .message
+         = absl::StrCat(core::toAbsl(cause), ", ", describeProgress(), ", connection closed ",
+                        core::toMilliseconds(now() - m_exchange->receivedAt),
+                        " ms after its arrival and ", core::toMilliseconds(now() - interruptedAt),
+                        " ms after the stream was interrupted, sends ", m_sends, ", may have run ",
+                        m_runs, ", ", describeConfiguration()),
          .peer = m_attempt->endpoint.value(),
          .request = m_fields.id.value()});
+    m_context.metrics.recordInterruptedAnswer(now() - m_context.watch.configuredAt()
+                                              <= m_context.settings.bounds.configuration
+                                                  + configurationEffectTime);
     m_exchange->abort();
     finish();
 }
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -171,6 +171,14 @@
          .request = m_fields.id.value()});
 }
 
+std::string RequestTask::describeConfiguration() const
+{
+    const auto &routes = m_context.watch.routes();
+    return absl::StrCat("configuration ", routes ? routes->generation().value() : 0,
+                        " in force for ",
+                        core::toMilliseconds(now() - m_context.watch.configuredAt()), " ms");
+}
+
 std::string RequestTask::describeProgress() const
 {
     if (!m_times.hasEvents())
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -189,6 +189,8 @@
     void logSilence(const fleet::Endpoint *replacement);
     /// The last event that the client has, as text for the log.
     std::string describeProgress() const;
+    /// The configuration in force and its age, as text for the log.
+    std::string describeConfiguration() const;
     fleet::AdapterKey adapterKey() const { return {m_fields.model, m_fields.adapter}; }
     core::TimePoint deadline() const;
     core::TimePoint now() const { return m_context.timers.now(); }
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -40,6 +40,9 @@
                          "Sends beyond the first of a request, by cause"))
     , m_orders(counters(*m_registry, "jackdawlead_orders_total",
                         "Orders to endpoints by operation and result"))
+    , m_interruptedAnswers(counters(*m_registry, "jackdawlead_interrupted_answers_total",
+                                    "Answers broken off after their begin, by whether the "
+                                    "configuration was new then"))
     , m_truncatedStreams(counters(*m_registry, "jackdawlead_truncated_streams_total",
                                   "Streams of endpoints that ended inside an event, by what "
                                   "delimited them"))
@@ -111,6 +114,12 @@
     m_retries.Add({{"cause", cause}}).Increment();
 }
 
+void GatewayMetrics::recordInterruptedAnswer(bool isConfigurationRecent)
+{
+    m_interruptedAnswers.Add({{"configuration", isConfigurationRecent ? "recent" : "older"}})
+        .Increment();
+}
+
 void GatewayMetrics::recordTruncatedStream(bool isAtClose)
 {
     m_truncatedStreams.Add({{"delimiter", isAtClose ? "close" : "framing"}}).Increment();
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -24,6 +24,9 @@
     void recordResponse(int status, core::Duration total);
     void recordRefusal(const std::string &cause);
     void recordRetry(const std::string &cause);
+    /// Records an answer that was broken off after its begin; `isConfigurationRecent` if the
+    /// configuration in force was applied only some seconds before.
+    void recordInterruptedAnswer(bool isConfigurationRecent);
     /// Records a stream that ended as its framing says, but inside an event or without any;
     /// `isAtClose` if the end of the connection delimited it.
     void recordTruncatedStream(bool isAtClose);
@@ -69,6 +72,7 @@
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_orders;
+    prometheus::Family<prometheus::Counter> &m_interruptedAnswers;
     prometheus::Family<prometheus::Counter> &m_truncatedStreams;
     prometheus::Histogram &m_responseTime;
     prometheus::Histogram &m_firstEvent;
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -13,13 +13,23 @@
 
 // Steps with log lines that give the cause of a late, repeated, refused or failed request; final
 // outcomes come last.
-constexpr const char *causeSteps[] = {"wait for permit", "blocked part", "resume",  "late",
-                                      "silent endpoint", "send again",   "give up", "caller left",
-                                      "refuse",          "abort stream", "fail"};
+constexpr const char *causeSteps[] = {"wait for permit",
+                                      "blocked part",
+                                      "resume",
+                                      "late",
+                                      "silent endpoint",
+                                      "drop",
+                                      "continue",
+                                      "send again",
+                                      "give up",
+                                      "caller left",
+                                      "refuse",
+                                      "abort stream",
+                                      "fail"};
 // Steps with log lines that concern an endpoint or a daemon, independent of a request.
 constexpr const char *contextSteps[]
-    = {"endpoint", "part of prompts", "request limit", "lease for orders", "store era", "stop",
-       "start"};
+    = {"endpoint",  "part of prompts", "request limit", "lease for orders",
+       "store era", "configuration",   "stop",          "start"};
 // A crash is detected within a second or two of the first broken connection.
 constexpr int contextSeconds = 3;
 
