--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -34,32 +34,32 @@
 
 void RequestTask::handleHead(http::MessageHead &head)
 {
-    m_attempt->headAt = now();
+    attempt().headAt = now();
     if (!applyForwardOutcome(head))
         return;
-    m_attempt->traits = platform::parseResponseTraits(head);
-    m_context.pool.recordActivity(m_attempt->endpoint);
-    const bool isOwnAnswer = m_attempt->traits.isStamped && !m_attempt->traits.isMisdirected;
+    attempt().traits = platform::parseResponseTraits(head);
+    m_context.pool.recordActivity(attempt().endpoint);
+    const bool isOwnAnswer = attempt().traits.isStamped && !attempt().traits.isMisdirected;
     m_context.limits.recordResponse(
-        m_attempt->endpoint, m_attempt->incarnation,
-        platform::parseRequestLimit(head.status, head.headers, m_attempt->endpoint), isOwnAnswer,
-        m_attempt->sentAt);
+        attempt().endpoint, attempt().incarnation,
+        platform::parseRequestLimit(head.status, head.headers, attempt().endpoint), isOwnAnswer,
+        attempt().sentAt);
     m_context.refusalLimits.recordAnswer(
-        m_service, platform::parseRefusalLimit(head.headers, m_attempt->endpoint), now());
+        m_service, platform::parseRefusalLimit(head.headers, attempt().endpoint), now());
     applyEndpointState(head);
     // The end of such an answer does not show whether the endpoint is sound, but its begin does.
     if (isOwnAnswer && head.status < 500 && !head.isDelimited())
-        m_context.pool.health(m_attempt->endpoint).recordSuccess();
-    m_attempt->isStream = isStreamHead(head);
-    m_attempt->answer = std::move(head);
-    if (!m_attempt->isStream && m_exchange->head.method != "HEAD")
-        reserveAnswer(m_attempt->answer.contentLength);
+        m_context.pool.health(attempt().endpoint).recordSuccess();
+    attempt().isStream = isStreamHead(head);
+    attempt().answer = std::move(head);
+    if (!attempt().isStream && m_exchange->head.method != "HEAD")
+        reserveAnswer(attempt().answer.contentLength);
 }
 
 bool RequestTask::isStreamHead(const http::MessageHead &head) const
 {
-    return m_route->isStream && head.status == 200 && m_attempt->traits.isStamped
-        && !m_attempt->traits.hasContentEncoding
+    return m_route->isStream && head.status == 200 && attempt().traits.isStamped
+        && !attempt().traits.hasContentEncoding
         && (!m_isForwarding || mediaTypeOf(head) == m_mediaType);
 }
 
@@ -70,25 +70,25 @@
     if (m_isForwarding)
         return;
     m_isForwarding = true;
-    m_attempt->awaitsRecord = false;
-    m_mediaType = mediaTypeOf(m_attempt->answer);
+    attempt().awaitsRecord = false;
+    m_mediaType = mediaTypeOf(attempt().answer);
     if (!m_origin)
-        applyOrigin({m_service, m_attempt->softwareVersion});
+        applyOrigin({m_service, attempt().softwareVersion});
     m_context.streams.recordBegin(begunBy(), *m_origin);
-    m_exchange->startChunked(m_attempt->answer.status,
-                             platform::forwardedResponseHeaders(m_attempt->answer));
+    m_exchange->startChunked(attempt().answer.status,
+                             platform::forwardedResponseHeaders(attempt().answer));
 }
 
 // The handlers run in the next event loop iteration because they may end other requests.
 void RequestTask::applyEndpointState(const http::MessageHead &head)
 {
-    const bool isLeaving = platform::announcesLeaving(head.headers, m_attempt->endpoint);
-    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_attempt->endpoint);
-    if (endpoint == nullptr || (!isLeaving && !m_attempt->traits.retryAfter))
+    const bool isLeaving = platform::announcesLeaving(head.headers, attempt().endpoint);
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(attempt().endpoint);
+    if (endpoint == nullptr || (!isLeaving && !attempt().traits.retryAfter))
         return;
-    if (m_attempt->traits.retryAfter)
-        m_context.pool.setBackoff(*endpoint, now() + *m_attempt->traits.retryAfter);
-    m_context.loop.post([&context = m_context, isLeaving, id = m_attempt->endpoint,
+    if (attempt().traits.retryAfter)
+        m_context.pool.setBackoff(*endpoint, now() + *attempt().traits.retryAfter);
+    m_context.loop.post([&context = m_context, isLeaving, id = attempt().endpoint,
                          startTime = endpoint->startTime] {
         if (isLeaving) {
             context.leaving[id] = startTime;
@@ -101,72 +101,72 @@
 
 void RequestTask::handleBody(std::string_view bytes)
 {
-    if (!m_attempt->via)
+    if (!attempt().via)
         m_context.paths.recordActivity();
-    if (!m_attempt->isStream) {
+    if (!attempt().isStream) {
         bufferAnswer(bytes);
         return;
     }
-    if (m_attempt->isStreamMalformed)
+    if (attempt().isStreamMalformed)
         return;
     std::string events;
-    const auto lastId = m_attempt->events.lastId();
-    m_attempt->isStreamMalformed
-        = m_attempt->events.feed(bytes, events) == EventFilter::Result::Broken;
-    if (m_attempt->isStreamMalformed)
+    const auto lastId = attempt().events.lastId();
+    attempt().isStreamMalformed
+        = attempt().events.feed(bytes, events) == EventFilter::Result::Broken;
+    if (attempt().isStreamMalformed)
         endExchangeAsMalformed(); // The remaining bytes may be endless.
     // Comments are no progress, because a stalled endpoint may continue to send them.
-    const bool hasProgress = m_attempt->events.lastId() != lastId
-        || (!m_attempt->events.lastId() && events.find(dataField) != std::string::npos);
-    if (!shareAnswer(m_attempt->heldEvents.size() + events.size()
-                     + m_attempt->events.incompleteEvent().size()))
+    const bool hasProgress = attempt().events.lastId() != lastId
+        || (!attempt().events.lastId() && events.find(dataField) != std::string::npos);
+    if (!shareAnswer(attempt().heldEvents.size() + events.size()
+                     + attempt().events.incompleteEvent().size()))
         return;
-    m_attempt->heldEvents += events;
+    attempt().heldEvents += events;
     if (hasProgress)
         handleProgress();
     if (m_isForwarding)
         forwardEvents();
-    else if (m_attempt->heldEvents.size() > maxUnsentBytes)
+    else if (attempt().heldEvents.size() > maxUnsentBytes)
         endExchangeAsMalformed(); // Endless comments without an event.
 }
 
 void RequestTask::handleProgress()
 {
-    m_context.pool.recordActivity(m_attempt->endpoint);
-    dropOtherAttempts();
+    m_context.pool.recordActivity(attempt().endpoint);
     recordPrefillCost();
-    endPrefill(*m_attempt);
-    if (!m_attempt->runBeganAt) {
-        m_attempt->runBeganAt = now();
-        m_finder.requireVersion(m_attempt->adapterVersion.value_or(0));
-        m_finder.recordRunVersion(m_attempt->traits.version.value_or(0));
+    endPrefill(attempt());
+    if (!attempt().runBeganAt) {
+        attempt().runBeganAt = now();
+        m_finder.requireVersion(attempt().adapterVersion.value_or(0));
+        m_finder.recordRunVersion(attempt().traits.version.value_or(0));
     }
-    if (!m_attempt->isSound && now() - *m_attempt->runBeganAt >= soundRunTime)
+    m_attempts.endOthers(decisions::RunEnd::Replaced);
+    if (!attempt().isSound && now() - *attempt().runBeganAt >= soundRunTime)
         recordSoundRun();
     if (m_isForwarding) {
         m_times.recordEvents(now());
         return;
     }
-    if (!m_attempt->awaitsRecord)
+    if (!attempt().awaitsRecord)
         m_context.streams.recordBegin(
-            begunBy(), m_origin.value_or(StreamOrigin {m_service, m_attempt->softwareVersion}));
+            begunBy(), m_origin.value_or(StreamOrigin {m_service, attempt().softwareVersion}));
     forwardEvents();
 }
 
 // A client that has an event may take the stream up at a daemon that knows it only from the store.
 void RequestTask::forwardEvents()
 {
-    m_attempt->awaitsRecord = !m_isForwarding && !m_origin && m_route->isRepeatable()
-        && m_context.streams.mustHoldFirstEvent(m_fields.id, m_service, *m_attempt->runBeganAt);
-    if (m_attempt->awaitsRecord)
+    attempt().awaitsRecord = !m_isForwarding && !m_origin && m_route->isRepeatable()
+        && m_context.streams.mustHoldFirstEvent(m_fields.id, m_service, *attempt().runBeganAt);
+    if (attempt().awaitsRecord)
         return;
     if (!m_isForwarding)
         m_times.recordEvents(now());
     startForwarding();
-    if (m_attempt->heldEvents.empty())
+    if (attempt().heldEvents.empty())
         return;
-    m_exchange->writeChunk(std::exchange(m_attempt->heldEvents, {}));
-    m_attempt->answerShare.resize(m_attempt->events.incompleteEvent().size());
+    m_exchange->writeChunk(std::exchange(attempt().heldEvents, {}));
+    attempt().answerShare.resize(attempt().events.incompleteEvent().size());
     applyBackpressure();
 }
 
@@ -179,37 +179,37 @@
 
 void RequestTask::recordSoundRun()
 {
-    m_attempt->isSound = true;
+    attempt().isSound = true;
     m_context.crashes.recordSound(m_identity);
 }
 
 void RequestTask::endExchangeAsMalformed()
 {
-    m_context.loop.post([weak = weak_from_this(), number = m_attempt->number] {
+    m_context.loop.post([weak = weak_from_this(), number = attempt().number] {
         const auto self = weak.lock();
-        if (!self || !self->selectAttempt(number))
+        if (!self || !self->m_attempts.select(number))
             return;
         self->runGuarded([&self] {
-            self->m_attempt->connection->abandon();
-            self->handleExchangeEnd(http::ExchangeEnd::Malformed);
+            if (self->m_attempts.endCurrent(decisions::RunEnd::InvalidAnswer))
+                self->handleExchangeEnd(http::ExchangeEnd::Malformed);
         });
     });
 }
 
 void RequestTask::recordPrefillCost()
 {
-    if (m_attempt->pendingPrefillTokens == 0)
+    if (attempt().pendingPrefillTokens == 0)
         return;
-    m_context.cost.recordFirstEvent(m_attempt->pendingPrefillTokens, now() - m_attempt->sentAt,
-                                    m_attempt->wasLightlyLoaded);
+    m_context.cost.recordFirstEvent(attempt().pendingPrefillTokens, now() - attempt().sentAt,
+                                    attempt().wasLightlyLoaded);
     m_context.pool.setPrefillTokensPerSecond(m_context.cost.tokensPerSecond());
 }
 
 // Failures and the rest of a stream take less time than whole answers.
 void RequestTask::recordRunTime()
 {
-    if (m_attempt->answer.status < firstFailureStatus && m_runs == 0 && !isTakeUp())
-        m_context.runTimes.record(m_service, *m_route, m_attempt->sentAt, now());
+    if (attempt().answer.status < firstFailureStatus && m_runs == 0 && !isTakeUp())
+        m_context.runTimes.record(m_service, *m_route, attempt().sentAt, now());
 }
 
 void RequestTask::endPrefill(RequestAttempt &attempt)
@@ -224,9 +224,9 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "late",
-         .message = absl::StrCat(m_times.describe(m_exchange->receivedAt, m_attempt->sentAt),
-                                 ", in progress there ", std::lround(m_attempt->loadAtSend)),
-         .peer = m_attempt->endpoint.value(),
+         .message = absl::StrCat(m_times.describe(m_exchange->receivedAt, attempt().sentAt),
+                                 ", in progress there ", std::lround(attempt().loadAtSend)),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
 }
 
@@ -241,8 +241,7 @@
     m_isReadPaused = isPaused;
     if (!isPaused)
         m_readResumedAt = now();
-    for (const RequestAttempt *attempt : attemptsInProgress())
-        attempt->connection->setReadEnabled(!isPaused);
+    m_attempts.setReadEnabled(!isPaused);
 }
 
 // The framing of an answer says where its bytes end, not whether its last event is whole: an
@@ -251,16 +250,16 @@
 {
     const bool isAtClose = end == http::ExchangeEnd::CompleteAtClose;
     // An endpoint that ends after the head leaves the same bytes as one without anything to say.
-    if (isAtClose && !m_attempt->isStream && m_attempt->answer.status < firstFailureStatus
-        && m_attempt->answerBody.empty())
+    if (isAtClose && !attempt().isStream && attempt().answer.status < firstFailureStatus
+        && attempt().answerBody.empty())
         return http::ExchangeEnd::Broken;
     const bool isWhole
-        = m_attempt->events.endsBetweenEvents() && (m_attempt->runBeganAt || !isAtClose);
-    if (!m_attempt->isStream || !http::isComplete(end) || isWhole)
+        = attempt().events.endsBetweenEvents() && (attempt().runBeganAt || !isAtClose);
+    if (!attempt().isStream || !http::isComplete(end) || isWhole)
         return end;
     m_context.metrics.recordTruncatedStream(isAtClose);
-    const std::string lastEvent = m_attempt->events.lastId()
-        ? absl::StrCat("event ", *m_attempt->events.lastId())
+    const std::string lastEvent = attempt().events.lastId()
+        ? absl::StrCat("event ", *attempt().events.lastId())
         : std::string("no event");
     observability::log(
         {.level = observability::LogLevel::Info,
@@ -268,27 +267,23 @@
          .message
          = absl::StrCat("stream ended inside an event or before its first one, ",
                         isAtClose ? "with its connection, " : "with a regular end of its framing, ",
-                        m_attempt->events.incompleteEvent().size(), " bytes after ", lastEvent),
-         .peer = m_attempt->endpoint.value(),
+                        attempt().events.incompleteEvent().size(), " bytes after ", lastEvent),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     return isAtClose ? http::ExchangeEnd::Broken : http::ExchangeEnd::Malformed;
 }
 
 void RequestTask::handleExchangeEnd(http::ExchangeEnd reportedEnd)
 {
-    m_attempt->isInProgress = false;
-    m_attempt->awaitsRecord = false;
     const bool isCloseDelimited
-        = reportedEnd == http::ExchangeEnd::Complete && m_attempt->isCloseDelimitedThere;
+        = reportedEnd == http::ExchangeEnd::Complete && attempt().isCloseDelimitedThere;
     const http::ExchangeEnd end
         = verifiedEnd(isCloseDelimited ? http::ExchangeEnd::CompleteAtClose : reportedEnd);
     const bool isForwardFailure
-        = http::isComplete(end) && m_attempt->outcome != ForwardOutcome::Answered;
+        = http::isComplete(end) && attempt().outcome != ForwardOutcome::Answered;
     if (http::isComplete(end) && !isForwardFailure)
-        m_context.pool.recordActivity(m_attempt->endpoint);
-    endPrefill(*m_attempt);
-    m_context.pool.endRequest(m_attempt->endpoint, adapterKey());
-    releaseConnection(*m_attempt);
+        m_context.pool.recordActivity(attempt().endpoint);
+    m_attempts.release();
     if (m_isDone) {
         // The client disconnected while at-most-once work ran, which must not be aborted.
         m_onDone(shared_from_this());
@@ -298,11 +293,11 @@
         handleForwardFailure();
         return;
     }
-    if (http::isComplete(end) && m_attempt->traits.isNotRun) {
+    if (http::isComplete(end) && attempt().traits.isNotRun) {
         handleRefusal();
         return;
     }
-    if (m_attempt->isStream || m_isForwarding) {
+    if (attempt().isStream || m_isForwarding) {
         handleStreamEnd(end);
         return;
     }
@@ -319,15 +314,15 @@
 
 void RequestTask::handleConnectionFailure(http::ExchangeEnd end)
 {
-    if (m_attempt->via)
+    if (attempt().via)
         handlePeerFailure(end);
     else if (end == http::ExchangeEnd::Broken)
-        m_context.crashes.recordBrokenExchange(m_attempt->endpoint, m_attempt->incarnation,
+        m_context.crashes.recordBrokenExchange(attempt().endpoint, attempt().incarnation,
                                                m_identity);
     else if (end == http::ExchangeEnd::ConnectFailed)
-        m_context.crashes.recordConnectFailure(m_attempt->endpoint, m_attempt->incarnation);
+        m_context.crashes.recordConnectFailure(attempt().endpoint, attempt().incarnation);
     else
-        m_context.crashes.recordMalformedAnswer(m_attempt->endpoint, m_attempt->incarnation);
+        m_context.crashes.recordMalformedAnswer(attempt().endpoint, attempt().incarnation);
 }
 
 // The fingerprint uses host, path and body because they are equal in every retry by the client; the
@@ -351,33 +346,33 @@
 {
     // It is not known whether the earlier run broke off after its last event. The client can ask
     // for the rest and sees then that an endpoint has none.
-    const bool isEmptyRest = m_isForwarding && !m_attempt->runBeganAt;
-    if (http::isComplete(end) && m_attempt->isStream && !m_attempt->isStreamMalformed
+    const bool isEmptyRest = m_isForwarding && !attempt().runBeganAt;
+    if (http::isComplete(end) && attempt().isStream && !attempt().isStreamMalformed
         && !isEmptyRest) {
-        if (m_attempt->answer.isDelimited())
-            m_context.pool.health(m_attempt->endpoint).recordSuccess();
-        if (m_attempt->answer.isDelimited() && m_attempt->runBeganAt)
+        if (attempt().answer.isDelimited())
+            m_context.pool.health(attempt().endpoint).recordSuccess();
+        if (attempt().answer.isDelimited() && attempt().runBeganAt)
             recordSoundRun();
-        if (m_attempt->runBeganAt && !m_isForwarding)
+        if (attempt().runBeganAt && !m_isForwarding)
             m_times.recordEvents(now());
         logIfLate();
         if (m_times.hasEvents()) {
             m_context.metrics.recordFirstEvent(m_times.firstAt() - m_exchange->receivedAt);
             m_context.metrics.recordLongestPause(m_times.longestGap());
-            if (m_sends == 1 && m_attempt->runBeganAt)
-                m_context.cost.recordStreamDuration(m_times.lastAt() - *m_attempt->runBeganAt);
+            if (m_sends == 1 && attempt().runBeganAt)
+                m_context.cost.recordStreamDuration(m_times.lastAt() - *attempt().runBeganAt);
         }
         recordRunTime();
-        m_status = m_attempt->answer.status;
+        m_status = attempt().answer.status;
         startForwarding();
-        m_exchange->writeChunk(m_attempt->heldEvents + m_attempt->events.incompleteEvent());
+        m_exchange->writeChunk(attempt().heldEvents + attempt().events.incompleteEvent());
         m_exchange->finishChunked();
         finish();
         return;
     }
-    m_attempt->isStreamMalformed = false;
-    if (http::isComplete(end) && (!m_attempt->isStream || isEmptyRest)) {
-        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
+    attempt().isStreamMalformed = false;
+    if (http::isComplete(end) && (!attempt().isStream || isEmptyRest)) {
+        m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
         m_interruptedAt = now();
         handleSendFailure(Failure::MayHaveRun, "answer is not the rest of the stream");
         return;
@@ -394,20 +389,20 @@
 
 void RequestTask::sendBufferedAnswer()
 {
-    const bool isUsable = !m_attempt->traits.hasContentEncoding
-        && (m_attempt->traits.isStamped || m_attempt->answer.status >= 300);
-    const bool isFailure = m_attempt->answer.status >= 500;
+    const bool isUsable = !attempt().traits.hasContentEncoding
+        && (attempt().traits.isStamped || attempt().answer.status >= 300);
+    const bool isFailure = attempt().answer.status >= 500;
     if (!isUsable) {
-        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
+        m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
         handleSendFailure(Failure::MayHaveRun, "answer is not the endpoint's own");
         return;
     }
     if (isFailure)
-        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
-    else if (m_attempt->answer.isDelimited())
-        m_context.pool.health(m_attempt->endpoint).recordSuccess();
+        m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
+    else if (attempt().answer.isDelimited())
+        m_context.pool.health(attempt().endpoint).recordSuccess();
     const bool isLate = deadline() - now() < minRemainingTime;
-    if (m_attempt->answer.status >= firstFailureStatus && !m_otherAttempts.empty()) {
+    if (attempt().answer.status >= firstFailureStatus && m_attempts.hasOthers()) {
         continueOtherAttempt(Failure::MayHaveRun, "endpoint answered with a failure");
         return;
     }
@@ -416,29 +411,28 @@
         return;
     }
     recordRunTime();
-    m_exchange->respond(m_attempt->answer.status,
-                        platform::forwardedResponseHeaders(m_attempt->answer),
-                        m_attempt->answerBody);
-    m_status = m_attempt->answer.status;
+    m_exchange->respond(attempt().answer.status,
+                        platform::forwardedResponseHeaders(attempt().answer), attempt().answerBody);
+    m_status = attempt().answer.status;
     finish();
 }
 
 void RequestTask::handleRefusal()
 {
     m_finder.recordRefusal(now());
-    const fleet::Endpoint *endpoint = m_context.watch.endpoint(m_attempt->endpoint);
+    const fleet::Endpoint *endpoint = m_context.watch.endpoint(attempt().endpoint);
     const core::Duration pause
         = m_context.refusalLimits.pauseAfterRefusal(m_service, m_context.daemonCount, now());
-    if (endpoint != nullptr && !m_attempt->traits.isMisdirected && pause > core::Duration::zero())
+    if (endpoint != nullptr && !attempt().traits.isMisdirected && pause > core::Duration::zero())
         m_context.pool.setBackoff(*endpoint, now() + pause);
-    if (m_attempt->traits.isMisdirected) {
+    if (attempt().traits.isMisdirected) {
         const fleet::AdapterKey key = adapterKey();
-        m_context.placement.recordPlacementMiss(m_attempt->endpoint, key);
-        m_context.placementMisses[m_attempt->endpoint].insert(key);
+        m_context.placement.recordPlacementMiss(attempt().endpoint, key);
+        m_context.placementMisses[attempt().endpoint].insert(key);
     }
     handleSendFailure(Failure::NotRun,
-                      m_attempt->traits.isMisdirected ? "endpoint lacks model, adapter or version"
-                                                      : "endpoint refused");
+                      attempt().traits.isMisdirected ? "endpoint lacks model, adapter or version"
+                                                     : "endpoint refused");
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestattempt.h
+++ b/src/libs/gateway/requestattempt.h
@@ -25,13 +25,16 @@
 
     /// Whether the endpoint has sent nothing of its answer yet.
     bool isQueued() const { return isInProgress && headAt == core::TimePoint(); }
+    /// Whether bytes of the request may have arrived at the endpoint. Precondition: isInProgress.
+    bool mayHaveSent() const { return m_connection->mayHaveSent(); }
+    /// Whether an earlier exchange used the connection. Precondition: isInProgress.
+    bool isConnectionReused() const { return m_connection->isReused(); }
 
     int number = 0; ///< Counts the sends of the request.
     core::EndpointId endpoint;
     fleet::StartTime incarnation {};       ///< Of the endpoint, when the request was sent.
     core::SoftwareVersion softwareVersion; ///< The same.
     std::optional<int> adapterVersion;     ///< That the endpoint held then, if known.
-    std::unique_ptr<http::ClientConnection> connection;
     /// The daemon that sends the request to the endpoint for this one, if there is one.
     std::optional<net::Address> via;
     ForwardOutcome outcome = ForwardOutcome::Answered; ///< What that daemon answered.
@@ -56,6 +59,10 @@
     std::optional<core::TimePoint> runBeganAt; ///< The first event of this run.
     EventFilter events;
     std::string heldEvents; ///< Complete events that were not forwarded yet.
+
+private:
+    friend class RequestAttempts;
+    std::unique_ptr<http::ClientConnection> m_connection; ///< While isInProgress.
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestattempts.cpp
+++ b/src/libs/gateway/requestattempts.cpp
@@ -1,118 +1,116 @@
-#include "gateway/requesttask.h"
-
-#include "observability/log.h"
-
-#include <absl/strings/str_cat.h>
+#include "gateway/requestattempts.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace jackdawlead::gateway {
 
-bool RequestTask::selectAttempt(int number)
+RequestAttempts::RequestAttempts(decisions::BufferBudget &buffers, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_current(std::make_unique<RequestAttempt>(buffers))
+{ }
+
+RequestAttempts::~RequestAttempts()
 {
-    if (m_attempt->number == number)
-        return m_attempt->isInProgress;
-    const auto found = std::ranges::find(m_otherAttempts, number, &RequestAttempt::number);
-    if (found == m_otherAttempts.end())
-        return false;
-    std::swap(m_attempt, *found);
-    return true;
+    m_isRequestEnded = true;
+    endOthers(decisions::RunEnd::RequestEnded);
+    endCurrent(decisions::RunEnd::RequestEnded);
 }
 
-std::vector<const RequestAttempt *> RequestTask::attemptsInProgress() const
+std::vector<const RequestAttempt *> RequestAttempts::inProgress() const
 {
     std::vector<const RequestAttempt *> attempts;
-    if (m_attempt->isInProgress)
-        attempts.push_back(m_attempt.get());
-    for (const auto &attempt : m_otherAttempts)
+    if (m_current->isInProgress)
+        attempts.push_back(m_current.get());
+    for (const auto &attempt : m_others)
         attempts.push_back(attempt.get());
     return attempts;
 }
 
-std::optional<decisions::RequestInProgress> RequestTask::inProgress() const
+bool RequestAttempts::select(int number)
 {
-    const auto attempts = attemptsInProgress();
-    if (attempts.empty())
-        return std::nullopt;
-    const auto *first = *std::ranges::min_element(attempts, {}, &RequestAttempt::sentAt);
-    return decisions::RequestInProgress {m_service, m_route, first->sentAt};
+    if (m_current->number == number)
+        return m_current->isInProgress;
+    const auto found = std::ranges::find(m_others, number, &RequestAttempt::number);
+    if (found == m_others.end())
+        return false;
+    std::swap(m_current, *found);
+    return true;
 }
 
-void RequestTask::dropOtherAttempts()
+void RequestAttempts::add(std::unique_ptr<RequestAttempt> attempt)
 {
-    for (const auto &attempt : std::exchange(m_otherAttempts, {})) {
-        if (attempt->connection->mayHaveSent())
-            ++m_runs;
-        const std::string cause = m_isDone
-            ? std::string("the request has ended")
-            : absl::StrCat("send ", m_attempt->number, " serves the request");
-        observability::log(
-            {.level = observability::LogLevel::Info,
-             .step = "drop",
-             .message = absl::StrCat("send ", attempt->number, " after ",
-                                     core::toMilliseconds(now() - attempt->sentAt), " ms, ",
-                                     attempt->isQueued() ? "without an answer" : "while it answers",
-                                     ": ", cause, ", ", describeConfiguration()),
-             .peer = attempt->endpoint.value(),
-             .request = m_fields.id.value()});
-        dropConnection(*attempt);
-    }
+    if (m_current->isInProgress)
+        m_others.push_back(std::move(m_current));
+    m_current = std::move(attempt);
 }
 
-// Opening a connection may take a second, a third of the time after which a leaving endpoint must
-// receive no new requests.
-void RequestTask::giveUpConnecting(const core::EndpointId &id, std::string_view cause)
+void RequestAttempts::start(std::unique_ptr<http::ClientConnection> connection,
+                            const http::OutgoingRequest &request, http::ExchangeObserver observer)
 {
-    for (const RequestAttempt *attempt : attemptsInProgress()) {
-        if (m_isDone || attempt->endpoint != id || attempt->connection->mayHaveSent())
-            continue;
-        giveUpUnsent(attempt->number, cause);
-        return; // Another attempt at the same endpoint was sent before.
-    }
+    m_current->isInProgress = true;
+    m_current->m_connection = std::move(connection);
+    m_current->m_connection->send(request, std::move(observer));
 }
 
-void RequestTask::giveUpUnsent(int number, std::string_view cause)
+void RequestAttempts::setReadEnabled(bool isReading)
 {
-    runGuarded([this, number, cause] {
-        selectAttempt(number);
-        dropConnection();
-        handleSendFailure(Failure::NotSent, cause);
-    });
+    for (const RequestAttempt *attempt : inProgress())
+        attempt->m_connection->setReadEnabled(isReading);
 }
 
-bool RequestTask::isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const
+void RequestAttempts::release()
 {
-    return !m_isDone && std::ranges::any_of(attemptsInProgress(), [&](const auto *attempt) {
-        return isQueuedAtOlderVersion(*attempt, newest);
-    });
+    release(*m_current);
 }
 
-bool RequestTask::isQueuedAtOlderVersion(const RequestAttempt &attempt,
-                                         const fleet::AnnouncedVersion &newest) const
+void RequestAttempts::release(RequestAttempt &attempt)
 {
-    const fleet::AdapterKey key {newest.model, newest.adapter};
-    return attempt.isQueued() && adapterKey() == key
-        && attempt.adapterVersion.value_or(newest.version) < newest.version;
+    if (!attempt.m_connection)
+        return;
+    attempt.isInProgress = false;
+    attempt.awaitsRecord = false;
+    m_handlers.onReleased(attempt, std::move(attempt.m_connection));
 }
 
-// The request would begin on the version that it finds at the end of the queue.
-void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
+bool RequestAttempts::endCurrent(decisions::RunEnd reason)
 {
-    std::vector<int> affected;
-    for (const RequestAttempt *attempt : attemptsInProgress()) {
-        if (isQueuedAtOlderVersion(*attempt, newest))
-            affected.push_back(attempt->number);
-    }
-    runGuarded([this, &affected] {
-        for (const int number : affected) {
-            if (m_isDone || !selectAttempt(number))
-                continue;
-            dropConnection();
-            m_interruptedAt = now(); // The newer version may have to be loaded first.
-            handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
-        }
+    const bool isOtherServing = std::ranges::any_of(
+        m_others, [](const auto &attempt) { return attempt->runBeganAt.has_value(); });
+    return end(*m_current, reason, isOtherServing);
+}
+
+// An attempt that may not be ended stays with the others.
+void RequestAttempts::endOthers(decisions::RunEnd reason)
+{
+    std::erase_if(m_others, [this, reason](const auto &attempt) {
+        return end(*attempt, reason, m_current->runBeganAt.has_value());
     });
 }
 
+bool RequestAttempts::end(RequestAttempt &attempt, decisions::RunEnd reason, bool isOtherServing)
+{
+    if (!attempt.isInProgress)
+        return true;
+    const decisions::RunState state {.mayHaveBeenSent = attempt.mayHaveSent(),
+                                     .hasAnswer = !attempt.isQueued(),
+                                     .isOtherServing = isOtherServing,
+                                     .isRequestEnded = m_isRequestEnded};
+    if (!decisions::mayEndRun(reason, state)) {
+        m_handlers.onEndRejected(attempt, reason);
+        return false;
+    }
+    if (state.mayHaveBeenSent)
+        m_handlers.onRunEnded(attempt, reason);
+    attempt.m_connection->abandon();
+    release(attempt);
+    return true;
+}
+
+void RequestAttempts::continueOther()
+{
+    m_current = std::move(m_others.back());
+    m_others.pop_back();
+}
+
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requestbuffers.cpp
+++ b/src/libs/gateway/requestbuffers.cpp
@@ -25,12 +25,12 @@
     if (length > maxBufferedAnswer)
         endExchangeAsMalformed();
     else if (shareAnswer(length))
-        m_attempt->answerBody.reserve(length);
+        attempt().answerBody.reserve(length);
 }
 
 bool RequestTask::shareAnswer(std::size_t bytes)
 {
-    if (m_attempt->answerShare.tryResize(bytes))
+    if (attempt().answerShare.tryResize(bytes))
         return true;
     endExchangeOverBudget();
     return false;
@@ -40,22 +40,23 @@
 {
     if (m_isDone)
         return;
-    if (m_attempt->answerBody.size() + bytes.size() > maxBufferedAnswer)
+    if (attempt().answerBody.size() + bytes.size() > maxBufferedAnswer)
         endExchangeAsMalformed(); // Too large to buffer, and possibly endless.
-    else if (shareAnswer(capacityAfterAppend(m_attempt->answerBody, bytes.size())))
-        m_attempt->answerBody.append(bytes);
+    else if (shareAnswer(capacityAfterAppend(attempt().answerBody, bytes.size())))
+        attempt().answerBody.append(bytes);
 }
 
 void RequestTask::endExchangeOverBudget()
 {
-    m_context.loop.post([weak = weak_from_this(), number = m_attempt->number] {
+    m_context.loop.post([weak = weak_from_this(), number = attempt().number] {
         const auto self = weak.lock();
-        if (!self || self->m_isDone || !self->selectAttempt(number))
+        if (!self || self->m_isDone || !self->m_attempts.select(number))
             return;
         self->runGuarded([&self] {
-            self->dropConnection();
-            self->m_attempt->answerBody = {};
-            self->m_attempt->answerShare.resize(0);
+            if (!self->m_attempts.endCurrent(decisions::RunEnd::BuffersFull))
+                return;
+            self->attempt().answerBody = {};
+            self->attempt().answerShare.resize(0);
             self->m_interruptedAt = self->now();
             self->handleSendFailure(Failure::MayHaveRun, "buffers of the process are full");
         });
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -42,7 +42,7 @@
 
 void RequestTask::handleSendFailure(Failure failure, std::string_view cause)
 {
-    if (!m_otherAttempts.empty()) {
+    if (m_attempts.hasOthers()) {
         continueOtherAttempt(failure, cause);
         return;
     }
@@ -51,8 +51,8 @@
         {.level = observability::LogLevel::Info,
          .step = isRetried ? "send again" : "give up",
          .message = absl::StrCat(core::toAbsl(cause), ", sends ", m_sends, ", may have run ",
-                                 m_runs, ", status ", m_attempt->answer.status),
-         .peer = m_attempt->endpoint.value(),
+                                 m_runs, ", status ", attempt().answer.status),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     if (isRetried) {
         m_context.metrics.recordRetry(std::string(cause));
@@ -77,7 +77,7 @@
         abortStream("the deadline has passed");
         return;
     }
-    if (m_attempt->isInProgress || m_runs > 0)
+    if (attempt().isInProgress || m_runs > 0)
         fail(504,
              absl::StrCat("no answer within the deadline of ",
                           core::toMilliseconds(deadline() - m_exchange->receivedAt), " ms"));
@@ -93,7 +93,7 @@
         constexpr std::string_view cause = "the daemon stops";
         if (m_isForwarding)
             abortStream(cause);
-        else if (m_attempt->isInProgress || m_runs > 0)
+        else if (attempt().isInProgress || m_runs > 0)
             fail(504, cause);
         else
             refuse(cause, busyRetryAfter);
@@ -105,7 +105,7 @@
     if (m_isDone)
         return;
     const bool mustFinish
-        = m_attempt->isInProgress && !m_route->isRepeatable() && !m_route->isStream;
+        = attempt().isInProgress && !m_route->isRepeatable() && !m_route->isStream;
     // Otherwise the log could not tell whether the caller or the daemon closed the connection.
     const bool isAnswerPartial = m_isForwarding || m_sends > 1;
     observability::log(
@@ -113,7 +113,7 @@
          .step = "caller left",
          .message = mustFinish ? std::string("request continues at the endpoint")
                                : absl::StrCat("request is aborted, ", describeProgress()),
-         .peer = m_attempt->endpoint.value(),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     finish();
 }
@@ -136,7 +136,7 @@
                                  m_fields.adapter.value(), ", held ",
                                  core::toMilliseconds(now() - m_exchange->receivedAt),
                                  " ms, sends ", m_sends),
-         .peer = m_attempt->endpoint.value(),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     const core::Duration delay
         = core::scaled(retryAfter, 1.0 + retryAfterJitter * m_context.uniformRandom());
@@ -158,7 +158,7 @@
                         " ms after its arrival and ", core::toMilliseconds(now() - interruptedAt),
                         " ms after the stream was interrupted, sends ", m_sends, ", may have run ",
                         m_runs, ", ", describeConfiguration()),
-         .peer = m_attempt->endpoint.value(),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     m_context.metrics.recordInterruptedAnswer(now() - m_context.watch.configuredAt()
                                               <= m_context.settings.bounds.configuration
@@ -172,32 +172,13 @@
     observability::log({.level = observability::LogLevel::Info,
                         .step = "fail",
                         .message = absl::StrCat("status ", status, ", ", core::toAbsl(cause)),
-                        .peer = m_attempt->endpoint.value(),
+                        .peer = attempt().endpoint.value(),
                         .request = m_fields.id.value()});
     m_exchange->respond(status, {}, {});
     m_status = status;
     finish();
 }
 
-void RequestTask::dropConnection()
-{
-    dropConnection(*m_attempt);
-}
-
-void RequestTask::dropConnection(RequestAttempt &attempt)
-{
-    if (!attempt.connection)
-        return;
-    if (attempt.isInProgress) {
-        endPrefill(attempt);
-        m_context.pool.endRequest(attempt.endpoint, adapterKey());
-    }
-    attempt.isInProgress = false;
-    attempt.awaitsRecord = false;
-    attempt.connection->abandon();
-    releaseConnection(attempt);
-}
-
 void RequestTask::finish()
 {
     m_isDone = true;
@@ -206,21 +187,22 @@
     setWaitsForPermit({});
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
-    dropOtherAttempts();
-    m_attempt->answerBody = {};
-    m_attempt->answerShare.resize(0);
+    m_attempts.setRequestEnded();
+    m_attempts.endOthers(decisions::RunEnd::RequestEnded);
+    attempt().answerBody = {};
+    attempt().answerShare.resize(0);
     m_context.metrics.recordResponse(m_status, now() - m_exchange->receivedAt);
     // At-most-once work that was sent keeps its connection until it ends; other work is aborted.
-    const bool mustFinish = m_attempt->isInProgress && m_route != nullptr
-        && !m_route->isRepeatable() && !m_route->isStream;
+    const bool mustFinish = attempt().isInProgress && m_route != nullptr && !m_route->isRepeatable()
+        && !m_route->isStream;
     if (mustFinish) {
         m_deadlineTimer = m_context.timers.once(disconnectedWorkTimeout, [this] {
-            dropConnection();
+            m_attempts.endCurrent(decisions::RunEnd::RequestEnded);
             m_onDone(shared_from_this());
         });
         return;
     }
-    dropConnection();
+    m_attempts.endCurrent(decisions::RunEnd::RequestEnded);
     m_onDone(shared_from_this());
 }
 
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -33,17 +33,16 @@
         ++m_refusedReplacements;
     const core::Duration pause = replacementInterval * (2 << std::min(m_failedReplacements, 4));
     ++m_failedReplacements;
-    const core::EndpointId failed = m_attempt->endpoint;
-    const int failedNumber = m_attempt->number;
-    m_attempt = std::move(m_otherAttempts.back());
-    m_otherAttempts.pop_back();
+    const core::EndpointId failed = attempt().endpoint;
+    const int failedNumber = attempt().number;
+    m_attempts.continueOther();
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "continue",
          .message = absl::StrCat("send ", failedNumber, " to ", failed.value(),
-                                 " failed: ", core::toAbsl(cause), "; send ", m_attempt->number,
+                                 " failed: ", core::toAbsl(cause), "; send ", attempt().number,
                                  " is still in progress, may have run ", m_runs),
-         .peer = m_attempt->endpoint.value(),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     checkStallAfter(pause);
 }
@@ -62,16 +61,16 @@
     if (!m_route->isRepeatable())
         return;
     // The daemon itself delays what the endpoint sends.
-    if (m_isReadPaused || m_attempt->awaitsRecord) {
+    if (m_isReadPaused || attempt().awaitsRecord) {
         checkStallAfter(replacementInterval);
         return;
     }
     core::TimePoint lastActivityAt = std::max(m_times.lastAt(), m_readResumedAt);
-    for (const RequestAttempt *attempt : attemptsInProgress())
+    for (const RequestAttempt *attempt : m_attempts.inProgress())
         lastActivityAt = std::max({lastActivityAt, attempt->sentAt, attempt->headAt});
     // If the endpoint sends to other requests, it is slow, or only this connection is dead.
     const bool isEndpointSilent
-        = now() - m_context.pool.lastActivityAt(m_attempt->endpoint) >= stallLimit();
+        = now() - m_context.pool.lastActivityAt(attempt().endpoint) >= stallLimit();
     const core::Duration limit
         = isEndpointSilent ? stallLimit() : stallLimit() * slowEndpointFactor;
     const core::Duration remaining = lastActivityAt + limit - now();
@@ -86,7 +85,7 @@
     if (!m_route->isRepeatable())
         return;
     m_stallTimer = m_context.timers.once(delay, [this] {
-        if (m_attempt->isInProgress && !m_isDone)
+        if (attempt().isInProgress && !m_isDone)
             runGuarded([this] { armStallTimer(); });
     });
 }
@@ -95,21 +94,21 @@
 // it. So both keep it until one of them sends an event or an answer.
 void RequestTask::handleStall()
 {
-    const int inProgress = static_cast<int>(m_otherAttempts.size()) + 1;
+    const int inProgress = static_cast<int>(m_attempts.inProgress().size());
     // If no further run is allowed, the request can only wait.
     const bool isLastRun = m_runs + inProgress >= m_route->maxAttempts
         || m_refusedReplacements >= maxRefusedReplacements;
     if (isLastRun || deadline() - now() < minRemainingTime)
         return;
     const fleet::Endpoint *replacement = findReplacement();
-    if (replacement != nullptr || !std::exchange(m_attempt->isSilenceReported, true))
+    if (replacement != nullptr || !std::exchange(attempt().isSilenceReported, true))
         logSilence(replacement);
     if (replacement == nullptr || !m_context.budgets[m_service].tryTake(now())) {
         checkStallAfter(replacementInterval);
         return;
     }
-    if (!std::exchange(m_attempt->isSilenceCounted, true))
-        m_context.pool.health(m_attempt->endpoint).recordErrorResponse(now());
+    if (!std::exchange(attempt().isSilenceCounted, true))
+        m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
     m_context.metrics.recordRetry("endpoint was silent for too long");
     send(*replacement);
 }
@@ -126,9 +125,10 @@
     const auto choice = m_finder.choose(now());
     if (!choice.endpoint)
         return nullptr;
-    const bool isThereAlready = std::ranges::any_of(attemptsInProgress(), [&](const auto *attempt) {
-        return attempt->endpoint == *choice.endpoint && !attempt->connection->isReused();
-    });
+    const bool isThereAlready
+        = std::ranges::any_of(m_attempts.inProgress(), [&](const auto *attempt) {
+              return attempt->endpoint == *choice.endpoint && !attempt->isConnectionReused();
+          });
     if (isThereAlready)
         return nullptr;
     const fleet::Endpoint &endpoint = *m_context.watch.endpoint(*choice.endpoint);
@@ -148,14 +148,14 @@
          .message = absl::StrCat("send ", m_sends, ", ",
                                  core::toMilliseconds(now() - m_exchange->receivedAt),
                                  " ms after its arrival, ", describeProgress(),
-                                 ", in progress there ", std::lround(m_attempt->loadAtSend)),
-         .peer = m_attempt->endpoint.value(),
+                                 ", in progress there ", std::lround(attempt().loadAtSend)),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
 }
 
 void RequestTask::logSilence(const fleet::Endpoint *replacement)
 {
-    const core::TimePoint activeAt = m_context.pool.lastActivityAt(m_attempt->endpoint);
+    const core::TimePoint activeAt = m_context.pool.lastActivityAt(attempt().endpoint);
     const std::string activity = activeAt == core::TimePoint()
         ? std::string("never")
         : absl::StrCat(core::toMilliseconds(now() - activeAt), " ms ago");
@@ -163,11 +163,11 @@
         {.level = observability::LogLevel::Info,
          .step = "silent endpoint",
          .message
-         = absl::StrCat("sent ", core::toMilliseconds(now() - m_attempt->sentAt), " ms ago, run ",
-                        m_attempt->runBeganAt ? "has begun" : "has not begun", ", ",
+         = absl::StrCat("sent ", core::toMilliseconds(now() - attempt().sentAt), " ms ago, run ",
+                        attempt().runBeganAt ? "has begun" : "has not begun", ", ",
                         describeProgress(), ", endpoint last active ", activity, ", replacement ",
                         replacement != nullptr ? replacement->id.value() : "none"),
-         .peer = m_attempt->endpoint.value(),
+         .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
 }
 
@@ -183,7 +183,7 @@
 {
     if (!m_times.hasEvents())
         return "no event forwarded";
-    const auto lastId = m_attempt->events.lastId();
+    const auto lastId = attempt().events.lastId();
     return absl::StrCat("event ", lastId ? std::to_string(*lastId) : "without id", " forwarded ",
                         core::toMilliseconds(now() - m_times.lastAt()), " ms ago");
 }
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -48,13 +48,13 @@
     , m_exchange(std::move(exchange))
     , m_onDone(std::move(onDone))
     , m_finder(m_context, m_fields)
-    , m_attempt(std::make_unique<RequestAttempt>(m_context.buffers))
+    , m_attempts(m_context.buffers, attemptHandlers())
 { }
 
+// Its attempts end with it, which counts as the end of the request.
 RequestTask::~RequestTask()
 {
-    dropOtherAttempts();
-    dropConnection();
+    m_isDone = true;
 }
 
 void RequestTask::runGuarded(const std::function<void()> &work)
@@ -65,7 +65,7 @@
     observability::log({.level = observability::LogLevel::Error,
                         .step = "give up",
                         .message = "request aborted after an exception",
-                        .peer = m_attempt->endpoint.value(),
+                        .peer = attempt().endpoint.value(),
                         .request = m_fields.id.value()});
     net::runGuarded("request", [this] {
         m_exchange->abort();
@@ -361,7 +361,7 @@
     if (!isWaiting() || m_isDone)
         return;
     runGuarded([this] {
-        if (m_attempt->awaitsRecord)
+        if (attempt().awaitsRecord)
             forwardEvents();
         else if (!m_routes)
             resolveOrWait();
@@ -376,42 +376,39 @@
 {
     setWaitsForLoad(false);
     ++m_sends;
-    auto attempt = std::make_unique<RequestAttempt>(m_context.buffers);
-    attempt->number = m_sends;
-    attempt->endpoint = endpoint.id;
-    attempt->incarnation = endpoint.startTime;
-    attempt->softwareVersion = endpoint.softwareVersion;
-    attempt->adapterVersion = m_finder.heldVersion(endpoint.id, now());
-    attempt->isInProgress = true;
-    attempt->sentAt = now();
-    attempt->loadAtSend = m_context.pool.load(endpoint.id, endpoint.slots)
+    auto next = std::make_unique<RequestAttempt>(m_context.buffers);
+    next->number = m_sends;
+    next->endpoint = endpoint.id;
+    next->incarnation = endpoint.startTime;
+    next->softwareVersion = endpoint.softwareVersion;
+    next->adapterVersion = m_finder.heldVersion(endpoint.id, now());
+    next->sentAt = now();
+    next->loadAtSend = m_context.pool.load(endpoint.id, endpoint.slots)
         + m_context.pool.otherDaemonsLoad(endpoint.id);
     constexpr double lowUtilization = 0.5;
-    attempt->wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
-        && attempt->loadAtSend < lowUtilization * endpoint.slots;
-    attempt->pendingPrefillTokens = m_fields.promptTokens;
+    next->wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
+        && next->loadAtSend < lowUtilization * endpoint.slots;
+    next->pendingPrefillTokens = m_fields.promptTokens;
     platform::ForwardFields forward;
     if (m_isForwarding) {
-        attempt->events = m_attempt->events;
-        attempt->events.startNextRun();
-        forward.lastEventId = attempt->events.lastId();
+        next->events = attempt().events;
+        next->events.startNextRun();
+        forward.lastEventId = next->events.lastId();
     } else if (isTakeUp()) {
-        attempt->events.startAfter(*m_fields.lastEventId);
+        next->events.startAfter(*m_fields.lastEventId);
     }
-    if (m_attempt->isInProgress)
-        m_otherAttempts.push_back(std::move(m_attempt));
-    m_attempt = std::move(attempt);
+    m_attempts.add(std::move(next));
 
     m_finder.markTried(endpoint.id);
     if (m_sends == 1)
-        m_context.metrics.recordWaitTime(m_attempt->sentAt - m_exchange->receivedAt);
+        m_context.metrics.recordWaitTime(attempt().sentAt - m_exchange->receivedAt);
     m_context.pool.beginRequest(endpoint.id, adapterKey());
     m_context.limits.takePermit(endpoint);
-    m_context.pool.beginPrefill(endpoint.id, m_attempt->pendingPrefillTokens);
+    m_context.pool.beginPrefill(endpoint.id, attempt().pendingPrefillTokens);
     forward.endpoint = endpoint.id;
     forward.deadline = deadline() - now();
     if (m_finder.expectedVersion())
-        forward.adapterVersion = m_attempt->adapterVersion;
+        forward.adapterVersion = attempt().adapterVersion;
     startExchange(endpoint, forward);
     logRepeatedSend();
     armStallTimer();
@@ -426,28 +423,28 @@
     request.idField = platform::requestIdField();
     request.id = m_fields.id.value();
     http::ExchangeObserver observer;
-    const int number = m_attempt->number;
+    const int number = attempt().number;
     observer.onHead = [this, number](http::MessageHead &head) {
-        if (selectAttempt(number))
+        if (m_attempts.select(number))
             handleHead(head);
     };
     observer.onBody = [this, number](const std::string &bytes) {
-        if (selectAttempt(number))
+        if (m_attempts.select(number))
             handleBody(bytes);
     };
     observer.onEnd = [this, number](http::ExchangeEnd end) {
-        if (selectAttempt(number))
+        if (m_attempts.select(number))
             handleExchangeEnd(end);
     };
-    takeConnection(endpoint);
-    if (m_attempt->via) {
+    auto connection = takeConnection(endpoint);
+    if (attempt().via) {
         request.bytes
-            = RequestForwarder::wrap(request.bytes, endpoint.id, m_fields.id, *m_attempt->via,
+            = RequestForwarder::wrap(request.bytes, endpoint.id, m_fields.id, *attempt().via,
                                      m_route->isRepeatable(), request.isHead);
         request.isHead = false;
     }
-    m_attempt->connection->setReadEnabled(!m_isReadPaused);
-    m_attempt->connection->send(request, std::move(observer));
+    connection->setReadEnabled(!m_isReadPaused);
+    m_attempts.start(std::move(connection), request, std::move(observer));
 }
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/endpointfinder.h"
-#include "gateway/requestattempt.h"
+#include "gateway/requestattempts.h"
 #include "gateway/requestcontext.h"
 #include "gateway/streamtimes.h"
 #include "http/server.h"
@@ -21,10 +21,10 @@
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
 /// endpoint at a time, unless that one is silent; then the first one that makes progress serves it.
 /// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
-/// clients take up), requestattempts.cpp (the attempts in progress), requestpath.cpp (own and other
-/// daemons' connections), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp (silent
-/// endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries and the
-/// end of the request). Thread safety: the event loop's thread only.
+/// clients take up), requestqueue.cpp (requests that wait at an endpoint), requestpath.cpp (own and
+/// other daemons' connections), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp
+/// (silent endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries
+/// and the end of the request). Thread safety: the event loop's thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -53,7 +53,7 @@
     void addUnanswered(std::vector<SentRequest> &requests) const;
     /// The request at the endpoint that has it longest; empty if none has it.
     std::optional<decisions::RequestInProgress> inProgress() const;
-    bool isWaiting() const { return m_isWaiting || m_attempt->awaitsRecord; }
+    bool isWaiting() const { return m_isWaiting || attempt().awaitsRecord; }
 
 private:
     /// Whether a request may have run on the endpoint with which the exchange failed.
@@ -99,16 +99,16 @@
 
     void startExchange(const fleet::Endpoint &endpoint, const platform::ForwardFields &forward);
     /// Takes a connection to the endpoint, or to another daemon if only that one reaches it.
-    void takeConnection(const fleet::Endpoint &endpoint);
-    void releaseConnection(RequestAttempt &attempt);
-    /// Makes the attempt the current one; returns false if it is no longer in progress.
-    bool selectAttempt(int number);
-    std::vector<const RequestAttempt *> attemptsInProgress() const;
+    std::unique_ptr<http::ClientConnection> takeConnection(const fleet::Endpoint &endpoint);
+    RequestAttempts::Handlers attemptHandlers();
+    void handleReleased(RequestAttempt &attempt,
+                        std::unique_ptr<http::ClientConnection> connection);
+    void handleRunEnded(const RequestAttempt &attempt, decisions::RunEnd reason);
+    RequestAttempt &attempt() { return m_attempts.current(); }
+    const RequestAttempt &attempt() const { return m_attempts.current(); }
     /// Whether an endpoint with an older version has the request in its queue.
     bool isQueuedAtOlderVersion(const RequestAttempt &attempt,
                                 const fleet::AnnouncedVersion &newest) const;
-    /// Abandons all attempts but the current one, which serves the request.
-    void dropOtherAttempts();
     /// Continues with another attempt after the current one has failed. Precondition: there is one.
     void continueOtherAttempt(Failure failure, std::string_view cause);
 
@@ -175,9 +175,6 @@
     /// Aborts an answer that was forwarded in part.
     void abortStream(std::string_view cause);
     void finish();
-    /// Abandons the current attempt.
-    void dropConnection();
-    void dropConnection(RequestAttempt &attempt);
     /// Reads from the endpoints only while the client keeps up with the answer.
     void applyBackpressure();
     void endPrefill(RequestAttempt &attempt);
@@ -206,8 +203,7 @@
     core::ServiceId m_service;
     EndpointFinder m_finder;
 
-    std::unique_ptr<RequestAttempt> m_attempt; ///< The latest one that did something; never null.
-    std::vector<std::unique_ptr<RequestAttempt>> m_otherAttempts; ///< All are in progress.
+    RequestAttempts m_attempts;
     std::set<http::ConnectionNumber> m_usedConnections;
     /// Where the stream began; events of another software version must not follow.
     std::optional<StreamOrigin> m_origin;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -40,6 +40,9 @@
                          "Sends beyond the first of a request, by cause"))
     , m_orders(counters(*m_registry, "jackdawlead_orders_total",
                         "Orders to endpoints by operation and result"))
+    , m_endedRuns(counters(*m_registry, "jackdawlead_ended_runs_total",
+                           "Runs at endpoints that this daemon ended before their answer was "
+                           "complete, by cause"))
     , m_interruptedAnswers(counters(*m_registry, "jackdawlead_interrupted_answers_total",
                                     "Answers broken off after their begin, by whether the "
                                     "configuration was new then"))
@@ -114,6 +117,11 @@
     m_retries.Add({{"cause", cause}}).Increment();
 }
 
+void GatewayMetrics::recordEndedRun(const std::string &cause)
+{
+    m_endedRuns.Add({{"cause", cause}}).Increment();
+}
+
 void GatewayMetrics::recordInterruptedAnswer(bool isConfigurationRecent)
 {
     m_interruptedAnswers.Add({{"configuration", isConfigurationRecent ? "recent" : "older"}})
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -24,6 +24,8 @@
     void recordResponse(int status, core::Duration total);
     void recordRefusal(const std::string &cause);
     void recordRetry(const std::string &cause);
+    /// Records a run that this daemon ended at its endpoint before the answer was complete.
+    void recordEndedRun(const std::string &cause);
     /// Records an answer that was broken off after its begin; `isConfigurationRecent` if the
     /// configuration in force was applied only some seconds before.
     void recordInterruptedAnswer(bool isConfigurationRecent);
@@ -72,6 +74,7 @@
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_orders;
+    prometheus::Family<prometheus::Counter> &m_endedRuns;
     prometheus::Family<prometheus::Counter> &m_interruptedAnswers;
     prometheus::Family<prometheus::Counter> &m_truncatedStreams;
     prometheus::Histogram &m_responseTime;
