Tests that fail: runs that end before another one has taken their place

One valid event of an answer that is malformed from its first bytes on ends a sound run. A request is taken from the queue of a superseded version only at its bound, whoever takes it then.

--- a/tests/e2e/tst_adapterversions.cpp
+++ b/tests/e2e/tst_adapterversions.cpp
@@ -124,6 +124,37 @@
     cr_assert_str_eq(expected.c_str(), "2");
 }
 
+// Guards against a request that is taken from the queue of an endpoint with a superseded version at
+// its bound, and finds no endpoint with the newer one then, although one would have taken it in the
+// seconds before.
+Test(adapterversions, queuedRequestIsSentToTheNewerVersionBeforeTheBound, .timeout = 120)
+{
+    VersionFixture fixture;
+    PlatformFixture &platform = fixture.platform;
+    fixture.configure();
+    cr_assert(fixture.waitUntilReady());
+    FakeEndpoint::Exchange queued;
+    core::TimePoint announcedAt = core::TimePoint::max();
+    for (FakeEndpoint *endpoint : {&platform.first, &platform.second})
+        endpoint->run = [&](const FakeEndpoint::Exchange &exchange) {
+            constexpr core::Duration acceptanceTime = milliseconds(3500);
+            if (!queued)
+                queued = exchange;
+            else if (platform.timers.now() < announcedAt + acceptanceTime)
+                stream(exchange, 2, false);
+            else
+                exchange->respond(503, {{"Not-Executed", "1"}}, {});
+        };
+    const AnswerPtr answer = fixture.start("r1");
+    cr_assert(platform.waitUntil([&] { return queued != nullptr; }));
+    fixture.announce(2);
+    announcedAt = platform.timers.now();
+    cr_assert(platform.waitUntil([&] { return answer->isEnded; }));
+    cr_expect_eq(answer->head.status, 200, "%s", platform.output().c_str());
+    cr_expect(answer->body == events(1, 2));
+    cr_expect_not(queued->isOpen(), "the request still waits at the older version");
+}
+
 // Guards against a stream that begins on the newer version of its adapter and, when its run breaks
 // off, goes on at an endpoint that still holds the older one.
 Test(adapterversions, streamDoesNotGoBackToAnOlderVersion, .timeout = 120)
--- a/tests/e2e/tst_silentendpoints.cpp
+++ b/tests/e2e/tst_silentendpoints.cpp
@@ -337,3 +337,45 @@
     const auto answer = fixture.call("/get/a", "r1");
     cr_assert_eq(answer->head.status, 200, "%s", fixture.output().c_str());
 }
+
+// Guards against a stream that is given up when the endpoint that took it over breaks off, because
+// the wait in the queue of a silent endpoint, where it did not run, counts as one of the attempts
+// of its route.
+Test(silentendpoints, waitInAQueueUsesUpNoAttempt, .timeout = 60)
+{
+    int sends = 0;
+    Fixture fixture("model", keep, [&sends](const FakeEndpoint::Exchange &exchange) {
+        if (++sends > 1) {
+            stream(exchange, 6, false);
+            return;
+        }
+        exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+        exchange->writeChunk(events(1, 3));
+    });
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitForSecondSend());
+    cr_assert(fixture.waitUntil([&] { return fixture.isSilentClosed; }));
+    fixture.secondSend->abort();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isComplete, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 6));
+}
+
+// Guards against ending the run at a silent endpoint for another one whose answer is malformed from
+// its first bytes on, although it begins with a valid event.
+Test(silentendpoints, malformedReplacementLosesNoStream, .timeout = 60)
+{
+    Fixture fixture("model", beginStream, [](const FakeEndpoint::Exchange &exchange) {
+        exchange->startChunked(200, FakeEndpoint::stamped(exchange));
+        exchange->writeChunk(event(4) + event(2));
+    });
+    const auto answer = fixture.start("/stream/a", "r1", "base");
+    cr_assert(fixture.waitForSecondSend());
+    fixture.runLoopFor(milliseconds(200));
+    cr_assert_not(fixture.isSilentClosed, "%s", fixture.output().c_str());
+    fixture.silent->writeChunk(events(4, 6));
+    fixture.silent->finishChunked();
+    cr_assert(fixture.waitUntil([&] { return answer->isEnded; }));
+    cr_assert(answer->isComplete, "%s", fixture.output().c_str());
+    cr_assert_eq(answer->body, events(1, 6));
+}
