Count a wait in a queue as no attempt of the route

Callers lost a stream in the middle (status 200, no end) when a silent endpoint had the request in its queue, another one took it over and then broke off. The send that was dropped from the queue counted as a run like one that had begun, so that a route of two attempts had none left. max_attempts bounds the endpoints that run a request; an endpoint that has sent nothing most likely has not begun. 'May have run', which decides what the caller is told, counts it as before.

--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -21,17 +21,25 @@
 
 } // namespace
 
+void RequestTask::countRun(bool isAttemptUsed)
+{
+    ++m_runs;
+    if (isAttemptUsed)
+        ++m_usedAttempts;
+}
+
 bool RequestTask::recordFailedSend(Failure failure)
 {
-    if (failure == Failure::MayHaveRun) {
-        ++m_runs;
-        if (!m_route->isRepeatable() || m_runs >= m_route->maxAttempts)
+    const bool mayHaveRun = failure == Failure::MayHaveRun || failure == Failure::TakenFromQueue;
+    if (mayHaveRun) {
+        countRun(failure == Failure::MayHaveRun);
+        if (!m_route->isRepeatable() || m_usedAttempts >= m_route->maxAttempts)
             return false;
     }
     const int sends = m_sends - m_refusedReplacements;
     if (sends >= (m_isForwarding ? maxSendsPerStream : maxSends) || !m_exchange->isOpen())
         return false;
-    if (failure == Failure::MayHaveRun && !m_context.crashes.mayRunAgain(m_identity))
+    if (mayHaveRun && !m_context.crashes.mayRunAgain(m_identity))
         return false;
     // The retry budget counts only requests that arrive at endpoints.
     if (failure == Failure::NotSent)
--- a/src/libs/gateway/requestqueue.cpp
+++ b/src/libs/gateway/requestqueue.cpp
@@ -55,7 +55,7 @@
 {
     m_context.metrics.recordEndedRun(nameOf(reason));
     if (reason == decisions::RunEnd::Replaced)
-        ++m_runs;
+        countRun(!attempt.isQueued());
     if (m_isDone && !m_attempts.hasOthers())
         return; // The line of the request's end says why.
     observability::log(
@@ -129,7 +129,7 @@
             if (!m_attempts.endCurrent(decisions::RunEnd::OlderVersion))
                 continue;
             m_interruptedAt = now(); // The newer version may have to be loaded first.
-            handleSendFailure(Failure::MayHaveRun, "its version of the adapter was superseded");
+            handleSendFailure(Failure::TakenFromQueue, "its version of the adapter was superseded");
         }
     });
 }
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -27,8 +27,8 @@
 
 void RequestTask::continueOtherAttempt(Failure failure, std::string_view cause)
 {
-    if (failure == Failure::MayHaveRun)
-        ++m_runs;
+    if (failure == Failure::MayHaveRun || failure == Failure::TakenFromQueue)
+        countRun(failure == Failure::MayHaveRun);
     else
         ++m_refusedReplacements;
     const core::Duration pause = replacementInterval * (2 << std::min(m_failedReplacements, 4));
@@ -96,7 +96,7 @@
 {
     const int inProgress = static_cast<int>(m_attempts.inProgress().size());
     // If no further run is allowed, the request can only wait.
-    const bool isLastRun = m_runs + inProgress >= m_route->maxAttempts
+    const bool isLastRun = m_usedAttempts + inProgress >= m_route->maxAttempts
         || m_refusedReplacements >= maxRefusedReplacements;
     if (isLastRun || deadline() - now() < minRemainingTime)
         return;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -61,6 +61,8 @@
         NotSent, ///< Certain: the endpoint received nothing.
         NotRun,  ///< Certain: the endpoint refused the request.
         MayHaveRun,
+        /// The daemon took the request from the endpoint's queue, as its turn may have come.
+        TakenFromQueue,
     };
 
     /// Runs `work` and aborts only this request if it throws.
@@ -155,6 +157,7 @@
     void sendBufferedAnswer();
     void handleRefusal();
     void handleSendFailure(Failure failure, std::string_view cause);
+    void countRun(bool isAttemptUsed);
     /// Counts a failed send and returns whether the request may be sent again. Takes the retry from
     /// the budget, unless chooseEndpoint() does so later.
     bool recordFailedSend(Failure failure);
@@ -209,6 +212,8 @@
     std::optional<StreamOrigin> m_origin;
     int m_sends = 0;
     int m_runs = 0; ///< Sends that may have run and have ended.
+    /// The same without those that were taken from a queue, which count as no attempt of the route.
+    int m_usedAttempts = 0;
     bool m_isWaiting = false;
     bool m_waitsForLoad = false;                     ///< Is counted in RequestContext::waiting.
     std::optional<core::EndpointId> m_awaitedPermit; ///< Is counted in RequestContext::limits.
