End no run for a replacement whose answer is malformed

A valid event at the begin of a malformed answer ended the run at the silent endpoint before the rest of the same bytes was judged, so that the stream was lost when both attempts were used up. An answer that turns out malformed while another attempt is in progress makes no progress.

silentendpoints/malformedReplacementLosesNoStream failed before and passes.

--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -113,8 +113,12 @@
     const auto lastId = attempt().events.lastId();
     attempt().isStreamMalformed
         = attempt().events.feed(bytes, events) == EventFilter::Result::Broken;
-    if (attempt().isStreamMalformed)
+    if (attempt().isStreamMalformed) {
         endExchangeAsMalformed(); // The remaining bytes may be endless.
+        // The attempt fails, so that its events must not end the one that may go on.
+        if (m_attempts.hasOthers())
+            return;
+    }
     // Comments are no progress, because a stalled endpoint may continue to send them.
     const bool hasProgress = attempt().events.lastId() != lastId
         || (!attempt().events.lastId() && events.find(dataField) != std::string::npos);
