Look for the newer version of an adapter before a queued request loses its place

From the moment at which the older version is no longer used for new sends, the request is offered to endpoints with the newer one as well, as at a silent endpoint; it keeps its place in the queue until one of them has begun, or until the bound. Work that must not repeat still ends with 502 at the bound, since it cannot be at two endpoints.

--- a/src/libs/decisions/versionfloor.h
+++ b/src/libs/decisions/versionfloor.h
@@ -28,6 +28,11 @@
                   const VersionLimits &limits);
     /// The lowest version that may be used at `now`; zero if any may.
     int lowestAllowed(core::TimePoint now) const;
+    /// From when on the newest version is required.
+    core::TimePoint newestRequiredAt() const
+    {
+        return m_pending.empty() ? core::TimePoint() : m_pending.back().requiredAt;
+    }
     int newest() const { return m_pending.empty() ? m_floor : m_pending.back().version; }
 
 private:
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -102,6 +102,7 @@
     m_sweepTimer = m_timers.every(sweepPeriod, [this] {
         removeOverdueEndpoints();
         releaseReturnedEndpoints();
+        requireNewerVersions();
         expireOlderVersions();
     });
 }
@@ -288,8 +289,8 @@
         return;
     }
     const core::TimePoint madeAfter = m_versionFollower.contact().changedAfter();
-    if (!m_versions[{announced->model, announced->adapter}].announce(
-            announced->version, m_timers.now(), madeAfter, m_versionLimits))
+    decisions::VersionFloor &floor = m_versions[{announced->model, announced->adapter}];
+    if (!floor.announce(announced->version, m_timers.now(), madeAfter, m_versionLimits))
         return;
     observability::log(
         {.step = "adapter version",
@@ -297,12 +298,22 @@
                                  " version ", announced->version, " announced, ",
                                  describeMaxAge(m_timers.now(), madeAfter))});
     // No request is sent before the initial list is complete.
-    if (m_versionFollower.hasInitialList())
+    if (m_versionFollower.hasInitialList()) {
+        m_versionRequirements.emplace(floor.newestRequiredAt(), *announced);
         m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
                                   *announced);
+    }
     m_handlers.onVersionAnnounced(*announced);
 }
 
+void FleetWatch::requireNewerVersions()
+{
+    const auto end = m_versionRequirements.upper_bound(m_timers.now());
+    for (auto requirement = m_versionRequirements.begin(); requirement != end; ++requirement)
+        m_handlers.onNewerVersionRequired(requirement->second);
+    m_versionRequirements.erase(m_versionRequirements.begin(), end);
+}
+
 void FleetWatch::expireOlderVersions()
 {
     const auto end = m_versionExpiries.upper_bound(m_timers.now());
--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -28,6 +28,8 @@
         std::function<void(const fleet::Endpoint &)> onEndpointChanged;
         std::function<void(const core::EndpointId &)> onEndpointRemoved;
         std::function<void(const fleet::AnnouncedVersion &)> onVersionAnnounced;
+        /// Requests are no longer sent to endpoints with an older version.
+        std::function<void(const fleet::AnnouncedVersion &)> onNewerVersionRequired;
         /// Work that has not begun may no longer begin on an older version.
         std::function<void(const fleet::AnnouncedVersion &)> onOlderVersionsExpired;
     };
@@ -91,6 +93,7 @@
     /// Returns whether anything but the contents changed; the coordinator distributes contents.
     bool applyEndpoint(const platform::StoredObject &object);
     void applyVersion(const platform::StoredObject &object);
+    void requireNewerVersions();
     void expireOlderVersions();
     /// Whether a restored store holds the endpoint as ready although it left before. Its record
     /// counts again when it outlives the time after which the store removes that of an endpoint
@@ -119,6 +122,8 @@
     std::size_t m_configurationHash = 0; ///< The same.
     std::map<core::EndpointId, fleet::Endpoint> m_endpoints;
     std::unordered_map<fleet::AdapterKey, decisions::VersionFloor> m_versions;
+    /// Announced versions by the time from which on they are required.
+    std::multimap<core::TimePoint, fleet::AnnouncedVersion> m_versionRequirements;
     /// Announced versions by the time at which the older ones expire.
     std::multimap<core::TimePoint, fleet::AnnouncedVersion> m_versionExpiries;
     decisions::LeavingEndpoints m_leavingEndpoints;
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -175,6 +175,8 @@
             [this](const fleet::AnnouncedVersion &version) {
                 m_coordinator.setAnnouncedVersion(version);
             },
+        .onNewerVersionRequired
+        = [this](const fleet::AnnouncedVersion &version) { seekNewerVersions(version); },
         .onOlderVersionsExpired
         = [this](const fleet::AnnouncedVersion &version) { giveUpOlderVersions(version); },
     };
@@ -371,14 +373,26 @@
         task->giveUpOwnConnection(id);
 }
 
-void Gateway::giveUpOlderVersions(const fleet::AnnouncedVersion &newest)
+std::vector<std::shared_ptr<RequestTask>>
+Gateway::requestsQueuedAtOlderVersions(const fleet::AnnouncedVersion &newest) const
 {
-    std::vector<std::shared_ptr<RequestTask>> affected;
+    std::vector<std::shared_ptr<RequestTask>> requests;
     for (const auto &[number, task] : m_requests) {
         if (task->isQueuedAtOlderVersion(newest))
-            affected.push_back(task);
+            requests.push_back(task);
     }
-    for (const auto &task : affected)
+    return requests;
+}
+
+void Gateway::seekNewerVersions(const fleet::AnnouncedVersion &newest)
+{
+    for (const auto &task : requestsQueuedAtOlderVersions(newest))
+        task->seekNewerVersion();
+}
+
+void Gateway::giveUpOlderVersions(const fleet::AnnouncedVersion &newest)
+{
+    for (const auto &task : requestsQueuedAtOlderVersions(newest))
         task->giveUpOlderVersion(newest);
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -62,6 +62,9 @@
     /// The same for own connections, because only another daemon reaches the endpoint.
     void giveUpOwnConnections(const core::EndpointId &id);
     /// Ends waits for endpoints that hold an older version of the adapter.
+    std::vector<std::shared_ptr<RequestTask>>
+    requestsQueuedAtOlderVersions(const fleet::AnnouncedVersion &newest) const;
+    void seekNewerVersions(const fleet::AnnouncedVersion &newest);
     void giveUpOlderVersions(const fleet::AnnouncedVersion &newest);
     /// Applies changed bounds and regions; addresses change only with a restart.
     void reloadSettings();
--- a/src/libs/gateway/requestqueue.cpp
+++ b/src/libs/gateway/requestqueue.cpp
@@ -114,6 +114,11 @@
         && attempt.adapterVersion.value_or(newest.version) < newest.version;
 }
 
+void RequestTask::seekNewerVersion()
+{
+    runGuarded([this] { armStallTimer(); });
+}
+
 // The request would begin on the version that it finds at the end of the queue.
 void RequestTask::giveUpOlderVersion(const fleet::AnnouncedVersion &newest)
 {
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -74,7 +74,7 @@
     const core::Duration limit
         = isEndpointSilent ? stallLimit() : stallLimit() * slowEndpointFactor;
     const core::Duration remaining = lastActivityAt + limit - now();
-    if (remaining <= core::Duration::zero())
+    if (remaining <= core::Duration::zero() || waitsAtOlderVersions())
         handleStall();
     else
         checkStallAfter(remaining);
@@ -90,6 +90,15 @@
     });
 }
 
+bool RequestTask::waitsAtOlderVersions() const
+{
+    const auto expected = m_finder.expectedVersion();
+    return expected && std::ranges::all_of(m_attempts.inProgress(), [&](const auto *attempt) {
+               return attempt->isQueued()
+                   && attempt->adapterVersion.value_or(*expected) < *expected;
+           });
+}
+
 // The silent endpoint may resume at any moment, and the other one may refuse the request or queue
 // it. So both keep it until one of them sends an event or an answer.
 void RequestTask::handleStall()
@@ -101,15 +110,17 @@
     if (isLastRun || deadline() - now() < minRemainingTime)
         return;
     const fleet::Endpoint *replacement = findReplacement();
-    if (replacement != nullptr || !std::exchange(attempt().isSilenceReported, true))
+    const bool isSilent = !waitsAtOlderVersions();
+    if (isSilent && (replacement != nullptr || !std::exchange(attempt().isSilenceReported, true)))
         logSilence(replacement);
     if (replacement == nullptr || !m_context.budgets[m_service].tryTake(now())) {
         checkStallAfter(replacementInterval);
         return;
     }
-    if (!std::exchange(attempt().isSilenceCounted, true))
+    if (isSilent && !std::exchange(attempt().isSilenceCounted, true))
         m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
-    m_context.metrics.recordRetry("endpoint was silent for too long");
+    m_context.metrics.recordRetry(isSilent ? "endpoint was silent for too long"
+                                           : "endpoint has an older version of the adapter");
     send(*replacement);
 }
 
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -45,7 +45,10 @@
     void giveUpOwnConnection(const core::EndpointId &id);
     /// Whether an endpoint that holds an older version of the adapter has not begun to answer.
     bool isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const;
-    /// Takes the request from the queues of the endpoints that hold an older version.
+    /// Sends the request to an endpoint with the newer version as well, as soon as one takes it.
+    void seekNewerVersion();
+    /// Takes the request from the queues of the endpoints that hold an older version, on which it
+    /// may no longer begin.
     void giveUpOlderVersion(const fleet::AnnouncedVersion &newest);
     /// Ends the request with an error answer or an aborted stream, because the process exits.
     void finishForShutdown();
@@ -166,6 +169,8 @@
     core::Duration stallLimit() const;
     void armStallTimer();
     void checkStallAfter(core::Duration delay);
+    /// Whether the request waits only at endpoints with a version that is no longer used.
+    bool waitsAtOlderVersions() const;
     /// Sends the request to another endpoint as well, if one takes it now.
     void handleStall();
     /// An endpoint to which the request can also be sent now; one that has it already only if
--- a/tests/auto/watchrelay/relayfixture.h
+++ b/tests/auto/watchrelay/relayfixture.h
@@ -51,6 +51,7 @@
                      },
                  .onEndpointRemoved = [this](const core::EndpointId &) { ++removalsSeen; },
                  .onVersionAnnounced = [](const fleet::AnnouncedVersion &) {},
+                 .onNewerVersionRequired = [](const fleet::AnnouncedVersion &) {},
                  .onOlderVersionsExpired
                  = [this](const fleet::AnnouncedVersion &) { ++versionsExpired; }})
     { }
