Know the way through other daemons under a coordinator of an earlier release

Class of fault: a message that lacks a field is read as one that says 'none'. The field is optional now. In the other direction, a daemon whose report does not say whether it reaches the endpoints is no longer offered as a way to them.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -283,8 +283,8 @@
     const bool isNewDaemon = daemon.reportedAt == core::TimePoint();
     daemon.reportedAt = now;
     daemon.isStoreReachable = report.isStoreReachable;
-    m_areForwardersOutdated |= isNewDaemon || daemon.reachesEndpoints != report.reachesEndpoints;
-    daemon.reachesEndpoints = report.reachesEndpoints;
+    m_areForwardersOutdated |= isNewDaemon || daemon.sendsForOthers != report.sendsForOthers;
+    daemon.sendsForOthers = report.sendsForOthers;
     daemon.waiting = report.waiting;
     daemon.pinned = report.pinned;
     if (report.isViewRequested) {
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -55,6 +55,9 @@
     }
     /// Returns the address of another daemon that reported within the timeout, if there is one.
     std::optional<net::Address> anyLiveDaemon() const;
+    /// The hosts of the daemons that report, this one included; empty until it has been the
+    /// coordinator for `time`.
+    std::set<core::HostId> hostsAfter(core::Duration time) const;
     void updateEndpoint(const fleet::Endpoint &endpoint);
     void removeEndpoint(const core::EndpointId &id);
     void setAnnouncedVersion(const fleet::AnnouncedVersion &version);
@@ -68,7 +71,7 @@
         core::RegionId region;
         double availableCores = 1;
         bool isStoreReachable = true;
-        bool reachesEndpoints = true;
+        bool sendsForOthers = false;
         core::TimePoint reportedAt;
         std::map<core::EndpointId, double> load; ///< Slots that this daemon's requests occupy.
         std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
--- a/src/libs/gateway/coordinatorviews.cpp
+++ b/src/libs/gateway/coordinatorviews.cpp
@@ -27,6 +27,17 @@
     return found == m_daemons.end() ? std::string() : found->second.address.toString();
 }
 
+std::set<core::HostId> Coordinator::hostsAfter(core::Duration time) const
+{
+    std::set<core::HostId> hosts;
+    if (!m_wasHolder || m_timers.now() - m_holderSince < time)
+        return hosts;
+    hosts.insert(m_settings.host);
+    for (const auto &[host, daemon] : m_daemons)
+        hosts.insert(host);
+    return hosts;
+}
+
 PeerView Coordinator::fullViewFor(Daemon &daemon)
 {
     PeerView view = contentsViewFor(daemon);
@@ -52,7 +63,7 @@
         return;
     std::vector<decisions::ForwarderCandidate> candidates;
     for (const auto &[host, daemon] : m_daemons) {
-        if (daemon.reachesEndpoints)
+        if (daemon.sendsForOthers)
             candidates.push_back({host, daemon.domain});
     }
     for (auto &[host, daemon] : m_daemons) {
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -32,6 +32,8 @@
 // A handover stops loads for some seconds, so that it must not follow from a path that fails for a
 // moment.
 constexpr core::Duration handoverDelay = std::chrono::seconds(1);
+// By then all daemons have reported to a new coordinator, and upgrades of a host are over.
+constexpr core::Duration directoryCleaningPeriod = std::chrono::seconds(60);
 constexpr std::string_view leavingCause = "endpoint leaves before the connection is open";
 constexpr std::string_view limitCause
     = "endpoint announces a request limit before the connection is open";
@@ -128,7 +130,10 @@
                  .predictionsUntil = {}}
     , m_election(m_store, m_timers, m_settings.host, PeerLink::addressOf(m_settings),
                  leaseLimits(m_settings), [this] { return m_peerLink.isCoordinatorReachable(); })
-    , m_peerLink(m_context, m_controlClient, m_storeTransport, m_relay, m_election,
+    , m_directory(
+          m_store, m_timers, m_settings, PeerLink::addressOf(m_settings),
+          [this](std::vector<net::Address> peers) { m_forwarder.setPeers(std::move(peers)); })
+    , m_peerLink(m_context, m_controlClient, m_storeTransport, m_relay, m_election, m_directory,
                  [this] { handleView(); })
     , m_coordinator(m_settings, m_timers, m_controlClient, m_watch, m_limits, m_election, m_metrics,
                     m_profiler, m_context.cost,
@@ -262,6 +267,7 @@
         = [this] { return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeer(); };
     m_streams.start(std::move(list), [this] { return m_election.isHolder(); });
     m_pathTimer = m_timers.every(PathMonitor::checkPeriod, [this] { checkPaths(); });
+    m_directoryTimer = m_timers.every(directoryCleaningPeriod, [this] { cleanDirectory(); });
     m_retryTimer = m_timers.every(retryPeriod, [this] { retryWaitingRequests(); });
     observability::log({.step = "start",
                         .message = absl::StrCat("callers at ", m_settings.callerAddress.toString(),
@@ -420,6 +426,18 @@
         giveUpOwnConnections(id);
 }
 
+// Once in each term of a coordinator, because entries are written only in upgrades.
+void Gateway::cleanDirectory()
+{
+    const auto &record = m_election.lease().record();
+    if (!m_election.isHolder() || !record || record->token == m_cleanedInTerm)
+        return;
+    if (const auto hosts = m_coordinator.hostsAfter(directoryCleaningPeriod); !hosts.empty()) {
+        m_cleanedInTerm = record->token;
+        m_directory.removeAllBut(hosts);
+    }
+}
+
 void Gateway::handleView()
 {
     if (m_idleLimitDaemonCount != m_context.daemonCount)
@@ -468,6 +486,7 @@
     observability::log({.step = "stop", .message = "SIGTERM received"});
     m_callerServer.disableKeepAlive();
     m_election.release();
+    m_directory.withdraw();
     m_stopTimer = m_timers.every(stopCheckPeriod, [this] { checkStopped(); });
 }
 
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -66,6 +66,8 @@
     requestsQueuedAtOlderVersions(const fleet::AnnouncedVersion &newest) const;
     void seekNewerVersions(const fleet::AnnouncedVersion &newest);
     void giveUpOlderVersions(const fleet::AnnouncedVersion &newest);
+    /// Removes what daemons that were killed left in the directory.
+    void cleanDirectory();
     /// Applies changed bounds and regions; addresses change only with a restart.
     void reloadSettings();
     void stop();
@@ -101,6 +103,7 @@
     StreamVersions m_streams;
     RequestContext m_context;
     CoordinatorElection m_election;
+    PeerDirectory m_directory;
     PeerLink m_peerLink;
     Coordinator m_coordinator;
     http::Server m_callerServer;
@@ -112,6 +115,8 @@
     net::TimerService::Subscription m_retryTimer;
     net::TimerService::Subscription m_pathTimer;
     net::TimerService::Subscription m_handoverTimer;
+    net::TimerService::Subscription m_directoryTimer;
+    core::FencingToken m_cleanedInTerm; ///< Of the lease; see cleanDirectory().
     net::TimerService::Subscription m_stopTimer;
 };
 
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -64,12 +64,13 @@
 
 PeerLink::PeerLink(RequestContext &context, http::ControlClient &controlClient,
                    StoreTransport &storeTransport, WatchRelay &relay, CoordinatorElection &election,
-                   std::function<void()> onView)
+                   PeerDirectory &directory, std::function<void()> onView)
     : m_context(context)
     , m_controlClient(controlClient)
     , m_storeTransport(storeTransport)
     , m_relay(relay)
     , m_election(election)
+    , m_directory(directory)
     , m_onView(std::move(onView))
 { }
 
@@ -181,13 +182,15 @@
         m_relay.deactivate();
 }
 
-// A new coordinator does not know all daemons yet.
+// A new coordinator does not know all daemons yet, and one of an earlier release states none, which
+// does not mean that there are none.
 void PeerLink::applyForwarders(const PeerView &view)
 {
-    if (!view.isCounted && m_context.forwarder.hasPeers())
+    m_directory.setNeeded(!view.forwarders);
+    if (!view.forwarders || (!view.isCounted && m_context.forwarder.hasPeers()))
         return;
     std::vector<net::Address> peers;
-    for (const std::string &text : view.forwarders) {
+    for (const std::string &text : *view.forwarders) {
         if (auto address = platform::decodeAddress(text); address.ok())
             peers.push_back(*std::move(address));
     }
@@ -306,7 +309,7 @@
     report.permitDemand = m_context.limits.takeDemand();
     report.knownRevision = m_knownRevision;
     report.token = m_coordinatorToken;
-    report.reachesEndpoints = !m_context.paths.isCutOff();
+    report.sendsForOthers = !m_context.paths.isCutOff();
     if (!isViewRequested)
         return report;
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -2,6 +2,7 @@
 
 #include "gateway/coordinator.h"
 #include "gateway/forwardedrequests.h"
+#include "gateway/peerdirectory.h"
 #include "gateway/requestcontext.h"
 #include "gateway/storetransport.h"
 #include "gateway/watchrelay.h"
@@ -22,7 +23,7 @@
 public:
     PeerLink(RequestContext &context, http::ControlClient &controlClient,
              StoreTransport &storeTransport, WatchRelay &relay, CoordinatorElection &election,
-             std::function<void()> onView);
+             PeerDirectory &directory, std::function<void()> onView);
     ~PeerLink();
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
@@ -78,6 +79,7 @@
     StoreTransport &m_storeTransport;
     WatchRelay &m_relay;
     CoordinatorElection &m_election;
+    PeerDirectory &m_directory;
     std::function<void()> m_onView;
     Coordinator *m_coordinator = nullptr;
     std::unique_ptr<http::Server> m_server;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -319,7 +319,7 @@
                   {"demand", demand},
                   {"contradictions", placementMisses},
                   {"unreachable", encodeIds(report.unreachable)},
-                  {"reachesEndpoints", report.reachesEndpoints},
+                  {"reachesEndpoints", report.sendsForOthers},
                   {"resting", encodeIds(report.endpointsInBackoff)},
                   {"leaving", encodeStartTimes(report.leaving)},
                   {"waiting", encodeWaiting(report.waiting, now)},
@@ -360,8 +360,9 @@
                   {"grants", grants},
                   {"issuesPermits", view.areIssuingPermits},
                   {"relay", view.relayAddress},
-                  {"spare", view.spareRelayAddress},
-                  {"forwarders", view.forwarders}};
+                  {"spare", view.spareRelayAddress}};
+    if (view.forwarders)
+        message["forwarders"] = *view.forwarders;
     encodeInto(message, view.crashes);
     return pack(message);
 }
@@ -403,7 +404,8 @@
         report.knownRevision = value.at("revision").get<std::uint64_t>();
         report.token = core::FencingToken(value.at("token").get<std::uint64_t>());
         report.isViewRequested = value.value("wantsView", true);
-        report.reachesEndpoints = value.value("reachesEndpoints", true);
+        // A daemon that does not state it is of a release that rejects requests of other daemons.
+        report.sendsForOthers = value.value("reachesEndpoints", false);
         return report;
     } catch (const json::exception &error) {
         return malformedMessage(error);
@@ -439,7 +441,8 @@
         view.leaving = decodeStartTimes(value.at("leaving"));
         view.relayAddress = value.at("relay").get<std::string>();
         view.spareRelayAddress = value.at("spare").get<std::string>();
-        view.forwarders = value.value("forwarders", std::vector<std::string>());
+        if (const auto forwarders = value.find("forwarders"); forwarders != value.end())
+            view.forwarders = forwarders->get<std::vector<std::string>>();
         return view;
     } catch (const json::exception &error) {
         return malformedMessage(error);
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -45,7 +46,8 @@
     std::set<fleet::PinnedAdapter> pinned;
     std::map<core::EndpointId, std::set<fleet::AdapterKey>> placementMisses;
     std::vector<core::EndpointId> unreachable;
-    bool reachesEndpoints = true; ///< False if it sends all requests through other daemons.
+    /// Whether it can send requests to endpoints for others: it reaches them, and knows how.
+    bool sendsForOthers = true;
     std::vector<core::EndpointId> endpointsInBackoff;     ///< Accept no requests from this daemon.
     std::map<core::EndpointId, fleet::StartTime> leaving; ///< Recently announced by themselves.
     CrashNews crashes;
@@ -83,7 +85,8 @@
     std::string relayAddress;       ///< Daemon through which to watch the store; empty for none.
     std::string spareRelayAddress;  ///< Daemon to use when the relay fails.
     /// Daemons that can send requests to endpoints for the receiver, the preferred ones first.
-    std::vector<std::string> forwarders;
+    /// Empty if the coordinator, of an earlier release, does not state them.
+    std::optional<std::vector<std::string>> forwarders;
     FleetCrashNews crashes;
 };
 
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -164,6 +164,8 @@
         return absl::StrCat(wire::objectsPath, wire::versionKind);
     case ObjectKind::Streams:
         return absl::StrCat(wire::objectsPath, wire::streamKind);
+    case ObjectKind::Daemons:
+        return absl::StrCat(wire::objectsPath, wire::daemonKind);
     case ObjectKind::Leases:
         break;
     }
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -18,7 +18,7 @@
 namespace jackdawlead::platform {
 
 /// Kinds of objects in the store.
-enum class ObjectKind { Configuration, Endpoints, AdapterVersions, Leases, Streams };
+enum class ObjectKind { Configuration, Endpoints, AdapterVersions, Leases, Streams, Daemons };
 
 struct StoredObject
 {
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -70,4 +70,7 @@
 /// Software versions at which streams began; written by this product alone.
 inline constexpr char streamKind[] = "jackdawlead-streams";
 
+/// Daemons that send requests for others, one object each; written by this product alone.
+inline constexpr char daemonKind[] = "jackdawlead-daemons";
+
 } // namespace jackdawlead::platform::wire
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -1,4 +1,5 @@
 #include "gateway/peermessages.h"
+#include "support/earliermessages.h"
 
 #include <absl/strings/escaping.h>
 
@@ -38,7 +39,7 @@
     report.endpointsInBackoff.push_back(core::EndpointId("i-4"));
     report.leaving[core::EndpointId("i-5")] = milliseconds(1733300000123);
     report.knownRevision = 17;
-    report.reachesEndpoints = false;
+    report.sendsForOthers = false;
     report.token = core::FencingToken(4);
     report.waiting[key] = {2, 1, now + milliseconds(300)};
     report.waiting[{core::ModelId("other"), core::AdapterId("a2")}] = {0, 4, now};
@@ -53,7 +54,7 @@
     cr_assert(read.ok());
     cr_assert(read->crashes.states == report.crashes.states);
     cr_assert_eq(read->domain, report.domain);
-    cr_assert_not(read->reachesEndpoints);
+    cr_assert_not(read->sendsForOthers);
     cr_assert_eq(read->availableCores, 0.25);
     cr_assert(read->load == report.load);
     cr_assert(read->inUse == report.inUse);
@@ -71,6 +72,23 @@
     cr_assert(read->permitDemand == report.permitDemand);
 }
 
+// Guards against a field that an earlier release does not send and that is read as "none": requests
+// would be sent through daemons that reject them, and the way through the others would be
+// forgotten.
+Test(peermessages, whatAnEarlierReleaseDoesNotStateIsNotKnown)
+{
+    const auto message
+        = [](const char *cbor) { return std::string("{\"cbor\":\"") + cbor + "\"}"; };
+    const auto report = decodePeerReport(message(testsupport::earlier::reportOfE304079), now);
+    cr_assert(report.ok());
+    cr_expect_eq(report->host, core::HostId("h2"));
+    cr_expect_not(report->sendsForOthers);
+    const auto view = decodePeerView(message(testsupport::earlier::viewOfE304079), now);
+    cr_assert(view.ok());
+    cr_expect(view->isCoordinator);
+    cr_expect_not(view->forwarders.has_value());
+}
+
 // Guards against a daemon that takes the time of another clock for the age of a limit, and against
 // lost permits.
 Test(peermessages, limitsAndGrantsOfAViewAreDecoded)
@@ -80,7 +98,7 @@
         = {milliseconds(5), fleet::RequestRate {0.5}, now - milliseconds(250)};
     view.grants[core::EndpointId("i-1")] = {2, 7};
     view.areIssuingPermits = true;
-    view.forwarders = {"10.0.0.3:7020", "10.1.0.4:7020"};
+    view.forwarders = std::vector<std::string> {"10.0.0.3:7020", "10.1.0.4:7020"};
     const core::TimePoint otherClock {std::chrono::hours(5)};
     const auto read = decodePeerView(encode(view, now), otherClock);
     cr_assert(read.ok());
