Keep to what a brittle endpoint had accepted after it refused

Endpoints that crash when they refuse too often got 6 to 8 refusals a second from two daemons, 4 allowed: after its pause each daemon sent all of its waiting requests at once, for slots that the other one had taken meanwhile. A daemon now has at most as many requests at such an endpoint as that had accepted when it refused, one more after each interval in which it used them, and one after it was idle. It pauses only where the endpoint had accepted nothing of it.

--- a/src/libs/decisions/refusallimits.cpp
+++ b/src/libs/decisions/refusallimits.cpp
@@ -35,17 +35,55 @@
     return found->second.limit;
 }
 
-core::Duration RefusalLimits::pauseAfterRefusal(const core::ServiceId &service, int daemons,
-                                                core::TimePoint now) const
+core::Duration RefusalLimits::refusalInterval(const core::ServiceId &service, int daemons,
+                                              core::TimePoint now) const
 {
     const auto limit = limitOf(service, now);
     if (!limit)
         return {};
     const double perDaemon = limit->perSecond / std::max(1, daemons);
-    const core::Duration pause = perDaemon > 0
+    const core::Duration interval = perDaemon > 0
         ? core::scaled(std::chrono::seconds(1), requestsPerRefusal / perDaemon)
-        : maxPause;
-    return std::clamp(pause, minPause, maxPause);
+        : maxInterval;
+    return std::clamp(interval, minInterval, maxInterval);
+}
+
+void RefusalLimits::recordRefusal(const core::EndpointId &endpoint, int accepted,
+                                  core::TimePoint now)
+{
+    Window &window = m_windows[endpoint];
+    window.size = std::max(1, accepted);
+    window.mostInProgress = accepted;
+    window.changedAt = now;
+}
+
+void RefusalLimits::recordAcceptance(const core::EndpointId &endpoint, int inProgress,
+                                     core::Duration refusalInterval, core::TimePoint now)
+{
+    const auto found = m_windows.find(endpoint);
+    if (found == m_windows.end())
+        return;
+    Window &window = found->second;
+    window.acceptedAt = now;
+    window.mostInProgress = std::max(window.mostInProgress, inProgress);
+    if (now - window.changedAt < refusalInterval)
+        return;
+    window.size = std::min(window.size, window.mostInProgress) + 1;
+    window.mostInProgress = inProgress;
+    window.changedAt = now;
+}
+
+// Other daemons may have taken the slots of one that was idle.
+std::optional<int> RefusalLimits::maxInProgress(const core::EndpointId &endpoint,
+                                                core::Duration refusalInterval,
+                                                core::TimePoint now) const
+{
+    const auto found = m_windows.find(endpoint);
+    if (found == m_windows.end())
+        return std::nullopt;
+    const Window &window = found->second;
+    const bool isIdle = now - std::max(window.acceptedAt, window.changedAt) > refusalInterval;
+    return isIdle ? 1 : window.size;
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -164,9 +164,19 @@
     option.isConnected = pool.hasIdleConnection(endpoint.id);
     option.needsPermit = !m_context.limits.hasPermit(endpoint);
     option.mustNotRefuse = m_context.refusalLimits.limitOf(endpoint.service, now).has_value();
+    if (option.mustNotRefuse && pool.inProgress(endpoint.id) >= mostInProgress(endpoint, now))
+        option.load = std::max<double>(option.load, endpoint.slots);
     return option;
 }
 
+int EndpointFinder::mostInProgress(const fleet::Endpoint &endpoint, core::TimePoint now) const
+{
+    const decisions::RefusalLimits &limits = m_context.refusalLimits;
+    const core::Duration interval
+        = limits.refusalInterval(endpoint.service, m_context.daemonCount, now);
+    return limits.maxInProgress(endpoint.id, interval, now).value_or(endpoint.slots);
+}
+
 std::vector<decisions::EndpointOption> EndpointFinder::options(core::TimePoint now) const
 {
     // Computed once, because each waiting request checks all endpoints fifty times a second.
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -55,6 +55,8 @@
     std::optional<int> heldVersion(const core::EndpointId &id, core::TimePoint now) const;
 
 private:
+    /// How many requests this daemon may have at an endpoint that must not refuse.
+    int mostInProgress(const fleet::Endpoint &endpoint, core::TimePoint now) const;
     std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
     /// Estimated number of requests that other daemons sent to each endpoint of the service since
     /// their last report.
--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -144,6 +144,12 @@
         entry.adapters.erase(usage);
 }
 
+int EndpointPool::inProgress(const core::EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? 0 : found->second.inProgress;
+}
+
 std::vector<fleet::AdapterKey> EndpointPool::adaptersInUse(const core::EndpointId &id) const
 {
     std::vector<fleet::AdapterKey> keys;
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -63,6 +63,8 @@
     /// slots that the prefill of the prompts of the last second takes.
     double load(const core::EndpointId &id, int slots) const;
     void endRequest(const core::EndpointId &id, const fleet::AdapterKey &key);
+    /// Requests of this daemon in progress there.
+    int inProgress(const core::EndpointId &id) const;
     /// The adapters that this daemon's requests in progress use there.
     std::vector<fleet::AdapterKey> adaptersInUse(const core::EndpointId &id) const;
     /// Sets the last reported load of other daemons' requests, in slots.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -175,6 +175,7 @@
                 m_paths.removeEndpoint(id);
                 m_pool.removeEndpoint(id);
                 m_limits.removeEndpoint(id);
+                m_context.refusalLimits.removeEndpoint(id);
             },
         .onVersionAnnounced =
             [this](const fleet::AnnouncedVersion &version) {
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -46,6 +46,11 @@
         attempt().sentAt);
     m_context.refusalLimits.recordAnswer(
         m_service, platform::parseRefusalLimit(head.headers, attempt().endpoint), now());
+    if (isOwnAnswer && !attempt().traits.isNotRun)
+        m_context.refusalLimits.recordAcceptance(
+            attempt().endpoint, m_context.pool.inProgress(attempt().endpoint),
+            m_context.refusalLimits.refusalInterval(m_service, m_context.daemonCount, now()),
+            now());
     applyEndpointState(head);
     // The end of such an answer does not show whether the endpoint is sound, but its begin does.
     if (isOwnAnswer && head.status < 500 && !head.isDelimited())
@@ -425,10 +430,15 @@
 {
     m_finder.recordRefusal(now());
     const fleet::Endpoint *endpoint = m_context.watch.endpoint(attempt().endpoint);
-    const core::Duration pause
-        = m_context.refusalLimits.pauseAfterRefusal(m_service, m_context.daemonCount, now());
-    if (endpoint != nullptr && !attempt().traits.isMisdirected && pause > core::Duration::zero())
-        m_context.pool.setBackoff(*endpoint, now() + pause);
+    const core::Duration interval
+        = m_context.refusalLimits.refusalInterval(m_service, m_context.daemonCount, now());
+    if (endpoint != nullptr && !attempt().traits.isMisdirected
+        && interval > core::Duration::zero()) {
+        const int accepted = m_context.pool.inProgress(endpoint->id);
+        m_context.refusalLimits.recordRefusal(endpoint->id, accepted, now());
+        if (accepted == 0)
+            m_context.pool.setBackoff(*endpoint, now() + interval);
+    }
     if (attempt().traits.isMisdirected) {
         const fleet::AdapterKey key = adapterKey();
         m_context.placement.recordPlacementMiss(attempt().endpoint, key);
--- a/tests/auto/refusallimits/tst_refusallimits.cpp
+++ b/tests/auto/refusallimits/tst_refusallimits.cpp
@@ -45,13 +45,13 @@
 {
     RefusalLimits limits;
     constexpr int daemons = 8;
-    cr_assert_eq(limits.pauseAfterRefusal(service, daemons, start).count(), 0);
+    cr_assert_eq(limits.refusalInterval(service, daemons, start).count(), 0);
     limits.recordAnswer(service, fleet::RequestRate {8}, start);
-    const double pause = core::toSeconds(limits.pauseAfterRefusal(service, daemons, start));
+    const double pause = core::toSeconds(limits.refusalInterval(service, daemons, start));
     cr_assert_leq(daemons / pause, 8.0);
     limits.recordAnswer(service, fleet::RequestRate {0}, start);
-    cr_assert_eq(limits.pauseAfterRefusal(service, daemons, start).count(),
-                 core::Duration(RefusalLimits::maxPause).count());
+    cr_assert_eq(limits.refusalInterval(service, daemons, start).count(),
+                 core::Duration(RefusalLimits::maxInterval).count());
 }
 
 // Guards against a queue at an endpoint that crashes when it has to refuse.
@@ -67,3 +67,28 @@
     option.load = 3;
     cr_assert(chooseEndpoint({option}, 0).endpoint.has_value());
 }
+
+// Guards against a daemon that fills an endpoint at once after a refusal, or after it was idle,
+// although other daemons have taken the slots meanwhile: all of these requests were refused.
+Test(refusallimits, refusalLimitsTheRequestsInProgress)
+{
+    const core::EndpointId endpoint("e-1");
+    constexpr core::Duration interval = std::chrono::seconds(1);
+    RefusalLimits limits;
+    cr_assert_not(limits.maxInProgress(endpoint, interval, start).has_value());
+    limits.recordRefusal(endpoint, 3, start);
+    cr_assert_eq(limits.maxInProgress(endpoint, interval, start), 3);
+    limits.recordRefusal(endpoint, 0, start);
+    cr_assert_eq(limits.maxInProgress(endpoint, interval, start), 1, "one request finds out");
+    limits.recordRefusal(endpoint, 3, start);
+    limits.recordAcceptance(endpoint, 3, interval, start + milliseconds(500));
+    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + milliseconds(500)), 3,
+                 "it grows by one in each interval");
+    limits.recordAcceptance(endpoint, 3, interval, start + interval);
+    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + interval), 4);
+    limits.recordAcceptance(endpoint, 1, interval, start + 2 * interval);
+    limits.recordAcceptance(endpoint, 1, interval, start + 3 * interval);
+    cr_assert_leq(limits.maxInProgress(endpoint, interval, start + 3 * interval), 4,
+                  "what was not used does not grow");
+    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + 5 * interval), 1);
+}
