Soak: replace an earlier release by the present one, and back

--earlier PROGRAM starts the daemons with the program of an earlier release. After a third of the time they are replaced one after the other, and after two thirds they go back, beside all faults of the soak. Links are interrupted only of daemons of the present release, and only while another one of it keeps its links, because the earlier one need not know a way through others.

--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -36,6 +36,7 @@
     , m_checker(checker)
     , m_bounds(bounds)
     , m_files(std::move(files))
+    , m_usesEarlierProgram(!m_files.earlierProgram.empty())
 {
     m_daemons.resize(static_cast<std::size_t>(count));
     for (std::size_t index = 0; index < m_daemons.size(); ++index) {
@@ -76,8 +77,9 @@
         return;
     Daemon &daemon = m_daemons[index];
     setenv("JACKDAWLEAD_SETTINGS", daemon.settings.c_str(), 1);
-    daemon.process
-        = testsupport::Process({m_files.program, "--platform"}, daemon.log, {SIGTERM, SIGHUP});
+    daemon.isEarlierProgram = m_usesEarlierProgram;
+    const std::string &program = m_usesEarlierProgram ? m_files.earlierProgram : m_files.program;
+    daemon.process = testsupport::Process({program, "--platform"}, daemon.log, {SIGTERM, SIGHUP});
     daemon.state = State::Running;
     daemon.incarnation = m_lastIncarnation = m_lastIncarnation.next();
     daemon.incarnations.push_back(daemon.incarnation);
--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -21,7 +21,9 @@
     struct Files
     {
         std::string program; ///< Of the daemons.
-        std::string folder;  ///< Receives logs and settings files.
+        /// Of daemons that are started while the earlier release is in use; empty for none.
+        std::string earlierProgram;
+        std::string folder; ///< Receives logs and settings files.
     };
 
     /// Each daemon reaches the store at its own one of `storePorts`. Precondition: schedule,
@@ -32,6 +34,11 @@
     std::size_t count() const { return m_daemons.size(); }
     std::uint16_t callerPort(std::size_t index) const { return m_daemons[index].callerPort; }
     std::uint16_t readyPort(std::size_t index) const { return m_daemons[index].readyPort; }
+    /// Daemons that start from now on are of the earlier release, or of the present one. Those that
+    /// run stay what they are.
+    void useEarlierProgram(bool isEarlier) { m_usesEarlierProgram = isEarlier; }
+    /// Whether the last process of the daemon is one of the present release.
+    bool isPresentProgram(std::size_t index) const { return !m_daemons[index].isEarlierProgram; }
     /// The running incarnation, or no value while the process is down.
     std::optional<ProcessIncarnation> incarnation(std::size_t index) const;
 
@@ -59,6 +66,7 @@
         std::string log;
         testsupport::Process process;
         State state = State::Down;
+        bool isEarlierProgram = false;
         ProcessIncarnation incarnation;
         std::vector<ProcessIncarnation> incarnations;
     };
@@ -77,6 +85,7 @@
     Files m_files;
     std::vector<Daemon> m_daemons;
     ProcessIncarnation m_lastIncarnation;
+    bool m_usesEarlierProgram = false;
     bool m_isShuttingDown = false;
 };
 
--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -83,7 +83,16 @@
     if (m_daemonLinks.empty())
         return;
     std::ranges::shuffle(m_daemonLinks, m_random.generator());
-    const int count = m_random.number(1, static_cast<int>(m_daemonLinks.size()));
+    // Those of an earlier release need not know a way through others.
+    const auto linked = std::ranges::partition(m_daemonLinks,
+                                               [&daemons](const DaemonLinks &own) {
+                                                   return daemons.isPresentProgram(own.daemon);
+                                               })
+                            .begin()
+        - m_daemonLinks.begin();
+    if (linked == 0 || !hasPresentPeer(daemons))
+        return;
+    const int count = m_random.number(1, static_cast<int>(linked));
     std::map<ProcessIncarnation, bool> interrupted;
     for (DaemonLinks &own : std::span(m_daemonLinks).first(static_cast<std::size_t>(count))) {
         const auto fault = static_cast<Fault>(
@@ -97,6 +106,17 @@
     m_schedule.after(time, [this] { restore(); });
 }
 
+bool Links::hasPresentPeer(const Daemons &daemons) const
+{
+    for (std::size_t index = 0; index < daemons.count(); ++index) {
+        const bool isLinked
+            = std::ranges::find(m_daemonLinks, index, &DaemonLinks::daemon) != m_daemonLinks.end();
+        if (!isLinked && daemons.isPresentProgram(index) && daemons.incarnation(index))
+            return true;
+    }
+    return false;
+}
+
 void Links::restore()
 {
     for (DaemonLinks &own : m_daemonLinks) {
--- a/soak/links.h
+++ b/soak/links.h
@@ -43,6 +43,8 @@
     void plan(const Daemons &daemons, core::Duration delay, core::Duration time,
               core::Duration timeLeft);
     void interrupt(const Daemons &daemons, core::Duration time);
+    /// Whether a daemon that keeps its links can send requests for others.
+    bool hasPresentPeer(const Daemons &daemons) const;
     void restore();
     static void setFault(DaemonLinks &links, Fault fault);
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -48,7 +48,9 @@
         "callers", options::value(&soakOptions.callers),
         "how many callers send at once")("calm", options::bool_switch(&soakOptions.isCalm),
                                          "only requests, configurations and adapter versions")(
-        "program", options::value(&soakOptions.program), "the program of the daemons");
+        "program", options::value(&soakOptions.program), "the program of the daemons")(
+        "earlier", options::value(&soakOptions.earlierProgram),
+        "the program of an earlier release, with which the daemons begin and end");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -74,7 +74,7 @@
     , m_links(m_loop, m_timers, m_schedule, m_checker, m_endpoints.ports(), m_storePort,
               options.daemons, options.seed * 10 + 9, m_faults)
     , m_daemons(m_schedule, m_checker, m_bounds, options.daemons, m_links.storePorts(),
-                Daemons::Files {options.program, folder})
+                Daemons::Files {options.program, options.earlierProgram, folder})
     , m_callers(m_loop, m_schedule, m_checker, m_daemons, options.seed, options.callers,
                 "s" + std::to_string(options.seed) + "-")
     , m_longStreamCallers(m_loop, m_schedule, m_checker, m_daemons, options.seed * 10 + 8,
@@ -110,6 +110,30 @@
     m_schedule.after(seconds(5), [this] { printProgress(); });
     takeCopies();
     recordHeartbeat();
+    if (!options.earlierProgram.empty())
+        scheduleUpgrades();
+}
+
+void SoakRun::scheduleUpgrades()
+{
+    for (const bool isWayBack : {false, true}) {
+        m_schedule.after(m_options.time / 3 * (isWayBack ? 2 : 1), [this, isWayBack] {
+            ++m_faults[isWayBack ? "upgrade: way back" : "upgrade"];
+            m_daemons.useEarlierProgram(isWayBack);
+            replaceDaemons(0);
+        });
+    }
+}
+
+// A daemon that is down, or stops already, starts as the other program by itself.
+void SoakRun::replaceDaemons(std::size_t index)
+{
+    if (index >= m_daemons.count())
+        return;
+    constexpr core::Duration restartDelay = milliseconds(200);
+    m_daemons.terminate(index, restartDelay);
+    const core::Duration pause = m_options.time / 4 / static_cast<int>(m_daemons.count());
+    m_schedule.after(pause, [this, index] { replaceDaemons(index + 1); });
 }
 
 bool SoakRun::run()
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -24,6 +24,9 @@
     /// which nothing is left to check may stay unchecked.
     bool isCalm = false;
     std::string program = JACKDAWLEADD; ///< Of the daemons, for example that of a former release.
+    /// If set, the daemons begin with this program of an earlier release, are replaced one after
+    /// the other, and go back to it in the same way.
+    std::string earlierProgram;
 };
 
 /// One soak: daemons as processes, a fake store, fake endpoints, callers, and series of overlapping
@@ -46,6 +49,9 @@
         std::function<bool()> inject;
     };
 
+    void scheduleUpgrades();
+    /// Stops the daemons one after the other; each one starts again.
+    void replaceDaemons(std::size_t index);
     void startSeries();
     /// One endpoint leaves, and those of a service announce limits, while everything else is
     /// undisturbed. Without a service, any one is chosen.
