--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -3,9 +3,14 @@
 
 #include <absl/strings/escaping.h>
 
+#include <nlohmann/json.hpp>
+
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <set>
 #include <string>
+#include <vector>
 
 using namespace jackdawlead;
 using namespace jackdawlead::gateway;
@@ -17,6 +22,79 @@
 const core::TimePoint now {std::chrono::seconds(100)};
 const fleet::AdapterKey key {core::ModelId("m"), core::AdapterId("a-1.b")};
 
+using nlohmann::json;
+
+std::string messageOf(const std::string &cbor)
+{
+    return "{\"cbor\":\"" + cbor + "\"}";
+}
+
+json contentOf(const std::string &message)
+{
+    std::string bytes;
+    cr_assert(absl::Base64Unescape(json::parse(message).at("cbor").get<std::string>(), &bytes));
+    return json::from_cbor(bytes);
+}
+
+std::string messageWith(const json &content)
+{
+    const std::vector<std::uint8_t> bytes = json::to_cbor(content);
+    const absl::string_view text(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+    return messageOf(absl::Base64Escape(text));
+}
+
+std::string without(const std::string &message, const std::string &field)
+{
+    json content = contentOf(message);
+    cr_assert_eq(content.erase(field), 1U, "no field %s", field.c_str());
+    return messageWith(content);
+}
+
+/// Fields of the present message that the earlier one does not have.
+std::set<std::string> addedFields(const std::string &present, const std::string &earlier)
+{
+    const json known = contentOf(earlier);
+    const json content = contentOf(present);
+    std::set<std::string> fields;
+    for (const auto &[field, value] : content.items()) {
+        if (!known.contains(field))
+            fields.insert(field);
+    }
+    return fields;
+}
+
+/// Whether a decoder of the release that sent the earlier message finds each of its fields in the
+/// present one, with a value of the same kind.
+void expectFieldsOf(const std::string &earlier, const std::string &present)
+{
+    const json required = contentOf(earlier);
+    const json content = contentOf(present);
+    for (const auto &[field, value] : required.items()) {
+        const auto found = content.find(field);
+        cr_expect(found != content.end(), "%s is missing", field.c_str());
+        if (found == content.end())
+            continue;
+        const bool isSameKind
+            = value.is_number() ? found->is_number() : value.type() == found->type();
+        cr_expect(isSameKind, "%s is %s", field.c_str(), found->type_name());
+    }
+}
+
+PeerView viewWithAllFields()
+{
+    PeerView view;
+    view.isCoordinator = true;
+    view.daemonCount = 3;
+    view.isCounted = true;
+    view.reportPeriod = milliseconds(500);
+    view.demandPause = milliseconds(20);
+    view.limits[core::EndpointId("i-1")] = {milliseconds(5), fleet::RequestRate {0.5}, now};
+    view.grants[core::EndpointId("i-1")] = {2, 7};
+    view.areIssuingPermits = true;
+    view.forwarders = std::vector<std::string> {"10.0.0.3:7020"};
+    return view;
+}
+
 } // namespace
 
 // Guards against report fields that are lost or changed between encoding and decoding.
@@ -77,18 +155,103 @@
 // forgotten.
 Test(peermessages, whatAnEarlierReleaseDoesNotStateIsNotKnown)
 {
-    const auto message
-        = [](const char *cbor) { return std::string("{\"cbor\":\"") + cbor + "\"}"; };
-    const auto report = decodePeerReport(message(testsupport::earlier::reportOfE304079), now);
+    const auto report = decodePeerReport(messageOf(testsupport::earlier::reportOfE304079), now);
     cr_assert(report.ok());
     cr_expect_eq(report->host, core::HostId("h2"));
     cr_expect_not(report->sendsForOthers);
-    const auto view = decodePeerView(message(testsupport::earlier::viewOfE304079), now);
+    const auto view = decodePeerView(messageOf(testsupport::earlier::viewOfE304079), now);
     cr_assert(view.ok());
     cr_expect(view->isCoordinator);
     cr_expect_not(view->forwarders.has_value());
 }
 
+// Guards against a new field that the decoder requires: reports and views of daemons that are not
+// replaced yet would be malformed in an upgrade.
+Test(peermessages, fieldsAddedSinceAnEarlierReleaseAreOptional)
+{
+    const std::string report = encode(PeerReport {}, now);
+    const std::string earlierReport = messageOf(testsupport::earlier::reportOfE304079);
+    cr_expect(decodePeerReport(earlierReport, now).ok());
+    for (const std::string &field : addedFields(report, earlierReport))
+        cr_expect(decodePeerReport(without(report, field), now).ok(), "%s", field.c_str());
+    const std::string view = encode(viewWithAllFields(), now);
+    const std::string earlierView = messageOf(testsupport::earlier::viewOfE304079);
+    cr_expect(decodePeerView(earlierView, now).ok());
+    for (const std::string &field : addedFields(view, earlierView))
+        cr_expect(decodePeerView(without(view, field), now).ok(), "%s", field.c_str());
+    // The comparison finds the fields that are known to be added.
+    cr_expect(addedFields(report, earlierReport) == std::set<std::string> {"reachesEndpoints"});
+    cr_expect(addedFields(view, earlierView) == std::set<std::string> {"forwarders"});
+}
+
+// Guards against a field that is dropped, renamed or gets a value of another kind, though daemons
+// of an earlier release require it: they would reject all reports and views in an upgrade.
+Test(peermessages, presentMessagesHaveTheFieldsOfAnEarlierRelease)
+{
+    expectFieldsOf(messageOf(testsupport::earlier::reportOfE304079), encode(PeerReport {}, now));
+    expectFieldsOf(messageOf(testsupport::earlier::viewOfE304079),
+                   encode(viewWithAllFields(), now));
+    // A coordinator that does not state forwarders sends what is required as well.
+    expectFieldsOf(messageOf(testsupport::earlier::viewOfE304079), encode(PeerView {}, now));
+}
+
+// Guards against an optional field of a report whose absence is taken for a statement.
+Test(peermessages, absentFieldsOfAReportClaimNothing)
+{
+    PeerReport report;
+    report.pinned = {{key, core::SoftwareVersion("v1")}};
+    report.limits[core::EndpointId("i-1")] = {milliseconds(5), std::nullopt, now};
+    report.permitDemand[core::EndpointId("i-1")] = {2, 3};
+    report.isViewRequested = false;
+    report.crashes.states = {{core::PromptPartId("p1"), 2, true, 3, {}}};
+    const auto read = [message = encode(report, now)](const char *field) {
+        const auto result = decodePeerReport(without(message, field), now);
+        cr_assert(result.ok(), "%s", field);
+        return *result;
+    };
+    // It is sent no requests of others, which it may reject.
+    cr_expect_not(read("reachesEndpoints").sendsForOthers);
+    cr_expect(read("pinned").pinned.empty());
+    // Lifted limits are stated; no statement lifts none.
+    cr_expect(read("limits").limits.empty());
+    cr_expect(read("permitDemand").permitDemand.empty());
+    cr_expect(read("wantsView").isViewRequested);
+    cr_expect(read("partStates").crashes.states.empty());
+    cr_expect(read("crashEvidence").crashes.evidence.empty());
+    cr_expect(read("soundParts").crashes.soundParts.empty());
+    cr_expect(read("requestedParts").crashes.requestedParts.empty());
+}
+
+// Guards against an optional field of a view whose absence is taken for a statement.
+Test(peermessages, absentFieldsOfAViewClaimNothing)
+{
+    const auto read = [message = encode(viewWithAllFields(), now)](const char *field) {
+        const auto result = decodePeerView(without(message, field), now);
+        cr_assert(result.ok(), "%s", field);
+        return *result;
+    };
+    cr_expect_not(read("forwarders").forwarders.has_value());
+    cr_expect(read("limits").limits.empty());
+    cr_expect(read("grants").grants.empty());
+    // The daemon keeps to its own share of a limit.
+    cr_expect_not(read("issuesPermits").areIssuingPermits);
+    cr_expect_eq(read("reportPeriod").reportPeriod, core::Duration::zero());
+    cr_expect_eq(read("demandPause").demandPause, core::Duration::zero());
+    cr_expect(read("explainedCrashes").crashes.explainedCrashes.empty());
+    cr_expect(read("suspectParts").crashes.suspects.empty());
+    cr_expect(read("partStates").crashes.states.empty());
+}
+
+// Guards against a state of a part of prompts without age, of an earlier release, that is lost or
+// makes the whole message malformed.
+Test(peermessages, partStateWithoutAgeIsRead)
+{
+    const auto states = decodeStates(json::parse(R"([["p1",2,true,3]])"));
+    cr_assert_eq(states.size(), 1U);
+    cr_expect(states.front().isBlocked);
+    cr_expect_eq(states.front().age.count(), 0);
+}
+
 // Guards against a daemon that takes the time of another clock for the age of a limit, and against
 // lost permits.
 Test(peermessages, limitsAndGrantsOfAViewAreDecoded)
