Do not take a count of daemons for complete unless the view says so

A view without isCounted was read as one of a coordinator that every daemon had reported to. A coordinator that has just started counts too few daemons, so that each daemon's share of the slack of repeated sends, and of request limits, would be too large. Its absence now leaves the count as it is known.

--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -429,8 +429,9 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeFleetCrashNews(value);
         view.daemonCount = value.at("daemons").get<int>();
-        view.isCounted = value.value("isCounted", true);
-        // Daemons of the previous release do not send these.
+        // Daemons of earlier releases do not send these. A count that is too low would make each
+        // daemon's share of the slack of repeated sends too large.
+        view.isCounted = value.value("isCounted", false);
         view.reportPeriod = std::chrono::milliseconds(value.value("reportPeriod", 0LL));
         view.demandPause = std::chrono::milliseconds(value.value("demandPause", 0LL));
         view.limits = decodeLimits(value.value("limits", json::object()), now);
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -242,6 +242,15 @@
     cr_expect(read("partStates").crashes.states.empty());
 }
 
+// Guards against repeated sends beyond the budget: the count of a coordinator that does not state
+// whether all daemons reported to it may be too low, and each daemon's share of the slack too high.
+Test(peermessages, countOfDaemonsIsNotTakenForCompleteUnlessStated)
+{
+    const auto view = decodePeerView(without(encode(viewWithAllFields(), now), "isCounted"), now);
+    cr_assert(view.ok());
+    cr_expect_not(view->isCounted);
+}
+
 // Guards against a state of a part of prompts without age, of an earlier release, that is lost or
 // makes the whole message malformed.
 Test(peermessages, partStateWithoutAgeIsRead)
