Count the time at a suspended daemon towards the deadline

Requests that a daemon without links passed to another one reached endpoints with deadlines 0.58 to 1.73 s too long: they waited in the sockets of a daemon that was suspended, and state how much time was left when they were sent. The forwarding daemon keeps the times of its latest three ticks. When the oldest one is older than they can be while the process runs, a request may have waited since that tick, and that time is taken off its deadline. A request with no time left is rejected as not sent.

--- a/src/libs/gateway/forwardedrequests.cpp
+++ b/src/libs/gateway/forwardedrequests.cpp
@@ -3,6 +3,7 @@
 #include "gateway/forwardingfields.h"
 #include "platform/endpointcodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jackdawlead::gateway {
@@ -12,6 +13,9 @@
 constexpr std::size_t maxUnsentBytes = 64 * 1024;
 // An endpoint that sent something this recently is reachable without a new connection.
 constexpr core::Duration recentContact = std::chrono::milliseconds(200);
+constexpr core::Duration tickPeriod = std::chrono::milliseconds(50);
+// The oldest of the kept ticks is three periods old at most while the process runs.
+constexpr core::Duration suspensionGap = tickPeriod * 5;
 constexpr int notSentStatus = 503;
 constexpr int brokenStatus = 502;
 constexpr int noContentStatus = 204;
@@ -62,7 +66,13 @@
     , m_buffers(buffers)
     , m_metrics(metrics)
     , m_handlers(std::move(handlers))
-{ }
+    , m_ticker(timers.every(tickPeriod, [this] {
+        std::rotate(m_latestTicks.begin(), m_latestTicks.begin() + 1, m_latestTicks.end());
+        m_latestTicks.back() = m_timers.now();
+    }))
+{
+    m_latestTicks.fill(timers.now());
+}
 
 ForwardedRequests::~ForwardedRequests()
 {
@@ -100,6 +110,10 @@
         respondWithOutcome(*exchange, notSentStatus, cause);
         return;
     }
+    if (!platform::shortenDeadline(exchange->body, maxWait(*exchange))) {
+        respondWithOutcome(*exchange, notSentStatus, forwarding::busy);
+        return;
+    }
     const auto request = std::make_shared<Request>();
     request->exchange = exchange;
     request->endpoint = id;
@@ -108,6 +122,16 @@
     send(request, *endpoint);
 }
 
+core::Duration ForwardedRequests::maxWait(const http::ServerExchange &exchange) const
+{
+    const core::TimePoint now = m_timers.now();
+    // What arrives during a suspension is read a few iterations of the event loop after it, since
+    // its connection is accepted first. When it arrived is unknown, so the longest wait is assumed.
+    if (now - m_latestTicks.front() > suspensionGap)
+        return now - std::min(exchange.receivedAt, m_latestTicks.front());
+    return now - exchange.receivedAt;
+}
+
 void ForwardedRequests::send(const std::shared_ptr<Request> &request,
                              const fleet::Endpoint &endpoint)
 {
--- a/src/libs/gateway/forwardedrequests.h
+++ b/src/libs/gateway/forwardedrequests.h
@@ -6,6 +6,7 @@
 #include "http/server.h"
 #include "observability/gatewaymetrics.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <unordered_set>
@@ -45,6 +46,8 @@
     void serveCheck(const std::shared_ptr<http::ServerExchange> &exchange);
     /// Why the request is not sent; nullptr if it can be.
     const char *rejectionCause(const fleet::Endpoint *endpoint) const;
+    /// How long the request may have waited in this daemon and its sockets.
+    core::Duration maxWait(const http::ServerExchange &exchange) const;
     void send(const std::shared_ptr<Request> &request, const fleet::Endpoint &endpoint);
     void handleEnd(const std::shared_ptr<Request> &request, http::ExchangeEnd end);
     void handleDisconnect(const std::shared_ptr<Request> &request);
@@ -58,6 +61,8 @@
     Handlers m_handlers;
     std::unordered_set<std::shared_ptr<Request>> m_requests;
     std::unordered_set<std::shared_ptr<Check>> m_checks;
+    std::array<core::TimePoint, 3> m_latestTicks; ///< The oldest one first.
+    net::TimerService::Subscription m_ticker;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -146,6 +146,25 @@
     return text;
 }
 
+bool shortenDeadline(std::string &request, core::Duration by)
+{
+    const std::string name = absl::StrCat("\r\n", wire::deadlineMs, ": ");
+    const std::string_view head = std::string_view(request).substr(0, request.find("\r\n\r\n"));
+    const std::size_t found = head.find(name);
+    if (found == std::string_view::npos)
+        return true;
+    const std::size_t begin = found + name.size();
+    const std::string text(head.substr(begin, head.find("\r\n", begin) - begin));
+    std::int64_t deadline = 0;
+    if (!absl::SimpleAtoi(text, &deadline))
+        return true;
+    const std::int64_t left = core::toMilliseconds(std::chrono::milliseconds(deadline) - by);
+    if (left <= 0)
+        return false;
+    request.replace(begin, text.size(), std::to_string(left));
+    return true;
+}
+
 ResponseTraits parseResponseTraits(const http::MessageHead &head)
 {
     ResponseTraits traits;
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -48,6 +48,11 @@
 std::string formatForwardedRequest(const http::MessageHead &head, std::string_view body,
                                    const ForwardFields &fields);
 
+/// Subtracts `by` from the deadline in a request of formatForwardedRequest(). Returns false, and
+/// leaves the request as it is, if no time is left; a request without a readable deadline is
+/// unchanged. Thread safety: any thread.
+bool shortenDeadline(std::string &request, core::Duration by);
+
 /// Properties of an endpoint's response, from its status and header fields.
 struct ResponseTraits
 {
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -139,6 +139,36 @@
         cr_assert_neq(text.find(part), std::string::npos, "%s", part);
 }
 
+// Guards against a request that waited on its way and keeps its whole deadline, and against a
+// change to any other byte of it.
+Test(endpointcodec, deadlineOfAFormattedRequestIsShortened)
+{
+    using std::chrono::milliseconds;
+    const std::string body = "a\r\nDeadline-Ms: 9000\r\n\r\n";
+    ForwardFields fields;
+    fields.endpoint = core::EndpointId("e1");
+    fields.adapterVersion = 7;
+    const auto formatted = [&](int deadline) {
+        fields.deadline = milliseconds(deadline);
+        return formatForwardedRequest(headWith({{"Deadline-Ms", "5000"}, {"Host", "h"}}), body,
+                                      fields);
+    };
+    std::string request = formatted(1750);
+    cr_expect(shortenDeadline(request, milliseconds(1000)));
+    cr_expect(request == formatted(750));
+    cr_expect(shortenDeadline(request, milliseconds(749)));
+    cr_expect(request == formatted(1));
+    for (const int by : {750, 751, 60'000}) {
+        request = formatted(750);
+        cr_expect_not(shortenDeadline(request, milliseconds(by)), "%d", by);
+        cr_expect(request == formatted(750));
+    }
+    const std::string without = "POST / HTTP/1.1\r\nHost: h\r\n\r\n" + body;
+    request = without;
+    cr_expect(shortenDeadline(request, milliseconds(750)));
+    cr_expect(request == without);
+}
+
 // Guards against a retried stream that repeats events which the client already received.
 Test(endpointcodec, retriedStreamResumesAfterTheLastEvent)
 {
--- a/tests/e2e/tst_forwarding.cpp
+++ b/tests/e2e/tst_forwarding.cpp
@@ -1,5 +1,7 @@
 #include "support/forwardingfixture.h"
 
+#include <csignal>
+
 using namespace jackdawlead;
 using namespace jackdawlead::testsupport;
 
@@ -168,3 +170,57 @@
     cr_expect_eq(answer->head.status, 404);
     cr_expect(platform.first.runs.empty());
 }
+
+// Guards against a request that waits at a daemon that stands still and reaches the endpoint with
+// the deadline of before the wait.
+Test(forwarding, timeAtAStandingDaemonCountsTowardsTheDeadline, .timeout = 90)
+{
+    ForwardingFixture fixture;
+    struct Arrival
+    {
+        std::string id;
+        core::Duration deadline;
+        core::TimePoint at;
+    };
+    std::vector<Arrival> arrivals;
+    for (FakeEndpoint *endpoint : {&fixture.platform.first, &fixture.platform.second}) {
+        endpoint->run = [&](const FakeEndpoint::Exchange &exchange) {
+            const net::Headers &fields = exchange->head.headers;
+            arrivals.push_back({fields.value("Request-Id"),
+                                milliseconds(std::stoi(fields.value("Deadline-Ms"))),
+                                fixture.platform.timers.now()});
+            exchange->respond(200, FakeEndpoint::stamped(exchange), "whole answer");
+        };
+    }
+    for (Process *process : {&fixture.platform.daemon, &fixture.third})
+        process->signal(SIGSTOP);
+    SentRequests requests;
+    for (int number = 0; number < 6; ++number) {
+        requests.push_back(fixture.cut.send("/order/"));
+        fixture.platform.runLoopFor(milliseconds(50));
+    }
+    fixture.platform.runLoopFor(milliseconds(1200));
+    for (Process *process : {&fixture.platform.daemon, &fixture.third})
+        process->signal(SIGCONT);
+    fixture.cut.waitForAll(requests);
+    const auto later = fixture.cut.sendFor(std::chrono::seconds(1), milliseconds(50));
+    fixture.cut.waitForAll(later);
+    int checked = 0;
+    constexpr core::Duration tolerance = milliseconds(500);
+    for (const SentRequest &request : requests) {
+        for (const Arrival &arrival : arrivals) {
+            if (arrival.id != request.id)
+                continue;
+            ++checked;
+            const core::Duration left
+                = milliseconds(4000) - (arrival.at - request.answer->startedAt);
+            cr_expect(arrival.deadline <= left + tolerance, "%s: %lld ms instead of %lld ms",
+                      request.id.c_str(),
+                      static_cast<long long>(core::toMilliseconds(arrival.deadline)),
+                      static_cast<long long>(core::toMilliseconds(left)));
+        }
+    }
+    cr_expect(checked > 0, "no request waited, output:\n%s", fixture.cut.output().c_str());
+    for (const SentRequest &request : later)
+        cr_expect_eq(request.status(), 200);
+}
