--- a/soak/daemons.h
+++ b/soak/daemons.h
@@ -37,6 +37,7 @@
     /// Daemons that start from now on are of the earlier release, or of the present one. Those that
     /// run stay what they are.
     void useEarlierProgram(bool isEarlier) { m_usesEarlierProgram = isEarlier; }
+    bool hasEarlierProgram() const { return !m_files.earlierProgram.empty(); }
     /// Whether the last process of the daemon is one of the present release.
     bool isPresentProgram(std::size_t index) const { return !m_daemons[index].isEarlierProgram; }
     /// The running incarnation, or no value while the process is down.
--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -90,7 +90,7 @@
                                                })
                             .begin()
         - m_daemonLinks.begin();
-    if (linked == 0 || !hasPresentPeer(daemons))
+    if (linked == 0 || (daemons.hasEarlierProgram() && !hasPresentPeer(daemons)))
         return;
     const int count = m_random.number(1, static_cast<int>(linked));
     std::map<ProcessIncarnation, bool> interrupted;
--- a/src/libs/decisions/refusallimits.cpp
+++ b/src/libs/decisions/refusallimits.cpp
@@ -73,8 +73,8 @@
     window.changedAt = now;
 }
 
-// Other daemons may have taken the slots of one that was idle.
-std::optional<int> RefusalLimits::maxInProgress(const core::EndpointId &endpoint,
+// Other daemons may have taken the slots that this one did not use for a while.
+std::optional<int> RefusalLimits::maxInProgress(const core::EndpointId &endpoint, int inProgress,
                                                 core::Duration refusalInterval,
                                                 core::TimePoint now) const
 {
@@ -82,8 +82,8 @@
     if (found == m_windows.end())
         return std::nullopt;
     const Window &window = found->second;
-    const bool isIdle = now - std::max(window.acceptedAt, window.changedAt) > refusalInterval;
-    return isIdle ? 1 : window.size;
+    const bool isRecent = now - std::max(window.acceptedAt, window.changedAt) <= refusalInterval;
+    return isRecent ? window.size : std::min(window.size, inProgress + 1);
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/refusallimits.h
+++ b/src/libs/decisions/refusallimits.h
@@ -32,8 +32,9 @@
     /// Records that the endpoint accepted a request of this daemon, which has `inProgress` there.
     void recordAcceptance(const core::EndpointId &endpoint, int inProgress,
                           core::Duration refusalInterval, core::TimePoint now);
-    /// How many requests the daemon may have at the endpoint; empty if no refusal limits it.
-    std::optional<int> maxInProgress(const core::EndpointId &endpoint,
+    /// How many requests the daemon, which has `inProgress` there, may have at the endpoint; empty
+    /// if no refusal limits it.
+    std::optional<int> maxInProgress(const core::EndpointId &endpoint, int inProgress,
                                      core::Duration refusalInterval, core::TimePoint now) const;
     void removeEndpoint(const core::EndpointId &endpoint) { m_windows.erase(endpoint); }
 
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -174,7 +174,8 @@
     const decisions::RefusalLimits &limits = m_context.refusalLimits;
     const core::Duration interval
         = limits.refusalInterval(endpoint.service, m_context.daemonCount, now);
-    return limits.maxInProgress(endpoint.id, interval, now).value_or(endpoint.slots);
+    return limits.maxInProgress(endpoint.id, m_context.pool.inProgress(endpoint.id), interval, now)
+        .value_or(endpoint.slots);
 }
 
 std::vector<decisions::EndpointOption> EndpointFinder::options(core::TimePoint now) const
--- a/src/libs/gateway/peerdirectory.cpp
+++ b/src/libs/gateway/peerdirectory.cpp
@@ -36,7 +36,7 @@
 
 void PeerDirectory::setNeeded(bool isNeeded)
 {
-    if (std::exchange(m_isNeeded, isNeeded) == isNeeded)
+    if (m_isWithdrawn || std::exchange(m_isNeeded, isNeeded) == isNeeded)
         return;
     if (!isNeeded) {
         m_timer.cancel();
@@ -85,7 +85,9 @@
                            return;
                        m_isEntered = result->isWritten
                            || (result->object && result->object->spec == ownEntry());
-                       if (!m_isEntered && result->object)
+                       if (m_isWithdrawn && result->isWritten && result->object)
+                           remove(*result->object);
+                       else if (!m_isEntered && !m_isWithdrawn && result->object)
                            replace(*result->object);
                    });
 }
@@ -158,6 +160,7 @@
 void PeerDirectory::withdraw()
 {
     setNeeded(false);
+    m_isWithdrawn = true;
     if (!std::exchange(m_isEntered, false))
         return;
     m_store.read(kind, m_settings.host.value(), [this, alive = m_isAlive](const auto &object) {
--- a/src/libs/gateway/peerdirectory.h
+++ b/src/libs/gateway/peerdirectory.h
@@ -64,6 +64,7 @@
     PeersHandler m_onPeers;
     bool m_isNeeded = false;
     bool m_isEntered = false;
+    bool m_isWithdrawn = false; ///< For good.
     bool m_isReading = false;
     net::TimerService::Subscription m_timer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -33,7 +33,9 @@
     const bool mayHaveRun = failure == Failure::MayHaveRun || failure == Failure::TakenFromQueue;
     if (mayHaveRun) {
         countRun(failure == Failure::MayHaveRun);
-        if (!m_route->isRepeatable() || m_usedAttempts >= m_route->maxAttempts)
+        // One wait in a queue is left out, because it hardly was a run.
+        if (!m_route->isRepeatable() || m_usedAttempts >= m_route->maxAttempts
+            || m_runs > m_route->maxAttempts)
             return false;
     }
     const int sends = m_sends - m_refusedReplacements;
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -138,7 +138,8 @@
         return nullptr;
     const bool isThereAlready
         = std::ranges::any_of(m_attempts.inProgress(), [&](const auto *attempt) {
-              return attempt->endpoint == *choice.endpoint && !attempt->isConnectionReused();
+              return attempt->endpoint == *choice.endpoint
+                  && (!attempt->isConnectionReused() || waitsAtOlderVersions());
           });
     if (isThereAlready)
         return nullptr;
--- a/tests/auto/refusallimits/tst_refusallimits.cpp
+++ b/tests/auto/refusallimits/tst_refusallimits.cpp
@@ -75,20 +75,24 @@
     const core::EndpointId endpoint("e-1");
     constexpr core::Duration interval = std::chrono::seconds(1);
     RefusalLimits limits;
-    cr_assert_not(limits.maxInProgress(endpoint, interval, start).has_value());
+    cr_assert_not(limits.maxInProgress(endpoint, 0, interval, start).has_value());
     limits.recordRefusal(endpoint, 3, start);
-    cr_assert_eq(limits.maxInProgress(endpoint, interval, start), 3);
+    cr_assert_eq(limits.maxInProgress(endpoint, 0, interval, start), 3);
     limits.recordRefusal(endpoint, 0, start);
-    cr_assert_eq(limits.maxInProgress(endpoint, interval, start), 1, "one request finds out");
+    cr_assert_eq(limits.maxInProgress(endpoint, 0, interval, start), 1, "one request finds out");
     limits.recordRefusal(endpoint, 3, start);
     limits.recordAcceptance(endpoint, 3, interval, start + milliseconds(500));
-    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + milliseconds(500)), 3,
+    cr_assert_eq(limits.maxInProgress(endpoint, 0, interval, start + milliseconds(500)), 3,
                  "it grows by one in each interval");
     limits.recordAcceptance(endpoint, 3, interval, start + interval);
-    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + interval), 4);
+    cr_assert_eq(limits.maxInProgress(endpoint, 0, interval, start + interval), 4);
     limits.recordAcceptance(endpoint, 1, interval, start + 2 * interval);
     limits.recordAcceptance(endpoint, 1, interval, start + 3 * interval);
-    cr_assert_leq(limits.maxInProgress(endpoint, interval, start + 3 * interval), 4,
+    cr_assert_leq(limits.maxInProgress(endpoint, 0, interval, start + 3 * interval), 4,
                   "what was not used does not grow");
-    cr_assert_eq(limits.maxInProgress(endpoint, interval, start + 5 * interval), 1);
+    cr_assert_eq(limits.maxInProgress(endpoint, 0, interval, start + 5 * interval), 1);
+    limits.recordAcceptance(endpoint, 4, interval, start + 6 * interval);
+    limits.recordRefusal(endpoint, 5, start + 7 * interval);
+    cr_assert_eq(limits.maxInProgress(endpoint, 3, interval, start + 9 * interval), 4,
+                 "long requests in progress keep their slots");
 }
