--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -84,11 +84,10 @@
         return;
     std::ranges::shuffle(m_daemonLinks, m_random.generator());
     // Those of an earlier release need not know a way through others.
-    const auto linked = std::ranges::partition(m_daemonLinks,
-                                               [&daemons](const DaemonLinks &own) {
-                                                   return daemons.isPresentProgram(own.daemon);
-                                               })
-                            .begin()
+    const auto linked = std::partition(m_daemonLinks.begin(), m_daemonLinks.end(),
+                                       [&daemons](const DaemonLinks &own) {
+                                           return daemons.isPresentProgram(own.daemon);
+                                       })
         - m_daemonLinks.begin();
     if (linked == 0 || (daemons.hasEarlierProgram() && !hasPresentPeer(daemons)))
         return;
