Tests: wait for the end of a killed daemon before its successor starts

Cause: the fixture started the new daemon first and then waited for a moment in which the port refuses connections. That moment is the time of a start, and the fixture looks every 5 ms. On a machine on which a start takes less, it never sees it.

The fixtures share killDaemon() now, which waits before the next start, so that the check is made every time and can no longer be missed.

--- a/tests/e2e/tst_platformhttp.cpp
+++ b/tests/e2e/tst_platformhttp.cpp
@@ -70,8 +70,7 @@
 {
     Fixture fixture;
     cr_assert_eq(fixture.call("/get/a", "r1")->head.status, 200);
-    fixture.daemon.kill();
-    cr_assert(fixture.waitUntil([&] { return fixture.pollReadiness() == 0; }));
+    fixture.killDaemon();
     fixture.store.put("config", "main",
                       configuration(2, json::array({route("/moved/", "plain", "idempotent")})));
     fixture.startDaemon();
--- a/tests/e2e/tst_platformstart.cpp
+++ b/tests/e2e/tst_platformstart.cpp
@@ -65,12 +65,6 @@
         runLoopFor(std::chrono::seconds(1));
     }
 
-    void killDaemon()
-    {
-        daemon.kill();
-        cr_assert(waitUntil([this] { return pollReadiness() == 0; }));
-    }
-
     void expectServedAfterStart(const std::string &model)
     {
         startDaemon();
--- a/tests/e2e/tst_softwareversions.cpp
+++ b/tests/e2e/tst_softwareversions.cpp
@@ -110,11 +110,10 @@
 
     void restartDaemon()
     {
-        platform.daemon.kill();
+        platform.killDaemon();
         openStreams.clear();
         platform.isFirstStart = false;
         platform.startDaemon();
-        cr_assert(platform.waitUntil([this] { return platform.pollReadiness() == 0; }));
         cr_assert(platform.waitUntil([this] { return platform.pollReadiness() == 200; }));
     }
 
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -106,6 +106,13 @@
         daemon = startDaemonAt({"h1", callerPort, readyPort, peerPort}, folder, blockedSignals);
     }
 
+    /// Kills the daemon and waits until nothing listens at its readiness port.
+    void killDaemon()
+    {
+        daemon.kill();
+        cr_assert(waitUntil([this] { return pollReadiness() == 0; }));
+    }
+
     /// Starts a daemon with its settings and output in `daemonFolder`, which must exist and must
     /// not be used by another daemon.
     Process startDaemonAt(const DaemonAddress &daemonAddress, const std::string &daemonFolder,
