Take an answer, not an open connection, for a working path

Cause: CrashGuard::verify() and the trials of PathMonitor took a connection that opens for the proof that this daemon reaches the endpoint. Something on the way can open it as well. The path counted as working, so that no other daemon was asked and requests were not sent through one.

EndpointProbe asks the endpoint for its contents (engines, which need no slot for that) or its health (other services), and only an answer counts. An endpoint that answers others meanwhile is not suspected: it may be slow, or end connections over its limit itself.

--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -25,6 +25,10 @@
         return "links: hang";
     case testsupport::FaultyLink::Fault::Refusing:
         return "links: refuse new connections";
+    case testsupport::FaultyLink::Fault::AcceptedAndReset:
+        return "links: accept and reset";
+    case testsupport::FaultyLink::Fault::AcceptedAndSilent:
+        return "links: accept and hang";
     case testsupport::FaultyLink::Fault::None:
         break;
     }
--- a/src/libs/decisions/endpointpaths.cpp
+++ b/src/libs/decisions/endpointpaths.cpp
@@ -4,7 +4,7 @@
 
 namespace jackdawlead::decisions {
 
-void EndpointPaths::recordConnected(const core::EndpointId &id, core::TimePoint now)
+void EndpointPaths::recordAnswered(const core::EndpointId &id, core::TimePoint now)
 {
     m_interrupted.erase(id);
     m_isCutOff = false;
--- a/src/libs/decisions/endpointpaths.h
+++ b/src/libs/decisions/endpointpaths.h
@@ -14,8 +14,8 @@
 class EndpointPaths
 {
 public:
-    /// An own connection to the endpoint was opened.
-    void recordConnected(const core::EndpointId &id, core::TimePoint now);
+    /// The endpoint answered over a new own connection.
+    void recordAnswered(const core::EndpointId &id, core::TimePoint now);
     /// Bytes arrived over an own connection to any endpoint.
     void recordActivity(core::TimePoint now) { m_lastActivityAt = now; }
     /// Another daemon reaches the endpoint, to which an own connection failed at `failedAt`.
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -74,6 +74,7 @@
 {
     core::ServiceId service;
     std::size_t maxConnections = 0; ///< To one endpoint, of all clients together.
+    std::string healthPath;         ///< Of its endpoints; empty if it has none.
     std::optional<EngineSpec> engine;
 };
 
--- a/src/libs/gateway/crashguard.cpp
+++ b/src/libs/gateway/crashguard.cpp
@@ -15,6 +15,8 @@
 constexpr core::Duration decisionPeriod = std::chrono::milliseconds(100);
 // A refusal takes a round trip, of 60 ms between regions.
 constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(500);
+// An endpoint that answers later than this has not crashed, and its path may be silent.
+constexpr core::Duration maxVerificationTime = std::chrono::seconds(1);
 // A daemon that has just started cannot tell yet which parts are sound, so that it reports crashes
 // later: requests take some hundred milliseconds to their first event and then have to go on.
 constexpr core::Duration warmUpTime = std::chrono::seconds(2);
@@ -137,37 +139,34 @@
     const fleet::Endpoint *endpoint = m_watch.endpoint(id);
     if (endpoint == nullptr || m_verifications.contains(id))
         return;
-    auto connection = m_pool.connect(*endpoint);
-    // The connection is on the stack.
-    connection->setConnectHandler(
-        [this, alive = m_isAlive, id, incarnation, begin = m_timers.now()](bool isConnected) {
-            const bool isRefused = !isConnected && m_timers.now() - begin < maxRefusalTime;
-            m_loop.post([this, alive, id, incarnation, isConnected, isRefused] {
-                if (*alive)
-                    handleVerified(id, incarnation, isConnected, isRefused);
-            });
+    const auto &routes = m_watch.routes();
+    const auto *service = routes ? routes->service(endpoint->service) : nullptr;
+    Verification &verification = m_verifications[id];
+    verification.begunAt = m_timers.now();
+    verification.timeout
+        = m_timers.once(maxVerificationTime, [this, id] { m_verifications.erase(id); });
+    verification.probe = std::make_unique<EndpointProbe>(
+        m_loop, m_pool, *endpoint, service, [this, id, incarnation](EndpointProbe::Result result) {
+            handleVerified(id, incarnation, result);
         });
-    m_verifications[id].connection = std::move(connection);
 }
 
-// An open connection serves the next request.
 void CrashGuard::handleVerified(const core::EndpointId &id, fleet::StartTime incarnation,
-                                bool isConnected, bool isRefused)
+                                EndpointProbe::Result result)
 {
-    const auto found = m_verifications.find(id);
-    if (found == m_verifications.end())
-        return;
-    Verification verification = std::move(found->second);
-    std::unique_ptr<http::ClientConnection> connection = std::move(verification.connection);
-    m_verifications.erase(found);
-    if (isConnected) {
-        m_pool.giveBack(id, std::move(connection));
+    const Verification verification = std::move(m_verifications.at(id));
+    m_verifications.erase(id);
+    // An endpoint that answers others over the same path ends single connections itself, for
+    // instance those over its limit.
+    const bool isAnswering = result == EndpointProbe::Result::Answered
+        || (result == EndpointProbe::Result::Broken
+            && m_pool.lastActivityAt(id) >= verification.begunAt);
+    if (isAnswering) {
         if (verification.isCrash)
             recordCrash(id, incarnation, verification.isNew);
-    } else if (isRefused) {
+    } else if (result == EndpointProbe::Result::Broken
+               || m_timers.now() - verification.begunAt < maxRefusalTime) {
         recordConnectFailure(id, incarnation);
-    } else {
-        http::closeLater(m_loop, std::move(connection));
     }
 }
 
--- a/src/libs/gateway/crashguard.h
+++ b/src/libs/gateway/crashguard.h
@@ -3,6 +3,7 @@
 #include "decisions/promptparttracker.h"
 #include "gateway/crashnews.h"
 #include "gateway/endpointpool.h"
+#include "gateway/endpointprobe.h"
 #include "gateway/fleetwatch.h"
 #include "net/timerservice.h"
 #include "observability/gatewaymetrics.h"
@@ -72,12 +73,12 @@
     void applyStates(const std::vector<decisions::PartState> &states, std::string_view source);
 
 private:
-    /// Opens a connection to the endpoint to see whether it crashed: a daemon with one request
+    /// Asks the endpoint over a new connection whether it crashed: a daemon with one request
     /// there would otherwise notice it with its next request only, and connections also break with
     /// the path.
     void verify(const core::EndpointId &id, fleet::StartTime incarnation);
-    void handleVerified(const core::EndpointId &id, fleet::StartTime incarnation, bool isConnected,
-                        bool isRefused);
+    void handleVerified(const core::EndpointId &id, fleet::StartTime incarnation,
+                        EndpointProbe::Result result);
     /// Counts a failed exchange. Several in a row are a crash unless the path is interrupted.
     void recordFailedExchange(const core::EndpointId &id, fleet::StartTime incarnation);
     void recordCrash(const core::EndpointId &id, fleet::StartTime incarnation, bool isNew);
@@ -99,10 +100,11 @@
     std::vector<decisions::CrashEvidence> m_pendingEvidence;
     std::set<core::PromptPartId> m_pendingSoundParts;
     std::set<core::PromptPartId> m_pendingRequestedParts;
-    /// A connection that is being opened to verify a crash.
     struct Verification
     {
-        std::unique_ptr<http::ClientConnection> connection;
+        std::unique_ptr<EndpointProbe> probe;
+        core::TimePoint begunAt;
+        net::TimerService::Subscription timeout;
         bool isCrash = false; ///< Several exchanges failed in a row, if the path works.
         bool isNew = false;   ///< The endpoint counted as reachable before.
     };
--- a/src/libs/gateway/pathmonitor.cpp
+++ b/src/libs/gateway/pathmonitor.cpp
@@ -48,14 +48,14 @@
 }
 
 // A connection from before the interruption may live on while new ones fail.
-void PathMonitor::recordConnected(const core::EndpointId &id, core::TimePoint begunAt)
+void PathMonitor::recordAnswered(const core::EndpointId &id, core::TimePoint begunAt)
 {
     if (m_paths.hasInterrupted() && begunAt < m_interruptedSince) {
         recordActivity();
         return;
     }
     const bool wasCutOff = m_paths.isCutOff();
-    m_paths.recordConnected(id, m_timers.now());
+    m_paths.recordAnswered(id, m_timers.now());
     checkRestored();
     if (wasCutOff) {
         m_metrics.setCutOff(false);
@@ -217,15 +217,21 @@
 void PathMonitor::checkTrials()
 {
     const core::TimePoint now = m_timers.now();
-    std::vector<std::pair<core::EndpointId, core::TimePoint>> hanging;
+    std::vector<core::EndpointId> hanging;
     for (const auto &[id, trial] : m_trials) {
-        if (now - trial.begunAt >= maxConnectTime)
+        if (now - trial.begunAt >= maxConnectTime && isPathSuspect(trial))
             confirmHang(id, trial.begunAt);
         if (now - trial.begunAt >= maxTrialTime)
-            hanging.emplace_back(id, trial.begunAt);
+            hanging.push_back(id);
     }
-    for (const auto &[id, begunAt] : hanging)
-        handleTrial(id, begunAt, false);
+    for (const core::EndpointId &id : hanging)
+        failTrial(id);
+}
+
+// What is asked may also wait for a slow or silent endpoint; the others answer then.
+bool PathMonitor::isPathSuspect(const Trial &trial) const
+{
+    return !trial.probe->isAsked() || m_paths.lastActivityAt() < trial.begunAt;
 }
 
 void PathMonitor::startTrial(const core::EndpointId &id)
@@ -234,33 +240,31 @@
     m_lastTrials[id] = m_timers.now();
     if (endpoint == nullptr || m_trials.contains(id))
         return;
-    Trial trial {m_pool.connect(*endpoint), m_timers.now()};
-    // The connection is on the stack.
-    trial.connection->setConnectHandler(
-        [this, alive = m_isAlive, id, begunAt = trial.begunAt](bool isConnected) {
-            m_loop.post([this, alive, id, begunAt, isConnected] {
-                if (*alive)
-                    handleTrial(id, begunAt, isConnected);
-            });
-        });
-    m_trials[id] = std::move(trial);
+    const auto &routes = m_watch.routes();
+    const auto *service = routes ? routes->service(endpoint->service) : nullptr;
+    auto probe = std::make_unique<EndpointProbe>(
+        m_loop, m_pool, *endpoint, service,
+        [this, id](EndpointProbe::Result result) { handleTrial(id, result); });
+    m_trials[id] = {std::move(probe), m_timers.now()};
 }
 
-void PathMonitor::handleTrial(const core::EndpointId &id, core::TimePoint begunAt, bool isConnected)
+void PathMonitor::handleTrial(const core::EndpointId &id, EndpointProbe::Result result)
 {
-    const auto found = m_trials.find(id);
-    // An earlier trial that was given up may still report.
-    if (found == m_trials.end() || found->second.begunAt != begunAt)
-        return;
-    std::unique_ptr<http::ClientConnection> connection = std::move(found->second.connection);
-    m_trials.erase(found);
-    if (isConnected) {
-        m_pool.giveBack(id, std::move(connection));
-        recordConnected(id, begunAt);
+    if (result != EndpointProbe::Result::Answered) {
+        failTrial(id);
         return;
     }
-    http::closeLater(m_loop, std::move(connection));
-    confirmHang(id, begunAt);
+    const core::TimePoint begunAt = m_trials.at(id).begunAt;
+    m_trials.erase(id);
+    recordAnswered(id, begunAt);
+}
+
+void PathMonitor::failTrial(const core::EndpointId &id)
+{
+    const Trial trial = std::move(m_trials.at(id));
+    m_trials.erase(id);
+    if (isPathSuspect(trial))
+        confirmHang(id, trial.begunAt);
 }
 
 void PathMonitor::tryInterrupted()
--- a/src/libs/gateway/pathmonitor.h
+++ b/src/libs/gateway/pathmonitor.h
@@ -2,6 +2,7 @@
 
 #include "decisions/endpointpaths.h"
 #include "gateway/endpointpool.h"
+#include "gateway/endpointprobe.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/requestforwarder.h"
 #include "net/timerservice.h"
@@ -49,8 +50,8 @@
     bool isCutOff() const { return m_paths.isCutOff(); }
     /// Records that bytes arrived from an endpoint over an own connection.
     void recordActivity() { m_paths.recordActivity(m_timers.now()); }
-    /// Records that a new own connection to the endpoint works, which was begun at `begunAt`.
-    void recordConnected(const core::EndpointId &id, core::TimePoint begunAt);
+    /// Records an answer of the endpoint over a new own connection, which was begun at `begunAt`.
+    void recordAnswered(const core::EndpointId &id, core::TimePoint begunAt);
     /// An own connection to the endpoint could not be opened. Calls the handler once it is known
     /// whether another daemon reaches the endpoint; without such a daemon it is the endpoint that
     /// failed.
@@ -70,17 +71,20 @@
         core::TimePoint failedAt;
         std::vector<FailureHandler> handlers;
     };
-    /// An own connection that is opened to learn whether the path works.
     struct Trial
     {
-        std::unique_ptr<http::ClientConnection> connection;
+        std::unique_ptr<EndpointProbe> probe;
         core::TimePoint begunAt;
     };
 
     void startTrial(const core::EndpointId &id);
-    void handleTrial(const core::EndpointId &id, core::TimePoint begunAt, bool isConnected);
+    void handleTrial(const core::EndpointId &id, EndpointProbe::Result result);
+    /// Ends a trial whose endpoint did not answer.
+    void failTrial(const core::EndpointId &id);
     void tryInterrupted();
     void checkTrials();
+    /// Whether the path may be the reason why a trial has no answer.
+    bool isPathSuspect(const Trial &trial) const;
     void checkSilence(const std::vector<SentRequest> &requests);
     void handleConfirmation(const core::EndpointId &id, RequestForwarder::Reachability result);
     void setInterrupted(const core::EndpointId &id, core::TimePoint failedAt);
--- a/src/libs/gateway/requestpath.cpp
+++ b/src/libs/gateway/requestpath.cpp
@@ -59,7 +59,7 @@
         if (attempt().isConnectionReused())
             m_context.paths.recordActivity();
         else
-            m_context.paths.recordConnected(attempt().endpoint, attempt().sentAt);
+            m_context.paths.recordAnswered(attempt().endpoint, attempt().sentAt);
         return true;
     }
     attempt().outcome = RequestForwarder::takeOutcome(head);
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -87,6 +87,8 @@
     service.service = core::ServiceId(value.at("name").get<std::string>());
     // "max_conns" limits the connections of all clients to one endpoint together.
     service.maxConnections = integerMember(value, "max_conns", std::size_t {0});
+    if (const auto path = value.find("health_path"); path != value.end() && path->is_string())
+        service.healthPath = path->get<std::string>();
     if (const auto engine = value.find("engine"); engine != value.end() && engine->is_object())
         service.engine = decodeEngine(*engine);
     return service;
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -276,6 +276,14 @@
     }
 }
 
+net::HttpRequest makeHealthRequest(const core::EndpointId &endpoint, const std::string &path)
+{
+    net::HttpRequest request;
+    request.path = path;
+    request.headers.add(wire::expectInstance, endpoint.value());
+    return request;
+}
+
 net::HttpRequest makeReportRequest(const core::EndpointId &endpoint)
 {
     net::HttpRequest request;
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -129,5 +129,6 @@
 net::HttpRequest makeOrderRequest(const Order &order);
 OrderResult orderResultFromStatus(int status);
 net::HttpRequest makeReportRequest(const core::EndpointId &endpoint);
+net::HttpRequest makeHealthRequest(const core::EndpointId &endpoint, const std::string &path);
 
 } // namespace jackdawlead::platform
--- a/tests/auto/endpointpaths/tst_endpointpaths.cpp
+++ b/tests/auto/endpointpaths/tst_endpointpaths.cpp
@@ -57,11 +57,11 @@
     EndpointPaths paths;
     paths.recordReachedByPeer(first, start, start);
     paths.recordReachedByPeer(second, start, start);
-    paths.recordConnected(third, start + milliseconds(100));
+    paths.recordAnswered(third, start + milliseconds(100));
     cr_assert_not(paths.isCutOff());
     cr_assert(paths.isInterrupted(first), "its own path has not worked yet");
-    paths.recordConnected(first, start + milliseconds(110));
-    paths.recordConnected(second, start + milliseconds(120));
+    paths.recordAnswered(first, start + milliseconds(110));
+    paths.recordAnswered(second, start + milliseconds(120));
     cr_assert_not(paths.hasInterrupted());
 }
 
@@ -84,6 +84,6 @@
         {first, start + milliseconds(3)}, {second, start}, {third, start + milliseconds(2)}};
     cr_assert(paths.isCutOff());
     cr_assert_eq(*paths.nextTrial(tried), second);
-    paths.recordConnected(second, start + milliseconds(4));
+    paths.recordAnswered(second, start + milliseconds(4));
     cr_assert_eq(*paths.nextTrial(tried), third);
 }
--- a/tests/e2e/tst_partitions.cpp
+++ b/tests/e2e/tst_partitions.cpp
@@ -108,6 +108,13 @@
     cr_expect_eq(holder(), "h1", "the lease must not go back and forth");
 }
 
+// Guards against a daemon that takes an open connection for a working path: something between it
+// and the endpoints accepts its connections and resets them, and 0 of 216 requests were served.
+Test(partitions, daemonWithoutLinksServesWhenAcceptedConnectionsAreReset, .timeout = 90)
+{
+    expectServedWithoutLinks(Fault::AcceptedAndReset);
+}
+
 // Guards against requests that fail because only new connections to the endpoints are refused.
 Test(partitions, daemonServesWhenOnlyNewConnectionsAreRefused, .timeout = 90)
 {
--- a/tests/support/faultylink.cpp
+++ b/tests/support/faultylink.cpp
@@ -26,7 +26,7 @@
     return address;
 }
 
-void setReading(bufferevent *stream, bool isReading)
+void setStreamReading(bufferevent *stream, bool isReading)
 {
     if (isReading)
         bufferevent_enable(stream, EV_READ);
@@ -115,35 +115,46 @@
     sockaddr_in address = loopback(m_target);
     bufferevent_socket_connect(relayed->endpoint, reinterpret_cast<sockaddr *>(&address),
                                sizeof address);
+    setReading(*relayed);
     m_connections.push_back(std::move(relayed));
+    if (m_fault == Fault::AcceptedAndReset)
+        resetAll();
 }
 
-void FaultyLink::reset(Relayed &relayed)
+void FaultyLink::resetAll()
 {
     const linger immediately {1, 0};
-    for (bufferevent *stream : {relayed.daemon, relayed.endpoint})
-        setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &immediately,
-                   sizeof immediately);
+    for (const auto &relayed : m_connections) {
+        for (bufferevent *stream : {relayed->daemon, relayed->endpoint})
+            setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &immediately,
+                       sizeof immediately);
+    }
+    m_connections.clear();
+}
+
+void FaultyLink::setReading(Relayed &relayed) const
+{
+    const bool isReading = m_fault != Fault::Silent && m_fault != Fault::AcceptedAndSilent;
+    setStreamReading(relayed.daemon, isReading);
+    setStreamReading(relayed.endpoint, isReading);
 }
 
 void FaultyLink::setFault(Fault fault)
 {
+    // What was accepted meanwhile never reaches the endpoint.
+    if (m_fault == Fault::AcceptedAndSilent)
+        resetAll();
     m_fault = fault;
     stopListening();
     emptyBacklog();
-    if (fault == Fault::Reset) {
-        for (const auto &relayed : m_connections)
-            reset(*relayed);
-        m_connections.clear();
-    }
-    for (const auto &relayed : m_connections) {
-        setReading(relayed->daemon, fault != Fault::Silent);
-        setReading(relayed->endpoint, fault != Fault::Silent);
-    }
-    if (fault == Fault::None)
-        listen();
-    else if (fault == Fault::Silent)
+    if (fault == Fault::Reset || fault == Fault::AcceptedAndReset)
+        resetAll();
+    for (const auto &relayed : m_connections)
+        setReading(*relayed);
+    if (fault == Fault::Silent)
         fillBacklog();
+    else if (fault != Fault::Reset && fault != Fault::Refusing)
+        listen();
 }
 
 void FaultyLink::fillBacklog()
--- a/tests/support/faultylink.h
+++ b/tests/support/faultylink.h
@@ -21,9 +21,11 @@
 public:
     enum class Fault {
         None,
-        Reset,    ///< Open connections are reset, new ones are refused.
-        Silent,   ///< Open connections pass nothing on, new ones are not answered at all.
-        Refusing, ///< Open connections live on, new ones are refused.
+        Reset,             ///< Open connections are reset, new ones are refused.
+        Silent,            ///< Open connections pass nothing on, new ones are not answered at all.
+        Refusing,          ///< Open connections live on, new ones are refused.
+        AcceptedAndReset,  ///< Open connections are reset, new ones are accepted and reset.
+        AcceptedAndSilent, ///< Open connections and new ones, which are accepted, pass nothing on.
     };
 
     FaultyLink(net::EventLoop &loop, std::uint16_t port, std::uint16_t target);
@@ -46,7 +48,8 @@
     void fillBacklog();
     void emptyBacklog();
     void accept(evutil_socket_t socket);
-    void reset(Relayed &relayed);
+    void resetAll();
+    void setReading(Relayed &relayed) const;
 
     net::EventLoop &m_loop;
     std::uint16_t m_port;
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -421,6 +421,10 @@
             {{"born", m_startTime}, {"seq", m_orderRevision}, {"busy", false}, {"models", models}});
         return;
     }
+    if (target == "/health") {
+        exchange->respond(200, {{"Instance-Id", id}}, {});
+        return;
+    }
     heads.push_back(exchange->head);
     if (!retryAfter.empty()) {
         exchange->respond(503, withNotices({{"Not-Executed", "1"}, {"Retry-After", retryAfter}}),
--- a/tests/support/rawendpoint.cpp
+++ b/tests/support/rawendpoint.cpp
@@ -65,6 +65,10 @@
         connection.write("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
         return;
     }
+    if (head.target == "/health") {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        return;
+    }
     heads.push_back(head);
     run(connection, head);
 }
