Send a broken request again through another daemon than the one that broke

A request now remembers the daemons whose connections broke under it and uses them only if there is no other one.

requestforwarder/daemonThatFailedIsChosenLast is new; the parameter did not exist before.

--- a/src/libs/gateway/requestforwarder.cpp
+++ b/src/libs/gateway/requestforwarder.cpp
@@ -72,18 +72,20 @@
     m_peers = std::move(peers);
 }
 
-std::optional<net::Address> RequestForwarder::choosePeer() const
+std::optional<net::Address>
+RequestForwarder::choosePeer(const std::set<net::Address> &lastChoices) const
 {
     std::optional<net::Address> chosen;
-    int fewest = 0;
+    std::pair<bool, int> lowestRank;
     for (const net::Address &address : m_peers) {
         const auto state = m_states.find(address);
         if (state != m_states.end() && state->second.avoidedUntil > m_timers.now())
             continue;
         const int inProgress = state == m_states.end() ? 0 : state->second.inProgress;
-        if (!chosen || inProgress < fewest) {
+        const std::pair rank(lastChoices.contains(address), inProgress);
+        if (!chosen || rank < lowestRank) {
             chosen = address;
-            fewest = inProgress;
+            lowestRank = rank;
         }
     }
     return chosen;
--- a/src/libs/gateway/requestforwarder.h
+++ b/src/libs/gateway/requestforwarder.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,8 +43,9 @@
     /// Sets the daemons to use, the preferred ones first.
     void setPeers(std::vector<net::Address> peers);
     bool hasPeers() const { return !m_peers.empty(); }
-    /// The daemon for the next request; empty if none can be used now.
-    std::optional<net::Address> choosePeer() const;
+    /// The daemon for the next request; empty if none can be used now. One of `lastChoices` is
+    /// chosen only if there is no other.
+    std::optional<net::Address> choosePeer(const std::set<net::Address> &lastChoices = {}) const;
     /// Returns a connection to the daemon and counts a request there until giveBack().
     std::unique_ptr<http::ClientConnection> take(const net::Address &peer);
     void giveBack(const net::Address &peer, std::unique_ptr<http::ClientConnection> connection);
--- a/src/libs/gateway/requestpath.cpp
+++ b/src/libs/gateway/requestpath.cpp
@@ -11,7 +11,7 @@
     // the id of the request.
     auto connection = m_context.pool.takeIdle(endpoint, isCautious, m_usedConnections);
     if (!connection && m_context.paths.isInterrupted(endpoint.id))
-        attempt().via = m_context.forwarder.choosePeer();
+        attempt().via = m_context.forwarder.choosePeer(m_failedPeers);
     if (attempt().via) {
         connection = m_context.forwarder.take(*attempt().via);
         m_context.metrics.recordForwardedByPeer();
@@ -83,6 +83,8 @@
 // The next request finds out: it cannot connect to that daemon, or hears that the endpoint is gone.
 void RequestTask::handlePeerFailure(http::ExchangeEnd end)
 {
+    // A daemon that is being killed still accepts connections, and would use up the next attempt.
+    m_failedPeers.insert(*attempt().via);
     const bool hasHead = attempt().headAt != core::TimePoint();
     if (end == http::ExchangeEnd::Malformed)
         m_context.pool.health(attempt().endpoint).recordErrorResponse(now());
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -216,6 +216,7 @@
 
     RequestAttempts m_attempts;
     std::set<http::ConnectionNumber> m_usedConnections;
+    std::set<net::Address> m_failedPeers; ///< Daemons whose connection broke during the request.
     /// Where the stream began; events of another software version must not follow.
     std::optional<StreamOrigin> m_origin;
     int m_sends = 0;
--- a/tests/auto/requestforwarder/tst_requestforwarder.cpp
+++ b/tests/auto/requestforwarder/tst_requestforwarder.cpp
@@ -39,6 +39,22 @@
     cr_expect_not(head.headers.contains("Jackdawlead-Outcome"));
 }
 
+// Guards against a second attempt of a request that goes to the daemon that has just died with the
+// first one although another daemon could send it, and against one that is not sent at all.
+Test(requestforwarder, daemonThatFailedIsChosenLast)
+{
+    net::EventLoop loop;
+    net::TimerService timers {loop};
+    http::ControlClient client {loop, timers};
+    RequestForwarder forwarder {loop, timers, client};
+    const net::Address first {"127.0.0.1", 1};
+    const net::Address second {"127.0.0.1", 2};
+    forwarder.setPeers({first, second});
+    cr_expect(forwarder.choosePeer() == first);
+    cr_expect(forwarder.choosePeer({first}) == second);
+    cr_expect(forwarder.choosePeer({first, second}) == first);
+}
+
 // Guards against calling a request not run because of a word that a later release uses.
 Test(requestforwarder, unknownOutcomeMayHaveRun)
 {
