--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -80,6 +80,7 @@
     if (!m_origin)
         applyOrigin({m_service, attempt().softwareVersion});
     m_context.streams.recordBegin(begunBy(), *m_origin);
+    m_context.metrics.recordBegunAnswer(isConfigurationRecent());
     m_exchange->startChunked(attempt().answer.status,
                              platform::forwardedResponseHeaders(attempt().answer));
 }
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -156,6 +156,12 @@
     finish();
 }
 
+bool RequestTask::isConfigurationRecent() const
+{
+    return now() - m_context.watch.configuredAt()
+        <= m_context.settings.bounds.configuration + configurationEffectTime;
+}
+
 void RequestTask::abortStream(std::string_view cause)
 {
     const core::TimePoint interruptedAt = m_interruptedAt.value_or(now());
@@ -170,9 +176,7 @@
                         m_runs, ", ", describeConfiguration()),
          .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
-    m_context.metrics.recordInterruptedAnswer(now() - m_context.watch.configuredAt()
-                                              <= m_context.settings.bounds.configuration
-                                                  + configurationEffectTime);
+    m_context.metrics.recordInterruptedAnswer(isConfigurationRecent());
     m_exchange->abort();
     finish();
 }
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -197,6 +197,8 @@
     void logSilence(const fleet::Endpoint *replacement);
     /// The last event that the client has, as text for the log.
     std::string describeProgress() const;
+    /// Whether what the last change of the configuration started may still be going on.
+    bool isConfigurationRecent() const;
     /// The configuration in force and its age, as text for the log.
     std::string describeConfiguration() const;
     fleet::AdapterKey adapterKey() const { return {m_fields.model, m_fields.adapter}; }
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <map>
+#include <string>
+
 namespace jackdawlead::observability {
 
 namespace {
@@ -17,6 +20,11 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+std::map<std::string, std::string> ageLabel(bool isConfigurationRecent)
+{
+    return {{"configuration", isConfigurationRecent ? "recent" : "older"}};
+}
+
 prometheus::Histogram &histogram(prometheus::Registry &registry, const char *name, const char *help)
 {
     return prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add(
@@ -43,6 +51,9 @@
     , m_endedRuns(counters(*m_registry, "jackdawlead_ended_runs_total",
                            "Runs at endpoints that this daemon ended before their answer was "
                            "complete, by cause"))
+    , m_begunAnswers(counters(*m_registry, "jackdawlead_begun_answers_total",
+                              "Streams whose first event was forwarded, by whether the "
+                              "configuration was new then"))
     , m_interruptedAnswers(counters(*m_registry, "jackdawlead_interrupted_answers_total",
                                     "Answers broken off after their begin, by whether the "
                                     "configuration was new then"))
@@ -122,10 +133,14 @@
     m_endedRuns.Add({{"cause", cause}}).Increment();
 }
 
+void GatewayMetrics::recordBegunAnswer(bool isConfigurationRecent)
+{
+    m_begunAnswers.Add(ageLabel(isConfigurationRecent)).Increment();
+}
+
 void GatewayMetrics::recordInterruptedAnswer(bool isConfigurationRecent)
 {
-    m_interruptedAnswers.Add({{"configuration", isConfigurationRecent ? "recent" : "older"}})
-        .Increment();
+    m_interruptedAnswers.Add(ageLabel(isConfigurationRecent)).Increment();
 }
 
 void GatewayMetrics::recordTruncatedStream(bool isAtClose)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -26,8 +26,10 @@
     void recordRetry(const std::string &cause);
     /// Records a run that this daemon ended at its endpoint before the answer was complete.
     void recordEndedRun(const std::string &cause);
-    /// Records an answer that was broken off after its begin; `isConfigurationRecent` if the
+    /// Records a stream whose first event goes to its client; `isConfigurationRecent` if the
     /// configuration in force was applied only some seconds before.
+    void recordBegunAnswer(bool isConfigurationRecent);
+    /// Records one that was broken off after that.
     void recordInterruptedAnswer(bool isConfigurationRecent);
     /// Records a stream that ended as its framing says, but inside an event or without any;
     /// `isAtClose` if the end of the connection delimited it.
@@ -75,6 +77,7 @@
     prometheus::Family<prometheus::Counter> &m_retries;
     prometheus::Family<prometheus::Counter> &m_orders;
     prometheus::Family<prometheus::Counter> &m_endedRuns;
+    prometheus::Family<prometheus::Counter> &m_begunAnswers;
     prometheus::Family<prometheus::Counter> &m_interruptedAnswers;
     prometheus::Family<prometheus::Counter> &m_truncatedStreams;
     prometheus::Histogram &m_responseTime;
