Ask several daemons before the store counts as out for all

Cause, by reading: a daemon that cannot confirm its list of endpoints draws the old conclusion ("one version serves") if the store is out for all. One other daemon that was rejected as well counted for that, although the store may reject just these two.

A watch that must be current is now passed to up to three daemons, the next one only if the store rejects the one before, and the store counts as out only if it rejects all of them. The first one that is served confirms the list, so that fewer take-ups are refused, too. In an outage of the whole store that is four calls instead of two in 1.5 s, and only while a stream is taken up.

storetransport/storeIsNotOutWhileItServesAnotherDaemon fails with one peer, as before, and passes with three.

--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace jackdawlead::gateway {
 
@@ -18,13 +19,13 @@
 {
 public:
     using AnswerHandler = std::function<void(platform::StoreAnswer)>;
-    /// Returns the address of a daemon that can forward calls, if another one is known.
-    using PeerFinder = std::function<std::optional<net::Address>()>;
+    /// Returns the daemons that can forward calls, the preferred ones first.
+    using PeerFinder = std::function<std::vector<net::Address>()>;
 
     StoreTransport(http::ControlClient &controlClient, net::TimerService &timers,
                    net::Address store);
 
-    void setPeerFinder(PeerFinder findPeer) { m_findPeer = std::move(findPeer); }
+    void setPeerFinder(PeerFinder findPeers) { m_findPeers = std::move(findPeers); }
     void call(const net::HttpRequest &request, core::Duration timeout,
               http::ControlClient::Handler handler);
     /// Waits for changes: at the relay of the failure domain, at the spare relay if that fails, and
@@ -42,9 +43,9 @@
     std::optional<net::Address> usableRelay() const { return m_relay.usable(m_timers.now()); }
     /// Whether other daemons watch through this one, so that its own watches must end earlier.
     void setIsRelay(bool isRelay) { m_isRelay = isRelay; }
-    /// Whether a peer reported lately that the store rejects it as well, as in an outage of the
-    /// whole store.
-    bool isStoreLostAtPeer() const { return m_timers.now() - m_lostAtPeerAt < lostAtPeerTime; }
+    /// Whether all peers that were asked for a current watch reported lately that the store rejects
+    /// them as well, as in an outage of the whole store.
+    bool isStoreLostAtPeers() const { return m_timers.now() - m_lostAtPeersAt < lostAtPeersTime; }
     /// Forwards a call of another daemon to the store, never to a third daemon.
     void forwardToStore(const net::HttpRequest &request, core::Duration timeout,
                         http::ControlClient::Handler handler);
@@ -63,8 +64,8 @@
     static constexpr int notRelayStatus = 421;
 
 private:
-    // A peer that has lost the store is asked again after a second.
-    static constexpr core::Duration lostAtPeerTime = std::chrono::milliseconds(1500);
+    // Peers that have lost the store are asked again after that.
+    static constexpr core::Duration lostAtPeersTime = std::chrono::milliseconds(1500);
 
     struct TimedRequest
     {
@@ -72,6 +73,7 @@
         core::Duration timeout {};
         core::Duration wait {};           ///< Of a watch; zero for other calls.
         core::Duration lateAnswerTime {}; ///< How long an answer is awaited after the timeout.
+        bool mustBeCurrent = false;       ///< Of a watch.
     };
     /// Until when a receiver is not asked, because it failed.
     struct Suspension
@@ -110,7 +112,7 @@
                       const absl::StatusOr<http::Response> &response);
     /// Suspends the direct watches after a failure.
     void recordDirectWatch(platform::ObjectKind kind, const platform::StoreAnswer &answer);
-    std::optional<net::Address> usablePeer() const;
+    std::vector<net::Address> usablePeers(const TimedRequest &timed) const;
     using StoreCall = std::function<void(AnswerHandler)>;
     /// Calls the store, or a peer that the store serves while it rejects this daemon.
     void callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
@@ -119,19 +121,21 @@
     /// Watches at the store itself, and once more if the watch is cut off.
     void watchStore(const platform::WatchRequest &watch, core::Duration margin,
                     AnswerHandler handler);
-    void callPeer(const net::Address &peer, const TimedRequest &timed, AnswerHandler handler);
+    /// Calls the first of the peers, and the next one if the store rejects that as well.
+    void callPeers(std::vector<net::Address> peers, const TimedRequest &timed,
+                   AnswerHandler handler);
 
     http::ControlClient &m_controlClient;
     net::TimerService &m_timers;
     net::Address m_store;
-    PeerFinder m_findPeer;
+    PeerFinder m_findPeers;
     Relay m_relay;
     Relay m_spareRelay;
     bool m_isRelay = false;
     Suspension m_directSuspension;
     core::TimePoint m_directServedAt;     ///< When the last direct watch was answered.
     core::TimePoint m_usePeerUntil;       ///< Calls are sent to the peer first until then.
-    core::TimePoint m_lostAtPeerAt;       ///< When a peer last reported that it has lost the store.
+    core::TimePoint m_lostAtPeersAt;      ///< See isStoreLostAtPeers().
     core::TimePoint m_peerSuspendedUntil; ///< No peer is used until then: the store rejected it.
 };
 
