Soak: know the daemons that send on, and interrupt links in each run

The checker did not know of the way through others. A request that reaches an endpoint while the links of its daemon are interrupted may have been sent on; the kill of another daemon after that, and before its end, excuses it.

If no interruption had enough requests, one more follows at the end, as soon as nothing else has been disturbed for the stable window.

In upgrades (--earlier) the roll now waits when one daemon without links is of the present release, both ways, and interrupts links there, so that the check is made with peers of both releases. Links may also accept connections and reset them or stay silent.

--- a/soak/answerchecks.cpp
+++ b/soak/answerchecks.cpp
@@ -142,7 +142,8 @@
     // still be answered with an error.
     const bool mayBeIncomplete = isStream(request.sent.kind) && answer.status != 0
         && (request.isInterrupted || isTimeOver);
-    const bool isCut = !mayBeIncomplete && (answer.status == 0 || !answer.isComplete);
+    const bool isCut = !mayBeIncomplete && (answer.status == 0 || !answer.isComplete)
+        && !isForwarderKilled(request, at);
     if (process.isKilled || !answer.wasConnected || wasDisturbed(process, request.sentAt))
         return;
     count(Check::InTime);
@@ -225,6 +226,8 @@
         return "the time limit was reached";
     if (request.isInterruptedThere)
         return "the endpoint interrupted it";
+    if (isForwarderKilled(request, at))
+        return "a daemon that may have sent it on was killed";
     if (isLateInGrace(request, at))
         return "the grace time of a planned stop ended";
     if (m_isStoreDisturbed || m_storeDisturbedUntil > stableSince)
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -62,9 +62,10 @@
     m_processes[incarnation].stopRequestedAt = at;
 }
 
-void Checker::processKilled(ProcessIncarnation incarnation)
+void Checker::processKilled(ProcessIncarnation incarnation, core::TimePoint at)
 {
     m_processes[incarnation].isKilled = true;
+    m_kills.push_back({incarnation, at});
 }
 
 void Checker::processFrozen(ProcessIncarnation incarnation, bool isFrozen, core::TimePoint at)
@@ -177,6 +178,11 @@
     m_limits.erase(endpoint);
 }
 
+bool Checker::isUndisturbed(ProcessIncarnation incarnation, core::TimePoint at) const
+{
+    return isUndisturbed(m_processes.at(incarnation), at);
+}
+
 bool Checker::isUndisturbed(const ProcessState &process, core::TimePoint at) const
 {
     const core::TimePoint undisturbedSince
@@ -213,7 +219,9 @@
     const auto found = m_requests.find(id);
     if (found == m_requests.end())
         return;
-    const Request &request = found->second;
+    Request &request = found->second;
+    if (areLinksInterrupted(request.sent.incarnation, at))
+        request.forwardedAt = at;
     if (!isUndisturbed(m_processes.at(request.sent.incarnation), at))
         return;
     checkEndpoint(request, endpoint, at);
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -126,10 +126,12 @@
     void processStarted(ProcessIncarnation incarnation, core::TimePoint at);
     void stopRequested(ProcessIncarnation incarnation, core::TimePoint at);
     /// The soak kills the process. Unanswered requests of a killed process are no violations.
-    void processKilled(ProcessIncarnation incarnation);
+    void processKilled(ProcessIncarnation incarnation, core::TimePoint at);
     void processFrozen(ProcessIncarnation incarnation, bool isFrozen, core::TimePoint at);
     /// `code` is the value of Process::exitCode().
     void processEnded(ProcessIncarnation incarnation, int code);
+    /// Whether the process and the store have been undisturbed for the stable window.
+    bool isUndisturbed(ProcessIncarnation incarnation, core::TimePoint at) const;
     /// The store starts to fail or has recovered.
     void storeDisturbed(bool isDisturbed, core::TimePoint at);
     /// Called periodically. A long interval between two calls means that the soak itself was
@@ -183,6 +185,8 @@
     void linksInterrupted(const std::map<ProcessIncarnation, bool> &interrupted,
                           core::TimePoint at);
     void linksRestored(core::TimePoint at);
+    /// Whether there were enough requests in an interruption to be checked.
+    bool hasCountedInterruption() const;
     /// Called once, when all requests have ended.
     void checkInterruptions();
 
@@ -218,6 +222,9 @@
         core::EndpointId latestEndpoint {}; ///< That accepted or ran it.
         bool isInterruptedThere = false;    ///< By the latest endpoint.
         bool isReportedNotRun = false;
+        /// When it reached an endpoint while the links of its daemon were interrupted, so that
+        /// another daemon may have sent it on.
+        std::optional<core::TimePoint> forwardedAt {};
         std::optional<std::size_t> interruption {}; ///< In which its answer is counted.
     };
     struct ServedCount
@@ -226,6 +233,11 @@
         int served = 0;
         double share() const { return static_cast<double>(served) / requests; }
     };
+    struct Kill
+    {
+        ProcessIncarnation incarnation;
+        core::TimePoint at;
+    };
     /// Links to all endpoints are interrupted; first tries from the detection time on are counted.
     struct Interruption
     {
@@ -234,6 +246,8 @@
         std::set<ProcessIncarnation> incarnations;
         ServedCount servedWithoutLinks;
         ServedCount servedByOthers;
+
+        bool isCounted() const;
     };
 
     struct Limit
@@ -261,6 +275,9 @@
     void checkNotFound(const Request &request);
     void checkEnd(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
     void checkPlannedStop(const Request &request, bool isCut, core::TimePoint at);
+    bool areLinksInterrupted(ProcessIncarnation incarnation, core::TimePoint at) const;
+    /// Whether a daemon that may have sent the request on was killed meanwhile.
+    bool isForwarderKilled(const Request &request, core::TimePoint at) const;
     /// Whether the request was sent so early in a planned stop, and its endpoint worked so long,
     /// that the end of the grace time may cut it off.
     bool isLateInGrace(const Request &request, core::TimePoint at) const;
@@ -288,6 +305,7 @@
     std::map<core::EndpointId, core::FencingToken> m_highestTokens;
     std::map<core::FencingToken, core::HostId> m_tokenHolders;
     std::vector<Interruption> m_interruptions;
+    std::vector<Kill> m_kills;
     core::TimePoint m_resumedAt;
     core::TimePoint m_storeDisturbedUntil;
     bool m_isStoreDisturbed = false;
--- a/soak/daemons.cpp
+++ b/soak/daemons.cpp
@@ -136,7 +136,7 @@
     Daemon &daemon = m_daemons[index];
     if (daemon.state == State::Down)
         return false;
-    m_checker.processKilled(daemon.incarnation);
+    m_checker.processKilled(daemon.incarnation, m_schedule.now());
     daemon.process.kill();
     daemon.state = State::Down;
     m_schedule.after(restartDelay, [this, index] { start(index); });
--- a/soak/linkchecks.cpp
+++ b/soak/linkchecks.cpp
@@ -14,6 +14,8 @@
 /// alike, so that the shares differ by chance only.
 constexpr double minServedRatio = 2.0 / 3;
 constexpr int minRequests = 20; ///< At the daemons without links, and at the others.
+/// After an interruption a daemon sends through others until a connection of its own has worked.
+constexpr core::Duration restoreTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -66,12 +68,38 @@
         ++served.served;
 }
 
+bool Checker::areLinksInterrupted(ProcessIncarnation incarnation, core::TimePoint at) const
+{
+    return std::ranges::any_of(m_interruptions, [&](const Interruption &interruption) {
+        return interruption.incarnations.contains(incarnation)
+            && (!interruption.until || at - *interruption.until <= restoreTime);
+    });
+}
+
+bool Checker::isForwarderKilled(const Request &request, core::TimePoint at) const
+{
+    return std::ranges::any_of(m_kills, [&](const Kill &kill) {
+        return request.forwardedAt && kill.incarnation != request.sent.incarnation
+            && kill.at >= *request.forwardedAt && kill.at <= at;
+    });
+}
+
+bool Checker::Interruption::isCounted() const
+{
+    return std::min(servedWithoutLinks.requests, servedByOthers.requests) >= minRequests;
+}
+
+bool Checker::hasCountedInterruption() const
+{
+    return std::ranges::any_of(m_interruptions, &Interruption::isCounted);
+}
+
 void Checker::checkInterruptions()
 {
     for (const Interruption &interruption : m_interruptions) {
         const ServedCount &own = interruption.servedWithoutLinks;
         const ServedCount &others = interruption.servedByOthers;
-        if (std::min(own.requests, others.requests) < minRequests)
+        if (!interruption.isCounted())
             continue;
         count(Check::ServedWithoutLinks);
         if (own.share() < minServedRatio * others.share())
--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -79,13 +79,16 @@
                  core::Duration timeLeft)
 {
     if (delay + time < timeLeft)
-        m_schedule.after(delay, [this, &daemons, time] { interrupt(daemons, time); });
+        m_schedule.after(delay, [this, &daemons, time] {
+            if (!m_isPlanSuspended && !m_areInterrupted)
+                interrupt(daemons, time);
+        });
 }
 
-void Links::interrupt(const Daemons &daemons, core::Duration time)
+bool Links::interrupt(const Daemons &daemons, core::Duration time)
 {
     if (m_daemonLinks.empty())
-        return;
+        return false;
     std::ranges::shuffle(m_daemonLinks, m_random.generator());
     // Those of an earlier release need not know a way through others.
     const auto linked = std::partition(m_daemonLinks.begin(), m_daemonLinks.end(),
@@ -94,19 +97,21 @@
                                        })
         - m_daemonLinks.begin();
     if (linked == 0 || (daemons.hasEarlierProgram() && !hasPresentPeer(daemons)))
-        return;
+        return false;
     const int count = m_random.number(1, static_cast<int>(linked));
     std::map<ProcessIncarnation, bool> interrupted;
     for (DaemonLinks &own : std::span(m_daemonLinks).first(static_cast<std::size_t>(count))) {
-        const auto fault = static_cast<Fault>(
-            m_random.number(static_cast<int>(Fault::Reset), static_cast<int>(Fault::Refusing)));
+        const auto fault = static_cast<Fault>(m_random.number(
+            static_cast<int>(Fault::Reset), static_cast<int>(Fault::AcceptedAndSilent)));
         ++m_faults[nameOf(fault)];
         if (const auto incarnation = daemons.incarnation(own.daemon))
             interrupted[*incarnation] = fault != Fault::Refusing;
         setFault(own, fault);
     }
     m_checker.linksInterrupted(interrupted, m_schedule.now());
+    m_areInterrupted = true;
     m_schedule.after(time, [this] { restore(); });
+    return true;
 }
 
 bool Links::hasPresentPeer(const Daemons &daemons) const
@@ -129,6 +134,7 @@
         if (own.fault != Fault::None)
             setFault(own, Fault::None);
     }
+    m_areInterrupted = false;
     m_checker.linksRestored(m_schedule.now());
 }
 
--- a/soak/links.h
+++ b/soak/links.h
@@ -29,6 +29,13 @@
     /// Plans one short interruption in the first phase of a series of faults, and one after it that
     /// outlasts the stable window. All of them end before `timeLeft`.
     void startSeries(const Daemons &daemons, core::Duration timeLeft);
+    /// While suspended, planned interruptions are left out.
+    void setPlanSuspended(bool isSuspended) { m_isPlanSuspended = isSuspended; }
+    bool areInterrupted() const { return m_areInterrupted; }
+    /// Returns whether there is a daemon whose links can be interrupted. Precondition:
+    /// areInterrupted() is false.
+    bool interrupt(const Daemons &daemons, core::Duration time);
+    std::size_t linkedDaemons() const { return m_daemonLinks.size(); }
 
 private:
     using Fault = testsupport::FaultyLink::Fault;
@@ -42,7 +49,6 @@
 
     void plan(const Daemons &daemons, core::Duration delay, core::Duration time,
               core::Duration timeLeft);
-    void interrupt(const Daemons &daemons, core::Duration time);
     /// Whether a daemon that keeps its links can send requests for others.
     bool hasPresentPeer(const Daemons &daemons) const;
     void restore();
@@ -55,6 +61,8 @@
     testsupport::PortPicker m_picker;
     std::vector<std::uint16_t> m_storePorts;
     std::vector<DaemonLinks> m_daemonLinks;
+    bool m_areInterrupted = false;
+    bool m_isPlanSuspended = false;
 };
 
 } // namespace jackdawlead::soak
--- a/soak/soakrun.cpp
+++ b/soak/soakrun.cpp
@@ -35,6 +35,8 @@
 constexpr int minFaults = 4; ///< In a series.
 constexpr int maxFaults = 7;
 constexpr core::Duration finalCalm = seconds(8); ///< No series starts in it.
+/// The last series has a stop of up to the grace time in it.
+constexpr core::Duration maxCalmWait = seconds(40);
 constexpr std::size_t maxAddedRoutes = 3;
 constexpr std::size_t maxRemovedRoutes = 2; ///< That callers still send requests to.
 constexpr core::Duration heartbeatPeriod = milliseconds(50);
@@ -111,34 +113,19 @@
     takeCopies();
     recordHeartbeat();
     if (!options.earlierProgram.empty())
-        scheduleUpgrades();
-}
-
-void SoakRun::scheduleUpgrades()
-{
-    for (const bool isWayBack : {false, true}) {
-        m_schedule.after(m_options.time / 3 * (isWayBack ? 2 : 1), [this, isWayBack] {
-            ++m_faults[isWayBack ? "upgrade: way back" : "upgrade"];
-            m_daemons.useEarlierProgram(isWayBack);
-            replaceDaemons(0);
-        });
-    }
-}
-
-// A daemon that is down, or stops already, starts as the other program by itself.
-void SoakRun::replaceDaemons(std::size_t index)
-{
-    if (index >= m_daemons.count())
-        return;
-    constexpr core::Duration restartDelay = milliseconds(200);
-    m_daemons.terminate(index, restartDelay);
-    const core::Duration pause = m_options.time / 4 / static_cast<int>(m_daemons.count());
-    m_schedule.after(pause, [this, index] { replaceDaemons(index + 1); });
+        m_schedule.after(options.time / 6, [this] { startUpgrade(false); });
 }
 
 bool SoakRun::run()
 {
     testsupport::runFor(m_loop, m_timers, m_options.time);
+    if (m_links.exist() && !m_options.isCalm && !m_checker.hasCountedInterruption()) {
+        bool isDone = false;
+        interruptUndisturbed([&isDone] { isDone = true; });
+        testsupport::waitUntil(
+            m_loop, m_timers, [&isDone] { return isDone; }, maxCalmWait);
+        m_areSeriesSuspended = true;
+    }
     // The final planned stop happens while callers still send requests.
     ++m_faults["daemon: all stopped by SIGTERM"];
     m_daemons.terminateAll();
@@ -197,6 +184,10 @@
 {
     if (m_options.isCalm || m_loop.now() - m_startedAt > m_options.time - finalCalm)
         return;
+    if (m_areSeriesSuspended) {
+        m_schedule.after(seconds(1), [this] { startSeries(); });
+        return;
+    }
     m_links.startSeries(m_daemons, m_options.time - (m_loop.now() - m_startedAt));
     const int count = m_faultRandom.number(minFaults, maxFaults);
     for (int number = 0; number < count; ++number)
@@ -433,8 +424,9 @@
         std::cout << "  " << count << "  " << cause << "\n";
     std::cout << "checks made:\n";
     bool isPassed = m_checker.violations().empty();
-    // In an upgrade there may be no daemons for it.
-    const bool areLinksInterrupted = m_links.exist() && m_options.earlierProgram.empty();
+    // In an upgrade a daemon of each release has to be left beside those without links.
+    const bool areLinksInterrupted
+        = m_links.exist() && (m_options.earlierProgram.empty() || m_daemons.count() > 2);
     for (const auto &[check, count] : m_checker.counts()) {
         std::cout << "  " << count << "  " << nameOf(check) << (count == 0 ? ": NONE" : "") << "\n";
         // A single daemon has no other one to serve through.
--- a/soak/soakrun.h
+++ b/soak/soakrun.h
@@ -8,6 +8,7 @@
 #include "schedule.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -49,9 +50,16 @@
         std::function<bool()> inject;
     };
 
-    void scheduleUpgrades();
-    /// Stops the daemons one after the other; each one starts again.
-    void replaceDaemons(std::size_t index);
+    /// Replaces the daemons of the earlier release, and goes back some time later.
+    void startUpgrade(bool isWayBack);
+    /// Stops the daemons one after the other, from this step on; each one starts again. Daemons
+    /// with links come first in an upgrade and last on the way back, so that their peers are of
+    /// both releases for some time; links are interrupted then.
+    void replaceDaemons(std::size_t step, bool isWayBack);
+    /// Interrupts links as soon as nothing else has been disturbed for a while, for long enough to
+    /// check what is served, and calls `done` after that.
+    void interruptUndisturbed(std::function<void()> done);
+    bool areDaemonsUndisturbed() const;
     void startSeries();
     /// One endpoint leaves, and those of a service announce limits, while everything else is
     /// undisturbed. Without a service, any one is chosen.
@@ -115,6 +123,7 @@
     bool m_areAnswersLate = false;
     bool m_isStoreServing = true;
     bool m_areWatchesSuspended = false;
+    bool m_areSeriesSuspended = false;
     core::TimePoint m_startedAt;
 };
 
