Leave half of the retry budget to requests whose send has failed

While endpoints are silent, each request may be sent to up to six others, most of which refuse when the rest of the fleet is full; endpoints count refusals as arrivals. A limit for each request is none for the daemon: these sends could use up its retry budget, and streams that really broke off in the same seconds then waited for it until they were aborted.

Sends beside a silent one, which may still go on, now take from the budget only up to half of it.

--- a/src/libs/decisions/retrybudget.cpp
+++ b/src/libs/decisions/retrybudget.cpp
@@ -30,20 +30,21 @@
         / core::toSeconds(std::max(minPeriod, now - m_requests.front()));
 }
 
-bool RetryBudget::canTake(core::TimePoint now)
+bool RetryBudget::canTake(core::TimePoint now, RetryPurpose purpose)
 {
     removeExpired(now);
     const double ownShare
         = m_limits.safetyFactor * m_limits.ratio * static_cast<double>(m_requests.size());
     const double slack
         = m_daemonCount > 0 ? m_limits.safetyFactor * m_limits.slack / m_daemonCount : initialSlack;
-    const double available = ownShare + slack;
+    const double share = purpose == RetryPurpose::SilentSend ? silentSendShare : 1.0;
+    const double available = share * (ownShare + slack);
     return static_cast<double>(m_retries.size()) + 1.0 <= available;
 }
 
-bool RetryBudget::tryTake(core::TimePoint now)
+bool RetryBudget::tryTake(core::TimePoint now, RetryPurpose purpose)
 {
-    if (!canTake(now))
+    if (!canTake(now, purpose))
         return false;
     m_retries.push_back(now);
     return true;
--- a/src/libs/decisions/retrybudget.h
+++ b/src/libs/decisions/retrybudget.h
@@ -17,6 +17,12 @@
     double safetyFactor = 0.6;
 };
 
+/// What a second send is for.
+enum class RetryPurpose {
+    FailedSend, ///< The request has no other send that may still succeed.
+    SilentSend, ///< The first send brings nothing, but may go on.
+};
+
 /// One daemon's share of a service's retry budget. Every retry of a request counts, whatever its
 /// outcome. Thread safety: one thread at a time.
 class RetryBudget
@@ -31,10 +37,13 @@
     /// Enough for the retries of one request, yet small enough for hundreds of daemons that start
     /// together.
     static constexpr double initialSlack = 3;
+    /// Part of the budget that sends beside a silent one may use up, so that many of them, most of
+    /// which endpoints may refuse, leave some for requests that failed.
+    static constexpr double silentSendShare = 0.5;
     /// Whether the budget allows one more retry.
-    bool canTake(core::TimePoint now);
+    bool canTake(core::TimePoint now, RetryPurpose purpose = RetryPurpose::FailedSend);
     /// Takes one retry from the budget; returns false if none is left.
-    bool tryTake(core::TimePoint now);
+    bool tryTake(core::TimePoint now, RetryPurpose purpose = RetryPurpose::FailedSend);
 
 private:
     void removeExpired(core::TimePoint now);
--- a/src/libs/gateway/requestreplacement.cpp
+++ b/src/libs/gateway/requestreplacement.cpp
@@ -113,7 +113,8 @@
     const bool isSilent = !waitsAtOlderVersions();
     if (isSilent && (replacement != nullptr || !std::exchange(attempt().isSilenceReported, true)))
         logSilence(replacement);
-    if (replacement == nullptr || !m_context.budgets[m_service].tryTake(now())) {
+    if (replacement == nullptr
+        || !m_context.budgets[m_service].tryTake(now(), decisions::RetryPurpose::SilentSend)) {
         checkStallAfter(replacementInterval);
         return;
     }
@@ -129,7 +130,7 @@
 const fleet::Endpoint *RequestTask::findReplacement()
 {
     if (!m_exchange->isOpen() || !canFinishBeforeStop()
-        || !m_context.budgets[m_service].canTake(now())
+        || !m_context.budgets[m_service].canTake(now(), decisions::RetryPurpose::SilentSend)
         || !m_context.crashes.mayRunAgain(m_identity)
         || m_context.crashes.blockedPart(m_identity) != nullptr)
         return nullptr;
--- a/tests/auto/requestrules/tst_requestrules.cpp
+++ b/tests/auto/requestrules/tst_requestrules.cpp
@@ -134,6 +134,29 @@
     cr_assert(budget.tryTake(start + std::chrono::seconds(11)));
 }
 
+// Guards against sends beside silent endpoints, six for each request, that use up the retry budget
+// of streams that broke off.
+Test(retrybudget, sendsBesideSilentOnesLeaveHalfOfTheBudget)
+{
+    RetryBudget budget;
+    RetryBudgetLimits limits;
+    limits.safetyFactor = 1.0;
+    limits.slack = 0;
+    budget.setLimits(limits);
+    budget.setDaemonCount(1);
+    const core::TimePoint now {std::chrono::seconds(100)};
+    for (int number = 0; number < 100; ++number)
+        budget.recordRequest(now);
+    int silent = 0;
+    while (budget.tryTake(now, RetryPurpose::SilentSend))
+        ++silent;
+    int failed = 0;
+    while (budget.tryTake(now))
+        ++failed;
+    cr_expect_eq(silent, 10);
+    cr_expect_eq(failed, 10);
+}
+
 // Guards against a choice of a highly utilized endpoint while another one has free slots.
 Test(endpointchooser, leastUtilizedIsChosenFirst)
 {
