Soak: excuse answers of requests that had passed a link before it broke

The request was sent at 48:33.0; the log shows that its connection broke at 48:34.201, together with all others of that daemon, when the links were restored. The endpoint had read the request only after the interruption had begun, which the checker took for a new run that no link had touched.

A request that was sent before the interruption of its daemon's links, and begins to run during it, counts as interrupted now. One that is sent during the interruption does not; it has come through another daemon.

soakchecker/answerToARequestThatWasOnItsWayIsNotLost failed before and checks both.

--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -261,7 +261,8 @@
 void Checker::setLatestEndpoint(Request &request, const core::EndpointId &endpoint)
 {
     request.latestEndpoint = endpoint;
-    request.isInterruptedThere = false;
+    request.isInterruptedThere = wasOnItsWay(request);
+    request.isInterrupted |= request.isInterruptedThere;
 }
 
 void Checker::requestAccepted(const core::RequestId &id, const core::EndpointId &endpoint)
--- a/soak/checker.h
+++ b/soak/checker.h
@@ -244,6 +244,7 @@
         core::TimePoint from;
         std::optional<core::TimePoint> until;
         std::set<ProcessIncarnation> incarnations;
+        std::set<ProcessIncarnation> withBrokenAnswers; ///< Of these.
         ServedCount servedWithoutLinks;
         ServedCount servedByOthers;
 
@@ -282,7 +283,10 @@
     /// that the end of the grace time may cut it off.
     bool isLateInGrace(const Request &request, core::TimePoint at) const;
     void checkLostAnswer(const Request &request, const ReceivedAnswer &answer, core::TimePoint at);
-    static void setLatestEndpoint(Request &request, const core::EndpointId &endpoint);
+    void setLatestEndpoint(Request &request, const core::EndpointId &endpoint);
+    /// Whether the request passed the links of its daemon before they were interrupted, so that its
+    /// answer can't pass them any more.
+    bool wasOnItsWay(const Request &request) const;
     void assignToInterruption(Request &request);
     void countServed(const Request &request, const ReceivedAnswer &answer);
     /// What excuses an answer that did not end whole; empty if nothing does.
--- a/soak/linkchecks.cpp
+++ b/soak/linkchecks.cpp
@@ -22,12 +22,14 @@
 void Checker::linksInterrupted(const std::map<ProcessIncarnation, bool> &interrupted,
                                core::TimePoint at)
 {
-    m_interruptions.push_back({at, {}, {}, {}, {}});
+    m_interruptions.push_back({at, {}, {}, {}, {}, {}});
     bool areAnswersBroken = false;
     for (const auto &[incarnation, isAnswerBroken] : interrupted) {
         m_interruptions.back().incarnations.insert(incarnation);
         m_processes.at(incarnation).hadInterruption = true;
         areAnswersBroken |= isAnswerBroken;
+        if (isAnswerBroken)
+            m_interruptions.back().withBrokenAnswers.insert(incarnation);
     }
     if (!areAnswersBroken)
         return;
@@ -68,6 +70,13 @@
         ++served.served;
 }
 
+bool Checker::wasOnItsWay(const Request &request) const
+{
+    return !m_interruptions.empty() && !m_interruptions.back().until
+        && request.sentAt <= m_interruptions.back().from
+        && m_interruptions.back().withBrokenAnswers.contains(request.sent.incarnation);
+}
+
 bool Checker::areLinksInterrupted(ProcessIncarnation incarnation, core::TimePoint at) const
 {
     return std::ranges::any_of(m_interruptions, [&](const Interruption &interruption) {
--- a/tests/e2e/tst_soakanswers.cpp
+++ b/tests/e2e/tst_soakanswers.cpp
@@ -210,3 +210,28 @@
     fixture.fail(id, 502);
     fixture.expectOnlyViolationsOf(Check::LostAnswer);
 }
+
+// Guards against a violation that is reported because a request had passed its daemon's links, but
+// was read by its endpoint only after they were interrupted (seed 1404, two releases, once).
+Test(soakchecker, answerToARequestThatWasOnItsWayIsNotLost)
+{
+    for (const bool isSentBefore : {true, false}) {
+        CheckerFixture fixture;
+        fixture.now += seconds(20);
+        core::RequestId id("r1");
+        if (isSentBefore)
+            id = fixture.send("r1", RequestKind::Unrepeatable, "/get/");
+        fixture.now += milliseconds(1);
+        fixture.checker.linksInterrupted({{fixture.incarnation, true}}, fixture.now);
+        fixture.now += milliseconds(1);
+        if (!isSentBefore)
+            fixture.send("r1", RequestKind::Unrepeatable, "/get/");
+        fixture.run(id);
+        fixture.now += seconds(1);
+        fixture.fail(id, 502);
+        if (isSentBefore)
+            fixture.expectNoViolation();
+        else
+            fixture.expectOnlyViolationsOf(Check::LostAnswer);
+    }
+}
