Do not take silent endpoints for an interrupted path

Cause: the proof of a path was made strict here (an answer), while the daemons that are asked still answer by an open connection. A silent or full endpoint fails the one and passes the other.

The change that left requests behind an interrupted path out of the load is taken back with it; its other users are none, and an answer that still came was never counted again.

The soak interrupts links by accepting and resetting, not by accepting and hanging.

--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -102,7 +102,7 @@
     std::map<ProcessIncarnation, bool> interrupted;
     for (DaemonLinks &own : std::span(m_daemonLinks).first(static_cast<std::size_t>(count))) {
         const auto fault = static_cast<Fault>(m_random.number(
-            static_cast<int>(Fault::Reset), static_cast<int>(Fault::AcceptedAndSilent)));
+            static_cast<int>(Fault::Reset), static_cast<int>(Fault::AcceptedAndReset)));
         ++m_faults[nameOf(fault)];
         if (const auto incarnation = daemons.incarnation(own.daemon))
             interrupted[*incarnation] = fault != Fault::Refusing;
--- a/src/libs/gateway/crashguard.cpp
+++ b/src/libs/gateway/crashguard.cpp
@@ -15,6 +15,8 @@
 constexpr core::Duration decisionPeriod = std::chrono::milliseconds(100);
 // A refusal takes a round trip, of 60 ms between regions.
 constexpr core::Duration maxRefusalTime = std::chrono::milliseconds(500);
+// An endpoint that sent something this recently is reached over other connections.
+constexpr core::Duration recentContact = std::chrono::milliseconds(400);
 // An endpoint that answers later than this has not crashed, and its path may be silent.
 constexpr core::Duration maxVerificationTime = std::chrono::seconds(1);
 // A daemon that has just started cannot tell yet which parts are sound, so that it reports crashes
@@ -133,7 +135,7 @@
         verify(id, incarnation);
 }
 
-// Without an answer the path to the endpoint may be cut, so that only a refusal is counted.
+// A connection that does not open, or stays silent, shows nothing about the endpoint.
 void CrashGuard::verify(const core::EndpointId &id, fleet::StartTime incarnation)
 {
     const fleet::Endpoint *endpoint = m_watch.endpoint(id);
@@ -156,11 +158,10 @@
 {
     const Verification verification = std::move(m_verifications.at(id));
     m_verifications.erase(id);
-    // An endpoint that answers others over the same path ends single connections itself, for
-    // instance those over its limit.
+    // An endpoint that is reached may end single connections itself, those over its limit.
     const bool isAnswering = result == EndpointProbe::Result::Answered
         || (result == EndpointProbe::Result::Broken
-            && m_pool.lastActivityAt(id) >= verification.begunAt);
+            && m_timers.now() - m_pool.lastActivityAt(id) < recentContact);
     if (isAnswering) {
         if (verification.isCrash)
             recordCrash(id, incarnation, verification.isNew);
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -224,7 +224,7 @@
     return {
         .onInterrupted =
             [this](const core::EndpointId &id) {
-                m_loop.post([this, id] { handleInterruptedPath(id); });
+                m_loop.post([this, id] { giveUpOwnConnections(id); });
             },
         .onCutOffChanged = [this] { m_loop.post([this] { handleCutOff(); }); },
     };
@@ -385,12 +385,12 @@
         task->giveUpConnecting(id, cause);
 }
 
-void Gateway::handleInterruptedPath(const core::EndpointId &id)
+void Gateway::giveUpOwnConnections(const core::EndpointId &id)
 {
     // Iterates over a copy, because a request may end and be erased while it selects an endpoint.
     const auto requests = m_requests;
     for (const auto &[number, task] : requests)
-        task->handleInterruptedPath(id);
+        task->giveUpOwnConnection(id);
 }
 
 std::vector<std::shared_ptr<RequestTask>>
@@ -437,7 +437,7 @@
     m_handoverTimer
         = m_timers.once(handoverDelay, [this] { m_election.setEligible(!m_paths.isCutOff()); });
     for (const auto &[id, endpoint] : m_watch.endpoints())
-        handleInterruptedPath(id);
+        giveUpOwnConnections(id);
 }
 
 // Once in each term of a coordinator, because entries are written only in upgrades.
--- a/src/libs/gateway/pathmonitor.cpp
+++ b/src/libs/gateway/pathmonitor.cpp
@@ -84,6 +84,7 @@
 void PathMonitor::removeEndpoint(const core::EndpointId &id)
 {
     m_paths.remove(id);
+    m_trials.erase(id);
     m_lastTrials.erase(id);
     m_lastConfirmations.erase(id);
     checkRestored();
@@ -219,19 +220,14 @@
     const core::TimePoint now = m_timers.now();
     std::vector<core::EndpointId> hanging;
     for (const auto &[id, trial] : m_trials) {
-        if (now - trial.begunAt >= maxConnectTime && isPathSuspect(trial))
+        // An endpoint that was asked may be silent itself, or answer once it has a free slot.
+        if (now - trial.begunAt >= maxConnectTime && !trial.probe->isAsked())
             confirmHang(id, trial.begunAt);
         if (now - trial.begunAt >= maxTrialTime)
             hanging.push_back(id);
     }
     for (const core::EndpointId &id : hanging)
-        failTrial(id);
-}
-
-// What is asked may also wait for a slow or silent endpoint; the others answer then.
-bool PathMonitor::isPathSuspect(const Trial &trial) const
-{
-    return !trial.probe->isAsked() || m_paths.lastActivityAt() < trial.begunAt;
+        m_trials.erase(id);
 }
 
 void PathMonitor::startTrial(const core::EndpointId &id)
@@ -250,21 +246,12 @@
 
 void PathMonitor::handleTrial(const core::EndpointId &id, EndpointProbe::Result result)
 {
-    if (result != EndpointProbe::Result::Answered) {
-        failTrial(id);
-        return;
-    }
     const core::TimePoint begunAt = m_trials.at(id).begunAt;
     m_trials.erase(id);
-    recordAnswered(id, begunAt);
-}
-
-void PathMonitor::failTrial(const core::EndpointId &id)
-{
-    const Trial trial = std::move(m_trials.at(id));
-    m_trials.erase(id);
-    if (isPathSuspect(trial))
-        confirmHang(id, trial.begunAt);
+    if (result == EndpointProbe::Result::Answered)
+        recordAnswered(id, begunAt);
+    else if (result == EndpointProbe::Result::Refused || m_paths.lastActivityAt() < begunAt)
+        confirmHang(id, begunAt);
 }
 
 void PathMonitor::tryInterrupted()
--- a/src/libs/gateway/pathmonitor.h
+++ b/src/libs/gateway/pathmonitor.h
@@ -79,12 +79,8 @@
 
     void startTrial(const core::EndpointId &id);
     void handleTrial(const core::EndpointId &id, EndpointProbe::Result result);
-    /// Ends a trial whose endpoint did not answer.
-    void failTrial(const core::EndpointId &id);
     void tryInterrupted();
     void checkTrials();
-    /// Whether the path may be the reason why a trial has no answer.
-    bool isPathSuspect(const Trial &trial) const;
     void checkSilence(const std::vector<SentRequest> &requests);
     void handleConfirmation(const core::EndpointId &id, RequestForwarder::Reachability result);
     void setInterrupted(const core::EndpointId &id, core::TimePoint failedAt);
--- a/tests/e2e/tst_partitions.cpp
+++ b/tests/e2e/tst_partitions.cpp
@@ -126,3 +126,22 @@
 {
     expectServedWithoutLinks(Fault::Refusing);
 }
+
+// Guards against a daemon that takes endpoints that are silent for a while for an interruption of
+// its own links, because other daemons can open connections to them.
+Test(partitions, silentEndpointsAreNoInterruptionOfLinks, .timeout = 90)
+{
+    PartitionFixture fixture;
+    const auto before = fixture.sendFor(std::chrono::seconds(1), calmInterval);
+    fixture.waitForAll(before);
+    for (FakeEndpoint *endpoint : {&fixture.platform.first, &fixture.platform.second})
+        endpoint->pause();
+    const auto silent = fixture.sendFor(std::chrono::seconds(2), busyInterval);
+    for (FakeEndpoint *endpoint : {&fixture.platform.first, &fixture.platform.second})
+        endpoint->resume();
+    fixture.waitForAll(silent);
+    const std::string output = fixture.output();
+    cr_expect(output.find("own connections fail") == std::string::npos
+                  && output.find("has lost all of its") == std::string::npos,
+              "output:\n%s", output.c_str());
+}
