Close the connection of a probe after its answer

Found by the reviewer: a probe has no request id, so that a late second copy of a rejection to it could be taken for the answer to the next caller's request on that connection, which would then be sent again while it runs. His test at the level of ClientConnection shows that such a copy is taken; no play of a daemon has shown it. The connection is no longer given to the pool, at the price of one more connection for each probe.

--- a/src/libs/gateway/endpointpool.cpp
+++ b/src/libs/gateway/endpointpool.cpp
@@ -71,7 +71,7 @@
         excluded);
 }
 
-std::unique_ptr<http::ClientConnection> EndpointPool::connect(const fleet::Endpoint &endpoint)
+std::unique_ptr<http::ClientConnection> EndpointPool::connect(const fleet::Endpoint &endpoint) const
 {
     return std::make_unique<http::ClientConnection>(m_loop, endpoint.address, connectTimeout);
 }
--- a/src/libs/gateway/endpointpool.h
+++ b/src/libs/gateway/endpointpool.h
@@ -35,7 +35,7 @@
     takeIdle(const fleet::Endpoint &endpoint, bool isCautious,
              const std::set<http::ConnectionNumber> &excluded);
     /// Opens a new connection without an exchange.
-    std::unique_ptr<http::ClientConnection> connect(const fleet::Endpoint &endpoint);
+    std::unique_ptr<http::ClientConnection> connect(const fleet::Endpoint &endpoint) const;
     /// Keeps the connection for the next exchange if it can be reused; else closes it.
     void giveBack(const core::EndpointId &id, std::unique_ptr<http::ClientConnection> connection);
     void closeIdle(const core::EndpointId &id) { entryFor(id).idle.closeAll(); }
--- a/src/libs/gateway/endpointprobe.cpp
+++ b/src/libs/gateway/endpointprobe.cpp
@@ -25,12 +25,10 @@
 
 } // namespace
 
-EndpointProbe::EndpointProbe(net::EventLoop &loop, EndpointPool &pool,
+EndpointProbe::EndpointProbe(net::EventLoop &loop, const EndpointPool &pool,
                              const fleet::Endpoint &endpoint, const fleet::ServiceSpec *service,
                              Handler handler)
     : m_loop(loop)
-    , m_pool(pool)
-    , m_endpoint(endpoint.id)
     , m_handler(std::move(handler))
     , m_connection(pool.connect(endpoint))
 {
@@ -72,8 +70,6 @@
     m_loop.post([this, alive = m_isAlive, result] {
         if (!*alive)
             return;
-        if (result == Result::Answered)
-            m_pool.giveBack(m_endpoint, std::move(m_connection));
         const Handler handler = std::move(m_handler);
         handler(result);
     });
--- a/src/libs/gateway/endpointprobe.h
+++ b/src/libs/gateway/endpointprobe.h
@@ -10,22 +10,23 @@
 
 /// Asks an endpoint for its contents or its health over a new connection, to learn whether this
 /// daemon reaches it. An open connection does not show that, because something on the way to the
-/// endpoint may have accepted it. Destroying the probe closes its connection. Thread safety: the
+/// endpoint may have accepted it. Its connection is closed afterwards: the question has no id, so
+/// that a late second answer to it could be taken for that to the next request. Thread safety: the
 /// event loop's thread only.
 class EndpointProbe
 {
 public:
     enum class Result {
-        Answered, ///< The connection is kept for the next request.
-        Refused,  ///< No connection could be opened.
-        Broken,   ///< A connection was open and ended without a valid answer.
+        Answered,
+        Refused, ///< No connection could be opened.
+        Broken,  ///< A connection was open and ended without a valid answer.
     };
     using Handler = std::function<void(Result)>;
 
     /// Calls the handler once from the loop; not if the endpoint stays silent or the probe is
-    /// destroyed before. Precondition: `loop` and `pool` outlive the probe. If the endpoint has
-    /// nothing to ask for, an open connection counts as an answer.
-    EndpointProbe(net::EventLoop &loop, EndpointPool &pool, const fleet::Endpoint &endpoint,
+    /// destroyed before. Precondition: `loop` outlives the probe. If the endpoint has nothing to
+    /// ask for, an open connection counts as an answer.
+    EndpointProbe(net::EventLoop &loop, const EndpointPool &pool, const fleet::Endpoint &endpoint,
                   const fleet::ServiceSpec *service, Handler handler);
     ~EndpointProbe();
     EndpointProbe(const EndpointProbe &) = delete;
@@ -38,8 +39,6 @@
     void finish(Result result);
 
     net::EventLoop &m_loop;
-    EndpointPool &m_pool;
-    core::EndpointId m_endpoint;
     Handler m_handler;
     std::unique_ptr<http::ClientConnection> m_connection;
     bool m_isAsking = false;
