Bound how often several daemons are asked in an outage of the store

By the reviewer's reading: watches that must be current ignored the pause after a peer that has lost the store, so that each of them cost up to four calls, ten times a second. A peer that does not answer is followed by the next one, too; before, a coordinator that had just died kept the others from being asked. tst_storetransport passes (6).

--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -82,7 +82,9 @@
 
 std::vector<net::Address> StoreTransport::usablePeers(const TimedRequest &timed) const
 {
-    if (!m_findPeers || (!timed.mustBeCurrent && m_timers.now() < m_peerSuspendedUntil))
+    const core::TimePoint suspendedUntil
+        = timed.mustBeCurrent ? m_currentWatchSuspendedUntil : m_peerSuspendedUntil;
+    if (!m_findPeers || m_timers.now() < suspendedUntil)
         return {};
     std::vector<net::Address> peers = m_findPeers();
     peers.resize(std::min(peers.size(), timed.mustBeCurrent ? peersForCurrentWatch : 1));
@@ -319,7 +321,7 @@
     send(peer, forwarded,
          [this, timed, others = std::move(peers), handler = std::move(handler)](auto answer) {
              const bool isServed = !isUnavailable(answer.response);
-             if (!isServed && answer.response.ok() && !others.empty()) {
+             if (!isServed && !others.empty()) {
                  callPeers(others, timed, handler);
                  return;
              }
@@ -330,6 +332,8 @@
                       .message = "rejected by the store; served through another daemon"});
              if (!isServed)
                  m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
+             if (!isServed && timed.mustBeCurrent)
+                 m_currentWatchSuspendedUntil = m_timers.now() + peerRetryDelay;
              if (!isServed && answer.response.ok() && timed.mustBeCurrent)
                  m_lostAtPeersAt = m_timers.now();
              m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -121,7 +121,7 @@
     /// Watches at the store itself, and once more if the watch is cut off.
     void watchStore(const platform::WatchRequest &watch, core::Duration margin,
                     AnswerHandler handler);
-    /// Calls the first of the peers, and the next one if the store rejects that as well.
+    /// Calls the first of the peers, and the next one if that does not reach the store either.
     void callPeers(std::vector<net::Address> peers, const TimedRequest &timed,
                    AnswerHandler handler);
 
@@ -133,9 +133,10 @@
     Relay m_spareRelay;
     bool m_isRelay = false;
     Suspension m_directSuspension;
-    core::TimePoint m_directServedAt;     ///< When the last direct watch was answered.
-    core::TimePoint m_usePeerUntil;       ///< Calls are sent to the peer first until then.
-    core::TimePoint m_lostAtPeersAt;      ///< See isStoreLostAtPeers().
+    core::TimePoint m_directServedAt;             ///< When the last direct watch was answered.
+    core::TimePoint m_usePeerUntil;               ///< Calls are sent to the peer first until then.
+    core::TimePoint m_currentWatchSuspendedUntil; ///< The same for watches that must be current.
+    core::TimePoint m_lostAtPeersAt;              ///< See isStoreLostAtPeers().
     core::TimePoint m_peerSuspendedUntil; ///< No peer is used until then: the store rejected it.
 };
 
