Let a small retry budget allow one send beside a silent one

By the reviewer's reading: half of a budget between one and two is less than one, so that a daemon with few requests, one of dozens, never replaced a silent send. One is always allowed if the whole budget allows one.

--- a/src/libs/decisions/retrybudget.cpp
+++ b/src/libs/decisions/retrybudget.cpp
@@ -37,8 +37,10 @@
         = m_limits.safetyFactor * m_limits.ratio * static_cast<double>(m_requests.size());
     const double slack
         = m_daemonCount > 0 ? m_limits.safetyFactor * m_limits.slack / m_daemonCount : initialSlack;
-    const double share = purpose == RetryPurpose::SilentSend ? silentSendShare : 1.0;
-    const double available = share * (ownShare + slack);
+    double available = ownShare + slack;
+    // A small budget still allows one.
+    if (purpose == RetryPurpose::SilentSend && available >= 1.0)
+        available = std::max(1.0, silentSendShare * available);
     return static_cast<double>(m_retries.size()) + 1.0 <= available;
 }
 
--- a/src/libs/decisions/retrybudget.h
+++ b/src/libs/decisions/retrybudget.h
@@ -20,7 +20,7 @@
 /// What a second send is for.
 enum class RetryPurpose {
     FailedSend, ///< The request has no other send that may still succeed.
-    SilentSend, ///< The first send brings nothing, but may go on.
+    SilentSend, ///< The first send brings nothing, or waits at an old version, but may go on.
 };
 
 /// One daemon's share of a service's retry budget. Every retry of a request counts, whatever its
@@ -37,8 +37,8 @@
     /// Enough for the retries of one request, yet small enough for hundreds of daemons that start
     /// together.
     static constexpr double initialSlack = 3;
-    /// Part of the budget that sends beside a silent one may use up, so that many of them, most of
-    /// which endpoints may refuse, leave some for requests that failed.
+    /// Part of the budget that sends beside silent ones may use up. Full endpoints refuse many of
+    /// them, and requests whose sends failed need the rest.
     static constexpr double silentSendShare = 0.5;
     /// Whether the budget allows one more retry.
     bool canTake(core::TimePoint now, RetryPurpose purpose = RetryPurpose::FailedSend);
