--- a/src/libs/gateway/requestforwarder.cpp
+++ b/src/libs/gateway/requestforwarder.cpp
@@ -73,7 +73,7 @@
 }
 
 std::optional<net::Address>
-RequestForwarder::choosePeer(const std::set<net::Address> &lastChoices) const
+RequestForwarder::choosePeer(const std::set<net::Address> &failedPeers) const
 {
     std::optional<net::Address> chosen;
     std::pair<bool, int> lowestRank;
@@ -82,7 +82,7 @@
         if (state != m_states.end() && state->second.avoidedUntil > m_timers.now())
             continue;
         const int inProgress = state == m_states.end() ? 0 : state->second.inProgress;
-        const std::pair rank(lastChoices.contains(address), inProgress);
+        const std::pair rank(failedPeers.contains(address), inProgress);
         if (!chosen || rank < lowestRank) {
             chosen = address;
             lowestRank = rank;
--- a/src/libs/gateway/requestforwarder.h
+++ b/src/libs/gateway/requestforwarder.h
@@ -44,9 +44,9 @@
     void setPeers(std::vector<net::Address> peers);
     const std::vector<net::Address> &peers() const { return m_peers; }
     bool hasPeers() const { return !m_peers.empty(); }
-    /// The daemon for the next request; empty if none can be used now. One of `lastChoices` is
+    /// The daemon for the next request; empty if none can be used now. One of `failedPeers` is
     /// chosen only if there is no other.
-    std::optional<net::Address> choosePeer(const std::set<net::Address> &lastChoices = {}) const;
+    std::optional<net::Address> choosePeer(const std::set<net::Address> &failedPeers = {}) const;
     /// Returns a connection to the daemon and counts a request there until giveBack().
     std::unique_ptr<http::ClientConnection> take(const net::Address &peer);
     void giveBack(const net::Address &peer, std::unique_ptr<http::ClientConnection> connection);
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -29,7 +29,7 @@
     /// Records a stream whose first event goes to its client; `isConfigurationRecent` if the
     /// configuration in force was applied only some seconds before.
     void recordBegunAnswer(bool isConfigurationRecent);
-    /// Records one that was broken off after that.
+    /// Records a stream that was broken off after its first event.
     void recordInterruptedAnswer(bool isConfigurationRecent);
     /// Records a stream that ended as its framing says, but inside an event or without any;
     /// `isAtClose` if the end of the connection delimited it.
