Revert "Ask several daemons before the store counts as out for all"

By reading, a watch that must be current takes the place of the waiting one, and passing it on to up to three daemons, one after the other, each with its own timeout, keeps the follower from hearing of changes for that long.

--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -5,9 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <csignal>
-#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -256,7 +254,7 @@
          .encode = [this] { return m_streams.encodeHistory(); },
          .apply = [this](const auto &value) { m_streams.applyHistory(value); },
          .applyNone = [this] { m_streams.setPastKnown(); }});
-    m_storeTransport.setPeerFinder([this] { return peersForStoreCalls(); });
+    m_storeTransport.setPeerFinder([this] { return m_peerLink.reachablePeer(); });
     m_watch.start();
     m_election.start();
     m_coordinator.start();
@@ -267,7 +265,7 @@
     list.confirmedAt = [this] { return m_watch.endpointsConfirmedAt(); };
     list.confirm = [this] { m_watch.confirmEndpoints(); };
     list.isStoreOut
-        = [this] { return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeers(); };
+        = [this] { return !m_watch.isStoreReachable() && m_storeTransport.isStoreLostAtPeer(); };
     m_streams.start(std::move(list), [this] { return m_election.isHolder(); });
     m_pathTimer = m_timers.every(PathMonitor::checkPeriod, [this] { checkPaths(); });
     m_directoryTimer = m_timers.every(directoryCleaningPeriod, [this] { cleanDirectory(); });
@@ -278,17 +276,6 @@
     return absl::OkStatus();
 }
 
-std::vector<net::Address> Gateway::peersForStoreCalls() const
-{
-    std::vector<net::Address> peers;
-    if (const auto peer = m_peerLink.reachablePeer())
-        peers.push_back(*peer);
-    std::ranges::copy_if(m_forwarder.peers(), std::back_inserter(peers), [&](const auto &peer) {
-        return std::ranges::find(peers, peer) == peers.end();
-    });
-    return peers;
-}
-
 void Gateway::run()
 {
     m_loop.run();
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -55,8 +55,6 @@
     void answerMetrics(http::ServerExchange &exchange);
     void handleView();
     void retryWaitingRequests();
-    /// The coordinator, or another daemon that this one hears of, before those that send for it.
-    std::vector<net::Address> peersForStoreCalls() const;
     /// Divides the connection limits of the endpoints among the daemons.
     void updateIdleLimits();
     /// Sends the requests that still wait for a connection to this endpoint to other endpoints.
--- a/src/libs/gateway/requestforwarder.h
+++ b/src/libs/gateway/requestforwarder.h
@@ -42,7 +42,6 @@
 
     /// Sets the daemons to use, the preferred ones first.
     void setPeers(std::vector<net::Address> peers);
-    const std::vector<net::Address> &peers() const { return m_peers; }
     bool hasPeers() const { return !m_peers.empty(); }
     /// The daemon for the next request; empty if none can be used now. One of `failedPeers` is
     /// chosen only if there is no other.
--- a/src/libs/gateway/storetransport.cpp
+++ b/src/libs/gateway/storetransport.cpp
@@ -16,8 +16,6 @@
 // In an outage of the whole store a peer is tried at this interval, because refused calls are
 // priced too.
 constexpr core::Duration peerRetryDelay = std::chrono::seconds(1);
-// The store may reject a part of the daemons, so that several have to tell before it counts as out.
-constexpr std::size_t peersForCurrentWatch = 3;
 // A round trip to another daemon, in another region at worst.
 constexpr core::Duration peerRoundTrip = std::chrono::milliseconds(150);
 
@@ -80,15 +78,11 @@
     , m_store(std::move(store))
 { }
 
-std::vector<net::Address> StoreTransport::usablePeers(const TimedRequest &timed) const
+std::optional<net::Address> StoreTransport::usablePeer() const
 {
-    const core::TimePoint suspendedUntil
-        = timed.mustBeCurrent ? m_currentWatchSuspendedUntil : m_peerSuspendedUntil;
-    if (!m_findPeers || m_timers.now() < suspendedUntil)
-        return {};
-    std::vector<net::Address> peers = m_findPeers();
-    peers.resize(std::min(peers.size(), timed.mustBeCurrent ? peersForCurrentWatch : 1));
-    return peers;
+    if (!m_findPeer || m_timers.now() < m_peerSuspendedUntil)
+        return std::nullopt;
+    return m_findPeer();
 }
 
 void StoreTransport::call(const net::HttpRequest &request, core::Duration timeout,
@@ -120,19 +114,18 @@
 {
     if (m_timers.now() < m_usePeerUntil) {
         // Without a peer the store itself is called, which may be reachable again.
-        if (auto peers = usablePeers(viaPeer); !peers.empty()) {
-            callPeers(std::move(peers), viaPeer, std::move(handler));
+        if (const auto peer = usablePeer()) {
+            callPeer(*peer, viaPeer, std::move(handler));
             return;
         }
         m_usePeerUntil = {};
     }
     callStore([this, viaPeer, handler = std::move(handler)](auto answer) {
-        auto peers
-            = isUnavailable(answer.response) ? usablePeers(viaPeer) : std::vector<net::Address>();
-        if (peers.empty())
-            handler(std::move(answer));
+        const auto peer = isUnavailable(answer.response) ? usablePeer() : std::nullopt;
+        if (peer)
+            callPeer(*peer, viaPeer, handler);
         else
-            callPeers(std::move(peers), viaPeer, handler);
+            handler(std::move(answer));
     });
 }
 
@@ -279,7 +272,6 @@
     timed.request.path = platform::formatWatchTarget({watch.kind, watch.since, watch.wait, {}});
     timed.timeout = watch.wait + margin;
     timed.wait = watch.wait;
-    timed.mustBeCurrent = watch.mustBeCurrent;
     return timed;
 }
 
@@ -310,35 +302,25 @@
     sendToStore(watch, onAnswer);
 }
 
-void StoreTransport::callPeers(std::vector<net::Address> peers, const TimedRequest &timed,
-                               AnswerHandler handler)
+void StoreTransport::callPeer(const net::Address &peer, const TimedRequest &timed,
+                              AnswerHandler handler)
 {
     TimedRequest forwarded = timed;
     forwarded.request.path = forwardPrefix + timed.request.path;
     forwarded.timeout += peerRoundTrip;
-    const net::Address peer = peers.front();
-    peers.erase(peers.begin());
-    send(peer, forwarded,
-         [this, timed, others = std::move(peers), handler = std::move(handler)](auto answer) {
-             const bool isServed = !isUnavailable(answer.response);
-             if (!isServed && !others.empty()) {
-                 callPeers(others, timed, handler);
-                 return;
-             }
-             if (isServed && m_timers.now() >= m_usePeerUntil)
-                 observability::log(
-                     {.level = observability::LogLevel::Warn,
-                      .step = "call store",
-                      .message = "rejected by the store; served through another daemon"});
-             if (!isServed)
-                 m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
-             if (!isServed && timed.mustBeCurrent)
-                 m_currentWatchSuspendedUntil = m_timers.now() + peerRetryDelay;
-             if (!isServed && answer.response.ok() && timed.mustBeCurrent)
-                 m_lostAtPeersAt = m_timers.now();
-             m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
-             handler(std::move(answer));
-         });
+    send(peer, forwarded, [this, handler = std::move(handler)](auto answer) {
+        const bool isServed = !isUnavailable(answer.response);
+        if (isServed && m_timers.now() >= m_usePeerUntil)
+            observability::log({.level = observability::LogLevel::Warn,
+                                .step = "call store",
+                                .message = "rejected by the store; served through another daemon"});
+        if (!isServed)
+            m_peerSuspendedUntil = m_timers.now() + peerRetryDelay;
+        if (!isServed && answer.response.ok())
+            m_lostAtPeerAt = m_timers.now();
+        m_usePeerUntil = isServed ? m_timers.now() + peerUseTime : core::TimePoint();
+        handler(std::move(answer));
+    });
 }
 
 void StoreTransport::forwardToStore(const net::HttpRequest &request, core::Duration timeout,
--- a/src/libs/gateway/storetransport.h
+++ b/src/libs/gateway/storetransport.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <vector>
 
 namespace jackdawlead::gateway {
 
@@ -19,13 +18,13 @@
 {
 public:
     using AnswerHandler = std::function<void(platform::StoreAnswer)>;
-    /// Returns the daemons that can forward calls, the preferred ones first.
-    using PeerFinder = std::function<std::vector<net::Address>()>;
+    /// Returns the address of a daemon that can forward calls, if another one is known.
+    using PeerFinder = std::function<std::optional<net::Address>()>;
 
     StoreTransport(http::ControlClient &controlClient, net::TimerService &timers,
                    net::Address store);
 
-    void setPeerFinder(PeerFinder findPeers) { m_findPeers = std::move(findPeers); }
+    void setPeerFinder(PeerFinder findPeer) { m_findPeer = std::move(findPeer); }
     void call(const net::HttpRequest &request, core::Duration timeout,
               http::ControlClient::Handler handler);
     /// Waits for changes: at the relay of the failure domain, at the spare relay if that fails, and
@@ -43,9 +42,9 @@
     std::optional<net::Address> usableRelay() const { return m_relay.usable(m_timers.now()); }
     /// Whether other daemons watch through this one, so that its own watches must end earlier.
     void setIsRelay(bool isRelay) { m_isRelay = isRelay; }
-    /// Whether all peers that were asked for a current watch reported lately that the store rejects
-    /// them as well, as in an outage of the whole store.
-    bool isStoreLostAtPeers() const { return m_timers.now() - m_lostAtPeersAt < lostAtPeersTime; }
+    /// Whether a peer reported lately that the store rejects it as well, as in an outage of the
+    /// whole store.
+    bool isStoreLostAtPeer() const { return m_timers.now() - m_lostAtPeerAt < lostAtPeerTime; }
     /// Forwards a call of another daemon to the store, never to a third daemon.
     void forwardToStore(const net::HttpRequest &request, core::Duration timeout,
                         http::ControlClient::Handler handler);
@@ -64,8 +63,8 @@
     static constexpr int notRelayStatus = 421;
 
 private:
-    // Peers that have lost the store are asked again after that.
-    static constexpr core::Duration lostAtPeersTime = std::chrono::milliseconds(1500);
+    // A peer that has lost the store is asked again after a second.
+    static constexpr core::Duration lostAtPeerTime = std::chrono::milliseconds(1500);
 
     struct TimedRequest
     {
@@ -73,7 +72,6 @@
         core::Duration timeout {};
         core::Duration wait {};           ///< Of a watch; zero for other calls.
         core::Duration lateAnswerTime {}; ///< How long an answer is awaited after the timeout.
-        bool mustBeCurrent = false;       ///< Of a watch.
     };
     /// Until when a receiver is not asked, because it failed.
     struct Suspension
@@ -112,7 +110,7 @@
                       const absl::StatusOr<http::Response> &response);
     /// Suspends the direct watches after a failure.
     void recordDirectWatch(platform::ObjectKind kind, const platform::StoreAnswer &answer);
-    std::vector<net::Address> usablePeers(const TimedRequest &timed) const;
+    std::optional<net::Address> usablePeer() const;
     using StoreCall = std::function<void(AnswerHandler)>;
     /// Calls the store, or a peer that the store serves while it rejects this daemon.
     void callWithPeerFallback(const StoreCall &callStore, const TimedRequest &viaPeer,
@@ -121,22 +119,19 @@
     /// Watches at the store itself, and once more if the watch is cut off.
     void watchStore(const platform::WatchRequest &watch, core::Duration margin,
                     AnswerHandler handler);
-    /// Calls the first of the peers, and the next one if that does not reach the store either.
-    void callPeers(std::vector<net::Address> peers, const TimedRequest &timed,
-                   AnswerHandler handler);
+    void callPeer(const net::Address &peer, const TimedRequest &timed, AnswerHandler handler);
 
     http::ControlClient &m_controlClient;
     net::TimerService &m_timers;
     net::Address m_store;
-    PeerFinder m_findPeers;
+    PeerFinder m_findPeer;
     Relay m_relay;
     Relay m_spareRelay;
     bool m_isRelay = false;
     Suspension m_directSuspension;
-    core::TimePoint m_directServedAt;             ///< When the last direct watch was answered.
-    core::TimePoint m_usePeerUntil;               ///< Calls are sent to the peer first until then.
-    core::TimePoint m_currentWatchSuspendedUntil; ///< The same for watches that must be current.
-    core::TimePoint m_lostAtPeersAt;              ///< See isStoreLostAtPeers().
+    core::TimePoint m_directServedAt;     ///< When the last direct watch was answered.
+    core::TimePoint m_usePeerUntil;       ///< Calls are sent to the peer first until then.
+    core::TimePoint m_lostAtPeerAt;       ///< When a peer last reported that it has lost the store.
     core::TimePoint m_peerSuspendedUntil; ///< No peer is used until then: the store rejected it.
 };
 
--- a/tests/auto/storetransport/tst_storetransport.cpp
+++ b/tests/auto/storetransport/tst_storetransport.cpp
@@ -20,11 +20,9 @@
     testsupport::PortPicker ports;
     net::Address storeAddress {"127.0.0.1", ports.take()};
     net::Address peerAddress {"127.0.0.1", ports.take()};
-    net::Address secondPeerAddress {"127.0.0.1", ports.take()};
-    std::vector<net::Address> peers {peerAddress};
+    bool hasPeer = true;
     int storeStatus = 503;
     int peerStatus = 200;
-    int secondPeerStatus = 200;
     int storeCalls = 0;
     std::vector<std::string> peerTargets;
     http::Server store {loop, timers, [this](const auto &exchange) {
@@ -35,17 +33,14 @@
                            peerTargets.push_back(exchange->head.target);
                            exchange->respond(peerStatus, {}, "through the peer");
                        }};
-    http::Server secondPeer {loop, timers, [this](const auto &exchange) {
-                                 exchange->respond(secondPeerStatus, {}, "through the second peer");
-                             }};
     StoreTransport transport {controlClient, timers, storeAddress};
 
     Fixture()
     {
         cr_assert(store.listen(storeAddress).ok());
         cr_assert(peer.listen(peerAddress).ok());
-        cr_assert(secondPeer.listen(secondPeerAddress).ok());
-        transport.setPeerFinder([this] { return peers; });
+        transport.setPeerFinder(
+            [this] { return hasPeer ? std::optional(peerAddress) : std::nullopt; });
     }
 
     absl::StatusOr<http::Response> call()
@@ -60,22 +55,6 @@
         loop.run();
         return result;
     }
-
-    /// Asks for changes that were made before the call.
-    absl::StatusOr<http::Response> watchCurrent()
-    {
-        platform::StoreAnswer answer {absl::UnknownError("no answer"), {}, {}};
-        platform::WatchRequest watch;
-        watch.kind = platform::ObjectKind::Endpoints;
-        watch.wait = milliseconds(10);
-        watch.mustBeCurrent = true;
-        transport.watch(watch, milliseconds(500), [&](auto received) {
-            answer = std::move(received);
-            loop.stop();
-        });
-        loop.run();
-        return answer.response;
-    }
 };
 
 } // namespace
@@ -126,33 +105,9 @@
 {
     Fixture fixture;
     cr_assert(fixture.call().ok());
-    fixture.peers.clear();
+    fixture.hasPeer = false;
     fixture.storeStatus = 200;
     const auto response = fixture.call();
     cr_assert(response.ok());
     cr_assert_eq(response->body, "from the store");
 }
-
-// Guards against a store that counts as out for all because it rejects one other daemon as well: a
-// stream that began at a version which only the others know went on at another one (ORDER on a day
-// with a third of the daemons rejected).
-Test(storetransport, storeIsNotOutWhileItServesAnotherDaemon, .timeout = 20)
-{
-    Fixture fixture;
-    fixture.peers = {fixture.peerAddress, fixture.secondPeerAddress};
-    fixture.peerStatus = 503;
-    const auto response = fixture.watchCurrent();
-    cr_assert(response.ok());
-    cr_expect_eq(response->body, "through the second peer");
-    cr_expect_not(fixture.transport.isStoreLostAtPeers());
-}
-
-// Guards against take-ups that are refused in an outage of the whole store.
-Test(storetransport, storeIsOutWhenItRejectsAllDaemonsThatWereAsked, .timeout = 20)
-{
-    Fixture fixture;
-    fixture.peers = {fixture.peerAddress, fixture.secondPeerAddress};
-    fixture.peerStatus = fixture.secondPeerStatus = 503;
-    cr_expect_eq(fixture.watchCurrent()->status, 503);
-    cr_expect(fixture.transport.isStoreLostAtPeers());
-}
