End sends to a superseded adapter version before waits for it end

Cause: one constant, 0.9 of the bound after the announcement, said both until when requests are sent to an older version and until when they may wait there. Time for the queue was left only if the announcement was learned at once. A daemon that learned of it 2.7 s later, because the store rejected it, sent to the older version for 1.9 s more and emptied the queue at the same moment. Work that must not repeat is not sent again then.

versionLimits() states both: sends end at 0.7 of the bound, waits at 0.9.

Evidence: versionfloor/lateAnnouncementLeavesTimeForTheQueue fails with the former constant (0 ms of 1 s are left where it is learned after 2.3 s or more) and passes now. Whether the users' record is this stays open: its first end fits a limit of silence better.

--- a/src/libs/decisions/versionfloor.cpp
+++ b/src/libs/decisions/versionfloor.cpp
@@ -5,6 +5,16 @@
 
 namespace jackdawlead::decisions {
 
+// The last tenth of the bound covers the way of the request.
+VersionLimits versionLimits(core::Duration versionBound)
+{
+    constexpr double graceFraction = 0.45;
+    constexpr double sendFraction = 0.7;
+    constexpr double queueFraction = 0.9;
+    return {core::scaled(versionBound, graceFraction), core::scaled(versionBound, sendFraction),
+            core::scaled(versionBound, queueFraction)};
+}
+
 bool VersionFloor::announce(int version, core::TimePoint learnedAt, core::TimePoint madeAfter,
                             const VersionLimits &limits)
 {
--- a/src/libs/decisions/versionfloor.h
+++ b/src/libs/decisions/versionfloor.h
@@ -11,10 +11,18 @@
 {
     /// Usual time from the moment at which an announcement is learned.
     core::Duration grace {};
-    /// Maximum time from the announcement itself.
+    /// Maximum time from the announcement itself until no request is sent to an older version.
     core::Duration bound {};
+    /// The same until no request waits at an older version any more. The time between covers the
+    /// wait in the queue of a request that was sent before, however late the announcement was
+    /// learned.
+    core::Duration queueBound {};
 };
 
+/// The limits with which no request begins on an older version later than `versionBound` after the
+/// announcement. Thread safety: any thread.
+VersionLimits versionLimits(core::Duration versionBound);
+
 /// The announced versions of one adapter. From its own time on each version is required, whatever
 /// is announced afterwards: the lowest allowed version only rises. Thread safety: one thread at a
 /// time.
--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -21,12 +21,6 @@
 // bound. The remaining fraction covers the response, also from another region.
 constexpr double watchWaitFraction = 0.75;
 
-// Fractions of the bound after which older versions of an adapter are not used: from the moment at
-// which an announcement is learned, and from the announcement. The remaining time covers the wait
-// in the endpoint's queue.
-constexpr double versionGraceFraction = 0.45;
-constexpr double versionBoundFraction = 0.9;
-
 // A route that is not found may be missing in a configuration that is older than this fraction of
 // the bound. The remaining time covers the way of the request.
 constexpr double configurationAgeFraction = 0.8;
@@ -57,8 +51,7 @@
     , m_handlers(std::move(handlers))
     , m_recordExpiry(bounds.recordExpiry)
     , m_maxConfigurationAge(core::scaled(bounds.configuration, configurationAgeFraction))
-    , m_versionLimits {core::scaled(bounds.version, versionGraceFraction),
-                       core::scaled(bounds.version, versionBoundFraction)}
+    , m_versionLimits(decisions::versionLimits(bounds.version))
     , m_outage({bounds.heartbeat, reappearanceTime})
     , m_configurationFollower(shared(store, relay, bounds), platform::ObjectKind::Configuration,
                               [this](const platform::ObjectEvent &event) {
@@ -300,7 +293,7 @@
     // No request is sent before the initial list is complete.
     if (m_versionFollower.hasInitialList()) {
         m_versionRequirements.emplace(floor.newestRequiredAt(), *announced);
-        m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.bound),
+        m_versionExpiries.emplace(std::max(m_timers.now(), madeAfter + m_versionLimits.queueBound),
                                   *announced);
     }
     m_handlers.onVersionAnnounced(*announced);
--- a/tests/auto/versionfloor/tst_versionfloor.cpp
+++ b/tests/auto/versionfloor/tst_versionfloor.cpp
@@ -13,7 +13,7 @@
 
 using std::chrono::milliseconds;
 
-const VersionLimits limits {milliseconds(2250), milliseconds(4500)};
+const VersionLimits limits {milliseconds(2250), milliseconds(4500), milliseconds(4900)};
 
 core::TimePoint at(int time)
 {
@@ -47,6 +47,25 @@
     cr_assert_eq(floor.lowestAllowed(at(20000)), 17);
 }
 
+// Guards against a request that is taken from its queue as soon as it was sent: a daemon that
+// learned of a version late went on sending to the older one until no request might wait there any
+// more, and answered 502 for work that must not repeat.
+Test(versionfloor, lateAnnouncementLeavesTimeForTheQueue)
+{
+    constexpr core::Duration bound = milliseconds(5000);
+    constexpr core::Duration minQueueTime = milliseconds(1000);
+    const VersionLimits allowed = versionLimits(bound);
+    cr_assert_lt(allowed.queueBound, bound);
+    for (int learnedAt = 0; learnedAt <= 3200; learnedAt += 100) {
+        VersionFloor floor;
+        floor.announce(2, at(learnedAt), at(0), allowed);
+        const core::TimePoint lastSentAt = floor.newestRequiredAt() - milliseconds(1);
+        cr_expect_eq(floor.lowestAllowed(lastSentAt), 0);
+        cr_expect_geq(core::toMilliseconds(at(0) + allowed.queueBound - lastSentAt),
+                      core::toMilliseconds(minQueueTime), "learned after %d ms", learnedAt);
+    }
+}
+
 // Guards against a daemon that starts, or was without contact for long, and grants versions that
 // were superseded meanwhile a further grace.
 Test(versionfloor, announcementsOfUnknownAgeAreRequiredInTime)
