Detect paths that accept connections and stay silent

A daemon whose connections to all endpoints are accepted on the way and bring nothing served 0 of 149 requests while the others served all (partitions/daemonWithoutLinksServesWhenAcceptedConnectionsAreSilent, listed).

Cause: silence alone cannot tell a silent path from silent endpoints, and other daemons were asked only whether they can open a connection, which a silent endpoint lets them do. Once the path is known, requests that wait behind it made the endpoints seem full.

A probe without an answer is now compared with what the same endpoint answers another daemon after the question. The path counts as silent if such an answer exists and no endpoint has sent this daemon a byte since its probe began. The other daemon states the answer; without the statement, as from daemons of earlier releases, nothing follows.

--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -101,8 +101,11 @@
     const int count = m_random.number(1, static_cast<int>(linked));
     std::map<ProcessIncarnation, bool> interrupted;
     for (DaemonLinks &own : std::span(m_daemonLinks).first(static_cast<std::size_t>(count))) {
-        const auto fault = static_cast<Fault>(m_random.number(
-            static_cast<int>(Fault::Reset), static_cast<int>(Fault::AcceptedAndReset)));
+        // Daemons of an earlier release cannot say whether an endpoint answers them.
+        const Fault last
+            = daemons.hasEarlierProgram() ? Fault::AcceptedAndReset : Fault::AcceptedAndSilent;
+        const auto fault = static_cast<Fault>(
+            m_random.number(static_cast<int>(Fault::Reset), static_cast<int>(last)));
         ++m_faults[nameOf(fault)];
         if (const auto incarnation = daemons.incarnation(own.daemon))
             interrupted[*incarnation] = fault != Fault::Refusing;
--- a/src/libs/gateway/endpointprobe.h
+++ b/src/libs/gateway/endpointprobe.h
@@ -32,6 +32,8 @@
     EndpointProbe(const EndpointProbe &) = delete;
     EndpointProbe &operator=(const EndpointProbe &) = delete;
 
+    /// Whether the endpoint has something to be asked for.
+    bool isAsking() const { return m_isAsking; }
     /// Whether the connection is open and the endpoint has been asked.
     bool isAsked() const { return m_isAsking && m_connection && m_connection->mayHaveSent(); }
 
--- a/src/libs/gateway/forwardedrequests.cpp
+++ b/src/libs/gateway/forwardedrequests.cpp
@@ -55,6 +55,13 @@
     net::TimerService::Subscription timeout;
 };
 
+struct ForwardedRequests::AnswerCheck
+{
+    std::shared_ptr<http::ServerExchange> exchange;
+    std::unique_ptr<EndpointProbe> probe;
+    net::TimerService::Subscription timeout;
+};
+
 ForwardedRequests::ForwardedRequests(net::EventLoop &loop, net::TimerService &timers,
                                      FleetWatch &watch, EndpointPool &pool,
                                      decisions::BufferBudget &buffers,
@@ -211,32 +218,68 @@
         respondWithOutcome(*exchange, notSentStatus, cause);
         return;
     }
-    if (m_timers.now() - m_pool.lastActivityAt(id) <= recentContact) {
+    if (exchange->head.headers.contains(forwarding::answerRequiredField))
+        checkAnswer(exchange, *endpoint);
+    else if (m_timers.now() - m_pool.lastActivityAt(id) <= recentContact)
         exchange->respond(200, {}, {});
-        return;
-    }
+    else
+        checkConnection(exchange, *endpoint);
+}
+
+void ForwardedRequests::checkConnection(const std::shared_ptr<http::ServerExchange> &exchange,
+                                        const fleet::Endpoint &endpoint)
+{
     const auto check = std::make_shared<Check>();
     check->exchange = exchange;
-    check->connection = m_pool.connect(*endpoint);
+    check->connection = m_pool.connect(endpoint);
     m_checks.insert(check);
     // The handlers run in a later event loop iteration, because the connection is on the stack.
-    const auto finish
-        = [this, alive = m_isAlive, id, weak = std::weak_ptr<Check>(check)](bool isConnected) {
-              m_loop.post([this, alive, id, weak, isConnected] {
-                  const auto self = weak.lock();
-                  if (!*alive || !self || m_checks.erase(self) == 0)
-                      return;
-                  if (isConnected) {
-                      self->exchange->respond(200, {}, {});
-                      m_pool.giveBack(id, std::move(self->connection));
-                  } else {
-                      respondWithOutcome(*self->exchange, notSentStatus, forwarding::unreachable);
-                      http::closeLater(m_loop, std::move(self->connection));
-                  }
-              });
-          };
+    const auto finish = [this, alive = m_isAlive, id = endpoint.id,
+                         weak = std::weak_ptr<Check>(check)](bool isConnected) {
+        m_loop.post([this, alive, id, weak, isConnected] {
+            const auto self = weak.lock();
+            if (!*alive || !self || m_checks.erase(self) == 0)
+                return;
+            if (isConnected) {
+                self->exchange->respond(200, {}, {});
+                m_pool.giveBack(id, std::move(self->connection));
+            } else {
+                respondWithOutcome(*self->exchange, notSentStatus, forwarding::unreachable);
+                http::closeLater(m_loop, std::move(self->connection));
+            }
+        });
+    };
     check->connection->setConnectHandler(finish);
     check->timeout = m_timers.once(forwarding::checkTime, [finish] { finish(false); });
 }
 
+// The endpoint may have become silent since its latest answer, so that a new one is needed.
+void ForwardedRequests::checkAnswer(const std::shared_ptr<http::ServerExchange> &exchange,
+                                    const fleet::Endpoint &endpoint)
+{
+    const auto &routes = m_watch.routes();
+    const auto *service = routes ? routes->service(endpoint.service) : nullptr;
+    const auto check = std::make_shared<AnswerCheck>();
+    check->exchange = exchange;
+    const auto finish = [this, weak = std::weak_ptr<AnswerCheck>(check)](const char *outcome) {
+        const auto self = weak.lock();
+        if (!self || m_answerChecks.erase(self) == 0)
+            return;
+        const bool isAnswered = outcome == forwarding::answered;
+        respondWithOutcome(*self->exchange, isAnswered ? 200 : notSentStatus, outcome);
+    };
+    check->probe = std::make_unique<EndpointProbe>(
+        m_loop, m_pool, endpoint, service,
+        [finish, weak = std::weak_ptr<AnswerCheck>(check)](EndpointProbe::Result result) {
+            const auto self = weak.lock();
+            const bool isAnswered
+                = self && result == EndpointProbe::Result::Answered && self->probe->isAsking();
+            const bool isRefused = result == EndpointProbe::Result::Refused;
+            finish(isAnswered ? forwarding::answered
+                              : (isRefused ? forwarding::unreachable : forwarding::silent));
+        });
+    check->timeout = m_timers.once(forwarding::checkTime, [finish] { finish(forwarding::silent); });
+    m_answerChecks.insert(check);
+}
+
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/forwardedrequests.h
+++ b/src/libs/gateway/forwardedrequests.h
@@ -2,6 +2,7 @@
 
 #include "decisions/bufferbudget.h"
 #include "gateway/endpointpool.h"
+#include "gateway/endpointprobe.h"
 #include "gateway/fleetwatch.h"
 #include "http/server.h"
 #include "observability/gatewaymetrics.h"
@@ -41,9 +42,14 @@
 private:
     struct Request;
     struct Check;
+    struct AnswerCheck;
 
     void serveRequest(const std::shared_ptr<http::ServerExchange> &exchange);
     void serveCheck(const std::shared_ptr<http::ServerExchange> &exchange);
+    void checkConnection(const std::shared_ptr<http::ServerExchange> &exchange,
+                         const fleet::Endpoint &endpoint);
+    void checkAnswer(const std::shared_ptr<http::ServerExchange> &exchange,
+                     const fleet::Endpoint &endpoint);
     /// Why the request is not sent; nullptr if it can be.
     const char *rejectionCause(const fleet::Endpoint *endpoint) const;
     /// How long the request may have waited in this daemon and its sockets.
@@ -61,6 +67,7 @@
     Handlers m_handlers;
     std::unordered_set<std::shared_ptr<Request>> m_requests;
     std::unordered_set<std::shared_ptr<Check>> m_checks;
+    std::unordered_set<std::shared_ptr<AnswerCheck>> m_answerChecks;
     std::array<core::TimePoint, 3> m_latestTicks; ///< The oldest one first.
     net::TimerService::Subscription m_ticker;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/gateway/forwardingfields.h
+++ b/src/libs/gateway/forwardingfields.h
@@ -18,16 +18,21 @@
 inline constexpr char repeatableField[] = "Jackdawlead-Repeatable";
 /// In requests: "1" if the endpoint's answer has no body, because the request has method HEAD.
 inline constexpr char headField[] = "Jackdawlead-Head";
+/// In checks: "1" if an open connection is not enough and the endpoint must answer.
+inline constexpr char answerRequiredField[] = "Jackdawlead-Answer-Required";
 /// In answers: whether it is the endpoint's, or why there is none; one of the words below. An
-/// answer without it comes from a daemon that did not handle the message, so that nothing was sent.
+/// answer without it comes from a daemon that did not handle the message, so that nothing was sent,
+/// or says of a check only that a connection could be opened.
 inline constexpr char outcomeField[] = "Jackdawlead-Outcome";
 /// In answers: present if the end of the connection delimited the endpoint's answer.
 inline constexpr char closeDelimitedField[] = "Jackdawlead-Close-Delimited";
 
-/// The answer is the endpoint's own.
+/// The answer is the endpoint's own; of a check: the endpoint has just answered.
 inline constexpr char answered[] = "answered";
 /// Not sent: the daemon could not connect to the endpoint.
 inline constexpr char unreachable[] = "unreachable";
+/// Of a check: a connection is open, or was, and the endpoint has not answered.
+inline constexpr char silent[] = "silent";
 /// Not sent: the daemon reaches the endpoint only through another daemon itself.
 inline constexpr char interrupted[] = "interrupted";
 /// Not sent: the daemon knows no such endpoint, or only one that is leaving.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -222,7 +222,7 @@
     return {
         .onInterrupted =
             [this](const core::EndpointId &id) {
-                m_loop.post([this, id] { giveUpOwnConnections(id); });
+                m_loop.post([this, id] { handleInterruptedPath(id); });
             },
         .onCutOffChanged = [this] { m_loop.post([this] { handleCutOff(); }); },
     };
@@ -372,12 +372,12 @@
         task->giveUpConnecting(id, cause);
 }
 
-void Gateway::giveUpOwnConnections(const core::EndpointId &id)
+void Gateway::handleInterruptedPath(const core::EndpointId &id)
 {
     // Iterates over a copy, because a request may end and be erased while it selects an endpoint.
     const auto requests = m_requests;
     for (const auto &[number, task] : requests)
-        task->giveUpOwnConnection(id);
+        task->handleInterruptedPath(id);
 }
 
 std::vector<std::shared_ptr<RequestTask>>
@@ -424,7 +424,7 @@
     m_handoverTimer
         = m_timers.once(handoverDelay, [this] { m_election.setEligible(!m_paths.isCutOff()); });
     for (const auto &[id, endpoint] : m_watch.endpoints())
-        giveUpOwnConnections(id);
+        handleInterruptedPath(id);
 }
 
 // Once in each term of a coordinator, because entries are written only in upgrades.
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -60,7 +60,7 @@
     /// Sends the requests that still wait for a connection to this endpoint to other endpoints.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
     /// The same for own connections, because only another daemon reaches the endpoint.
-    void giveUpOwnConnections(const core::EndpointId &id);
+    void handleInterruptedPath(const core::EndpointId &id);
     /// Ends waits for endpoints that hold an older version of the adapter.
     std::vector<std::shared_ptr<RequestTask>>
     requestsQueuedAtOlderVersions(const fleet::AnnouncedVersion &newest) const;
--- a/src/libs/gateway/pathmonitor.cpp
+++ b/src/libs/gateway/pathmonitor.cpp
@@ -25,6 +25,11 @@
 constexpr core::Duration trialPeriod = std::chrono::milliseconds(100);
 // A trial that hangs is given up, so that the next one begins when the path works again.
 constexpr core::Duration maxTrialTime = std::chrono::milliseconds(500);
+// A trial without an answer for this time is compared with one of another daemon. To another region
+// it takes two round trips of 60 ms.
+constexpr core::Duration comparisonDelay = std::chrono::milliseconds(150);
+// An answer to this daemon may be on its way when another one has its own.
+constexpr core::Duration maxAnswerDelay = std::chrono::milliseconds(80);
 // A process that was suspended heard nothing meanwhile.
 constexpr core::Duration suspensionGap = PathMonitor::checkPeriod * 3;
 
@@ -101,10 +106,11 @@
     if (!isNew)
         return;
     entry->second.failedAt = m_timers.now();
-    m_forwarder.check(id, [this, alive = m_isAlive, id](RequestForwarder::Reachability result) {
-        if (*alive)
-            handleConfirmation(id, result);
-    });
+    m_forwarder.check(id, RequestForwarder::Proof::Connection,
+                      [this, alive = m_isAlive, id](RequestForwarder::Reachability result) {
+                          if (*alive)
+                              handleConfirmation(id, result);
+                      });
 }
 
 void PathMonitor::handleConfirmation(const core::EndpointId &id,
@@ -219,15 +225,49 @@
 {
     const core::TimePoint now = m_timers.now();
     std::vector<core::EndpointId> hanging;
-    for (const auto &[id, trial] : m_trials) {
+    std::map<core::EndpointId, core::TimePoint> silentSince;
+    for (auto &[id, trial] : m_trials) {
         // An endpoint that was asked may be silent itself, or answer once it has a free slot.
         if (now - trial.begunAt >= maxConnectTime && !trial.probe->isAsked())
             confirmHang(id, trial.begunAt);
-        if (now - trial.begunAt >= maxTrialTime)
+        if (now - trial.begunAt >= comparisonDelay)
+            compareTrial(id, trial);
+        const bool isSilent = isPathSilent(trial);
+        if (isSilent)
+            silentSince[id] = trial.begunAt;
+        if (isSilent || now - trial.begunAt >= maxTrialTime)
             hanging.push_back(id);
     }
     for (const core::EndpointId &id : hanging)
         m_trials.erase(id);
+    for (const auto &[id, begunAt] : silentSince)
+        setInterrupted(id, begunAt);
+}
+
+void PathMonitor::compareTrial(const core::EndpointId &id, Trial &trial)
+{
+    if (trial.isCompared || !trial.probe->isAsked() || m_paths.isInterrupted(id)
+        || m_paths.lastActivityAt() >= trial.begunAt)
+        return;
+    trial.isCompared = true;
+    m_forwarder.check(id, RequestForwarder::Proof::Answer,
+                      [this, alive = m_isAlive, id,
+                       begunAt = trial.begunAt](RequestForwarder::Reachability result) {
+                          if (!*alive || result != RequestForwarder::Reachability::Reachable)
+                              return;
+                          const auto found = m_trials.find(id);
+                          if (found != m_trials.end() && found->second.begunAt == begunAt)
+                              found->second.answeredPeerAt = m_timers.now();
+                      });
+}
+
+// A silent endpoint answers nobody, so that another daemon's answer tells it from a silent path.
+// Bytes from any endpoint show that it is not the path of this daemon to all of them.
+bool PathMonitor::isPathSilent(const Trial &trial) const
+{
+    const core::TimePoint now = m_timers.now();
+    return trial.answeredPeerAt && now - *trial.answeredPeerAt >= maxAnswerDelay
+        && now - trial.begunAt >= maxConnectTime && m_paths.lastActivityAt() < trial.begunAt;
 }
 
 void PathMonitor::startTrial(const core::EndpointId &id)
--- a/src/libs/gateway/pathmonitor.h
+++ b/src/libs/gateway/pathmonitor.h
@@ -75,12 +75,18 @@
     {
         std::unique_ptr<EndpointProbe> probe;
         core::TimePoint begunAt;
+        bool isCompared = false; ///< Other daemons were asked whether the endpoint answers them.
+        std::optional<core::TimePoint> answeredPeerAt {}; ///< When one of them had an answer.
     };
 
     void startTrial(const core::EndpointId &id);
     void handleTrial(const core::EndpointId &id, EndpointProbe::Result result);
     void tryInterrupted();
     void checkTrials();
+    /// Asks other daemons for an answer of an endpoint that has not answered this one.
+    void compareTrial(const core::EndpointId &id, Trial &trial);
+    /// Whether the endpoint answers others and the path to it brings nothing.
+    bool isPathSilent(const Trial &trial) const;
     void checkSilence(const std::vector<SentRequest> &requests);
     void handleConfirmation(const core::EndpointId &id, RequestForwarder::Reachability result);
     void setInterrupted(const core::EndpointId &id, core::TimePoint failedAt);
--- a/src/libs/gateway/requestattempt.h
+++ b/src/libs/gateway/requestattempt.h
@@ -44,6 +44,7 @@
     core::TimePoint headAt;         ///< When the head arrived.
     double loadAtSend = 0;          ///< Slots in use at the endpoint when the request was sent.
     int pendingPrefillTokens = 0;   ///< Until the first event.
+    bool isCounted = false;         ///< The pool counts it as in progress at the endpoint.
     bool wasLightlyLoaded = false;  ///< The endpoint had no pending prefill and few streams then.
     bool isSilenceReported = false; ///< The log names the silence of the endpoint.
     bool isSilenceCounted = false;  ///< The health of the endpoint takes it into account.
--- a/src/libs/gateway/requestattempts.cpp
+++ b/src/libs/gateway/requestattempts.cpp
@@ -17,9 +17,9 @@
     endCurrent(decisions::RunEnd::RequestEnded);
 }
 
-std::vector<const RequestAttempt *> RequestAttempts::inProgress() const
+std::vector<RequestAttempt *> RequestAttempts::inProgress() const
 {
-    std::vector<const RequestAttempt *> attempts;
+    std::vector<RequestAttempt *> attempts;
     if (m_current->isInProgress)
         attempts.push_back(m_current.get());
     for (const auto &attempt : m_others)
--- a/src/libs/gateway/requestattempts.h
+++ b/src/libs/gateway/requestattempts.h
@@ -35,7 +35,7 @@
     const RequestAttempt &current() const { return *m_current; }
     /// Whether attempts are in progress beside the current one.
     bool hasOthers() const { return !m_others.empty(); }
-    std::vector<const RequestAttempt *> inProgress() const;
+    std::vector<RequestAttempt *> inProgress() const;
     /// Makes the attempt the current one; returns false if it is no longer in progress.
     bool select(int number);
 
--- a/src/libs/gateway/requestforwarder.cpp
+++ b/src/libs/gateway/requestforwarder.cpp
@@ -22,16 +22,19 @@
 constexpr std::size_t checksInParallel = 3;
 constexpr core::Duration checkTimeout = forwarding::checkTime + std::chrono::milliseconds(100);
 
-RequestForwarder::Reachability reachabilityFrom(const absl::StatusOr<http::Response> &response)
+RequestForwarder::Reachability reachabilityFrom(const absl::StatusOr<http::Response> &response,
+                                                RequestForwarder::Proof proof)
 {
     using Reachability = RequestForwarder::Reachability;
     if (!response.ok())
         return Reachability::Unknown;
-    if (response->status == 200)
-        return Reachability::Reachable;
-    return response->headers.value(forwarding::outcomeField) == forwarding::unreachable
-        ? Reachability::Unreachable
-        : Reachability::Unknown;
+    const std::string outcome = response->headers.value(forwarding::outcomeField);
+    if (response->status == 200) {
+        const bool isShown
+            = proof == RequestForwarder::Proof::Connection || outcome == forwarding::answered;
+        return isShown ? Reachability::Reachable : Reachability::Unknown;
+    }
+    return outcome == forwarding::unreachable ? Reachability::Unreachable : Reachability::Unknown;
 }
 
 } // namespace
@@ -115,7 +118,7 @@
     state.idle.closeAll();
 }
 
-void RequestForwarder::check(const core::EndpointId &id, CheckHandler handler)
+void RequestForwarder::check(const core::EndpointId &id, Proof proof, CheckHandler handler)
 {
     struct Check
     {
@@ -133,16 +136,18 @@
     net::HttpRequest request;
     request.path = forwarding::checkPath;
     request.headers.add(forwarding::endpointField, id.value());
+    if (proof == Proof::Answer)
+        request.headers.add(forwarding::answerRequiredField, "1");
     // Copied, because a handler may change the list.
     const std::vector<net::Address> peers = m_peers;
     const std::size_t first = m_nextCheck++;
     for (std::size_t index = 0, count = check->pending; index < count; ++index) {
         m_controlClient.call(peers[(first + index) % peers.size()], request, checkTimeout,
-                             [check, alive = m_isAlive](const auto &response) {
+                             [check, proof, alive = m_isAlive](const auto &response) {
                                  if (!*alive || !check->handler)
                                      return;
                                  --check->pending;
-                                 const Reachability result = reachabilityFrom(response);
+                                 const Reachability result = reachabilityFrom(response, proof);
                                  check->isUnreachable |= result == Reachability::Unreachable;
                                  if (result != Reachability::Reachable && check->pending > 0)
                                      return;
--- a/src/libs/gateway/requestforwarder.h
+++ b/src/libs/gateway/requestforwarder.h
@@ -32,6 +32,11 @@
 {
 public:
     enum class Reachability { Reachable, Unreachable, Unknown };
+    /// What shows that another daemon reaches an endpoint.
+    enum class Proof {
+        Connection, ///< It can open one.
+        Answer,     ///< The endpoint has answered it. Daemons of earlier releases cannot tell.
+    };
     using CheckHandler = std::function<void(Reachability)>;
 
     RequestForwarder(net::EventLoop &loop, net::TimerService &timers,
@@ -54,7 +59,7 @@
 
     /// Asks several daemons whether they reach the endpoint; calls the handler once, Reachable with
     /// the first of them that does, and Unknown if none of them can tell.
-    void check(const core::EndpointId &id, CheckHandler handler);
+    void check(const core::EndpointId &id, Proof proof, CheckHandler handler);
 
     /// Wraps the bytes of a request for an endpoint.
     static std::string wrap(const std::string &request, const core::EndpointId &endpoint,
--- a/src/libs/gateway/requestpath.cpp
+++ b/src/libs/gateway/requestpath.cpp
@@ -25,21 +25,33 @@
 void RequestTask::handleReleased(RequestAttempt &attempt,
                                  std::unique_ptr<http::ClientConnection> connection)
 {
-    endPrefill(attempt);
-    m_context.pool.endRequest(attempt.endpoint, adapterKey());
+    endCount(attempt);
     if (attempt.via)
         m_context.forwarder.giveBack(*attempt.via, std::move(connection));
     else
         m_context.pool.giveBack(attempt.endpoint, std::move(connection));
 }
 
-void RequestTask::giveUpOwnConnection(const core::EndpointId &id)
+void RequestTask::endCount(RequestAttempt &attempt)
 {
-    for (const RequestAttempt *attempt : m_attempts.inProgress()) {
-        if (m_isDone || attempt->endpoint != id || attempt->via || attempt->mayHaveSent())
+    endPrefill(attempt);
+    if (std::exchange(attempt.isCounted, false))
+        m_context.pool.endRequest(attempt.endpoint, adapterKey());
+}
+
+// What was sent may have arrived, so that it stays where it is. It does not count as load, since
+// the endpoint would seem to be full while the requests go nowhere.
+void RequestTask::handleInterruptedPath(const core::EndpointId &id)
+{
+    for (RequestAttempt *attempt : m_attempts.inProgress()) {
+        if (m_isDone || attempt->endpoint != id || attempt->via)
             continue;
-        giveUpUnsent(attempt->number, "path to the endpoint is interrupted");
-        return;
+        if (!attempt->mayHaveSent()) {
+            giveUpUnsent(attempt->number, "path to the endpoint is interrupted");
+            return;
+        }
+        if (attempt->isQueued())
+            endCount(*attempt);
     }
 }
 
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -403,6 +403,7 @@
     if (m_sends == 1)
         m_context.metrics.recordWaitTime(attempt().sentAt - m_exchange->receivedAt);
     m_context.pool.beginRequest(endpoint.id, adapterKey());
+    attempt().isCounted = true;
     m_context.limits.takePermit(endpoint);
     m_context.pool.beginPrefill(endpoint.id, attempt().pendingPrefillTokens);
     forward.endpoint = endpoint.id;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -41,8 +41,9 @@
     /// Sends the request to another endpoint if it is assigned to this one but not sent yet,
     /// because the endpoint accepts no more requests.
     void giveUpConnecting(const core::EndpointId &id, std::string_view cause);
-    /// The same for an own connection, because only another daemon reaches the endpoint.
-    void giveUpOwnConnection(const core::EndpointId &id);
+    /// The same for an own connection, because only another daemon reaches the endpoint. What was
+    /// sent over one without an answer no longer counts as in progress there.
+    void handleInterruptedPath(const core::EndpointId &id);
     /// Whether an endpoint that holds an older version of the adapter has not begun to answer.
     bool isQueuedAtOlderVersion(const fleet::AnnouncedVersion &newest) const;
     /// Sends the request to an endpoint with the newer version as well, as soon as one takes it.
@@ -108,6 +109,8 @@
     RequestAttempts::Handlers attemptHandlers();
     void handleReleased(RequestAttempt &attempt,
                         std::unique_ptr<http::ClientConnection> connection);
+    /// The attempt no longer counts as in progress at its endpoint.
+    void endCount(RequestAttempt &attempt);
     void handleRunEnded(const RequestAttempt &attempt, decisions::RunEnd reason);
     RequestAttempt &attempt() { return m_attempts.current(); }
     const RequestAttempt &attempt() const { return m_attempts.current(); }
--- a/tests/auto/requestforwarder/tst_requestforwarder.cpp
+++ b/tests/auto/requestforwarder/tst_requestforwarder.cpp
@@ -1,7 +1,12 @@
 #include "gateway/requestforwarder.h"
+#include "support/loopwait.h"
+#include "support/ports.h"
+#include "support/rawpeer.h"
 
 #include <criterion/criterion.h>
 
+#include <optional>
+
 using namespace jackdawlead;
 using namespace jackdawlead::gateway;
 
@@ -61,3 +66,43 @@
     http::MessageHead head = answerWith(502, "later-word");
     cr_expect(RequestForwarder::takeOutcome(head) == ForwardOutcome::Broken);
 }
+
+// Guards against an endpoint that counts as answering because a daemon of an earlier release could
+// open a connection to it, and against one that another daemon found silent.
+Test(requestforwarder, onlyAStatedAnswerProvesThatAnEndpointAnswers, .timeout = 60)
+{
+    using Proof = RequestForwarder::Proof;
+    using Reachability = RequestForwarder::Reachability;
+    struct Case
+    {
+        const char *answer;
+        Proof proof;
+        Reachability expected;
+    };
+    for (const Case &given :
+         {Case {"200 OK\r\n", Proof::Connection, Reachability::Reachable},
+          Case {"200 OK\r\n", Proof::Answer, Reachability::Unknown},
+          Case {"200 OK\r\nJackdawlead-Outcome: answered\r\n", Proof::Answer,
+                Reachability::Reachable},
+          Case {"503 No\r\nJackdawlead-Outcome: silent\r\n", Proof::Answer, Reachability::Unknown},
+          Case {"503 No\r\nJackdawlead-Outcome: unreachable\r\n", Proof::Answer,
+                Reachability::Unreachable}}) {
+        net::EventLoop loop;
+        net::TimerService timers {loop};
+        http::ControlClient client {loop, timers};
+        testsupport::PortPicker picker;
+        const net::Address address {"127.0.0.1", picker.take()};
+        testsupport::RawPeer peer(loop, address, [&](http::Connection &connection, const auto &) {
+            connection.write(std::string("HTTP/1.1 ") + given.answer + "Content-Length: 0\r\n\r\n");
+        });
+        RequestForwarder forwarder {loop, timers, client};
+        forwarder.setPeers({address});
+        std::optional<Reachability> result;
+        forwarder.check(core::EndpointId("e"), given.proof,
+                        [&](Reachability reachability) { result = reachability; });
+        constexpr core::Duration limit = std::chrono::seconds(10);
+        cr_assert(testsupport::waitUntil(
+            loop, timers, [&] { return result.has_value(); }, limit));
+        cr_expect_eq(*result, given.expected, "%s", given.answer);
+    }
+}
