Reject answers whose head is malformed

Cause: http_parser accepts any status up to 999, names with blanks, lines that begin with a blank (added to the value before them) and unknown transfer codings. A length that is lost in this way leaves an answer that ends with its connection, so that anything counts as its whole body. evhttp, which the own interface uses, accepts the same.

HeadScanner checks the raw status line and folded lines, httpsyntax.h names and codings, for both parsers. Names and codings of requests are checked too.

--- a/src/libs/http/messageparser.cpp
+++ b/src/libs/http/messageparser.cpp
@@ -1,6 +1,7 @@
 #include "http/messageparser.h"
 
 #include "net/guard.h"
+#include "net/httpsyntax.h"
 
 #include <utility>
 
@@ -8,6 +9,9 @@
 
 namespace {
 
+// Positive values have special meanings for on_headers_complete.
+constexpr int stopWithError = -1;
+
 MessageParser &self(http_parser *parser)
 {
     return *static_cast<MessageParser *>(parser->data);
@@ -17,8 +21,6 @@
 template <auto Handler, typename... Arguments>
 int guarded(http_parser *parser, Arguments... arguments)
 {
-    // Positive values have special meanings for on_headers_complete.
-    constexpr int stopWithError = -1;
     int result = stopWithError;
     net::runGuarded("message parser", [&] { result = Handler(parser, arguments...); });
     return result;
@@ -46,6 +48,7 @@
     http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
     m_head = {};
+    m_scanner = {};
     m_field.clear();
     m_value.clear();
     m_isInValue = false;
@@ -65,6 +68,8 @@
     if (bytes.empty() || m_isComplete || m_failure != Failure::None)
         return 0;
     m_hasBegun = true;
+    if (m_kind == Kind::Response)
+        m_scanner.feed(bytes);
     const std::size_t consumed
         = http_parser_execute(&m_parser, &settings(), bytes.data(), bytes.size());
     const auto error = static_cast<http_errno>(m_parser.http_errno);
@@ -117,14 +122,25 @@
     return m_headerBytes <= m_limits.headerBytes;
 }
 
-bool MessageParser::flushField()
+MessageParser::Failure MessageParser::flushField()
 {
     if (m_field.empty())
-        return true;
+        return Failure::None;
+    if (!net::isFieldName(m_field))
+        return Failure::Malformed;
     replaceLineBreaks(m_value);
     m_head.headers.add(std::exchange(m_field, {}), std::exchange(m_value, {}));
     m_isInValue = false;
-    return m_head.headers.fields().size() <= m_limits.fields;
+    return m_head.headers.fields().size() <= m_limits.fields ? Failure::None
+                                                             : Failure::HeaderTooLarge;
+}
+
+// A folded line may be a spoilt field that told the length.
+bool MessageParser::isFramingValid() const
+{
+    const bool isHeadValid
+        = m_kind == Kind::Request || (m_scanner.isStatusLineValid() && !m_scanner.hasFoldedLine());
+    return isHeadValid && net::isTransferCodingKnown(m_head.headers);
 }
 
 int MessageParser::onUrl(http_parser *parser, const char *data, std::size_t size)
@@ -140,8 +156,11 @@
     // Trailers are dropped because they apply to this connection only.
     if (owner.m_isHeadComplete)
         return 0;
-    if (owner.m_isInValue && !owner.flushField())
-        return owner.fail(Failure::HeaderTooLarge);
+    if (owner.m_isInValue) {
+        const Failure failure = owner.flushField();
+        if (failure != Failure::None)
+            return owner.fail(failure);
+    }
     owner.m_field.append(data, size);
     return owner.countHeaderBytes(size) ? 0 : owner.fail(Failure::HeaderTooLarge);
 }
@@ -159,9 +178,13 @@
 int MessageParser::onHeadersComplete(http_parser *parser)
 {
     MessageParser &owner = self(parser);
-    owner.flushField();
     MessageHead &head = owner.m_head;
     owner.m_isHeadComplete = true;
+    owner.m_failure = owner.flushField();
+    if (owner.m_failure == Failure::None && !owner.isFramingValid())
+        owner.m_failure = Failure::Malformed;
+    if (owner.m_failure != Failure::None)
+        return stopWithError;
     head.isChunked = (parser->flags & F_CHUNKED) != 0;
     head.hasLength = (parser->flags & F_CONTENTLENGTH) != 0;
     head.contentLength = head.hasLength ? parser->content_length : 0;
@@ -169,8 +192,8 @@
     if (owner.m_kind == Kind::Request) {
         head.method = http_method_str(static_cast<http_method>(parser->method));
         if (head.contentLength > owner.m_limits.bodyBytes)
-            return owner.fail(Failure::BodyTooLarge) - 2;
-        return 0;
+            owner.m_failure = Failure::BodyTooLarge;
+        return owner.m_failure == Failure::None ? 0 : stopWithError;
     }
     head.status = static_cast<int>(parser->status_code);
     // RFC 9112, 6.3: these responses have no body; others without length or chunks are delimited by
--- a/src/libs/http/messageparser.h
+++ b/src/libs/http/messageparser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/headscanner.h"
 #include "net/httpmessage.h"
 
 #include <http_parser.h>
@@ -28,7 +29,8 @@
 };
 
 /// Parses one HTTP/1.1 message at a time from a byte stream, with http_parser. It stops exactly at
-/// the end of the message, so that bytes of the next one are never read as its body.
+/// the end of the message, so that bytes of the next one are never read as its body. Rejects
+/// messages that http_parser accepts although the sender may have meant another end of the body.
 /// Thread safety: one thread at a time.
 class MessageParser
 {
@@ -78,8 +80,9 @@
     static int onBody(http_parser *parser, const char *data, std::size_t size);
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &settings();
-    /// Ends the current field; returns false if there are too many.
-    bool flushField();
+    /// Ends the current field; returns why the message is rejected, if it is.
+    Failure flushField();
+    bool isFramingValid() const;
     int fail(Failure failure);
     bool countHeaderBytes(std::size_t size);
 
@@ -87,6 +90,7 @@
     Limits m_limits;
     http_parser m_parser {};
     MessageHead m_head;
+    HeadScanner m_scanner;
     std::string m_field;
     std::string m_value;
     bool m_isInValue = false;
--- a/src/libs/net/httpclient.cpp
+++ b/src/libs/net/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "net/guard.h"
+#include "net/httpsyntax.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -11,6 +12,7 @@
 
 #include <sys/time.h>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -37,6 +39,17 @@
     return size;
 }
 
+// evhttp accepts all that it can split into names, values and a number.
+bool isHeadValid(int status, const Headers &headers)
+{
+    constexpr int lowestStatus = 100;
+    constexpr int highestStatus = 599;
+    return status >= lowestStatus && status <= highestStatus
+        && std::ranges::all_of(headers.fields(),
+                               [](const auto &field) { return isFieldName(field.first); })
+        && isTransferCodingKnown(headers);
+}
+
 constexpr std::uint64_t requestLineBytes = 60; // With the Host and Connection fields.
 constexpr std::uint64_t statusLineBytes = 19;
 // Above every limit of ours: the timers of this file decide, with one limit for each phase.
@@ -112,8 +125,12 @@
             Headers headers;
             headReceivedFields(request, headers);
             self->m_traffic->bytesReceived += statusLineBytes + sizeOf(headers);
-            if (self->m_handlers.onHead)
-                self->m_handlers.onHead(evhttp_request_get_response_code(request), headers);
+            const int status = evhttp_request_get_response_code(request);
+            if (!isHeadValid(status, headers))
+                self->fail(absl::StatusCode::kUnavailable, "the head of the reply is malformed",
+                           core::Outcome::Unknown);
+            else if (self->m_handlers.onHead)
+                self->m_handlers.onHead(status, headers);
         });
         return 0;
     }
--- a/tests/auto/net/tst_net.cpp
+++ b/tests/auto/net/tst_net.cpp
@@ -1,6 +1,8 @@
 #include "core/error.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "support/ports.h"
+#include "support/rawpeer.h"
 
 #include <criterion/criterion.h>
 
@@ -94,3 +96,26 @@
     cr_assert_eq(reply.end->code(), absl::StatusCode::kDeadlineExceeded);
     cr_assert_eq(core::outcomeOf(*reply.end), core::Outcome::Unknown);
 }
+
+// Guards against a reply whose status does not exist, or whose length is lost with a spoilt line of
+// its head, that counts as complete; the library accepts them.
+Test(net, malformedHeadIsNoReply, .timeout = 60)
+{
+    for (const char *head :
+         {"HTTP/1.1 000 OK\r\nContent-Length: 4", "HTTP/1.1 099 OK\r\nContent-Length: 4",
+          "HTTP/1.1 999 OK\r\nContent-Length: 4", "HTTP/1.1 200 OK\r\nContent-Length : 4",
+          "HTTP/1.1 200 OK\r\nContent Length: 4", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+          "HTTP/1.1 200 OK\r\nContent-Length: 4x"}) {
+        net::EventLoop loop;
+        testsupport::PortPicker picker;
+        const std::uint16_t port = picker.take();
+        testsupport::RawPeer peer(loop, {"127.0.0.1", port}, [&](auto &connection, auto) {
+            connection.write(std::string(head) + "\r\n\r\nbody");
+            connection.shutdownAfterFlush();
+        });
+        const Reply reply = call(loop, port);
+        cr_expect_not(reply.end->ok(), "%s", head);
+        cr_expect_eq(core::outcomeOf(*reply.end), core::Outcome::Unknown, "%s", head);
+        cr_expect_eq(reply.body, "", "%s", head);
+    }
+}
--- a/tests/e2e/tst_brokenanswers.cpp
+++ b/tests/e2e/tst_brokenanswers.cpp
@@ -239,3 +239,42 @@
         cr_assert_eq(answer->head.status, 502, "%s: %d", path, answer->head.status);
     }
 }
+
+// Guards against an answer with a status that does not exist, and against a complete answer whose
+// body is not the endpoint's, because a line of its head is spoilt.
+Test(brokenanswers, spoiltHeadIsNoAnswer, .timeout = 300)
+{
+    struct Spoilt
+    {
+        const char *found;
+        const char *replacement;
+    };
+    const std::string length = "Content-Length: 4";
+    for (const Spoilt &spoilt :
+         std::initializer_list<Spoilt> {{"200", "000"},
+                                        {"200", "099"},
+                                        {"200", "999"},
+                                        {"HTTP/1.1", "HTTP/9.1"},
+                                        {"Content-Length:", "Content-Length :"},
+                                        {"Content-Length", "Content Length"},
+                                        {"Content-Length", " Content-Length"},
+                                        {"Content-Length", "Content-\x01ength"},
+                                        {"Content-Length: 4", "Content-Length: 4x"},
+                                        {"Content-Length: 4", "no field"},
+                                        {"Content-Length: 4", "Transfer-Encoding: xchunked"}}) {
+        RawFixture fixture; // Endpoints count as failing after some of these answers.
+        fixture.setRun([&](http::Connection &connection, const Head &head) {
+            std::string bytes = RawEndpoint::stampedHead(
+                head, "Content-Type: text/event-stream\r\n" + length + "\r\n");
+            bytes.replace(bytes.find(spoilt.found), std::string_view(spoilt.found).size(),
+                          spoilt.replacement);
+            RawEndpoint::writeAndClose(connection, bytes + ": a\nb");
+        });
+        for (const char *path : {"/stream/a", "/once/a"}) {
+            const auto answer
+                = fixture.call(path, std::string("s") + path[1] + spoilt.replacement[0], "base");
+            cr_expect_eq(answer->head.status, 502, "%s, %s: %d", path, spoilt.replacement,
+                         answer->head.status);
+        }
+    }
+}
