--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -413,10 +413,12 @@
         m_context.pool.health(attempt().endpoint).recordSuccess();
     const bool isLate = deadline() - now() < minRemainingTime;
     if (attempt().answer.status >= firstFailureStatus && m_attempts.hasOthers()) {
+        keepFailure();
         continueOtherAttempt(Failure::MayHaveRun, "endpoint answered with a failure");
         return;
     }
     if (isFailure && !isLate && recordFailedSend(Failure::MayHaveRun)) {
+        keepFailure();
         chooseEndpoint();
         return;
     }
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -181,8 +181,23 @@
     finish();
 }
 
+// A failure that the endpoint states tells the client more than one of this daemon.
+void RequestTask::keepFailure()
+{
+    if (!attempt().traits.isStamped
+        || attempt().answerBody.size() > decisions::BufferBudget::smallMessageBytes
+        || !m_failureShare.tryResize(attempt().answerBody.size()))
+        return;
+    m_failure = {attempt().answer.status, platform::forwardedResponseHeaders(attempt().answer),
+                 std::move(attempt().answerBody)};
+}
+
 void RequestTask::fail(int status, std::string_view cause)
 {
+    if (m_failure) {
+        respondWithKeptFailure(cause);
+        return;
+    }
     observability::log({.level = observability::LogLevel::Info,
                         .step = "fail",
                         .message = absl::StrCat("status ", status, ", ", core::toAbsl(cause)),
@@ -193,6 +208,20 @@
     finish();
 }
 
+void RequestTask::respondWithKeptFailure(std::string_view cause)
+{
+    observability::log(
+        {.level = observability::LogLevel::Info,
+         .step = "fail",
+         .message = absl::StrCat("status ", m_failure->status,
+                                 " of an earlier send, the latest failed: ", core::toAbsl(cause)),
+         .peer = attempt().endpoint.value(),
+         .request = m_fields.id.value()});
+    m_status = m_failure->status;
+    m_exchange->respond(m_status, std::move(m_failure->headers), std::move(m_failure->body));
+    finish();
+}
+
 void RequestTask::finish()
 {
     m_isDone = true;
@@ -205,6 +234,7 @@
     m_attempts.endOthers(decisions::RunEnd::RequestEnded);
     attempt().answerBody = {};
     attempt().answerShare.resize(0);
+    m_failureShare.resize(0);
     m_context.metrics.recordResponse(m_status, now() - m_exchange->receivedAt);
     // At-most-once work that was sent keeps its connection until it ends; other work is aborted.
     const bool mustFinish = attempt().isInProgress && m_route != nullptr && !m_route->isRepeatable()
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -49,6 +49,7 @@
     , m_onDone(std::move(onDone))
     , m_finder(m_context, m_fields)
     , m_attempts(m_context.buffers, attemptHandlers())
+    , m_failureShare(m_context.buffers)
 { }
 
 // Its attempts end with it, which counts as the end of the request.
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -182,7 +182,11 @@
     void handleDeadline();
     void handleDisconnect();
     void refuse(std::string_view cause, core::Duration retryAfter);
+    /// Keeps the current endpoint's own failure for the case that no other answer follows.
+    void keepFailure();
+    /// Answers with the status, or with the endpoint's own failure if one was kept.
     void fail(int status, std::string_view cause);
+    void respondWithKeptFailure(std::string_view cause);
     /// Aborts an answer that was forwarded in part.
     void abortStream(std::string_view cause);
     void finish();
@@ -231,6 +235,8 @@
     bool m_isPreferenceRecorded = false;             ///< See RateLimits::recordPreference().
     bool m_isDone = false;
 
+    std::optional<net::HttpResponse> m_failure;    ///< An endpoint's own, while others are tried.
+    decisions::BufferBudget::Share m_failureShare; ///< Of its body.
     int m_status = 0;                ///< Sent to the client; zero if the answer was aborted.
     std::string m_mediaType;         ///< Of the stream that has begun.
     bool m_isForwarding = false;     ///< The head was forwarded; events follow as they arrive.
--- a/tests/e2e/tst_brokenanswers.cpp
+++ b/tests/e2e/tst_brokenanswers.cpp
@@ -278,3 +278,20 @@
         }
     }
 }
+
+// Guards against an endpoint's own failure that is replaced by one of the daemon, because it was
+// sent again and the next endpoint closed the connection.
+Test(brokenanswers, failureOfTheEndpointIsKept, .timeout = 60)
+{
+    RawFixture fixture;
+    fixture.setRun([&](http::Connection &connection, const Head &head) {
+        RawEndpoint::writeAndClose(
+            connection,
+            fixture.runs() == 1 ? response(head, 500, "text/plain", "own failure") : std::string());
+    });
+    const auto answer = fixture.call("/stream/a", "f", "base");
+    cr_assert_eq(answer->head.status, 500, "%d", answer->head.status);
+    cr_expect_eq(answer->body, "own failure");
+    cr_expect(answer->head.headers.contains("Response-Stamp"));
+    cr_expect_geq(fixture.runs(), 2);
+}
