Ignore records of the lease from before the holder's last write

Cause, shown by the model of the lease: a holder whose renewal failed reads the record, if it has a relay from a copy that may be 0.8 s old. A copy from before its own takeover names the same host, so that its validity went on with the token of the earlier term until the next renewal conflicted.

--- a/src/libs/decisions/orderlease.cpp
+++ b/src/libs/decisions/orderlease.cpp
@@ -51,6 +51,11 @@
 
 void OrderLease::observe(const std::optional<OrderLeaseRecord> &record, core::TimePoint answeredAt)
 {
+    // After a failed renewal another daemon may answer with its copy from before the takeover.
+    const bool isOutdated = isHolder(answeredAt) && m_record && record
+        && m_record->position.isAfter(record->position);
+    if (isOutdated)
+        return;
     const bool isUnchanged = m_record && record && m_record->position == record->position;
     if (!isUnchanged || !m_unchangedSince)
         m_unchangedSince = answeredAt;
--- a/src/libs/decisions/orderlease.h
+++ b/src/libs/decisions/orderlease.h
@@ -61,7 +61,7 @@
     /// Records the era of the store; to be called before its record or the lack of one is observed.
     void enterEra(core::StoreEra era, core::TimePoint now);
     /// Records a read of the record that was answered at `answeredAt`; `record` is empty if there
-    /// is none.
+    /// is none. A holder ignores a record from before its own last write.
     void observe(const std::optional<OrderLeaseRecord> &record, core::TimePoint answeredAt);
     /// Whether to write the record now, to renew the lease or to take it over.
     bool shouldWrite(core::TimePoint now) const;
--- a/tests/auto/orderlease/tst_leasemodel.cpp
+++ b/tests/auto/orderlease/tst_leasemodel.cpp
@@ -22,8 +22,8 @@
 constexpr int daemonCount = 2;
 const core::Duration leaseTime = OrderLeaseLimits().takeoverDelay;
 
-enum class FaultKind { LostAnswer, LostWrite, Restart, Freeze, Stop };
-constexpr int faultKinds = 5;
+enum class FaultKind { LostAnswer, LostWrite, OutdatedRead, Restart, Freeze, Stop };
+constexpr int faultKinds = 6;
 
 struct Fault
 {
@@ -42,6 +42,7 @@
     core::TimePoint sleepsUntil;
     bool losesAnswer = false; ///< Of the next write.
     bool losesWrite = false;
+    bool readsCopy = false; ///< Of the record before the latest write.
 
     void restart(core::TimePoint at)
     {
@@ -53,7 +54,7 @@
 };
 
 /// Two daemons and a store, in virtual time. Counts the orders of two holders that are less than
-/// the lease time apart.
+/// the lease time apart, and those with a lower token than one before.
 class LeaseModel
 {
 public:
@@ -94,6 +95,10 @@
         case FaultKind::LostWrite:
             daemon.losesWrite = true;
             break;
+        case FaultKind::OutdatedRead:
+            daemon.readsCopy = true;
+            daemon.losesWrite = true;
+            break;
         case FaultKind::Restart:
             daemon.restart(m_now);
             break;
@@ -118,13 +123,14 @@
             read(daemon);
         }
         if (daemon.lease->canIssueOrders(m_now))
-            recordOrder(daemon.host);
+            recordOrder(daemon.host, daemon.lease->record()->token);
     }
 
     void read(Daemon &daemon)
     {
         daemon.lastReadAt = m_now;
-        daemon.lease->observe(m_record, m_now);
+        const bool isOutdated = std::exchange(daemon.readsCopy, false) && m_previous;
+        daemon.lease->observe(isOutdated ? m_previous : m_record, m_now);
     }
 
     void write(Daemon &daemon)
@@ -136,6 +142,7 @@
             read(daemon);
             return;
         }
+        m_previous = m_record;
         m_record = proposal;
         m_record->position.revision = ++m_revision;
         if (std::exchange(daemon.losesAnswer, false))
@@ -144,8 +151,11 @@
             daemon.lease->proposalAccepted(proposal, m_record->position, m_now);
     }
 
-    void recordOrder(const core::HostId &host)
+    void recordOrder(const core::HostId &host, core::FencingToken token)
     {
+        if (token < m_lastToken)
+            ++m_violations;
+        m_lastToken = token;
         if (m_lastOrderBy && *m_lastOrderBy != host && m_now - m_lastOrderAt < leaseTime)
             ++m_violations;
         m_lastOrderBy = host;
@@ -155,6 +165,8 @@
     std::array<Daemon, daemonCount> m_daemons;
     core::TimePoint m_now;
     std::optional<OrderLeaseRecord> m_record;
+    std::optional<OrderLeaseRecord> m_previous;
+    core::FencingToken m_lastToken;
     std::uint64_t m_revision = 10;
     std::optional<core::HostId> m_lastOrderBy;
     core::TimePoint m_lastOrderAt;
@@ -213,9 +225,10 @@
 
 } // namespace
 
-// Guards against orders of two holders within the lease time after any three of: a lost answer, a
-// lost write, a restart, a freeze and a planned stop. A lost answer to the write of a takeover, or
-// a restart right after it, skipped the wait.
+// Guards against orders of two holders within the lease time, and against tokens that decrease,
+// after any three of: a lost answer, a lost write, one followed by a read of an outdated copy, a
+// restart, a freeze and a planned stop. A lost answer to the write of a takeover, or a restart
+// right after it, skipped the wait.
 Test(leasemodel, noSequenceOfFaultsLeadsToOrdersOfTwoHolders, .timeout = 300)
 {
     const Result result = playAll({});
--- a/tests/auto/orderlease/tst_orderlease.cpp
+++ b/tests/auto/orderlease/tst_orderlease.cpp
@@ -117,6 +117,25 @@
     cr_assert_eq(lease.record()->token.value(), 42U);
 }
 
+// Guards against a holder that goes on with the token of its earlier term: after a failed renewal
+// it read a copy of its record from before it took the lease over again.
+Test(orderlease, outdatedRecordDoesNotBringAnEarlierTokenBack)
+{
+    OrderLease lease(self, {});
+    const OrderLeaseRecord earlier = recordOf(self, 1, 100);
+    lease.observe(earlier, start);
+    const OrderLeaseRecord proposal = lease.proposal({}, start);
+    lease.proposalAccepted(proposal, inEra(0, 1654), start);
+    const core::TimePoint readAt = start + milliseconds(600);
+    lease.observe(earlier, readAt);
+    cr_assert_eq(lease.record()->token, proposal.token);
+    cr_assert(lease.isHolder(readAt));
+    // Once the lease has ended, a store that does not state its era may have been restored.
+    const core::TimePoint afterEnd = start + OrderLeaseLimits().validity;
+    lease.observe(earlier, afterEnd);
+    cr_assert_eq(lease.record()->token, earlier.token);
+}
+
 // Guards against a longer gap than needed after a planned stop: a released lease is taken over at
 // once, and the successor waits only for the platform's lease time.
 Test(orderlease, releasedLeaseIsTakenOverAtOnce)
