--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -63,21 +63,27 @@
     return fields;
 }
 
-/// Whether a decoder of the release that sent the earlier message finds each of its fields in the
-/// present one, with a value of the same kind.
-void expectFieldsOf(const std::string &earlier, const std::string &present)
+/// The fields of the earlier message that a decoder of its release does not find in the present
+/// one, or finds with a value of another kind.
+std::vector<std::string> incompatibleFields(const std::string &earlier, const std::string &present)
 {
     const json required = contentOf(earlier);
     const json content = contentOf(present);
+    std::vector<std::string> fields;
     for (const auto &[field, value] : required.items()) {
         const auto found = content.find(field);
-        cr_expect(found != content.end(), "%s is missing", field.c_str());
-        if (found == content.end())
-            continue;
-        const bool isSameKind
-            = value.is_number() ? found->is_number() : value.type() == found->type();
-        cr_expect(isSameKind, "%s is %s", field.c_str(), found->type_name());
+        const bool isCompatible = found != content.end()
+            && (value.is_number() ? found->is_number() : value.type() == found->type());
+        if (!isCompatible)
+            fields.push_back(field);
     }
+    return fields;
+}
+
+void expectFieldsOf(const std::string &earlier, const std::string &present)
+{
+    for (const std::string &field : incompatibleFields(earlier, present))
+        cr_expect(false, "%s is missing or has another kind", field.c_str());
 }
 
 PeerView viewWithAllFields()
@@ -195,6 +201,20 @@
     expectFieldsOf(messageOf(testsupport::earlier::viewOfE304079), encode(PeerView {}, now));
 }
 
+// Guards against a check of compatibility that finds nothing: a field that is dropped and one whose
+// kind changes are planted.
+Test(peermessages, plantedIncompatibleFieldsAreFound)
+{
+    const std::string earlier = messageOf(testsupport::earlier::reportOfE304079);
+    const std::string present = encode(PeerReport {}, now);
+    cr_expect(incompatibleFields(earlier, without(present, "token"))
+              == std::vector<std::string> {"token"});
+    json changed = contentOf(present);
+    changed["host"] = 1;
+    cr_expect(incompatibleFields(earlier, messageWith(changed))
+              == std::vector<std::string> {"host"});
+}
+
 // Guards against an optional field of a report whose absence is taken for a statement.
 Test(peermessages, absentFieldsOfAReportClaimNothing)
 {
