Soak: excuse answers by the link that they passed, not by their daemon

Cause, by the logs of each: while the store rejects a daemon, it receives the records of endpoints through another daemon, with the addresses of that one's links. When these are interrupted, answers of both stand still. The checker knew only whose links they are.

A link now records the ids of the requests that pass it, and an interruption that breaks answers marks exactly these. Everything else is checked as before.

--- a/soak/checker.h
+++ b/soak/checker.h
@@ -184,6 +184,8 @@
     /// without the answers in progress. One interruption is restored before the next one begins.
     void linksInterrupted(const std::map<ProcessIncarnation, bool> &interrupted,
                           core::TimePoint at);
+    /// Links broke over which these requests were sent, by whichever daemon.
+    void answersInterrupted(const std::set<core::RequestId> &ids);
     void linksRestored(core::TimePoint at);
     /// Whether there were enough requests in an interruption to be checked.
     bool hasCountedInterruption() const;
--- a/soak/linkchecks.cpp
+++ b/soak/linkchecks.cpp
@@ -40,6 +40,14 @@
     }
 }
 
+void Checker::answersInterrupted(const std::set<core::RequestId> &ids)
+{
+    for (const core::RequestId &id : ids) {
+        if (const auto request = m_requests.find(id); request != m_requests.end())
+            request->second.isInterrupted = request->second.isInterruptedThere = true;
+    }
+}
+
 void Checker::linksRestored(core::TimePoint at)
 {
     m_interruptions.back().until = at;
--- a/soak/links.cpp
+++ b/soak/links.cpp
@@ -55,6 +55,10 @@
         for (const std::uint16_t target : endpointPorts) {
             const std::uint16_t port = m_picker.take();
             own.links.push_back(std::make_unique<testsupport::FaultyLink>(loop, port, target));
+            own.links.back()->setRequestHandler(
+                [passed = own.passed.get()](std::string_view bytes) {
+                    recordRequests(*passed, bytes);
+                });
             replacements[loopback(target)] = loopback(port);
         }
         m_storePorts[index] = m_picker.take();
@@ -109,6 +113,8 @@
         ++m_faults[nameOf(fault)];
         if (const auto incarnation = daemons.incarnation(own.daemon))
             interrupted[*incarnation] = fault != Fault::Refusing;
+        if (fault != Fault::Refusing)
+            m_checker.answersInterrupted(*own.passed);
         setFault(own, fault);
     }
     m_checker.linksInterrupted(interrupted, m_schedule.now());
@@ -117,6 +123,17 @@
     return true;
 }
 
+// A daemon with whole links may know an endpoint only from another daemon, with the address of that
+// one's link.
+void Links::recordRequests(RequestIds &ids, std::string_view bytes)
+{
+    constexpr std::string_view field = "\r\nRequest-Id: ";
+    for (auto at = bytes.find(field); at != std::string_view::npos; at = bytes.find(field, at)) {
+        at += field.size();
+        ids.emplace(std::string(bytes.substr(at, bytes.find('\r', at) - at)));
+    }
+}
+
 bool Links::hasPresentPeer(const Daemons &daemons) const
 {
     for (std::size_t index = 0; index < daemons.count(); ++index) {
--- a/soak/links.h
+++ b/soak/links.h
@@ -8,7 +8,9 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace jackdawlead::soak {
@@ -39,12 +41,15 @@
 
 private:
     using Fault = testsupport::FaultyLink::Fault;
+    using RequestIds = std::set<core::RequestId>;
     struct DaemonLinks
     {
         std::size_t daemon = 0;
         std::vector<std::unique_ptr<testsupport::FaultyLink>> links;
         std::unique_ptr<testsupport::StoreView> store;
         Fault fault = Fault::None;
+        /// Requests that any daemon sent over them.
+        std::unique_ptr<RequestIds> passed = std::make_unique<RequestIds>();
     };
 
     void plan(const Daemons &daemons, core::Duration delay, core::Duration time,
@@ -53,6 +58,7 @@
     bool hasPresentPeer(const Daemons &daemons) const;
     void restore();
     static void setFault(DaemonLinks &links, Fault fault);
+    static void recordRequests(RequestIds &ids, std::string_view bytes);
 
     Schedule &m_schedule;
     Checker &m_checker;
--- a/tests/e2e/tst_soakanswers.cpp
+++ b/tests/e2e/tst_soakanswers.cpp
@@ -169,6 +169,23 @@
     }
 }
 
+// Guards against a check that blames a daemon with whole links for an answer that stood still on a
+// link of another daemon, whose address it had received; an answer beside it must still be whole.
+Test(soakchecker, onlyAnswersOnABrokenLinkAreExcused)
+{
+    CheckerFixture fixture;
+    fixture.now += seconds(20);
+    const auto onLink = fixture.send("r1", RequestKind::Unrepeatable, "/get/");
+    const auto beside = fixture.send("r2", RequestKind::Unrepeatable, "/get/");
+    fixture.run(onLink);
+    fixture.run(beside);
+    fixture.checker.answersInterrupted({onLink});
+    fixture.fail(onLink, 502);
+    fixture.expectNoViolation();
+    fixture.fail(beside, 502);
+    fixture.expectOnlyViolationsOf(Check::LostAnswer);
+}
+
 // Guards against a violation that is reported because another daemon, through which the request may
 // have passed, was killed, and against one that stays undetected because any daemon was killed.
 Test(soakchecker, answerLostWithTheDaemonThatSentItOnIsNoViolation)
--- a/tests/support/faultylink.h
+++ b/tests/support/faultylink.h
@@ -5,8 +5,11 @@
 #include <event2/util.h>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 struct bufferevent;
@@ -34,6 +37,11 @@
     FaultyLink &operator=(const FaultyLink &) = delete;
 
     void setFault(Fault fault);
+    /// Calls the handler with what is passed on to the endpoint.
+    void setRequestHandler(std::function<void(std::string_view)> onRequest)
+    {
+        m_onRequest = std::move(onRequest);
+    }
     /// Connections that were relayed so far.
     int accepted() const { return m_accepted; }
     std::uint16_t port() const { return m_port; }
@@ -55,6 +63,7 @@
     std::uint16_t m_port;
     std::uint16_t m_target;
     Fault m_fault = Fault::None;
+    std::function<void(std::string_view)> m_onRequest;
     evconnlistener *m_listener = nullptr;
     std::vector<int> m_backlogSockets; ///< The listener that accepts nothing, then its clients.
     std::list<std::unique_ptr<Relayed>> m_connections;
