--- a/tests/auto/orderlease/tst_leasemodel.cpp
+++ b/tests/auto/orderlease/tst_leasemodel.cpp
@@ -229,7 +229,7 @@
 // after any three of: a lost answer, a lost write, one followed by a read of an outdated copy, a
 // restart, a freeze and a planned stop. A lost answer to the write of a takeover, or a restart
 // right after it, skipped the wait.
-Test(leasemodel, noSequenceOfFaultsLeadsToOrdersOfTwoHolders, .timeout = 300)
+Test(leasemodel, noSequenceOfFaultsBreaksTheRulesOfTheLease, .timeout = 300)
 {
     const Result result = playAll({});
     std::printf("leasemodel: %ld sequences, %ld states, %ld with a violation %s\n",
