Declare customers, key digests and the interfaces of quotas

A configuration may list customers with keys and quotas. Libraries may have sub-folders. Nothing uses the new parts yet.

--- /dev/null
+++ b/src/libs/decisions/quota/quotaallowance.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "decisions/quota/quotatypes.h"
+
+#include <map>
+
+namespace jackdawlead::decisions::quota {
+
+/// One daemon's allowances of all customers, and its shares for the time without a coordinator.
+/// Thread safety: one thread at a time.
+class QuotaAllowance
+{
+public:
+    enum class Verdict {
+        Granted,     ///< The tokens are spent.
+        Wait,        ///< No allowance; the coordinator is to be asked.
+        Exhausted,   ///< The coordinator has said that the quota is used up.
+        Unavailable, ///< No coordinator, and the share does not suffice.
+    };
+    struct Decision
+    {
+        Verdict verdict = Verdict::Granted;
+        core::Duration retryAfter {}; ///< For Exhausted and Unavailable.
+        core::Duration answerAge {};  ///< Of the coordinator's last answer; for the log.
+        double held = 0;              ///< Of the customer before the decision; for the log.
+    };
+
+    explicit QuotaAllowance(fleet::StartTime incarnation)
+        : m_incarnation(incarnation)
+    { }
+
+    /// Replaces the quotas; customers that are not named are not limited.
+    void setQuotas(const std::map<core::CustomerId, fleet::Quota> &quotas, core::TimePoint now);
+    bool isLimited(const core::CustomerId &customer) const;
+    bool hasQuotas() const;
+    /// Spends `tokens` if that is possible now. A customer without a quota is always granted.
+    /// `isFirst` counts the tokens as demand; false for a request that waits already.
+    Decision trySpend(const core::CustomerId &customer, double tokens, bool isFirst,
+                      core::TimePoint now);
+    /// A request begins, or ends, to wait for an allowance.
+    void addWaiting(const core::CustomerId &customer, double tokens);
+    void removeWaiting(const core::CustomerId &customer, double tokens);
+    /// Gives back the tokens of a request that certainly did not run.
+    void refund(const core::CustomerId &customer, double tokens);
+    /// Whether requests wait that the coordinator does not know of yet.
+    bool isReportDue() const;
+    /// The report to send now. With `isRegular` excess allowances are returned.
+    QuotaReport takeReport(bool isRegular, core::TimePoint now);
+    /// Applies the answer to a report that was sent at `sentAt`. Answers of a coordinator with an
+    /// older token are ignored.
+    void apply(const QuotaAnswer &answer, core::TimePoint sentAt, core::TimePoint now);
+    /// Tokens that can be spent now.
+    double held(const core::CustomerId &customer, core::TimePoint now) const;
+
+private:
+    fleet::StartTime m_incarnation;
+};
+
+} // namespace jackdawlead::decisions::quota
--- /dev/null
+++ b/src/libs/decisions/quota/quotaissuer.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "decisions/quota/quotatypes.h"
+
+#include <map>
+
+namespace jackdawlead::decisions::quota {
+
+/// Issues allowances so that all daemons together keep the quota of each customer: a token bucket
+/// for each customer, on the coordinator. What is in the bucket and what is issued and not yet
+/// reported as spent never exceeds burst + tolerance / 2. A new coordinator begins with empty
+/// buckets. Thread safety: one thread at a time.
+class QuotaIssuer
+{
+public:
+    explicit QuotaIssuer(const QuotaTolerance &tolerance = {})
+        : m_tolerance(tolerance)
+    { }
+
+    void setTolerance(const QuotaTolerance &tolerance) { m_tolerance = tolerance; }
+    /// Replaces the quotas. A lowered one takes effect at once; a removed one is remembered for one
+    /// window, so that adding it again does not fill the bucket.
+    void setQuotas(const std::map<core::CustomerId, fleet::Quota> &quotas, core::TimePoint now);
+    /// Sets the part of each quota that daemons out of contact use by themselves, 0 to 1.
+    void setWithheld(double fraction, core::TimePoint now);
+    /// Forgets the state of an earlier term.
+    void reset(core::TimePoint now);
+    /// Applies a daemon's report and issues what it asks for. Totals of a report with
+    /// `areTotalsKnown` false belong to another coordinator or incarnation and are not counted.
+    std::map<core::CustomerId, QuotaGrant> issue(const core::HostId &daemon,
+                                                 const QuotaReport &report, bool areTotalsKnown,
+                                                 core::TimePoint now);
+    /// Tokens that are issued and neither reported as spent nor returned nor expired.
+    double outstanding(const core::CustomerId &customer) const;
+    double available(const core::CustomerId &customer) const;
+    /// The most that the bucket and the outstanding allowances may hold together.
+    double capacityOf(const fleet::Quota &quota) const;
+
+private:
+    QuotaTolerance m_tolerance;
+};
+
+} // namespace jackdawlead::decisions::quota
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "fleet/customer.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -33,6 +34,7 @@
     Repeatability repeatability = Repeatability::AtMostOnce;
     bool isStream = false;
     bool isResumable = false;
+    bool isAnonymous = false; ///< Requests need no key, also if the configuration has customers.
     std::vector<RouteTarget> targets;
     core::Duration timeout {};
     core::Duration targetLatency {}; ///< Until the complete answer, or the first event of a stream.
@@ -94,6 +96,8 @@
     std::vector<Route> routes;
     std::vector<ServiceSpec> services;
     CallerLimits limits;
+    /// Empty if requests need no keys; an empty list means that no key is valid.
+    std::optional<std::vector<Customer>> customers;
 };
 
 } // namespace jackdawlead::fleet
--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -27,6 +27,9 @@
     core::Duration budgetWindow {}; ///< Window in which retries are counted.
     double budgetRatio = 0;         ///< Retries per request.
     double budgetSlack = 0;         ///< Retries that are allowed in addition.
+    core::Duration quotaWindow = std::chrono::seconds(8); ///< Window in which quotas are checked.
+    double quotaOverage = 0; ///< Fraction by which the use in a window may exceed a quota.
+    double quotaSlack = 0;   ///< Tokens by which it may exceed a quota in addition.
 };
 
 /// Identity, addresses and bounds of a daemon, read from its settings.
--- a/src/libs/platform/settingsreader.cpp
+++ b/src/libs/platform/settingsreader.cpp
@@ -134,6 +134,11 @@
     bounds.budgetWindow = reader.seconds("bounds.budget_window_s");
     bounds.budgetRatio = reader.number("bounds.budget_ratio");
     bounds.budgetSlack = reader.number("bounds.budget_slack");
+    // Only deployments with customers state the bounds of quotas.
+    if (reader.values().contains("bounds.quota_window_s"))
+        bounds.quotaWindow = reader.seconds("bounds.quota_window_s");
+    bounds.quotaOverage = reader.numberOr("bounds.quota_overage", 0);
+    bounds.quotaSlack = reader.numberOr("bounds.quota_slack", 0);
     return bounds;
 }
 
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -43,6 +43,10 @@
 inline constexpr char promptPrefix[] = "Prompt-Prefix";
 /// 0 (first) to 9.
 inline constexpr char requestPriority[] = "Request-Priority";
+/// In clients' requests: the key alone. It is not forwarded to endpoints.
+inline constexpr char apiKey[] = "Api-Key";
+/// In requests to endpoints: the name of the customer that holds the key.
+inline constexpr char customer[] = "Tenant";
 
 /// Fields that only the system may set; those in a client's request are dropped.
 inline constexpr const char *systemFields[] = {
