Tests: answers without a valid status, with real daemons

Another system passed an answer with status 000 on to a client. The request counts as one that may have run, and the endpoint is avoided.

--- a/tests/auto/net/tst_net.cpp
+++ b/tests/auto/net/tst_net.cpp
@@ -102,9 +102,13 @@
 Test(net, malformedHeadIsNoReply, .timeout = 60)
 {
     for (const char *head :
-         {"HTTP/1.1 000 OK\r\nContent-Length: 4", "HTTP/1.1 099 OK\r\nContent-Length: 4",
-          "HTTP/1.1 999 OK\r\nContent-Length: 4", "HTTP/1.1 200 OK\r\nContent-Length : 4",
-          "HTTP/1.1 200 OK\r\nContent Length: 4", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
+         {"HTTP/1.1 000 OK\r\nContent-Length: 4", "HTTP/1.1 00 OK\r\nContent-Length: 4",
+          "HTTP/1.1 0 OK\r\nContent-Length: 4", "HTTP/1.1 2000 OK\r\nContent-Length: 4",
+          "HTTP/1.1     OK\r\nContent-Length: 4", "HTTP/1.1 \r\nContent-Length: 4",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 4",
+          "HTTP/1.1 099 OK\r\nContent-Length: 4", "HTTP/1.1 999 OK\r\nContent-Length: 4",
+          "HTTP/1.1 200 OK\r\nContent-Length : 4", "HTTP/1.1 200 OK\r\nContent Length: 4",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked",
           "HTTP/1.1 200 OK\r\nContent-Length: 4x"}) {
         net::EventLoop loop;
         testsupport::PortPicker picker;
