--- a/tests/e2e/tst_connections.cpp
+++ b/tests/e2e/tst_connections.cpp
@@ -124,3 +124,22 @@
             "status %d: %s", answers[index]->status, answers[index]->body.c_str());
     cr_expect_eq(fleet.engineCounter("engine_evictions_in_use_total"), 0);
 }
+
+// Guards against an answer without a valid status that reaches a caller as an answer.
+Test(connections, invalidStatusIsNoAnswer, .timeout = 240)
+{
+    for (const char *status : {"000", "00", "0", "2000", "   "}) {
+        Fleet fleet(relayed(8));
+        cr_assert(fleet.isReady());
+        cr_expect(fleet.waitForModels(0, adapters, limit));
+        cr_expect(setRelays(fleet, {{"status", status}}));
+        std::vector<AnswerPtr> answers;
+        for (int number = 1; number <= adapters; ++number)
+            answers.push_back(fleet.chat(0, Fleet::modelName(number), "status", number % 2 == 0));
+        cr_expect(fleet.caller().waitForAll(answers, limit));
+        for (const AnswerPtr &answer : answers) {
+            cr_expect_geq(answer->status, 500, "'%s': %d", status, answer->status);
+            cr_expect_leq(answer->status, 599, "'%s': %d", status, answer->status);
+        }
+    }
+}
--- a/tests/fakes/fakerelay.cpp
+++ b/tests/fakes/fakerelay.cpp
@@ -5,6 +5,7 @@
 //         what goes to, or comes from, the target)
 //   new: applies to later connections until it is changed: "ok", "refuse", "swallow"
 //   delayMs: added to every piece of data until it is changed
+//   status: replaces the status 200 of answers until it is changed; "200" for none
 #include "fakeoptions.h"
 #include "net/eventloop.h"
 #include "net/httpserver.h"
@@ -78,6 +79,7 @@
         const json change = json::parse(exchange->request().body);
         m_new = change.value("new", m_new);
         m_delay = std::chrono::milliseconds(change.value("delayMs", m_delay.count()));
+        m_status = change.value("status", m_status);
         const std::string open = change.value("open", std::string());
         for (auto link = m_links.begin(); link != m_links.end();) {
             Link &current = **link++;
@@ -133,6 +135,9 @@
             return;
         Relay *self = side.link->relay;
         Link::Side &other = otherOf(side);
+        constexpr std::string_view answerBegin = "HTTP/1.1 200";
+        if (&side == &side.link->target && data.starts_with(answerBegin))
+            data.replace(0, answerBegin.size(), "HTTP/1.1 " + self->m_status);
         if (self->m_delay.count() == 0) {
             bufferevent_write(other.stream, data.data(), data.size());
             return;
@@ -181,6 +186,7 @@
     sockaddr_in m_target;
     std::list<std::unique_ptr<Link>> m_links;
     std::string m_new = "ok";
+    std::string m_status = "200";
     std::chrono::milliseconds m_delay {0};
 };
 
