Check the keys of requests before they are counted

A configuration may list customers, but nothing looked at the keys of requests. RequestAdmission, which RequestTask holds by one pointer, finds the customer once the route is known and before crash identity, budgets and demand are touched. It exposes the customer, the request's cost and the verdict of the check, to which the check of quotas will add its own. 401 follows the rule of 404: only from a configuration that is confirmed as current, else the store is asked and the answer is 503. Endpoints get the customer's name and the priority instead of the key.

The decoder does not read customers yet, so that nothing changes so far.

--- a/src/libs/decisions/routetable.cpp
+++ b/src/libs/decisions/routetable.cpp
@@ -25,6 +25,8 @@
         m_hosts[normalizedHost(route.host)].emplace(route.pathPrefix, &route);
     for (const fleet::ServiceSpec &service : m_configuration.services)
         m_services.emplace(service.service, &service);
+    if (m_configuration.customers)
+        m_customerKeys = customers::CustomerKeys(*m_configuration.customers);
 }
 
 const fleet::Route *RouteTable::find(std::string_view host, std::string_view target) const
--- a/src/libs/decisions/routetable.h
+++ b/src/libs/decisions/routetable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decisions/customers/customerkeys.h"
 #include "fleet/configuration.h"
 
 #include <map>
@@ -26,6 +27,8 @@
     core::Duration longestStream() const;
     /// nullptr if the configuration does not name the service.
     const fleet::ServiceSpec *service(const core::ServiceId &id) const;
+    /// Of the configuration's customers; without entries if it lists none.
+    const customers::CustomerKeys &customerKeys() const { return m_customerKeys; }
 
     /// Chooses one of the route's services by weight; `draw` is uniform in [0, 1).
     static const core::ServiceId &chooseTarget(const fleet::Route &route, double draw);
@@ -36,6 +39,7 @@
     fleet::Configuration m_configuration;
     std::unordered_map<std::string, Prefixes> m_hosts;
     std::unordered_map<core::ServiceId, const fleet::ServiceSpec *> m_services;
+    customers::CustomerKeys m_customerKeys;
 };
 
 } // namespace jackdawlead::decisions
--- a/src/libs/fleet/configuration.h
+++ b/src/libs/fleet/configuration.h
@@ -39,7 +39,7 @@
     core::Duration timeout {};
     core::Duration targetLatency {}; ///< Until the complete answer, or the first event of a stream.
     core::Duration targetGap {};     ///< Longest gap between events; zero if not configured.
-    int priority = 0;                ///< 0 is the most urgent.
+    std::optional<int> priority;     ///< 0 is the most urgent; empty if not configured.
     int maxAttempts = 1;             ///< Endpoints on which one request may run.
 
     /// Whether a second run, or one that resumes an interrupted stream, is allowed.
@@ -98,6 +98,7 @@
     CallerLimits limits;
     /// Empty if requests need no keys; an empty list means that no key is valid.
     std::optional<std::vector<Customer>> customers;
+    std::size_t longestKeyBytes = 0; ///< No key of a customer is longer.
 };
 
 } // namespace jackdawlead::fleet
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -128,7 +128,8 @@
     finish();
 }
 
-void RequestTask::refuse(std::string_view cause, core::Duration retryAfter)
+void RequestTask::refuse(std::string_view cause, core::Duration retryAfter,
+                         std::string_view details)
 {
     if (m_isForwarding) {
         abortStream(cause);
@@ -142,10 +143,10 @@
     observability::log(
         {.level = observability::LogLevel::Info,
          .step = "refuse",
-         .message = absl::StrCat(core::toAbsl(cause), ", model ", m_fields.model.value(), "/",
-                                 m_fields.adapter.value(), ", held ",
-                                 core::toMilliseconds(now() - m_exchange->receivedAt),
-                                 " ms, sends ", m_sends),
+         .message = absl::StrCat(
+             core::toAbsl(cause), details.empty() ? "" : ", ", core::toAbsl(details), ", model ",
+             m_fields.model.value(), "/", m_fields.adapter.value(), ", held ",
+             core::toMilliseconds(now() - m_exchange->receivedAt), " ms, sends ", m_sends),
          .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
     const core::Duration delay
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -1,5 +1,6 @@
 #include "gateway/requesttask.h"
 
+#include "core/text.h"
 #include "gateway/sendlimits.h"
 #include "net/guard.h"
 #include "observability/log.h"
@@ -101,9 +102,14 @@
     m_routes = m_context.watch.routes();
     m_route = m_routes->find(m_exchange->head.headers.value("Host"), m_exchange->head.target);
     if (m_route == nullptr) {
-        handleMissingRoute();
+        const http::MessageHead &head = m_exchange->head;
+        failIfConfigurationIsCurrent(404,
+                                     absl::StrCat("no route for ", head.headers.value("Host"),
+                                                  head.target.substr(0, head.target.find('?'))));
         return;
     }
+    if (!isAdmitted())
+        return;
     m_identity = makeIdentity();
     if (isRejectedForCrashes())
         return;
@@ -120,22 +126,37 @@
         chooseEndpoint();
 }
 
-// A client does not repeat a request after 404, so that it must not follow from a configuration
-// that may lack the route.
-void RequestTask::handleMissingRoute()
+// Before anything counts the request, so that requests without a valid key change nothing.
+bool RequestTask::isAdmitted()
+{
+    using customers::RequestAdmission;
+    if (!m_admission)
+        m_admission = std::make_unique<RequestAdmission>();
+    switch (m_admission->checkKey(m_exchange->head, m_fields, m_routes, *m_route)) {
+    case RequestAdmission::Verdict::Granted:
+        return true;
+    case RequestAdmission::Verdict::InvalidKey:
+        failIfConfigurationIsCurrent(401, m_admission->invalidityCause());
+        return false;
+    }
+    return false;
+}
+
+// A client does not repeat a request after 404 or 401, so that they must not follow from a
+// configuration that may lack the route or the key.
+void RequestTask::failIfConfigurationIsCurrent(int status, std::string_view cause)
 {
-    const http::MessageHead &head = m_exchange->head;
     if (m_context.watch.isConfigurationCurrent(m_exchange->receivedAt)) {
-        fail(404,
-             absl::StrCat("no route for ", head.headers.value("Host"),
-                          head.target.substr(0, head.target.find('?'))));
+        fail(status, absl::StrCat(core::toAbsl(cause), ", ", describeConfiguration()));
         return;
     }
     m_routes.reset();
+    m_route = nullptr;
     m_isWaiting = !m_context.stopRequestedAt && m_context.watch.confirmConfiguration()
         && now() - m_exchange->receivedAt < maxConfigurationWait;
     if (!m_isWaiting)
-        refuse("the configuration may be outdated", startRetryAfter);
+        refuse("the configuration may be outdated", startRetryAfter,
+               absl::StrCat(core::toAbsl(cause), ", ", describeConfiguration()));
 }
 
 bool RequestTask::isRejectedForCrashes()
@@ -409,6 +430,7 @@
     m_context.pool.beginPrefill(endpoint.id, attempt().pendingPrefillTokens);
     forward.endpoint = endpoint.id;
     forward.deadline = deadline() - now();
+    m_admission->addTo(forward, *m_context.watch.routes());
     if (m_finder.expectedVersion())
         forward.adapterVersion = attempt().adapterVersion;
     startExchange(endpoint, forward);
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/customers/requestadmission.h"
 #include "gateway/endpointfinder.h"
 #include "gateway/requestattempts.h"
 #include "gateway/requestcontext.h"
@@ -80,8 +81,11 @@
     void findOrigin();
     void applyOrigin(const StreamOrigin &origin);
     bool isTakeUp() const;
-    /// Answers 404, once it is certain that no configuration that must be in force has the route.
-    void handleMissingRoute();
+    /// Answers with a status after which clients don't repeat the request, once it is certain that
+    /// this follows from every configuration that must be in force.
+    void failIfConfigurationIsCurrent(int status, std::string_view cause);
+    /// Checks the key; answers the request if it is not admitted.
+    bool isAdmitted();
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
     bool isRejectedForCrashes();
     /// Whether the answer to a send can be expected to be complete before the process is killed.
@@ -181,7 +185,9 @@
     const fleet::Endpoint *findReplacement();
     void handleDeadline();
     void handleDisconnect();
-    void refuse(std::string_view cause, core::Duration retryAfter);
+    /// Answers 503. The cause is a fixed text, which the metrics count; the log contains `details`
+    /// too.
+    void refuse(std::string_view cause, core::Duration retryAfter, std::string_view details = {});
     /// Keeps the current endpoint's own failure for the case that no other answer follows.
     void keepFailure();
     /// Answers with the status, or with the endpoint's own failure if one was kept.
@@ -217,6 +223,7 @@
     /// Keeps m_route valid; empty until the request is resolved.
     std::shared_ptr<const decisions::RouteTable> m_routes;
     const fleet::Route *m_route = nullptr;
+    std::unique_ptr<customers::RequestAdmission> m_admission; ///< Set when the route is known.
     core::ServiceId m_service;
     EndpointFinder m_finder;
 
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -58,7 +58,9 @@
     route.timeout = milliseconds(value.at("timeout_ms"));
     route.targetLatency = milliseconds(value.value("target_latency_ms", json(0)));
     route.targetGap = milliseconds(value.value("gap_target_ms", json(0)));
-    route.priority = integerMember(value, "priority", 0);
+    if (const auto priority = value.find("priority"); priority != value.end())
+        route.priority = integerOf<int>(*priority);
+    route.isAnonymous = value.value("anonymous", false);
     route.maxAttempts = integerMember(value, "max_attempts", 1);
     return route;
 }
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -3,6 +3,7 @@
 #include "platform/wirenames.h"
 
 #include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -110,20 +111,39 @@
         fields.adapter = core::AdapterId(model[1]);
     const std::vector<std::string> tokens
         = absl::StrSplit(head.headers.value(wire::tokenCount), ',');
-    if (tokens.size() == 2)
-        fields.promptTokens = static_cast<int>(parseNumber(tokens[0]).value_or(0));
+    if (tokens.size() == 2) {
+        const auto prompt = parseNumber(tokens[0]);
+        const auto answer = parseNumber(tokens[1]);
+        fields.promptTokens = static_cast<int>(prompt.value_or(0));
+        if (prompt && answer)
+            fields.totalTokens = static_cast<double>(*prompt) + static_cast<double>(*answer);
+    }
     fields.lastEventId = parseNumber(head.headers.value(wire::lastEventId));
     fields.begunBy = core::RequestId(head.headers.value(wire::resumes));
     fields.promptParts = parsePromptParts(head.headers.value(wire::promptPrefix));
     return fields;
 }
 
+KeyField keyFieldOf(const http::MessageHead &head)
+{
+    KeyField key;
+    for (const auto &[name, value] : head.headers.fields()) {
+        if (absl::EqualsIgnoreCase(name, wire::apiKey) && key.count++ == 0)
+            key.value = value;
+    }
+    return key;
+}
+
 std::string formatForwardedRequest(const http::MessageHead &head, std::string_view body,
                                    const ForwardFields &fields)
 {
     std::set<std::string> dropped = hopByHopNames(head.headers);
     for (const char *name : wire::systemFields)
         dropped.insert(absl::AsciiStrToLower(name));
+    if (fields.dropsCustomerFields) {
+        dropped.insert(absl::AsciiStrToLower(wire::apiKey));
+        dropped.insert(absl::AsciiStrToLower(wire::customer));
+    }
     if (fields.lastEventId)
         dropped.insert(absl::AsciiStrToLower(wire::lastEventId));
     std::string text = absl::StrCat(head.method, " ", head.target, " HTTP/1.1\r\n");
@@ -135,6 +155,8 @@
                     wire::deadlineMs, ": ", core::toMilliseconds(fields.deadline), "\r\n");
     if (fields.adapterVersion)
         absl::StrAppend(&text, wire::expectVersion, ": ", *fields.adapterVersion, "\r\n");
+    if (!fields.customer.isEmpty())
+        absl::StrAppend(&text, wire::customer, ": ", fields.customer.value(), "\r\n");
     if (fields.priority)
         absl::StrAppend(&text, wire::requestPriority, ": ", *fields.priority, "\r\n");
     if (fields.lastEventId)
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -22,6 +22,7 @@
     core::ModelId model;                    ///< Empty for requests to plain services.
     core::AdapterId adapter;                ///< Empty if the base model itself is requested.
     int promptTokens = 0;
+    std::optional<double> totalTokens; ///< Of the prompt and of the answer.
     /// The parts of the prompt in their order. Ids that differ only in case or leading zeros are
     /// the same part; malformed parts, and those beyond a fixed number, are left out.
     std::vector<core::PromptPartId> promptParts;
@@ -33,6 +34,15 @@
 /// Thread safety: any thread.
 RequestFields parseRequestFields(const http::MessageHead &head);
 
+/// The key that a client's request carries.
+struct KeyField
+{
+    std::size_t count = 0; ///< Of fields with a key.
+    std::string value;     ///< Of the first one.
+};
+/// Thread safety: any thread.
+KeyField keyFieldOf(const http::MessageHead &head);
+
 /// Header fields that the system adds to a client's request for the endpoint.
 struct ForwardFields
 {
@@ -41,6 +51,10 @@
     std::optional<int> adapterVersion; ///< The endpoint must hold the adapter at this version.
     std::optional<int> priority;       ///< 0 (first) to 9.
     std::optional<std::uint64_t> lastEventId;
+    /// Drops the client's fields for the key and the customer. False if the configuration lists no
+    /// customers: then they are forwarded like any other field.
+    bool dropsCustomerFields = false;
+    core::CustomerId customer; ///< Empty if no customer is stated to the endpoint.
 };
 
 /// Formats the client's request for an endpoint: method, target and body are unchanged; hop-by-hop
