Read customers from the configuration and quote no text in errors

decodeCustomers() reads the field tenants; a faulty customer, a name or a key of two customers rejects the whole configuration, because one that is read as without customers would open every route. Errors state the path of the field only. The JSON parser's messages quoted the text around an error; they now state the byte position.

--- a/src/libs/platform/boundedjson.cpp
+++ b/src/libs/platform/boundedjson.cpp
@@ -1,6 +1,9 @@
 #include "platform/boundedjson.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <string>
+#include <type_traits>
 
 namespace jackdawlead::platform {
 
@@ -8,7 +11,8 @@
 
 using nlohmann::json;
 
-/// Builds a value as the library does, but stops at a nesting depth.
+/// Builds a value as the library does, but stops at a nesting depth. Errors state the position
+/// only, because the library's messages quote the text, which may contain keys of customers.
 class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<json>
 {
 public:
@@ -27,6 +31,13 @@
         --m_depth;
         return Base::end_array();
     }
+    template <typename Exception>
+    bool parse_error(std::size_t position, const std::string & /*token*/, const Exception &error)
+    {
+        if constexpr (std::is_same_v<Exception, json::parse_error>)
+            throw json::parse_error::create(error.id, position, "malformed", nullptr);
+        throwOutOfRange(absl::StrCat("number out of range at byte ", position).c_str());
+    }
 
 private:
     bool enter() { return ++m_depth <= maxJsonDepth; }
--- a/src/libs/platform/boundedjson.h
+++ b/src/libs/platform/boundedjson.h
@@ -14,7 +14,8 @@
 inline constexpr int maxJsonDepth = 64;
 
 /// Parses JSON text. Errors: nlohmann::json::exception if it is malformed, has a number that is out
-/// of range, or is nested more than maxJsonDepth levels deep. Thread safety: any thread.
+/// of range, or is nested more than maxJsonDepth levels deep; the messages state positions and
+/// quote nothing. Thread safety: any thread.
 nlohmann::json parseJson(std::string_view text);
 /// The same for CBOR.
 nlohmann::json parseCbor(std::string_view bytes);
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -2,10 +2,13 @@
 
 #include "core/error.h"
 #include "platform/boundedjson.h"
+#include "platform/customerdecoder.h"
+#include "platform/wirenames.h"
 
 #include <charconv>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace jackdawlead::platform {
 
@@ -126,7 +129,7 @@
 
 absl::StatusOr<fleet::Configuration> decodeConfiguration(const json &spec)
 {
-    return catchJsonErrors("decode configuration", [&spec] {
+    auto decoded = catchJsonErrors("decode configuration", [&spec] {
         fleet::Configuration configuration;
         // "version" is the generation of the configuration, not the version of its format.
         configuration.generation = core::Generation(integerOf<std::uint64_t>(spec.at("version")));
@@ -143,6 +146,14 @@
         configuration.limits.idleTimeout = milliseconds(limits.value("idle_timeout_ms", json(0)));
         return configuration;
     });
+    if (!decoded.ok() || !spec.contains(wire::customersField))
+        return decoded;
+    auto customers = decodeCustomers(spec.at(wire::customersField));
+    if (!customers.ok())
+        return customers.status();
+    decoded->customers = std::move(customers->customers);
+    decoded->longestKeyBytes = customers->longestKeyBytes;
+    return decoded;
 }
 
 absl::StatusOr<fleet::Endpoint> decodeEndpoint(const std::string &name, const json &spec)
--- a/src/libs/platform/decoder.h
+++ b/src/libs/platform/decoder.h
@@ -11,8 +11,9 @@
 
 namespace jackdawlead::platform {
 
-/// Decodes the spec of `config/main`. Errors: a field is missing or has the wrong type.
-/// Thread safety: any thread.
+/// Decodes the spec of `config/main`. Errors: a field is missing or has the wrong type, or a
+/// customer cannot be decoded; the configuration is rejected as a whole then, since one without its
+/// customers would require no keys. Messages contain no values. Thread safety: any thread.
 absl::StatusOr<fleet::Configuration> decodeConfiguration(const nlohmann::json &spec);
 
 /// Decodes the spec of an object of kind `servers`. Objects of other writers may have any content.
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -63,6 +63,8 @@
 inline constexpr char reportPath[] = "/-/report";
 inline constexpr char readinessPath[] = "/-/readiness";
 
+/// In the spec of `config/main`: the list of customers.
+inline constexpr char customersField[] = "tenants";
 inline constexpr char configurationKind[] = "config";
 /// Endpoints, one object each.
 inline constexpr char endpointKind[] = "servers";
