Accept customers without a list of keys

A customer all of whose keys are withdrawn may be written without the field. Rejecting that configuration would leave the withdrawn keys valid. The test that expected an error for an absent list now expects a customer without keys; a list of the wrong type is rejected as before.

tst_customers passes.

--- a/src/libs/platform/customerdecoder.cpp
+++ b/src/libs/platform/customerdecoder.cpp
@@ -147,6 +147,9 @@
     std::vector<core::KeyDigest> decodeKeys(const Field &list, const std::string &customer)
     {
         std::vector<core::KeyDigest> keys;
+        // A customer all of whose keys were withdrawn may be written without the list.
+        if (list.value == nullptr)
+            return keys;
         for (std::size_t index = 0; index < requiredList(list).size(); ++index) {
             const Field field = elementOf(list, index);
             const std::string &text = requiredText(field);
