Refuse forwarded requests that contain a customer's key

A daemon of an earlier release, or one whose configuration is older, hands in requests whose key nobody has checked, and the endpoint would receive the key. While customers are configured such a request is answered as not sent, with a word that earlier releases know.

--- a/src/libs/gateway/fleetwatch.h
+++ b/src/libs/gateway/fleetwatch.h
@@ -64,6 +64,16 @@
     /// The configuration in force; nullptr until one is known. Its generation never decreases while
     /// the process runs.
     const std::shared_ptr<const decisions::RouteTable> &routes() const { return m_routes; }
+    /// Whether the configuration in force lists customers.
+    bool hasCustomers() const
+    {
+        return m_routes && m_routes->configuration().customers.has_value();
+    }
+    /// The configuration in force includes all changes that were made before this time.
+    core::TimePoint configurationConfirmedAt() const
+    {
+        return m_configurationFollower.contact().confirmedAt();
+    }
     /// Since when it is in force here; the clock's epoch until one is known.
     core::TimePoint configuredAt() const { return m_configuredAt; }
     const std::map<core::EndpointId, fleet::Endpoint> &endpoints() const { return m_endpoints; }
--- a/src/libs/gateway/forwardedrequests.cpp
+++ b/src/libs/gateway/forwardedrequests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/forwardedrequests.h"
 
 #include "gateway/forwardingfields.h"
+#include "observability/log.h"
 #include "platform/endpointcodec.h"
 
 #include <algorithm>
@@ -117,6 +118,17 @@
         respondWithOutcome(*exchange, notSentStatus, cause);
         return;
     }
+    // The calling daemon has not checked the key, and endpoints must not receive it.
+    if (m_watch.hasCustomers() && platform::hasKeyField(exchange->body)) {
+        observability::log(
+            {.step = "refuse",
+             .message = "another daemon hands in a request with a customer's key; it is of an "
+                        "earlier release or has an older configuration",
+             .peer = id.value(),
+             .request = exchange->head.headers.value(platform::requestIdField())});
+        respondWithOutcome(*exchange, notSentStatus, forwarding::busy);
+        return;
+    }
     if (!platform::shortenDeadline(exchange->body, maxWait(*exchange))) {
         respondWithOutcome(*exchange, notSentStatus, forwarding::busy);
         return;
--- a/src/libs/gateway/forwardingfields.h
+++ b/src/libs/gateway/forwardingfields.h
@@ -37,7 +37,8 @@
 inline constexpr char interrupted[] = "interrupted";
 /// Not sent: the daemon knows no such endpoint, or only one that is leaving.
 inline constexpr char notServing[] = "not-serving";
-/// Not sent: the daemon is stopping or sends too many requests for others.
+/// Not sent: the daemon is stopping or sends too many requests for others, or the request contains
+/// a customer's key. Daemons of earlier releases take a word that they don't know for a run.
 inline constexpr char busy[] = "busy";
 /// May have run: the connection to the endpoint ended before its answer began.
 inline constexpr char broken[] = "broken";
--- a/src/libs/platform/endpointcodec.cpp
+++ b/src/libs/platform/endpointcodec.cpp
@@ -1,5 +1,6 @@
 #include "platform/endpointcodec.h"
 
+#include "core/text.h"
 #include "platform/wirenames.h"
 
 #include <absl/strings/ascii.h>
@@ -168,6 +169,16 @@
     return text;
 }
 
+bool hasKeyField(std::string_view request)
+{
+    const std::string_view head = request.substr(0, request.find("\r\n\r\n"));
+    for (const absl::string_view line : absl::StrSplit(core::toAbsl(head), "\r\n")) {
+        if (absl::EqualsIgnoreCase(line.substr(0, line.find(':')), wire::apiKey))
+            return true;
+    }
+    return false;
+}
+
 bool shortenDeadline(std::string &request, core::Duration by)
 {
     const std::string name = absl::StrCat("\r\n", wire::deadlineMs, ": ");
--- a/src/libs/platform/endpointcodec.h
+++ b/src/libs/platform/endpointcodec.h
@@ -67,6 +67,10 @@
 /// unchanged. Thread safety: any thread.
 bool shortenDeadline(std::string &request, core::Duration by);
 
+/// Whether a request of formatForwardedRequest() contains the field with a client's key. Thread
+/// safety: any thread.
+bool hasKeyField(std::string_view request);
+
 /// Properties of an endpoint's response, from its status and header fields.
 struct ResponseTraits
 {
