Count requests of customers and daemons that do not check keys

Daemons of an earlier release serve requests of customers without a check. Each report states that its daemon checks keys, if its configuration lists customers; reports of other deployments keep their bytes. Requests are counted by customer, those answered with 401 in one total; the lines of 401, 404 and 503 state the configuration and when it was confirmed.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -147,12 +147,14 @@
 {
     if (!m_election.isHolder()) {
         m_wasHolder = false;
+        m_metrics.setDaemonsWithoutKeys(0);
         return;
     }
     if (!m_wasHolder)
         becomeHolder();
     writeSummary();
     updateLoads();
+    updateReadiness();
     updateRequestLimits();
     updateRelays();
     updateForwarders();
@@ -285,6 +287,7 @@
     daemon.isStoreReachable = report.isStoreReachable;
     m_areForwardersOutdated |= isNewDaemon || daemon.sendsForOthers != report.sendsForOthers;
     daemon.sendsForOthers = report.sendsForOthers;
+    daemon.understandsCustomers = report.understandsCustomers;
     daemon.waiting = report.waiting;
     daemon.pinned = report.pinned;
     if (report.isViewRequested) {
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -9,6 +9,7 @@
 #include "fleet/hostsettings.h"
 #include "gateway/coordinatorelection.h"
 #include "gateway/crashcollector.h"
+#include "gateway/customers/customerreadiness.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
 #include "gateway/ratelimits.h"
@@ -28,8 +29,8 @@
 /// Collects the daemons' reports, orders endpoints to load and unload models and adapters, and
 /// sends views of the endpoints' contents to the daemons. Active only on the daemon that holds the
 /// lease for orders. Implemented in coordinator.cpp (reports, plans and orders),
-/// coordinatorlimits.cpp (request limits) and coordinatorviews.cpp (what the daemons receive).
-/// Thread safety: the event loop's thread only.
+/// coordinatorlimits.cpp (request limits, daemons that do not check keys) and coordinatorviews.cpp
+/// (what the daemons receive). Thread safety: the event loop's thread only.
 class Coordinator
 {
 public:
@@ -72,6 +73,7 @@
         double availableCores = 1;
         bool isStoreReachable = true;
         bool sendsForOthers = false;
+        bool understandsCustomers = false;
         core::TimePoint reportedAt;
         std::map<core::EndpointId, double> load; ///< Slots that this daemon's requests occupy.
         std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
@@ -95,6 +97,8 @@
     void writeSummary();
     void becomeHolder();
     void updateLoads();
+    /// Warns of daemons that do not check keys although the configuration lists customers.
+    void updateReadiness();
     void mergeAdaptersInUse();
     void schedulePlanning();
     void issueOrders();
@@ -146,6 +150,7 @@
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
+    customers::CustomerReadiness m_readiness;
     CrashCollector m_crashes;
     std::map<core::EndpointId, double> m_totalLoad;
     /// Recently reported by any daemon, sent to all daemons.
--- a/src/libs/gateway/coordinatorlimits.cpp
+++ b/src/libs/gateway/coordinatorlimits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/coordinator.h"
 
+#include "observability/log.h"
+
 #include <set>
 
 namespace jackdawlead::gateway {
@@ -30,6 +32,21 @@
         updatePlannerLimit(id);
 }
 
+void Coordinator::updateReadiness()
+{
+    std::set<core::HostId> lacking;
+    if (m_watch.hasCustomers()) {
+        for (const auto &[host, daemon] : m_daemons) {
+            if (!daemon.understandsCustomers)
+                lacking.insert(host);
+        }
+    }
+    m_metrics.setDaemonsWithoutKeys(static_cast<double>(lacking.size()));
+    if (const auto warning = m_readiness.update(lacking, m_timers.now()))
+        observability::log(
+            {.level = observability::LogLevel::Warn, .step = "customers", .message = *warning});
+}
+
 void Coordinator::updatePlannerLimit(const core::EndpointId &id)
 {
     const auto state = m_planner.endpoints().find(id);
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -310,6 +310,7 @@
     report.knownRevision = m_knownRevision;
     report.token = m_coordinatorToken;
     report.sendsForOthers = !m_context.paths.isCutOff();
+    report.understandsCustomers = m_context.watch.hasCustomers();
     if (!isViewRequested)
         return report;
     for (const auto &[id, endpoint] : m_context.watch.endpoints()) {
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -330,6 +330,8 @@
                   {"revision", report.knownRevision},
                   {"token", report.token.value()},
                   {"wantsView", report.isViewRequested}};
+    if (report.understandsCustomers)
+        message["understandsCustomers"] = true;
     encodeInto(message, report.crashes);
     return pack(message);
 }
@@ -406,6 +408,7 @@
         report.isViewRequested = value.value("wantsView", true);
         // A daemon that does not state it is of a release that rejects requests of other daemons.
         report.sendsForOthers = value.value("reachesEndpoints", false);
+        report.understandsCustomers = value.value("understandsCustomers", false);
         return report;
     } catch (const json::exception &error) {
         return malformedMessage(error);
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -57,6 +57,9 @@
     core::FencingToken token;        ///< Of the coordinator that sent them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
     bool isViewRequested = true;     ///< False for a report of new demand only.
+    /// Whether it checks keys and its configuration lists customers. Not sent if false, so that
+    /// reports of deployments without customers keep their bytes.
+    bool understandsCustomers = false;
 };
 
 /// The coordinator's view for a daemon: changed contents, and the load of all endpoints.
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -134,9 +134,12 @@
         m_admission = std::make_unique<RequestAdmission>();
     switch (m_admission->checkKey(m_exchange->head, m_fields, m_routes, *m_route)) {
     case RequestAdmission::Verdict::Granted:
+        if (const fleet::Customer *customer = m_admission->customer())
+            m_context.metrics.recordCustomerRequest(customer->name.value());
         return true;
     case RequestAdmission::Verdict::InvalidKey:
-        failIfConfigurationIsCurrent(401, m_admission->invalidityCause());
+        if (failIfConfigurationIsCurrent(401, m_admission->invalidityCause()))
+            m_context.metrics.recordInvalidKey();
         return false;
     }
     return false;
@@ -144,11 +147,14 @@
 
 // A client does not repeat a request after 404 or 401, so that they must not follow from a
 // configuration that may lack the route or the key.
-void RequestTask::failIfConfigurationIsCurrent(int status, std::string_view cause)
+bool RequestTask::failIfConfigurationIsCurrent(int status, std::string_view cause)
 {
+    const auto age = core::toMilliseconds(now() - m_context.watch.configurationConfirmedAt());
+    const std::string details
+        = absl::StrCat(describeConfiguration(), ", confirmed ", age, " ms ago");
     if (m_context.watch.isConfigurationCurrent(m_exchange->receivedAt)) {
-        fail(status, absl::StrCat(core::toAbsl(cause), ", ", describeConfiguration()));
-        return;
+        fail(status, absl::StrCat(core::toAbsl(cause), ", ", details));
+        return true;
     }
     m_routes.reset();
     m_route = nullptr;
@@ -156,7 +162,8 @@
         && now() - m_exchange->receivedAt < maxConfigurationWait;
     if (!m_isWaiting)
         refuse("the configuration may be outdated", startRetryAfter,
-               absl::StrCat(core::toAbsl(cause), ", ", describeConfiguration()));
+               absl::StrCat(core::toAbsl(cause), ", ", details));
+    return false;
 }
 
 bool RequestTask::isRejectedForCrashes()
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -82,8 +82,8 @@
     void applyOrigin(const StreamOrigin &origin);
     bool isTakeUp() const;
     /// Answers with a status after which clients don't repeat the request, once it is certain that
-    /// this follows from every configuration that must be in force.
-    void failIfConfigurationIsCurrent(int status, std::string_view cause);
+    /// this follows from every configuration that must be in force; returns whether it did.
+    bool failIfConfigurationIsCurrent(int status, std::string_view cause);
     /// Checks the key; answers the request if it is not admitted.
     bool isAdmitted();
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -110,6 +110,14 @@
                              .Add({}))
     , m_cutOff(gauge(*m_registry, "jackdawlead_cut_off",
                      "1 while this daemon reaches endpoints only through other daemons"))
+    , m_customerRequests(counters(*m_registry, "jackdawlead_customer_requests_total",
+                                  "Requests with a valid key, by customer"))
+    , m_invalidKeys(counters(*m_registry, "jackdawlead_invalid_keys_total",
+                             "Requests refused with 401 because of their key")
+                        .Add({}))
+    , m_daemonsWithoutKeys(gauge(*m_registry, "jackdawlead_daemons_without_keys",
+                                 "On the coordinator: daemons that do not check keys although the "
+                                 "configuration lists customers"))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -65,6 +65,14 @@
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
+    /// Records a request with a key of the customer.
+    void recordCustomerRequest(const std::string &customer)
+    {
+        m_customerRequests.Add({{"customer", customer}}).Increment();
+    }
+    /// Records a request that was answered with 401.
+    void recordInvalidKey() { m_invalidKeys.Increment(); }
+    void setDaemonsWithoutKeys(double count) { m_daemonsWithoutKeys.Set(count); }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
 
     /// All metrics in the Prometheus text format.
@@ -103,6 +111,9 @@
     prometheus::Counter &m_forwardedByPeer;
     prometheus::Counter &m_forwardedForPeer;
     prometheus::Gauge &m_cutOff;
+    prometheus::Family<prometheus::Counter> &m_customerRequests;
+    prometheus::Counter &m_invalidKeys;
+    prometheus::Gauge &m_daemonsWithoutKeys;
 };
 
 } // namespace jackdawlead::observability
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -156,6 +156,20 @@
     cr_assert(read->permitDemand == report.permitDemand);
 }
 
+// Guards against reports of deployments without customers whose bytes change, and against daemons
+// that check keys and are counted among those that do not.
+Test(peermessages, reportsStateCustomersOnlyIfThereAreSome)
+{
+    PeerReport report;
+    const std::string unstated = encode(report, now);
+    cr_expect_not(decodePeerReport(unstated, now)->understandsCustomers);
+    report.understandsCustomers = true;
+    const std::string stated = encode(report, now);
+    cr_expect(decodePeerReport(stated, now)->understandsCustomers);
+    const std::string rest = without(stated, "understandsCustomers");
+    cr_expect_str_eq(rest.c_str(), unstated.c_str());
+}
+
 // Guards against a field that an earlier release does not send and that is read as "none": requests
 // would be sent through daemons that reject them, and the way through the others would be
 // forgotten.
@@ -165,6 +179,7 @@
     cr_assert(report.ok());
     cr_expect_eq(report->host, core::HostId("h2"));
     cr_expect_not(report->sendsForOthers);
+    cr_expect_not(report->understandsCustomers);
     const auto view = decodePeerView(messageOf(testsupport::earlier::viewOfE304079), now);
     cr_assert(view.ok());
     cr_expect(view->isCoordinator);
