--- a/tests/e2e/tst_customerkeys.cpp
+++ b/tests/e2e/tst_customerkeys.cpp
@@ -1,3 +1,5 @@
+#include "rpc/rpccodec.h"
+#include "support/earliermessages.h"
 #include "support/forwardingfixture.h"
 
 #include <string_view>
@@ -333,6 +335,29 @@
     cr_expect_not(hasKey(fixture.output()));
 }
 
+// Guards against daemons that serve requests without a check of their keys and of which nobody
+// knows.
+Test(customerkeys, earlierDaemonsAreWarnedOf, .timeout = 90)
+{
+    KeyFixture fixture;
+    const std::string params = std::string("{\"cbor\":\"") + earlier::reportOfE304079 + "\"}";
+    const std::string call = rpc::encodeCall({"report"}, {params}).value.text;
+    AnswerPtr answer;
+    const auto report = fixture.timers.every(milliseconds(500), [&] {
+        answer = fixture.send(fixture.peerPort,
+                              "POST /rpc HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+                              "Content-Length: "
+                                  + std::to_string(call.size()) + "\r\n\r\n" + call);
+    });
+    const std::string warning = "1 daemons do not state that they check keys: h2";
+    cr_expect(
+        fixture.waitUntil([&] { return fixture.output().find(warning) != std::string::npos; }),
+        "%s", fixture.output().c_str());
+    const auto metrics = fixture.ended(
+        fixture.send(fixture.metricsPort, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"));
+    cr_expect(metrics->body.find("jackdawlead_daemons_without_keys 1") != std::string::npos);
+}
+
 // Guards against fields of any content that crash the daemon or admit a request.
 Test(customerkeys, oddKeysGet401, .timeout = 90)
 {
