Gateway: carry quotas in reports, views and the method "quota"

Daemons and the coordinator exchange allowances of customers' quotas. The reports and views get the optional field "quota", a flat list, which is left out if there is nothing to state: deployments without quotas send the same bytes. The method "quota" uses the same two lists for calls between reports. Absent fields and impossible amounts mean unknown. Packing of messages moves to its own file, because the new messages use it too.

--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -1,9 +1,8 @@
 #include "gateway/peermessages.h"
 
 #include "core/error.h"
-#include "platform/boundedjson.h"
+#include "gateway/messageencoding.h"
 
-#include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -257,25 +256,6 @@
     return limits;
 }
 
-constexpr char payloadField[] = "cbor";
-
-std::string pack(const json &message)
-{
-    const std::vector<std::uint8_t> bytes = json::to_cbor(message);
-    const absl::string_view text(reinterpret_cast<const char *>(bytes.data()), bytes.size());
-    return absl::StrCat("{\"", payloadField, "\":\"", absl::Base64Escape(text), "\"}");
-}
-
-json unpack(const std::string &text)
-{
-    const json envelope = platform::parseJson(text);
-    std::string bytes;
-    // Invalid Base64 results in an empty string, which the CBOR parser rejects.
-    if (!absl::Base64Unescape(envelope.at(payloadField).get<std::string>(), &bytes))
-        bytes.clear();
-    return platform::parseCbor(bytes);
-}
-
 absl::Status malformedMessage(const json::exception &error)
 {
     return core::makeError(absl::StatusCode::kInvalidArgument, "read peer message", "peer",
@@ -331,7 +311,8 @@
                   {"token", report.token.value()},
                   {"wantsView", report.isViewRequested}};
     encodeInto(message, report.crashes);
-    return pack(message);
+    customers::encodeInto(message, report.quota);
+    return packMessage(message);
 }
 
 std::string encode(const PeerView &view, core::TimePoint now)
@@ -364,13 +345,14 @@
     if (view.forwarders)
         message["forwarders"] = *view.forwarders;
     encodeInto(message, view.crashes);
-    return pack(message);
+    customers::encodeInto(message, view.quota);
+    return packMessage(message);
 }
 
 absl::StatusOr<PeerReport> decodePeerReport(const std::string &text, core::TimePoint now)
 {
     try {
-        const json value = unpack(text);
+        const json value = unpackMessage(text);
         PeerReport report;
         report.host = core::HostId(value.at("host").get<std::string>());
         report.region = core::RegionId(value.at("region").get<std::string>());
@@ -392,6 +374,7 @@
         report.endpointsInBackoff = decodeIds(value.at("resting"));
         report.leaving = decodeStartTimes(value.at("leaving"));
         report.crashes = decodeCrashNews(value);
+        report.quota = customers::decodeQuotaReport(value);
         report.waiting = decodeWaiting(value.at("waiting"), now);
         // Daemons of the previous release do not send these.
         report.pinned = decodePinned(value.value("pinned", json::array()));
@@ -415,7 +398,7 @@
 absl::StatusOr<PeerView> decodePeerView(const std::string &text, core::TimePoint now)
 {
     try {
-        const json value = unpack(text);
+        const json value = unpackMessage(text);
         PeerView view;
         view.isCoordinator = value.at("isCoordinator").get<bool>();
         view.token = core::FencingToken(value.at("token").get<std::uint64_t>());
@@ -428,6 +411,7 @@
         view.loadsInIdOrder = decodeLoadsInIdOrder(value.at("loads").get<std::string>());
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeFleetCrashNews(value);
+        view.quota = customers::decodeQuotaAnswer(value);
         view.daemonCount = value.at("daemons").get<int>();
         // Daemons of earlier releases do not send these. A count that is too low would make each
         // daemon's share of the slack of repeated sends too large.
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -9,6 +9,7 @@
 #include "fleet/adapterkey.h"
 #include "fleet/endpoint.h"
 #include "gateway/crashnews.h"
+#include "gateway/customers/quotamessages.h"
 
 #include <absl/status/statusor.h>
 
@@ -57,6 +58,8 @@
     core::FencingToken token;        ///< Of the coordinator that sent them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
     bool isViewRequested = true;     ///< False for a report of new demand only.
+    /// Empty if no customer has a quota, and from daemons of earlier releases.
+    std::optional<decisions::quota::QuotaReport> quota;
 };
 
 /// The coordinator's view for a daemon: changed contents, and the load of all endpoints.
@@ -88,6 +91,8 @@
     /// Empty if the coordinator, of an earlier release, does not state them.
     std::optional<std::vector<std::string>> forwarders;
     FleetCrashNews crashes;
+    /// The answer to the report's quota; empty if there is none, and from earlier releases.
+    std::optional<decisions::quota::QuotaAnswer> quota;
 };
 
 /// Messages are JSON-RPC parameters or results with one field, CBOR in Base64. As JSON objects they
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <cmath>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -101,6 +102,24 @@
     return view;
 }
 
+PeerReport reportWithQuota()
+{
+    PeerReport report;
+    report.quota = {{milliseconds(1733300000123), core::FencingToken(1UL << 40U), 7, 0.25, {}}};
+    report.quota->uses[core::CustomerId("c1")] = {1e12 + 0.5, 20, 3, 400.25, 1118, 200, 62877.9};
+    report.quota->uses[core::CustomerId("c2")] = {};
+    return report;
+}
+
+PeerView viewWithQuota()
+{
+    PeerView view;
+    view.quota = {{core::FencingToken(1UL << 40U), 9, 0.125, {}}};
+    view.quota->grants[core::CustomerId("c1")] = {1118.5, false, {}};
+    view.quota->grants[core::CustomerId("c2")] = {0, true, milliseconds(312)};
+    return view;
+}
+
 } // namespace
 
 // Guards against report fields that are lost or changed between encoding and decoding.
@@ -385,3 +404,47 @@
     cr_assert_not(decodePeerReport(R"({"cbor":")" + text + R"("})", now).ok());
     cr_assert_not(decodePeerView(std::string(1000 * 1000, '['), now).ok());
 }
+
+// Guards against quota fields that are lost or changed between encoding and decoding.
+Test(peermessages, quotasAreDecodedUnchanged)
+{
+    const auto read = decodePeerReport(encode(reportWithQuota(), now), now);
+    cr_assert(read.ok());
+    cr_expect(read->quota == reportWithQuota().quota);
+    const customers::QuotaCall call {core::HostId("h1"), *reportWithQuota().quota};
+    const auto readCall = customers::decodeQuotaCall(customers::encode(call));
+    cr_assert(readCall.ok());
+    cr_expect_eq(readCall->host, call.host);
+    cr_expect(readCall->report == call.report);
+    const auto view = decodePeerView(encode(viewWithQuota(), now), now);
+    cr_assert(view.ok());
+    cr_expect(view->quota == viewWithQuota().quota);
+    const auto answer = customers::decodeQuotaAnswer(customers::encode(*viewWithQuota().quota));
+    cr_assert(answer.ok());
+    cr_expect(*answer == *viewWithQuota().quota);
+}
+
+// Guards against other bytes in deployments without quotas, and against an absent field that is
+// taken for a statement.
+Test(peermessages, quotasAreSentOnlyIfThereAreAny)
+{
+    cr_expect_eq(encode(PeerReport {}, now), without(encode(reportWithQuota(), now), "quota"));
+    cr_expect_eq(encode(PeerView {}, now), without(encode(viewWithQuota(), now), "quota"));
+    cr_expect_not(decodePeerReport(encode(PeerReport {}, now), now)->quota.has_value());
+    cr_expect_not(decodePeerView(encode(PeerView {}, now), now)->quota.has_value());
+}
+
+// Guards against an amount that no daemon can mean and that would fill a bucket or never end.
+Test(peermessages, impossibleAmountsOfQuotasAreUnknown)
+{
+    for (const double amount : {-1.0, std::nan(""), HUGE_VAL}) {
+        PeerReport report = reportWithQuota();
+        report.quota->uses.begin()->second.returnedTotal = amount;
+        const auto read = decodePeerReport(encode(report, now), now);
+        cr_assert(read.ok(), "%f", amount);
+        cr_expect_not(read->quota.has_value(), "%f", amount);
+        cr_expect_not(
+            customers::decodeQuotaCall(customers::encode({core::HostId("h1"), *report.quota})).ok(),
+            "%f", amount);
+    }
+}
