Quota: number of the answer in issue(), wanted tokens, lost reports

The issuer must know which grants a daemon may not have received yet: held tokens of a report plus the grants of later answers are all that the daemon can still spend. issue() therefore takes the number of the answer that carries the grants. QuotaUse states the tokens that the daemon wants in advance, since only the daemon knows the sizes of its requests.

--- a/src/libs/decisions/quota/quotaallowance.h
+++ b/src/libs/decisions/quota/quotaallowance.h
@@ -31,6 +31,8 @@
 
     /// Replaces the quotas; customers that are not named are not limited.
     void setQuotas(const std::map<core::CustomerId, fleet::Quota> &quotas, core::TimePoint now);
+    /// Sets how much the shares of all daemons together may hold. Without it they hold the burst.
+    void setTolerance(const QuotaTolerance &tolerance) { m_tolerance = tolerance; }
     bool isLimited(const core::CustomerId &customer) const;
     bool hasQuotas() const;
     /// Spends `tokens` if that is possible now. A customer without a quota is always granted.
@@ -46,6 +48,8 @@
     bool isReportDue() const;
     /// The report to send now. With `isRegular` excess allowances are returned.
     QuotaReport takeReport(bool isRegular, core::TimePoint now);
+    /// The last report got no answer; requests that wait are to be reported again.
+    void recordLostReport();
     /// Applies the answer to a report that was sent at `sentAt`. Answers of a coordinator with an
     /// older token are ignored.
     void apply(const QuotaAnswer &answer, core::TimePoint sentAt, core::TimePoint now);
@@ -54,6 +58,7 @@
 
 private:
     fleet::StartTime m_incarnation;
+    QuotaTolerance m_tolerance;
 };
 
 } // namespace jackdawlead::decisions::quota
--- a/src/libs/decisions/quota/quotaissuer.h
+++ b/src/libs/decisions/quota/quotaissuer.h
@@ -2,6 +2,7 @@
 
 #include "decisions/quota/quotatypes.h"
 
+#include <cstdint>
 #include <map>
 
 namespace jackdawlead::decisions::quota {
@@ -27,9 +28,10 @@
     void reset(core::TimePoint now);
     /// Applies a daemon's report and issues what it asks for. Totals of a report with
     /// `areTotalsKnown` false belong to another coordinator or incarnation and are not counted.
+    /// `answerNumber` is that of the answer that carries the grants, of QuotaHolders::makeAnswer().
     std::map<core::CustomerId, QuotaGrant> issue(const core::HostId &daemon,
                                                  const QuotaReport &report, bool areTotalsKnown,
-                                                 core::TimePoint now);
+                                                 std::uint64_t answerNumber, core::TimePoint now);
     /// Tokens that are issued and neither reported as spent nor returned nor expired.
     double outstanding(const core::CustomerId &customer) const;
     double available(const core::CustomerId &customer) const;
--- a/src/libs/decisions/quota/quotatypes.h
+++ b/src/libs/decisions/quota/quotatypes.h
@@ -30,6 +30,7 @@
     double waiting = 0;         ///< Tokens of requests that wait for an allowance.
     double smallestWaiting = 0; ///< The smallest of these requests; zero if none waits.
     double demandPerSecond = 0; ///< Tokens that were asked for lately, also by refused requests.
+    double wanted = 0;          ///< Tokens that it expects to need in advance besides `held`.
 
     bool operator==(const QuotaUse &) const = default;
 };
