Quota: token buckets on the coordinator, allowances and shares on daemons

QuotaBucket holds one customer's bucket and what each daemon may still spend: tokens held in its last report plus grants of answers that it has not confirmed. QuotaHolders plans shares, records them before they are told and withholds those of daemons out of contact. QuotaAllowance spends lots that expire, returns excess and uses its share without a coordinator. Not measured yet.

--- a/src/libs/decisions/quota/quotaallowance.h
+++ b/src/libs/decisions/quota/quotaallowance.h
@@ -1,8 +1,13 @@
 #pragma once
 
+#include "decisions/quota/quotademand.h"
 #include "decisions/quota/quotatypes.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
 
 namespace jackdawlead::decisions::quota {
 
@@ -57,8 +62,49 @@
     double held(const core::CustomerId &customer, core::TimePoint now) const;
 
 private:
+    /// Tokens of one answer.
+    struct Lot
+    {
+        double tokens = 0;
+        core::TimePoint expiresAt;
+    };
+    struct Customer
+    {
+        fleet::Quota quota;
+        std::deque<Lot> lots; ///< The earliest to expire first.
+        QuotaUse totals;      ///< Only the totals are used.
+        QuotaDemand demand;
+        std::multiset<double> waiting;
+        bool isAnswered = false; ///< Since the last report, and not as exhausted.
+        std::optional<core::TimePoint> exhaustedAt; ///< When the report so answered was sent.
+        core::Duration fillTime {};
+        double shareLevel = 0;
+        core::TimePoint shareFilledAt;
+    };
+
+    static double unexpired(Customer &customer, core::TimePoint now);
+    static void spend(Customer &customer, double tokens);
+    static void giveUp(Customer &customer, double tokens);
+    void returnExcess(Customer &customer, core::TimePoint now) const;
+    Decision spendShare(Customer &customer, double tokens, core::TimePoint now);
+    bool isInContact(core::TimePoint now) const;
+    core::Duration spread(core::Duration duration);
+
     fleet::StartTime m_incarnation;
     QuotaTolerance m_tolerance;
+    std::map<core::CustomerId, Customer> m_customers;
+    /// Of customers that have no quota any more. Totals that begin anew would look to the
+    /// coordinator like a report that was overtaken.
+    std::map<core::CustomerId, QuotaUse> m_formerTotals;
+    core::FencingToken m_token;
+    std::uint64_t m_lastAnswer = 0;
+    double m_share = 0;
+    std::optional<core::TimePoint> m_answeredAt; ///< When the last answer was received.
+    core::TimePoint m_shareUntil;
+    core::Duration m_reportInterval = std::chrono::milliseconds(500);
+    std::optional<core::TimePoint> m_regularReportAt;
+    bool m_isReportDue = false;
+    std::uint32_t m_spreadCount = 0;
 };
 
 } // namespace jackdawlead::decisions::quota
--- /dev/null
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -0,0 +1,228 @@
+#include "decisions/quota/quotabucket.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jackdawlead::decisions::quota {
+
+namespace {
+
+// Tokens are issued in advance while more than this part of the capacity is in the bucket; the rest
+// is kept for requests that wait, at any daemon.
+constexpr double reservedPart = 0.5;
+// The demand of a daemon that has not reported for three of the slowest reports is unknown.
+constexpr core::Duration demandRetention = contactTimeout;
+// Accounts are kept for longer than any window, because their totals go on counting.
+constexpr core::Duration accountRetention = std::chrono::seconds(70);
+// An answer that was not confirmed after the longest round trip between regions is taken as lost.
+constexpr core::Duration maxRoundTrip = std::chrono::milliseconds(100);
+// A daemon's unused part of the refill accumulates for the time of its slowest report.
+constexpr core::Duration creditAccumulation = std::chrono::milliseconds(750);
+constexpr double roundingTokens = 1e-6;
+
+} // namespace
+
+double QuotaBucket::outstanding() const
+{
+    double sum = 0;
+    for (const auto &[daemon, account] : m_accounts) {
+        for (const Lot &lot : account.lots)
+            sum += lot.tokens;
+    }
+    return sum;
+}
+
+void QuotaBucket::addToLevel(double tokens)
+{
+    const double room = m_limits.capacity - outstanding() - m_level;
+    m_level += std::clamp(tokens, 0.0, std::max(0.0, room));
+}
+
+void QuotaBucket::update(core::TimePoint now)
+{
+    // The room that expired allowances leave is filled from now on only.
+    addToLevel(m_limits.rate * core::toSeconds(std::max(core::Duration(0), now - m_filledAt)));
+    m_filledAt = std::max(m_filledAt, now);
+    for (auto &[daemon, account] : m_accounts) {
+        while (!account.lots.empty() && now - account.lots.front().issuedAt >= allowanceLifetime) {
+            account.expiredSinceReport += account.lots.front().tokens;
+            account.lots.pop_front();
+        }
+        if (now - account.reportedAt > demandRetention)
+            account.demandPerSecond = 0;
+    }
+    std::erase_if(m_accounts, [now](const auto &entry) {
+        return entry.second.lots.empty() && now - entry.second.reportedAt > accountRetention;
+    });
+}
+
+void QuotaBucket::setLimits(const Limits &limits, core::TimePoint now)
+{
+    update(now);
+    m_limits = limits;
+    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - outstanding()));
+}
+
+QuotaBucket::Account &QuotaBucket::accountOf(const Exchange &exchange, const QuotaUse &use,
+                                             core::TimePoint now)
+{
+    const auto [found, isNew] = m_accounts.try_emplace(exchange.daemon);
+    Account &account = found->second;
+    if (!exchange.areTotalsKnown) {
+        for (Lot &lot : account.lots)
+            lot.isOrphan = true;
+        account.spentTotal = account.returnedTotal = account.refundedTotal = 0;
+        account.lastAnswer = 0;
+    } else if (isNew) {
+        account.spentTotal = use.spentTotal;
+        account.returnedTotal = use.returnedTotal;
+        account.refundedTotal = use.refundedTotal;
+        account.lastAnswer = exchange.lastAnswer;
+    }
+    if (isNew)
+        account.reportedAt = now;
+    return account;
+}
+
+void QuotaBucket::settle(Account &account, const Exchange &exchange, const QuotaUse &use,
+                         core::TimePoint now)
+{
+    const double spent = use.spentTotal - account.spentTotal;
+    const double returned = use.returnedTotal - account.returnedTotal;
+    const double refunded = use.refundedTotal - account.refundedTotal;
+    // A report that was overtaken by a later one says nothing about the present.
+    if (exchange.lastAnswer < account.lastAnswer || spent < 0 || returned < 0 || refunded < 0)
+        return;
+    // The daemon can still spend what it holds and what answers bring that it has not received; it
+    // ignores answers that arrive after a later one.
+    double received = 0;
+    for (const Lot &lot : account.lots) {
+        if (!lot.isOrphan && lot.answerNumber <= exchange.lastAnswer)
+            received += lot.tokens;
+    }
+    const double settled = std::max(0.0, received - use.held);
+    double left = settled;
+    for (Lot &lot : account.lots) {
+        if (lot.isOrphan || lot.answerNumber > exchange.lastAnswer)
+            continue;
+        const double part = std::min(left, lot.tokens);
+        lot.tokens -= part;
+        left -= part;
+    }
+    std::erase_if(account.lots, [](const Lot &lot) { return lot.tokens <= 0; });
+    // Returned tokens that have expired before are counted as spent and stay so.
+    addToLevel(std::min(returned - account.expiredSinceReport, settled - spent));
+    refund(refunded, now);
+    account.spentTotal = use.spentTotal;
+    account.returnedTotal = use.returnedTotal;
+    account.refundedTotal = use.refundedTotal;
+    account.lastAnswer = exchange.lastAnswer;
+    account.expiredSinceReport = 0;
+}
+
+void QuotaBucket::refund(double tokens, core::TimePoint now)
+{
+    while (!m_refunds.empty() && now - m_refunds.front().at >= m_limits.window)
+        m_refunds.pop_front();
+    const double before
+        = std::accumulate(m_refunds.begin(), m_refunds.end(), 0.0,
+                          [](double sum, const Refund &entry) { return sum + entry.tokens; });
+    const double accepted = std::min(tokens, m_limits.maxRefund - before);
+    if (accepted <= 0)
+        return;
+    m_refunds.push_back({now, accepted});
+    addToLevel(accepted);
+}
+
+double QuotaBucket::totalDemand() const
+{
+    return std::accumulate(
+        m_accounts.begin(), m_accounts.end(), 0.0,
+        [](double sum, const auto &entry) { return sum + entry.second.demandPerSecond; });
+}
+
+void QuotaBucket::accrueCredit(Account &account, double demandPerSecond, core::TimePoint now)
+{
+    const core::Duration elapsed
+        = std::clamp(now - account.reportedAt, core::Duration(0), demandRetention);
+    account.demandPerSecond = demandPerSecond;
+    account.reportedAt = now;
+    const double total = totalDemand();
+    if (total <= 0 || m_level > reservedPart * m_limits.capacity) {
+        account.credit = 0;
+        return;
+    }
+    const double part = m_limits.rate * demandPerSecond / total;
+    account.credit = std::min(account.credit + part * core::toSeconds(elapsed),
+                              part * core::toSeconds(creditAccumulation));
+}
+
+double QuotaBucket::grantForWaiting(const Account &account, double missing, double smallest) const
+{
+    if (missing <= 0)
+        return 0;
+    const double capacity = m_limits.capacity;
+    if (smallest > capacity) {
+        const double full = std::max(reservedPart * capacity, capacity - outstanding());
+        return m_level >= full - roundingTokens ? smallest : 0;
+    }
+    double granted = std::min(missing, m_level);
+    if (isOverloaded() && m_level < reservedPart * capacity) {
+        // Whole requests are admitted as long as the daemon's part is not overdrawn.
+        if (account.credit < 0)
+            return 0;
+        granted = std::min(granted, std::max(smallest, account.credit));
+    }
+    return granted + roundingTokens >= smallest ? granted : 0;
+}
+
+double QuotaBucket::grantInAdvance(const Account &account, double wanted) const
+{
+    const double spare = m_level - reservedPart * m_limits.capacity;
+    if (spare > 0)
+        return std::min(wanted, spare);
+    return std::max(0.0, std::min({wanted, account.credit, m_level}));
+}
+
+QuotaGrant QuotaBucket::issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now)
+{
+    update(now);
+    Account &account = accountOf(exchange, use, now);
+    if (exchange.areTotalsKnown)
+        settle(account, exchange, use, now);
+    accrueCredit(account, use.demandPerSecond, now);
+
+    double underway = 0;
+    for (const Lot &lot : account.lots) {
+        if (lot.answerNumber > exchange.lastAnswer && now - lot.issuedAt < maxRoundTrip)
+            underway += lot.tokens;
+    }
+    const double usable = use.held + underway;
+    const double missing = std::max(0.0, use.waiting - usable);
+    const double smallestMissing = std::max(0.0, use.smallestWaiting - usable);
+    QuotaGrant grant;
+    grant.tokens = grantForWaiting(account, missing, smallestMissing);
+    m_level -= grant.tokens;
+    account.credit -= grant.tokens;
+    const double unmet = missing - grant.tokens;
+    if (unmet <= roundingTokens) {
+        const double advance
+            = grantInAdvance(account, std::max(0.0, use.wanted - (use.waiting > 0 ? 0 : underway)));
+        grant.tokens += advance;
+        m_level -= advance;
+        account.credit -= advance;
+    }
+    grant.isExhausted = unmet > roundingTokens
+        || (isOverloaded() && use.demandPerSecond > 0 && use.wanted > grant.tokens
+            && (account.credit < 0 || m_level <= 0));
+    if (grant.isExhausted && m_limits.rate > 0) {
+        const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
+        grant.fillTime
+            = core::scaled(std::chrono::seconds(1), std::max(0.0, lacking) / m_limits.rate);
+    }
+    if (grant.tokens > 0)
+        account.lots.push_back({exchange.answerNumber, grant.tokens, now, false});
+    return grant;
+}
+
+} // namespace jackdawlead::decisions::quota
--- a/src/libs/decisions/quota/quotaholders.h
+++ b/src/libs/decisions/quota/quotaholders.h
@@ -3,6 +3,7 @@
 #include "decisions/quota/quotatypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 
@@ -36,7 +37,38 @@
     double withheld(core::TimePoint now) const;
     bool isInContact(const core::HostId &daemon, core::TimePoint now) const;
     void removeExpired(core::TimePoint now);
+    /// The holders to be kept for a successor. A share is recorded 3 s before the daemon is told of
+    /// it, so that a record written in this time names every share that is in use.
     Records records() const;
+
+private:
+    /// An answer that the daemon may have received, and the share that it told.
+    struct Sent
+    {
+        std::uint64_t number = 0;
+        core::TimePoint at;
+        core::TimePoint lastAt; ///< Later than `at` if several answers are joined.
+        double share = 0;
+    };
+    struct Holder
+    {
+        fleet::StartTime incarnation {};
+        std::deque<Sent> sent; ///< From the last confirmed answer on, the earliest first.
+        double share = 0;      ///< The share told last.
+        double planned = 0;    ///< The share to be told; it is recorded before.
+        core::TimePoint plannedAt;
+        std::optional<core::TimePoint> contactBegin; ///< When the last confirmed answer was sent.
+        std::uint64_t lastConfirmed = 0;
+    };
+
+    static bool isInContact(const Holder &holder, core::TimePoint now);
+    static double largestShare(const Holder &holder, core::TimePoint now);
+    static void confirm(Holder &holder, std::uint64_t number);
+    void planShare(const core::HostId &daemon, Holder &holder, core::TimePoint now) const;
+
+    core::FencingToken m_token;
+    std::uint64_t m_lastNumber = 0;
+    std::map<core::HostId, Holder> m_holders;
 };
 
 } // namespace jackdawlead::decisions::quota
--- a/src/libs/decisions/quota/quotaissuer.h
+++ b/src/libs/decisions/quota/quotaissuer.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "decisions/quota/quotabucket.h"
 #include "decisions/quota/quotatypes.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace jackdawlead::decisions::quota {
 
@@ -18,6 +20,7 @@
         : m_tolerance(tolerance)
     { }
 
+    /// Takes effect at the next setQuotas().
     void setTolerance(const QuotaTolerance &tolerance) { m_tolerance = tolerance; }
     /// Replaces the quotas. A lowered one takes effect at once; a removed one is remembered for one
     /// window, so that adding it again does not fill the bucket.
@@ -39,7 +42,19 @@
     double capacityOf(const fleet::Quota &quota) const;
 
 private:
+    struct Entry
+    {
+        fleet::Quota quota;
+        QuotaBucket bucket;
+        std::optional<core::TimePoint> removedAt;
+    };
+
+    QuotaBucket::Limits limitsOf(const fleet::Quota &quota) const;
+    const Entry *find(const core::CustomerId &customer) const;
+
     QuotaTolerance m_tolerance;
+    double m_withheld = 0;
+    std::map<core::CustomerId, Entry> m_entries;
 };
 
 } // namespace jackdawlead::decisions::quota
