Gateway: customers' quotas from the report to the request

QuotaCoordinator answers, and keeps the holders of shares in the lease's record while customers have limits. RequestAdmission owns the charge: it is made before the first send, and given back if the daemon answers 503.

--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -173,6 +173,7 @@
     m_holderSince = m_timers.now();
     m_token = m_election.lease().record()->token;
     m_permitIssuer.reset();
+    m_quotas.beginTerm(m_token, m_holderSince);
     for (const auto &[id, endpoint] : m_watch.endpoints())
         updateEndpoint(endpoint);
     for (const auto &[id, state] : m_planner.endpoints())
@@ -189,12 +190,6 @@
     return std::nullopt;
 }
 
-void Coordinator::applyConfiguration()
-{
-    for (const auto &[id, endpoint] : m_watch.endpoints())
-        updateEndpoint(endpoint);
-}
-
 void Coordinator::updateEndpoint(const fleet::Endpoint &endpoint)
 {
     if (!m_watch.routes())
@@ -315,6 +310,8 @@
                                               : decisions::ReportPace::Kind::Demand;
     PeerView view = report.isViewRequested ? fullViewFor(daemon) : baseViewFor(daemon);
     view.grants = issuePermits(report);
+    if (report.quota)
+        view.quota = m_quotas.answer(report.host, *report.quota, now);
     return view;
 }
 
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -9,6 +9,8 @@
 #include "fleet/hostsettings.h"
 #include "gateway/coordinatorelection.h"
 #include "gateway/crashcollector.h"
+#include "gateway/customers/quotacoordinator.h"
+#include "gateway/customers/quotamessages.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
 #include "gateway/ratelimits.h"
@@ -48,6 +50,8 @@
     void start();
     /// Processes a report and returns the changes that its sender has not received yet.
     PeerView handleReport(const PeerReport &report);
+    /// Answers a daemon's call for allowances; empty if this daemon is not the coordinator.
+    std::optional<decisions::quota::QuotaAnswer> handleQuotaCall(const customers::QuotaCall &call);
     /// Records how long decoding and answering the last report took.
     void recordReportDuration(core::Duration time)
     {
@@ -62,6 +66,8 @@
     void removeEndpoint(const core::EndpointId &id);
     void setAnnouncedVersion(const fleet::AnnouncedVersion &version);
     void applyConfiguration();
+    /// State that the lease's record keeps for a successor.
+    CoordinatorElection::SharedState quotaHolders();
 
 private:
     struct Daemon
@@ -147,6 +153,7 @@
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
     CrashCollector m_crashes;
+    customers::QuotaCoordinator m_quotas;
     std::map<core::EndpointId, double> m_totalLoad;
     /// Recently reported by any daemon, sent to all daemons.
     std::map<core::EndpointId, LeavingEndpoint> m_leavingEndpoints;
--- a/src/libs/gateway/coordinatorelection.cpp
+++ b/src/libs/gateway/coordinatorelection.cpp
@@ -229,8 +229,10 @@
                  .message = absl::StrCat("won with token ", proposal.token.value())});
     };
     nlohmann::json spec = encodeRecord(proposal, sentAt);
-    for (const SharedState &state : m_sharedStates)
-        spec[state.field] = state.encode();
+    for (const SharedState &state : m_sharedStates) {
+        if (nlohmann::json value = state.encode(); !value.is_null())
+            spec[state.field] = std::move(value);
+    }
     if (proposal.position.revision == 0)
         m_store.create(platform::ObjectKind::Leases, recordName, spec, done);
     else
--- a/src/libs/gateway/coordinatorelection.h
+++ b/src/libs/gateway/coordinatorelection.h
@@ -25,8 +25,8 @@
     /// State of the fleet that is kept in the lease's record, so that it outlives all daemons.
     struct SharedState
     {
-        std::string field; ///< Of the record.
-        std::function<nlohmann::json()> encode;
+        std::string field;                      ///< Of the record.
+        std::function<nlohmann::json()> encode; ///< A null value is left out of the record.
         /// Errors: nlohmann::json::exception if the value is malformed.
         std::function<void(const nlohmann::json &value)> apply;
         /// There is no record, because the whole system starts for the first time.
--- a/src/libs/gateway/coordinatorlimits.cpp
+++ b/src/libs/gateway/coordinatorlimits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/coordinator.h"
 
+#include <nlohmann/json.hpp>
+
 #include <set>
 
 namespace jackdawlead::gateway {
@@ -64,4 +66,34 @@
     return grants;
 }
 
+void Coordinator::applyConfiguration()
+{
+    for (const auto &[id, endpoint] : m_watch.endpoints())
+        updateEndpoint(endpoint);
+    m_quotas.applyConfiguration(m_watch.routes()->configuration(), m_settings.bounds,
+                                m_timers.now());
+}
+
+std::optional<decisions::quota::QuotaAnswer>
+Coordinator::handleQuotaCall(const customers::QuotaCall &call)
+{
+    if (!m_election.isHolder())
+        return std::nullopt;
+    if (!m_wasHolder)
+        becomeHolder();
+    m_lastReportKind = decisions::ReportPace::Kind::Demand;
+    return m_quotas.answer(call.host, call.report, m_timers.now());
+}
+
+CoordinatorElection::SharedState Coordinator::quotaHolders()
+{
+    return {.field = "quotaHolders",
+            .encode =
+                [this] {
+                    const auto &record = m_election.lease().record();
+                    return m_quotas.encodeHolders(record ? record->token : core::FencingToken());
+                },
+            .apply = [this](const nlohmann::json &value) { m_quotas.applyHolders(value); }};
+}
+
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/customers/quotamessages.cpp
+++ b/src/libs/gateway/customers/quotamessages.cpp
@@ -48,15 +48,16 @@
 };
 
 // Flat lists, because the number of values causes most of a message's cost: the incarnation, the
-// token, the last answer, the share; then the name and seven amounts of each customer.
+// token, the last answer, the share; then the name and eight amounts of each customer.
 json encodeReport(const QuotaReport &report)
 {
     json value = json::array({report.incarnation.count(), report.token.value(), report.lastAnswer,
                               encodeNumber(report.share)});
     for (const auto &[customer, use] : report.uses) {
         value.push_back(customer.value());
-        for (const double amount : {use.spentTotal, use.returnedTotal, use.refundedTotal, use.held,
-                                    use.waiting, use.smallestWaiting, use.demandPerSecond})
+        for (const double amount :
+             {use.spentTotal, use.returnedTotal, use.refundedTotal, use.held, use.waiting,
+              use.smallestWaiting, use.demandPerSecond, use.wanted})
             value.push_back(encodeNumber(amount));
     }
     return value;
@@ -73,8 +74,9 @@
     report.share = amounts.read(value.at(at++));
     while (at < value.size()) {
         QuotaUse &use = report.uses[core::CustomerId(value.at(at++).get<std::string>())];
-        for (double *amount : {&use.spentTotal, &use.returnedTotal, &use.refundedTotal, &use.held,
-                               &use.waiting, &use.smallestWaiting, &use.demandPerSecond})
+        for (double *amount :
+             {&use.spentTotal, &use.returnedTotal, &use.refundedTotal, &use.held, &use.waiting,
+              &use.smallestWaiting, &use.demandPerSecond, &use.wanted})
             *amount = amounts.read(value.at(at++));
     }
     return amounts.isValid() ? std::optional(std::move(report)) : std::nullopt;
--- a/src/libs/gateway/customers/requestadmission.cpp
+++ b/src/libs/gateway/customers/requestadmission.cpp
@@ -55,6 +55,12 @@
     return m_routes->customerKeys().find(*m_digest);
 }
 
+void RequestAdmission::beginCharge(CustomerLimits &limits)
+{
+    if (m_customer != nullptr && !m_charge && limits.isLimited(m_customer->name))
+        m_charge.emplace(limits, m_customer->name, std::max(0.0, m_cost));
+}
+
 void RequestAdmission::addTo(platform::ForwardFields &forward,
                              const decisions::RouteTable &inForce) const
 {
--- a/src/libs/gateway/customers/requestadmission.h
+++ b/src/libs/gateway/customers/requestadmission.h
@@ -2,6 +2,7 @@
 
 #include "core/keydigest.h"
 #include "decisions/routetable.h"
+#include "gateway/customers/requestcharge.h"
 #include "http/messageparser.h"
 #include "platform/endpointcodec.h"
 
@@ -12,8 +13,8 @@
 namespace jackdawlead::gateway::customers {
 
 /// Decides whether a client's request is served: its key must belong to a customer if the
-/// configuration lists customers and the route is not anonymous. Thread safety: the event loop's
-/// thread only.
+/// configuration lists customers and the route is not anonymous, and the customer's quota must
+/// allow it. Owns the request's charge. Thread safety: the event loop's thread only.
 class RequestAdmission
 {
 public:
@@ -37,6 +38,11 @@
     /// What the request counts toward the customer's quota, in the quota's unit; zero without a
     /// customer.
     double cost() const { return m_cost; }
+    /// Begins the charge of the request, if its customer is limited. Precondition: the key was
+    /// checked and found valid.
+    void beginCharge(CustomerLimits &limits);
+    /// nullptr if there is none.
+    RequestCharge *charge() { return m_charge ? &*m_charge : nullptr; }
     /// Sets what the endpoint is told about the customer. `inForce` is the present configuration;
     /// it may list customers although that of the last check did not.
     void addTo(platform::ForwardFields &forward, const decisions::RouteTable &inForce) const;
@@ -50,6 +56,7 @@
     std::optional<int> m_priority;
     double m_cost = 0;
     std::string_view m_invalidityCause;
+    std::optional<RequestCharge> m_charge;
 };
 
 } // namespace jackdawlead::gateway::customers
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -34,9 +34,6 @@
 constexpr core::Duration handoverDelay = std::chrono::seconds(1);
 // By then all daemons have reported to a new coordinator, and upgrades of a host are over.
 constexpr core::Duration directoryCleaningPeriod = std::chrono::seconds(60);
-constexpr std::string_view leavingCause = "endpoint leaves before the connection is open";
-constexpr std::string_view limitCause
-    = "endpoint announces a request limit before the connection is open";
 constexpr std::string_view backoffCause
     = "endpoint wants nothing more before the connection is open";
 
@@ -88,6 +85,7 @@
     , m_watch(m_store, m_timers, m_relay, m_settings.bounds, watchHandlers())
     , m_pool(m_loop, m_timers)
     , m_limits(m_timers, m_metrics, limitHandlers())
+    , m_customers(m_settings.host, m_timers, m_controlClient, m_metrics, customerHandlers())
     , m_forwarder(m_loop, m_timers, m_controlClient)
     , m_paths(m_loop, m_timers, m_watch, m_pool, m_forwarder, m_metrics, pathHandlers())
     , m_forwardedRequests(
@@ -103,6 +101,7 @@
                  .watch = m_watch,
                  .pool = m_pool,
                  .limits = m_limits,
+                 .customers = m_customers,
                  .crashes = m_crashes,
                  .streams = m_streams,
                  .paths = m_paths,
@@ -154,80 +153,6 @@
                       })
 { }
 
-FleetWatch::Handlers Gateway::watchHandlers()
-{
-    return {
-        .onConfigurationChanged = [this] { applyConfiguration(); },
-        .onEndpointChanged =
-            [this](const fleet::Endpoint &endpoint) {
-                m_context.placement.updateFromRecord(endpoint);
-                m_streams.recordEndpoint(endpoint);
-                m_coordinator.updateEndpoint(endpoint);
-                m_limits.updateEndpoint(endpoint);
-                if (endpoint.isLeaving)
-                    giveUpConnecting(endpoint.id, leavingCause);
-            },
-        .onEndpointRemoved =
-            [this](const core::EndpointId &id) {
-                m_context.placement.remove(id);
-                m_coordinator.removeEndpoint(id);
-                giveUpConnecting(id, leavingCause);
-                m_paths.removeEndpoint(id);
-                m_pool.removeEndpoint(id);
-                m_limits.removeEndpoint(id);
-                m_context.refusalLimits.removeEndpoint(id);
-            },
-        .onVersionAnnounced =
-            [this](const fleet::AnnouncedVersion &version) {
-                m_coordinator.setAnnouncedVersion(version);
-            },
-        .onNewerVersionRequired
-        = [this](const fleet::AnnouncedVersion &version) { seekNewerVersions(version); },
-        .onOlderVersionsExpired
-        = [this](const fleet::AnnouncedVersion &version) { giveUpOlderVersions(version); },
-    };
-}
-
-// The handlers run in the next event loop iteration because they may end other requests.
-RateLimits::Handlers Gateway::limitHandlers()
-{
-    return {
-        .onLimitAnnounced =
-            [this](const core::EndpointId &id) {
-                m_loop.post([this, id] { giveUpConnecting(id, limitCause); });
-            },
-        .onReportDue = [this] { m_peerLink.scheduleDemandReport(); },
-        .isCoordinatorReachable = [this] { return m_peerLink.isCoordinatorReachable(); },
-        .findEndpoint = [this](const core::EndpointId &id) { return m_watch.endpoint(id); },
-        .uniformRandom = [this] { return m_context.uniformRandom(); },
-    };
-}
-
-CrashGuard::Handlers Gateway::crashHandlers()
-{
-    return {
-        .onReportDue = [this] { m_peerLink.scheduleDemandReport(); },
-        .isCoordinatorReachable = [this] { return m_peerLink.isCoordinatorReachable(); },
-        .hasPeers = [this] { return m_forwarder.hasPeers(); },
-        .confirmFailure =
-            [this](const core::EndpointId &id, PathMonitor::FailureHandler handler) {
-                m_paths.confirmFailure(id, std::move(handler));
-            },
-    };
-}
-
-// The handlers run in the next event loop iteration because they may end other requests.
-PathMonitor::Handlers Gateway::pathHandlers()
-{
-    return {
-        .onInterrupted =
-            [this](const core::EndpointId &id) {
-                m_loop.post([this, id] { handleInterruptedPath(id); });
-            },
-        .onCutOffChanged = [this] { m_loop.post([this] { handleCutOff(); }); },
-    };
-}
-
 absl::Status Gateway::start()
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -254,6 +179,7 @@
          .encode = [this] { return m_streams.encodeHistory(); },
          .apply = [this](const auto &value) { m_streams.applyHistory(value); },
          .applyNone = [this] { m_streams.setPastKnown(); }});
+    m_election.addSharedState(m_coordinator.quotaHolders());
     m_storeTransport.setPeerFinder([this] { return m_peerLink.reachablePeer(); });
     m_watch.start();
     m_election.start();
@@ -307,6 +233,7 @@
     m_metrics.setIsCoordinator(m_election.isHolder());
     m_metrics.setRequestsInProgress(static_cast<double>(m_requests.size()));
     m_metrics.setBufferedBytes(static_cast<double>(m_buffers.used()));
+    m_customers.updateMetrics();
     m_metrics.setControlCalls(static_cast<double>(m_controlClient.callCount()));
     exchange.respond(200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render());
 }
@@ -349,6 +276,7 @@
     m_context.runTimes.retainRoutes(m_watch.routes()->configuration().routes);
     m_streams.setLongestStream(m_watch.routes()->longestStream());
     m_coordinator.applyConfiguration();
+    m_customers.applyConfiguration(m_watch.routes()->configuration(), m_settings.bounds);
 }
 
 void Gateway::updateIdleLimits()
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/coordinator.h"
 #include "gateway/coordinatorelection.h"
 #include "gateway/crashguard.h"
+#include "gateway/customers/customerlimits.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/forwardedrequests.h"
@@ -33,8 +34,8 @@
 namespace jackdawlead::gateway {
 
 /// One daemon on the users' platform: listens for clients and for the load balancer's probes,
-/// serves requests, and exchanges reports and views with the other daemons. Thread safety: one
-/// thread.
+/// serves requests, and exchanges reports and views with the other daemons. Implemented in
+/// gateway.cpp and gatewayhandlers.cpp (what its parts tell it). Thread safety: one thread.
 class Gateway
 {
 public:
@@ -79,6 +80,7 @@
     void checkRunTimes();
     FleetWatch::Handlers watchHandlers();
     RateLimits::Handlers limitHandlers();
+    customers::CustomerLimits::Handlers customerHandlers();
     CrashGuard::Handlers crashHandlers();
     PathMonitor::Handlers pathHandlers();
 
@@ -96,6 +98,7 @@
     FleetWatch m_watch;
     EndpointPool m_pool;
     RateLimits m_limits;
+    customers::CustomerLimits m_customers;
     RequestForwarder m_forwarder;
     PathMonitor m_paths;
     ForwardedRequests m_forwardedRequests;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peerlink.h"
 
 #include "decisions/reportpace.h"
+#include "gateway/messageencoding.h"
 #include "observability/log.h"
 #include "platform/decoder.h"
 #include "platform/watchcodec.h"
@@ -32,22 +33,11 @@
 constexpr core::Duration forwardTimeout = std::chrono::seconds(6);
 constexpr char reportMethod[] = "report";
 constexpr char viewMethod[] = "view";
-constexpr char rpcPath[] = "/rpc";
 constexpr char leaseRecordPath[] = "/lease-record";
 // Inside a failure domain a response takes some milliseconds; after the timeout there is still time
 // to read from the store.
 constexpr core::Duration leaseRecordTimeout = std::chrono::milliseconds(200);
 
-net::HttpRequest rpcRequest(const char *method, const std::string &params)
-{
-    net::HttpRequest request;
-    request.method = "POST";
-    request.path = rpcPath;
-    request.headers.add("Content-Type", "application/json");
-    request.body = rpc::encodeCall({method}, {params}).value.text;
-    return request;
-}
-
 /// The lease's record from a relay. Errors: it has none, or only one of an earlier era.
 absl::StatusOr<platform::StoredObject>
 decodeRelayedRecord(const absl::StatusOr<http::Response> &response, core::StoreEra knownEra)
@@ -107,7 +97,7 @@
                 serveLeaseRecord(*exchange);
                 return;
             }
-            if (exchange->head.method != "POST" || exchange->head.target != rpcPath) {
+            if (exchange->head.method != "POST" || exchange->head.target != peerCallPath) {
                 exchange->respond(404, {}, {});
                 return;
             }
@@ -236,6 +226,14 @@
         const PeerView view = coordinator.handleReport(*report);
         return rpc::RpcResult {{}, {encode(view, m_context.timers.now())}};
     });
+    m_dispatcher.bind({customers::quotaMethod}, [&coordinator](const rpc::JsonText &params) {
+        const auto call = customers::decodeQuotaCall(params.text);
+        if (!call.ok())
+            return rpc::RpcResult {std::string(call.status().message()), {}};
+        const auto answer = coordinator.handleQuotaCall(*call);
+        return answer ? rpc::RpcResult {{}, {customers::encode(*answer)}}
+                      : rpc::RpcResult {"not the coordinator", {}};
+    });
     m_dispatcher.bind({viewMethod}, [this](const rpc::JsonText &params) {
         const auto view = decodePeerView(params.text, m_context.timers.now());
         if (!view.ok())
@@ -254,6 +252,14 @@
         = m_context.timers.once(std::max(demandDelay, remaining), [this] { sendReport(false); });
 }
 
+std::optional<net::Address> PeerLink::coordinatorElsewhere() const
+{
+    const auto &record = m_election.lease().record();
+    const bool isElsewhere
+        = record && !record->isReleased && record->holder != m_context.settings.host;
+    return isElsewhere ? std::optional(record->address) : std::nullopt;
+}
+
 bool PeerLink::isCoordinatorReachable() const
 {
     return m_context.timers.now() - m_lastViewAt
@@ -307,6 +313,7 @@
     report.crashes = m_context.crashes.takeNews();
     report.limits = m_context.limits.takeLearned();
     report.permitDemand = m_context.limits.takeDemand();
+    report.quota = m_context.customers.takeReport(isViewRequested);
     report.knownRevision = m_knownRevision;
     report.token = m_coordinatorToken;
     report.sendsForOthers = !m_context.paths.isCutOff();
@@ -348,7 +355,7 @@
     m_isReporting = true;
     m_context.work.count("own reports");
     m_controlClient.call(record->address,
-                         rpcRequest(reportMethod, encode(report, m_context.timers.now())),
+                         peerCall(reportMethod, encode(report, m_context.timers.now())),
                          callTimeout, [this, alive = m_isAlive, report](auto response) {
                              if (!*alive)
                                  return;
@@ -368,6 +375,7 @@
     m_context.leaving.insert(report.leaving.begin(), report.leaving.end());
     m_context.limits.restoreLearned(report.limits);
     m_context.crashes.restoreNews(report.crashes);
+    m_context.customers.recordLostReport();
     for (const auto &[id, keys] : report.placementMisses)
         m_context.placementMisses[id].insert(keys.begin(), keys.end());
     restoreDemand(report.demand);
@@ -424,11 +432,13 @@
     m_context.limits.applyUpdates(view.limits, "the coordinator");
     m_context.limits.applyGrants(view.grants, m_lastReportAt);
     m_context.limits.setAreIssued(view.areIssuingPermits);
+    m_context.customers.applyAnswer(view.quota);
     applyLoads(view);
     m_context.daemonCount = std::max(1, view.daemonCount);
     using decisions::ReportPace;
     m_acceptsDemandReports = view.reportPeriod > core::Duration::zero();
     m_demandPause = std::min(view.demandPause, ReportPace::maxPeriod);
+    m_context.customers.setPause(m_demandPause);
     m_context.reportPeriod
         = std::clamp(view.reportPeriod, ReportPace::minPeriod, ReportPace::maxPeriod);
     if (view.isCounted) {
@@ -479,7 +489,7 @@
         applyView(view);
         return;
     }
-    m_controlClient.call(peer, rpcRequest(viewMethod, encode(view, m_context.timers.now())),
+    m_controlClient.call(peer, peerCall(viewMethod, encode(view, m_context.timers.now())),
                          callTimeout, [](const auto &) {});
 }
 
--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -46,9 +46,12 @@
     /// Sends a view to another daemon.
     void sendView(const net::Address &peer, const PeerView &view);
 
-private:
     /// Whether the daemon started recently and has received no view of a coordinator yet.
     bool isAwaitingFirstCoordinator() const;
+    /// The address of the coordinator; empty if none is known or if it is this daemon.
+    std::optional<net::Address> coordinatorElsewhere() const;
+
+private:
     /// Adds demand that no coordinator received to the next report, because adapters without demand
     /// are not loaded. Only while the first coordinator is awaited, which bounds the collected
     /// demand.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -12,6 +12,7 @@
 #include "decisions/waitinglist.h"
 #include "fleet/hostsettings.h"
 #include "gateway/crashguard.h"
+#include "gateway/customers/customerlimits.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/pathmonitor.h"
@@ -39,6 +40,7 @@
     FleetWatch &watch;
     EndpointPool &pool;
     RateLimits &limits;
+    customers::CustomerLimits &customers;
     CrashGuard &crashes;
     StreamVersions &streams;
     PathMonitor &paths;
--- a/src/libs/gateway/requestend.cpp
+++ b/src/libs/gateway/requestend.cpp
@@ -151,6 +151,7 @@
          .request = m_fields.id.value()});
     const core::Duration delay
         = core::scaled(retryAfter, 1.0 + retryAfterJitter * m_context.uniformRandom());
+    refundCharge();
     m_exchange->respond(503, platform::retryAfterFields(delay), {});
     m_context.metrics.recordRefusal(std::string(cause));
     m_status = 503;
@@ -229,6 +230,8 @@
     m_isWaiting = false;
     setWaitsForLoad(false);
     setWaitsForPermit({});
+    if (customers::RequestCharge *charge = m_admission ? m_admission->charge() : nullptr)
+        charge->endWaiting();
     m_deadlineTimer.cancel();
     m_stallTimer.cancel();
     m_attempts.setRequestEnded();
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -134,7 +134,7 @@
         m_admission = std::make_unique<RequestAdmission>();
     switch (m_admission->checkKey(m_exchange->head, m_fields, m_routes, *m_route)) {
     case RequestAdmission::Verdict::Granted:
-        return true;
+        return !isQuotaUsedUp();
     case RequestAdmission::Verdict::InvalidKey:
         failIfConfigurationIsCurrent(401, m_admission->invalidityCause());
         return false;
@@ -246,6 +246,8 @@
         refuse("another software version cannot be recorded", busyRetryAfter);
     if (m_isWaiting || m_isDone)
         return;
+    if (!tryCharge())
+        return;
     m_needsRetryBudget = false;
     send(endpoint);
 }
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -22,10 +22,11 @@
 /// retries where that is allowed. Owns the connections to the endpoints. A request is sent to one
 /// endpoint at a time, unless that one is silent; then the first one that makes progress serves it.
 /// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
-/// clients take up), requestqueue.cpp (requests that wait at an endpoint), requestpath.cpp (own and
-/// other daemons' connections), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp
-/// (silent endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries
-/// and the end of the request). Thread safety: the event loop's thread only.
+/// clients take up), requestquota.cpp (customers' quotas), requestqueue.cpp (requests that wait at
+/// an endpoint), requestpath.cpp (own and other daemons' connections), requestanswer.cpp (the
+/// endpoint's answer), requestreplacement.cpp (silent endpoints), requestbuffers.cpp (the memory
+/// that it takes) and requestend.cpp (retries and the end of the request). Thread safety: the event
+/// loop's thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -86,6 +87,14 @@
     void failIfConfigurationIsCurrent(int status, std::string_view cause);
     /// Checks the key; answers the request if it is not admitted.
     bool isAdmitted();
+    /// Refuses the request if its customer's quota is known to be used up.
+    bool isQuotaUsedUp();
+    /// Charges the customer before the first send; otherwise waits or refuses the request.
+    bool tryCharge();
+    /// Answers 429.
+    void refuseForQuota(const customers::RequestCharge &charge);
+    /// Gives the charge back if the request certainly did not run.
+    void refundCharge();
     /// Refuses the request if it, or a part of its prompt, crashes endpoints.
     bool isRejectedForCrashes();
     /// Whether the answer to a send can be expected to be complete before the process is killed.
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -110,6 +110,17 @@
                              .Add({}))
     , m_cutOff(gauge(*m_registry, "jackdawlead_cut_off",
                      "1 while this daemon reaches endpoints only through other daemons"))
+    , m_customerRequests(counters(*m_registry, "jackdawlead_customer_requests_total",
+                                  "Requests of customers by outcome: asked, served, or refused "
+                                  "because the quota is used up"))
+    , m_customerTokens(counters(*m_registry, "jackdawlead_customer_tokens_total",
+                                "What requests of customers with a quota were charged"))
+    , m_customerRefunds(counters(*m_registry, "jackdawlead_customer_refunds_total",
+                                 "Charges given back, because the request did not run"))
+    , m_customerHeld(prometheus::BuildGauge()
+                         .Name("jackdawlead_customer_tokens_held")
+                         .Help("What this daemon may charge the customer now")
+                         .Register(*m_registry))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -65,6 +65,25 @@
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
+    /// Records a request of a customer; the outcome is "asked", "served" or "refused".
+    void recordCustomerRequest(const std::string &customer, const std::string &outcome)
+    {
+        m_customerRequests.Add({{"customer", customer}, {"outcome", outcome}}).Increment();
+    }
+    void recordCustomerTokens(const std::string &customer, double tokens)
+    {
+        m_customerTokens.Add({{"customer", customer}}).Increment(tokens);
+    }
+    /// Records tokens that were given back, because their request did not run.
+    void recordCustomerRefund(const std::string &customer, double tokens)
+    {
+        m_customerRefunds.Add({{"customer", customer}}).Increment(tokens);
+    }
+    /// Sets the tokens that this daemon may spend for the customer now.
+    void setCustomerHeld(const std::string &customer, double tokens)
+    {
+        m_customerHeld.Add({{"customer", customer}}).Set(tokens);
+    }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
 
     /// All metrics in the Prometheus text format.
@@ -103,6 +122,10 @@
     prometheus::Counter &m_forwardedByPeer;
     prometheus::Counter &m_forwardedForPeer;
     prometheus::Gauge &m_cutOff;
+    prometheus::Family<prometheus::Counter> &m_customerRequests;
+    prometheus::Family<prometheus::Counter> &m_customerTokens;
+    prometheus::Family<prometheus::Counter> &m_customerRefunds;
+    prometheus::Family<prometheus::Gauge> &m_customerHeld;
 };
 
 } // namespace jackdawlead::observability
--- a/src/tools/explain.cpp
+++ b/src/tools/explain.cpp
@@ -28,7 +28,7 @@
                                       "fail"};
 // Steps with log lines that concern an endpoint or a daemon, independent of a request.
 constexpr const char *contextSteps[]
-    = {"endpoint",  "part of prompts", "request limit", "lease for orders",
+    = {"endpoint",  "part of prompts", "request limit", "customer limit", "lease for orders",
        "store era", "configuration",   "stop",          "start"};
 // A crash is detected within a second or two of the first broken connection.
 constexpr int contextSeconds = 3;
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -106,7 +106,8 @@
 {
     PeerReport report;
     report.quota = {{milliseconds(1733300000123), core::FencingToken(1UL << 40U), 7, 0.25, {}}};
-    report.quota->uses[core::CustomerId("c1")] = {1e12 + 0.5, 20, 3, 400.25, 1118, 200, 62877.9};
+    report.quota->uses[core::CustomerId("c1")]
+        = {1e12 + 0.5, 20, 3, 400.25, 1118, 200, 62877.9, 4470.5};
     report.quota->uses[core::CustomerId("c2")] = {};
     return report;
 }
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -71,6 +71,8 @@
     Process daemon;
     /// Retries of a service that are allowed in ten seconds beyond a fifth of its requests.
     int budgetSlack = 400;
+    /// Further lines of the settings of daemons that are started.
+    std::string extraSettings;
     /// Whether daemons that are started are told that the system starts for the first time.
     bool isFirstStart = true;
 
@@ -133,7 +135,8 @@
                                "bounds.lease_ms=3000\nbounds.budget_window_s=10\n"
                                "bounds.budget_ratio=0.2\nbounds.budget_slack="
                             << budgetSlack << "\nbootstrap=" << (isFirstStart ? "true" : "false")
-                            << "\n";
+                            << "\n"
+                            << extraSettings;
         setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
         return Process({JACKDAWLEADD, "--platform"}, daemonFolder + "/output", blockedSignals);
     }
