--- a/src/libs/decisions/quota/quotaallowance.cpp
+++ b/src/libs/decisions/quota/quotaallowance.cpp
@@ -19,6 +19,8 @@
 constexpr core::Duration answerMargin = std::chrono::milliseconds(100);
 // Tokens beyond this multiple of the need are of use to other daemons.
 constexpr double excessFactor = 1.5;
+// Few requests cost less than this part of the mean.
+constexpr double minUsefulPart = 0.5;
 constexpr double roundingTokens = 1e-6;
 
 } // namespace
@@ -213,7 +215,8 @@
     }
     const double need = customer.demand.need(m_reportInterval + answerMargin, now)
         + std::accumulate(customer.waiting.begin(), customer.waiting.end(), 0.0);
-    giveUp(customer, std::max(expiring, held - excessFactor * need));
+    const bool isUseful = held >= minUsefulPart * customer.demand.meanCost();
+    giveUp(customer, isUseful ? std::max(expiring, held - excessFactor * need) : held);
 }
 
 QuotaReport QuotaAllowance::takeReport(bool isRegular, core::TimePoint now)
@@ -237,6 +240,7 @@
         use.held = unexpired(customer, now);
         use.waiting = std::accumulate(customer.waiting.begin(), customer.waiting.end(), 0.0);
         use.smallestWaiting = customer.waiting.empty() ? 0 : *customer.waiting.begin();
+        use.meanCost = customer.demand.meanCost();
         use.demandPerSecond = customer.demand.perSecond(now);
         const double need = customer.demand.need(m_reportInterval + answerMargin, now);
         use.wanted = std::max(0.0, need + use.waiting - use.held);
--- a/src/libs/decisions/quota/quotabucket.cpp
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -1,6 +1,7 @@
 #include "decisions/quota/quotabucket.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace jackdawlead::decisions::quota {
@@ -10,8 +11,12 @@
 // Tokens are issued in advance while more than this part of the capacity is in the bucket; the rest
 // is kept for requests that wait, at any daemon.
 constexpr double reservedPart = 0.5;
+// Below this part of the capacity, daemons get no more than their part of the refill.
+constexpr double scarcePart = 0.2;
 // The demand of a daemon that has not reported for three of the slowest reports is unknown.
 constexpr core::Duration demandRetention = contactTimeout;
+// As in QuotaDemand: reports of immediate calls are made when the demand is highest.
+constexpr core::Duration demandDecay = std::chrono::milliseconds(1000);
 // Accounts are kept for longer than any window, because their totals go on counting.
 constexpr core::Duration accountRetention = std::chrono::seconds(70);
 // An answer that was not confirmed after the longest round trip between regions is taken as lost.
@@ -48,8 +53,6 @@
             account.expiredSinceReport += account.lots.front().tokens;
             account.lots.pop_front();
         }
-        if (now - account.reportedAt > demandRetention)
-            account.demandPerSecond = 0;
     }
     std::erase_if(m_accounts, [now](const auto &entry) {
         return entry.second.lots.empty() && now - entry.second.reportedAt > accountRetention;
@@ -134,11 +137,21 @@
     addToLevel(accepted);
 }
 
-double QuotaBucket::totalDemand() const
+double QuotaBucket::totalDemand(core::TimePoint now) const
 {
-    return std::accumulate(
-        m_accounts.begin(), m_accounts.end(), 0.0,
-        [](double sum, const auto &entry) { return sum + entry.second.demandPerSecond; });
+    double total = 0;
+    for (const auto &[daemon, account] : m_accounts) {
+        const core::Duration age = now - account.reportedAt;
+        if (age < demandRetention)
+            total += account.demandPerSecond
+                * std::exp(-core::toSeconds(age) / core::toSeconds(demandDecay));
+    }
+    return total;
+}
+
+bool QuotaBucket::isScarce() const
+{
+    return m_level < scarcePart * m_limits.capacity;
 }
 
 void QuotaBucket::accrueCredit(Account &account, double demandPerSecond, core::TimePoint now)
@@ -147,8 +160,8 @@
         = std::clamp(now - account.reportedAt, core::Duration(0), demandRetention);
     account.demandPerSecond = demandPerSecond;
     account.reportedAt = now;
-    const double total = totalDemand();
-    if (total <= 0 || m_level > reservedPart * m_limits.capacity) {
+    const double total = totalDemand(now);
+    if (total <= 0 || !isScarce()) {
         account.credit = 0;
         return;
     }
@@ -167,7 +180,7 @@
         return m_level >= full - roundingTokens ? smallest : 0;
     }
     double granted = std::min(missing, m_level);
-    if (isOverloaded() && m_level < reservedPart * capacity) {
+    if (isScarce()) {
         // Whole requests are admitted as long as the daemon's part is not overdrawn.
         if (account.credit < 0)
             return 0;
@@ -176,12 +189,14 @@
     return granted + roundingTokens >= smallest ? granted : 0;
 }
 
-double QuotaBucket::grantInAdvance(const Account &account, double wanted) const
+double QuotaBucket::grantInAdvance(const Account &account, const QuotaUse &use, double usable) const
 {
+    const double free = usable - use.waiting;
+    const double wanted = use.wanted - (usable - use.held);
     const double spare = m_level - reservedPart * m_limits.capacity;
-    if (spare > 0)
-        return std::min(wanted, spare);
-    return std::max(0.0, std::min({wanted, account.credit, m_level}));
+    const double granted = std::min(wanted, std::max(spare, std::min(account.credit, m_level)));
+    // Less than a request is of no use there, and is missing elsewhere.
+    return granted > 0 && granted + std::max(0.0, free) >= use.meanCost ? granted : 0;
 }
 
 QuotaGrant QuotaBucket::issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now)
@@ -200,21 +215,21 @@
     const double usable = use.held + underway;
     const double missing = std::max(0.0, use.waiting - usable);
     const double smallestMissing = std::max(0.0, use.smallestWaiting - usable);
+    // Only what is issued while tokens are scarce counts against the daemon's part.
+    const bool isCharged = isScarce();
     QuotaGrant grant;
     grant.tokens = grantForWaiting(account, missing, smallestMissing);
     m_level -= grant.tokens;
-    account.credit -= grant.tokens;
     const double unmet = missing - grant.tokens;
     if (unmet <= roundingTokens) {
-        const double advance
-            = grantInAdvance(account, std::max(0.0, use.wanted - (use.waiting > 0 ? 0 : underway)));
+        const double advance = grantInAdvance(account, use, usable + grant.tokens);
         grant.tokens += advance;
         m_level -= advance;
-        account.credit -= advance;
     }
-    grant.isExhausted = unmet > roundingTokens
-        || (isOverloaded() && use.demandPerSecond > 0 && use.wanted > grant.tokens
-            && (account.credit < 0 || m_level <= 0));
+    if (isCharged)
+        account.credit -= grant.tokens;
+    grant.isExhausted
+        = unmet > roundingTokens || (isScarce() && use.wanted > grant.tokens && account.credit < 0);
     if (grant.isExhausted && m_limits.rate > 0) {
         const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
         grant.fillTime
--- a/src/libs/decisions/quota/quotabucket.h
+++ b/src/libs/decisions/quota/quotabucket.h
@@ -71,10 +71,10 @@
     void refund(double tokens, core::TimePoint now);
     void addToLevel(double tokens);
     void accrueCredit(Account &account, double demandPerSecond, core::TimePoint now);
-    double totalDemand() const;
+    double totalDemand(core::TimePoint now) const;
     double grantForWaiting(const Account &account, double missing, double smallest) const;
-    double grantInAdvance(const Account &account, double wanted) const;
-    bool isOverloaded() const { return totalDemand() > m_limits.rate; }
+    bool isScarce() const;
+    double grantInAdvance(const Account &account, const QuotaUse &use, double usable) const;
 
     Limits m_limits;
     double m_level = 0;
--- a/src/libs/decisions/quota/quotademand.cpp
+++ b/src/libs/decisions/quota/quotademand.cpp
@@ -51,19 +51,18 @@
 {
     if (m_requests <= 0)
         return 0;
-    const double meanCost = m_slow / m_requests;
+    const double cost = meanCost();
     const double slowRate
         = m_slow * decayFactor(m_decayedAt, now, slowTime) / core::toSeconds(slowTime);
     // One request in the shorter time says little of the rate, many say much.
     const double fastRate = perSecond(now);
-    const double requests = fastRate * core::toSeconds(fastTime) / meanCost;
+    const double requests = fastRate * core::toSeconds(fastTime) / cost;
     const double weight = requests / (requests + 1);
     const double rate = std::max(slowRate, weight * fastRate + (1 - weight) * slowRate);
     const double expected = rate * core::toSeconds(horizon);
-    if (expected < minProbability * meanCost)
+    if (expected < minProbability * cost)
         return 0;
-    return std::max(requestMargin * meanCost,
-                    expected + std::sqrt(costVariance * expected * meanCost));
+    return std::max(requestMargin * cost, expected + std::sqrt(costVariance * expected * cost));
 }
 
 } // namespace jackdawlead::decisions::quota
--- a/src/libs/decisions/quota/quotademand.h
+++ b/src/libs/decisions/quota/quotademand.h
@@ -16,6 +16,9 @@
     /// a request is unlikely.
     double need(core::Duration horizon, core::TimePoint now) const;
 
+    /// Of the requests that arrived lately; zero without any.
+    double meanCost() const { return m_requests > 0 ? m_slow / m_requests : 0; }
+
 private:
     void decay(core::TimePoint now);
 
--- a/src/libs/decisions/quota/quotatypes.h
+++ b/src/libs/decisions/quota/quotatypes.h
@@ -31,6 +31,7 @@
     double smallestWaiting = 0; ///< The smallest of these requests; zero if none waits.
     double demandPerSecond = 0; ///< Tokens that were asked for lately, also by refused requests.
     double wanted = 0;          ///< Tokens that it expects to need in advance besides `held`.
+    double meanCost = 0;        ///< Of its requests; zero if it is unknown.
 
     bool operator==(const QuotaUse &) const = default;
 };
