Quotas of customers work end to end

QuotaCoordinator removed a new daemon from the holders between its report and its answer, because the daemon held nothing yet; so no daemon ever got a share for the time without a coordinator. Expired holders are removed before.

tst_customerquotas (two real daemons): 5 of 5 pass: exhausted quota, one charge for several attempts, killed and stopped coordinators, coordinator of an earlier release.

--- a/src/libs/gateway/customers/quotacoordinator.cpp
+++ b/src/libs/gateway/customers/quotacoordinator.cpp
@@ -49,8 +49,9 @@
 QuotaAnswer QuotaCoordinator::answer(const core::HostId &daemon, const QuotaReport &report,
                                      core::TimePoint now)
 {
-    const bool areTotalsKnown = m_holders.recordReport(daemon, report, now);
+    // Not between the report and the answer: a new daemon counts as a holder from its answer on.
     m_holders.removeExpired(now);
+    const bool areTotalsKnown = m_holders.recordReport(daemon, report, now);
     m_issuer.setWithheld(m_holders.withheld(now), now);
     QuotaAnswer answer = m_holders.makeAnswer(daemon, now);
     answer.grants = m_issuer.issue(daemon, report, areTotalsKnown, answer.number, now);
