--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -9,6 +9,7 @@
 #include "fleet/hostsettings.h"
 #include "gateway/coordinatorelection.h"
 #include "gateway/crashcollector.h"
+#include "gateway/customers/customerreadiness.h"
 #include "gateway/customers/quotacoordinator.h"
 #include "gateway/customers/quotamessages.h"
 #include "gateway/fleetwatch.h"
@@ -30,8 +31,8 @@
 /// Collects the daemons' reports, orders endpoints to load and unload models and adapters, and
 /// sends views of the endpoints' contents to the daemons. Active only on the daemon that holds the
 /// lease for orders. Implemented in coordinator.cpp (reports, plans and orders),
-/// coordinatorlimits.cpp (request limits) and coordinatorviews.cpp (what the daemons receive).
-/// Thread safety: the event loop's thread only.
+/// coordinatorlimits.cpp (request limits, daemons that do not check keys) and coordinatorviews.cpp
+/// (what the daemons receive). Thread safety: the event loop's thread only.
 class Coordinator
 {
 public:
@@ -78,6 +79,7 @@
         double availableCores = 1;
         bool isStoreReachable = true;
         bool sendsForOthers = false;
+        bool understandsCustomers = false;
         core::TimePoint reportedAt;
         std::map<core::EndpointId, double> load; ///< Slots that this daemon's requests occupy.
         std::map<core::EndpointId, std::vector<fleet::AdapterKey>> inUse;
@@ -101,6 +103,8 @@
     void writeSummary();
     void becomeHolder();
     void updateLoads();
+    /// Warns of daemons that do not check keys although the configuration lists customers.
+    void updateReadiness();
     void mergeAdaptersInUse();
     void schedulePlanning();
     void issueOrders();
@@ -152,6 +156,7 @@
     ViewSender m_sendView;
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
+    customers::CustomerReadiness m_readiness;
     CrashCollector m_crashes;
     customers::QuotaCoordinator m_quotas;
     std::map<core::EndpointId, double> m_totalLoad;
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -60,6 +60,9 @@
     bool isViewRequested = true;     ///< False for a report of new demand only.
     /// Empty if no customer has a quota, and from daemons of earlier releases.
     std::optional<decisions::quota::QuotaReport> quota;
+    /// Whether it checks keys and its configuration lists customers. Not sent if false, so that
+    /// reports of deployments without customers keep their bytes.
+    bool understandsCustomers = false;
 };
 
 /// The coordinator's view for a daemon: changed contents, and the load of all endpoints.
--- a/src/libs/gateway/requestquota.cpp
+++ b/src/libs/gateway/requestquota.cpp
@@ -32,7 +32,6 @@
     const fleet::Customer *customer = m_admission->customer();
     if (customer == nullptr)
         return false;
-    m_context.metrics.recordCustomerRequest(customer->name.value(), "asked");
     m_admission->beginCharge(m_context.customers);
     customers::RequestCharge *charge = m_admission->charge();
     if (charge == nullptr || !charge->isExhausted())
@@ -60,7 +59,7 @@
             return false;
     }
     if (const fleet::Customer *customer = m_admission->customer())
-        m_context.metrics.recordCustomerRequest(customer->name.value(), "served");
+        m_context.metrics.recordCustomerResult(customer->name.value(), "served");
     return true;
 }
 
@@ -78,7 +77,7 @@
     // Spread already, so that callers do not return together.
     m_exchange->respond(tooManyRequests, platform::retryAfterFields(charge.retryAfter()), {});
     m_context.metrics.recordRefusal(std::string(exhaustedCause));
-    m_context.metrics.recordCustomerRequest(m_admission->customer()->name.value(), "refused");
+    m_context.metrics.recordCustomerResult(m_admission->customer()->name.value(), "refused");
     m_status = tooManyRequests;
     finish();
 }
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -111,8 +111,16 @@
     , m_cutOff(gauge(*m_registry, "jackdawlead_cut_off",
                      "1 while this daemon reaches endpoints only through other daemons"))
     , m_customerRequests(counters(*m_registry, "jackdawlead_customer_requests_total",
-                                  "Requests of customers by outcome: asked, served, or refused "
-                                  "because the quota is used up"))
+                                  "Requests with a valid key, by customer"))
+    , m_invalidKeys(counters(*m_registry, "jackdawlead_invalid_keys_total",
+                             "Requests refused with 401 because of their key")
+                        .Add({}))
+    , m_daemonsWithoutKeys(gauge(*m_registry, "jackdawlead_daemons_without_keys",
+                                 "On the coordinator: daemons that do not check keys although the "
+                                 "configuration lists customers"))
+    , m_customerResults(counters(*m_registry, "jackdawlead_customer_results_total",
+                                 "Requests of customers by result: served, or refused because the "
+                                 "quota is used up"))
     , m_customerTokens(counters(*m_registry, "jackdawlead_customer_tokens_total",
                                 "What requests of customers with a quota were charged"))
     , m_customerRefunds(counters(*m_registry, "jackdawlead_customer_refunds_total",
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -65,10 +65,18 @@
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
-    /// Records a request of a customer; the outcome is "asked", "served" or "refused".
-    void recordCustomerRequest(const std::string &customer, const std::string &outcome)
+    /// Records a request with a key of the customer.
+    void recordCustomerRequest(const std::string &customer)
     {
-        m_customerRequests.Add({{"customer", customer}, {"outcome", outcome}}).Increment();
+        m_customerRequests.Add({{"customer", customer}}).Increment();
+    }
+    /// Records a request that was answered with 401.
+    void recordInvalidKey() { m_invalidKeys.Increment(); }
+    void setDaemonsWithoutKeys(double count) { m_daemonsWithoutKeys.Set(count); }
+    /// Records what became of a request of a customer: "served" or "refused".
+    void recordCustomerResult(const std::string &customer, const std::string &result)
+    {
+        m_customerResults.Add({{"customer", customer}, {"result", result}}).Increment();
     }
     void recordCustomerTokens(const std::string &customer, double tokens)
     {
@@ -123,6 +131,9 @@
     prometheus::Counter &m_forwardedForPeer;
     prometheus::Gauge &m_cutOff;
     prometheus::Family<prometheus::Counter> &m_customerRequests;
+    prometheus::Counter &m_invalidKeys;
+    prometheus::Gauge &m_daemonsWithoutKeys;
+    prometheus::Family<prometheus::Counter> &m_customerResults;
     prometheus::Family<prometheus::Counter> &m_customerTokens;
     prometheus::Family<prometheus::Counter> &m_customerRefunds;
     prometheus::Family<prometheus::Gauge> &m_customerHeld;
