--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -136,7 +136,7 @@
     case RequestAdmission::Verdict::Granted:
         if (const fleet::Customer *customer = m_admission->customer())
             m_context.metrics.recordCustomerRequest(customer->name.value());
-        return true;
+        return !isQuotaUsedUp();
     case RequestAdmission::Verdict::InvalidKey:
         if (failIfConfigurationIsCurrent(401, m_admission->invalidityCause()))
             m_context.metrics.recordInvalidKey();
@@ -253,6 +253,8 @@
         refuse("another software version cannot be recorded", busyRetryAfter);
     if (m_isWaiting || m_isDone)
         return;
+    if (!tryCharge())
+        return;
     m_needsRetryBudget = false;
     send(endpoint);
 }
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -118,6 +118,17 @@
     , m_daemonsWithoutKeys(gauge(*m_registry, "jackdawlead_daemons_without_keys",
                                  "On the coordinator: daemons that do not check keys although the "
                                  "configuration lists customers"))
+    , m_customerResults(counters(*m_registry, "jackdawlead_customer_results_total",
+                                 "Requests of customers by result: served, or refused because the "
+                                 "quota is used up"))
+    , m_customerTokens(counters(*m_registry, "jackdawlead_customer_tokens_total",
+                                "What requests of customers with a quota were charged"))
+    , m_customerRefunds(counters(*m_registry, "jackdawlead_customer_refunds_total",
+                                 "Charges given back, because the request did not run"))
+    , m_customerHeld(prometheus::BuildGauge()
+                         .Name("jackdawlead_customer_tokens_held")
+                         .Help("What this daemon may charge the customer now")
+                         .Register(*m_registry))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -73,6 +73,25 @@
     /// Records a request that was answered with 401.
     void recordInvalidKey() { m_invalidKeys.Increment(); }
     void setDaemonsWithoutKeys(double count) { m_daemonsWithoutKeys.Set(count); }
+    /// Records what became of a request of a customer: "served" or "refused".
+    void recordCustomerResult(const std::string &customer, const std::string &result)
+    {
+        m_customerResults.Add({{"customer", customer}, {"result", result}}).Increment();
+    }
+    void recordCustomerTokens(const std::string &customer, double tokens)
+    {
+        m_customerTokens.Add({{"customer", customer}}).Increment(tokens);
+    }
+    /// Records tokens that were given back, because their request did not run.
+    void recordCustomerRefund(const std::string &customer, double tokens)
+    {
+        m_customerRefunds.Add({{"customer", customer}}).Increment(tokens);
+    }
+    /// Sets the tokens that this daemon may spend for the customer now.
+    void setCustomerHeld(const std::string &customer, double tokens)
+    {
+        m_customerHeld.Add({{"customer", customer}}).Set(tokens);
+    }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
 
     /// All metrics in the Prometheus text format.
@@ -114,6 +133,10 @@
     prometheus::Family<prometheus::Counter> &m_customerRequests;
     prometheus::Counter &m_invalidKeys;
     prometheus::Gauge &m_daemonsWithoutKeys;
+    prometheus::Family<prometheus::Counter> &m_customerResults;
+    prometheus::Family<prometheus::Counter> &m_customerTokens;
+    prometheus::Family<prometheus::Counter> &m_customerRefunds;
+    prometheus::Family<prometheus::Gauge> &m_customerHeld;
 };
 
 } // namespace jackdawlead::observability
