Do not copy route tables

The index of routes and keys points into the configuration that the table holds, so that a copy would point into the original.

--- a/src/libs/decisions/routetable.h
+++ b/src/libs/decisions/routetable.h
@@ -17,6 +17,9 @@
 {
 public:
     explicit RouteTable(fleet::Configuration configuration);
+    /// Not copied, because the index points into the configuration.
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
 
     core::Generation generation() const { return m_configuration.generation; }
     const fleet::Configuration &configuration() const { return m_configuration; }
