Quota: count outstanding tokens and demand once for each exchange

Allowances of an earlier incarnation, and numbers of another coordinator's answers, no longer count as underway to the daemon.

--- a/src/libs/decisions/quota/quotabucket.cpp
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -35,19 +35,9 @@
 
 } // namespace
 
-double QuotaBucket::outstanding() const
-{
-    double sum = 0;
-    for (const auto &[daemon, account] : m_accounts) {
-        for (const Lot &lot : account.lots)
-            sum += lot.tokens;
-    }
-    return sum;
-}
-
 void QuotaBucket::addToLevel(double tokens)
 {
-    const double room = m_limits.capacity - outstanding() - m_level;
+    const double room = m_limits.capacity - m_outstanding - m_level;
     m_level += std::clamp(tokens, 0.0, std::max(0.0, room));
 }
 
@@ -59,17 +49,23 @@
     m_filledAt = until;
 }
 
+core::TimePoint QuotaBucket::countOutstanding()
+{
+    core::TimePoint earliest = core::TimePoint::max();
+    m_outstanding = 0;
+    for (const auto &[daemon, account] : m_accounts) {
+        for (const Lot &lot : account.lots)
+            m_outstanding += lot.tokens;
+        if (!account.lots.empty())
+            earliest = std::min(earliest, account.lots.front().issuedAt + allowanceLifetime);
+    }
+    return earliest;
+}
+
 void QuotaBucket::update(core::TimePoint now)
 {
     // The room that expired allowances leave is filled from then on only.
-    while (true) {
-        core::TimePoint earliest = core::TimePoint::max();
-        for (const auto &[daemon, account] : m_accounts) {
-            if (!account.lots.empty())
-                earliest = std::min(earliest, account.lots.front().issuedAt + allowanceLifetime);
-        }
-        if (earliest > now)
-            break;
+    for (auto earliest = countOutstanding(); earliest <= now; earliest = countOutstanding()) {
         fill(earliest);
         for (auto &[daemon, account] : m_accounts) {
             while (!account.lots.empty()
@@ -89,7 +85,7 @@
 {
     update(now);
     m_limits = limits;
-    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - outstanding()));
+    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - m_outstanding));
 }
 
 QuotaBucket::Account &QuotaBucket::accountOf(const Exchange &exchange, const QuotaUse &use,
@@ -138,6 +134,7 @@
         lot.tokens -= part;
         left -= part;
     }
+    m_outstanding -= settled;
     std::erase_if(account.lots, [](const Lot &lot) { return lot.tokens <= 0; });
     // Returned tokens that have expired before are counted as spent and stay so.
     addToLevel(std::min(returned - account.expiredSinceReport, settled - spent));
@@ -163,16 +160,15 @@
     addToLevel(accepted);
 }
 
-double QuotaBucket::totalDemand(core::TimePoint now) const
+void QuotaBucket::countDemand(core::TimePoint now)
 {
-    double total = 0;
+    m_demandPerSecond = 0;
     for (const auto &[daemon, account] : m_accounts) {
         const core::Duration age = now - account.reportedAt;
         if (age < demandRetention)
-            total += account.demandPerSecond
+            m_demandPerSecond += account.demandPerSecond
                 * std::exp(-core::toSeconds(age) / core::toSeconds(demandDecay));
     }
-    return total;
 }
 
 double QuotaBucket::reserved(double meanCost) const
@@ -195,8 +191,8 @@
         = std::clamp(now - account.reportedAt, core::Duration(0), demandRetention);
     account.demandPerSecond = demandPerSecond;
     account.reportedAt = now;
-    const double total = totalDemand(now);
-    account.part = total > 0 ? demandPerSecond / total : 0;
+    countDemand(now);
+    account.part = m_demandPerSecond > 0 ? demandPerSecond / m_demandPerSecond : 0;
     if (!isScarce()) {
         account.credit = 0;
         return;
@@ -212,7 +208,7 @@
         return 0;
     const double capacity = m_limits.capacity;
     if (smallest > capacity) {
-        const double full = std::max(minFullPart * capacity, capacity - outstanding());
+        const double full = std::max(minFullPart * capacity, capacity - m_outstanding);
         return m_level >= full - roundingTokens ? smallest : 0;
     }
     double granted = std::min(missing, m_level);
@@ -253,7 +249,8 @@
 
     double underway = 0;
     for (const Lot &lot : account.lots) {
-        if (lot.answerNumber > exchange.lastAnswer && now - lot.issuedAt < maxRoundTrip)
+        if (!lot.isOrphan && lot.answerNumber > exchange.lastAnswer
+            && now - lot.issuedAt < maxRoundTrip)
             underway += lot.tokens;
     }
     const double usable = use.held + underway;
@@ -273,7 +270,7 @@
     if (isCharged)
         account.credit -= grant.tokens;
     grant.isExhausted = unmet > roundingTokens
-        || (isScarce() && use.wanted > grant.tokens && totalDemand(now) > m_limits.rate
+        || (isScarce() && use.wanted > grant.tokens && m_demandPerSecond > m_limits.rate
             && !canIssueSoon(account, use));
     if (grant.isExhausted && m_limits.rate > 0) {
         const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
@@ -282,6 +279,7 @@
     }
     if (grant.tokens > 0)
         account.lots.push_back({exchange.answerNumber, grant.tokens, now, false});
+    m_outstanding += grant.tokens;
     return grant;
 }
 
--- a/src/libs/decisions/quota/quotabucket.h
+++ b/src/libs/decisions/quota/quotabucket.h
@@ -41,7 +41,7 @@
     /// Fills the bucket, and counts allowances that have expired as spent.
     void update(core::TimePoint now);
     QuotaGrant issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now);
-    double outstanding() const;
+    double outstanding() const { return m_outstanding; }
     double available() const { return m_level; }
 
 private:
@@ -73,7 +73,9 @@
     void fill(core::TimePoint until);
     void addToLevel(double tokens);
     void accrueCredit(Account &account, double demandPerSecond, core::TimePoint now);
-    double totalDemand(core::TimePoint now) const;
+    void countDemand(core::TimePoint now);
+    /// Returns when the first allowance expires.
+    core::TimePoint countOutstanding();
     double grantForWaiting(const Account &account, double missing, double smallest) const;
     double reserved(double meanCost) const;
     bool isScarce() const;
@@ -82,6 +84,8 @@
 
     Limits m_limits;
     double m_level = 0;
+    double m_outstanding = 0;     ///< Tokens of all lots.
+    double m_demandPerSecond = 0; ///< Of all daemons.
     core::TimePoint m_filledAt;
     std::map<core::HostId, Account> m_accounts;
     struct Refund
--- a/src/libs/decisions/quota/quotaissuer.cpp
+++ b/src/libs/decisions/quota/quotaissuer.cpp
@@ -87,7 +87,9 @@
 QuotaIssuer::issue(const core::HostId &daemon, const QuotaReport &report, bool areTotalsKnown,
                    std::uint64_t answerNumber, core::TimePoint now)
 {
-    const QuotaBucket::Exchange exchange {daemon, report.lastAnswer, answerNumber, areTotalsKnown};
+    // Another coordinator's numbers say nothing about answers of this one.
+    const std::uint64_t lastAnswer = areTotalsKnown ? report.lastAnswer : 0;
+    const QuotaBucket::Exchange exchange {daemon, lastAnswer, answerNumber, areTotalsKnown};
     std::map<core::CustomerId, QuotaGrant> grants;
     for (const auto &[customer, use] : report.uses) {
         const auto found = m_entries.find(customer);
