--- a/src/libs/decisions/quota/quotabucket.cpp
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -8,9 +8,17 @@
 
 namespace {
 
-// Tokens are issued in advance while more than this part of the capacity is in the bucket; the rest
-// is kept for requests that wait, at any daemon.
-constexpr double reservedPart = 0.5;
+// What is kept in the bucket for requests that wait, at any daemon; what exceeds it is issued in
+// advance. At least this part of the capacity.
+constexpr double minReservedPart = 0.3;
+// The capacity also holds what was spent and not reported yet, at full load about as much as is
+// filled in this time. But some is always issued in advance, since each call costs a round trip.
+constexpr core::Duration reservedTime = std::chrono::milliseconds(350);
+constexpr double maxReservedPart = 0.7;
+// At least the most expensive requests, even if nothing is issued in advance.
+constexpr double reservedRequests = 8;
+// A bucket counts as full if allowances leave no room, but not if they are most of the capacity.
+constexpr double minFullPart = 0.5;
 // Below this part of the capacity, daemons get no more than their part of the refill.
 constexpr double scarcePart = 0.2;
 // The demand of a daemon that has not reported for three of the slowest reports is unknown.
@@ -27,33 +35,47 @@
 
 } // namespace
 
-double QuotaBucket::outstanding() const
+void QuotaBucket::addToLevel(double tokens)
 {
-    double sum = 0;
-    for (const auto &[daemon, account] : m_accounts) {
-        for (const Lot &lot : account.lots)
-            sum += lot.tokens;
-    }
-    return sum;
+    const double room = m_limits.capacity - m_outstanding - m_level;
+    m_level += std::clamp(tokens, 0.0, std::max(0.0, room));
 }
 
-void QuotaBucket::addToLevel(double tokens)
+void QuotaBucket::fill(core::TimePoint until)
 {
-    const double room = m_limits.capacity - outstanding() - m_level;
-    m_level += std::clamp(tokens, 0.0, std::max(0.0, room));
+    if (until <= m_filledAt)
+        return;
+    addToLevel(m_limits.rate * core::toSeconds(until - m_filledAt));
+    m_filledAt = until;
+}
+
+core::TimePoint QuotaBucket::countOutstanding()
+{
+    core::TimePoint earliest = core::TimePoint::max();
+    m_outstanding = 0;
+    for (const auto &[daemon, account] : m_accounts) {
+        for (const Lot &lot : account.lots)
+            m_outstanding += lot.tokens;
+        if (!account.lots.empty())
+            earliest = std::min(earliest, account.lots.front().issuedAt + allowanceLifetime);
+    }
+    return earliest;
 }
 
 void QuotaBucket::update(core::TimePoint now)
 {
-    // The room that expired allowances leave is filled from now on only.
-    addToLevel(m_limits.rate * core::toSeconds(std::max(core::Duration(0), now - m_filledAt)));
-    m_filledAt = std::max(m_filledAt, now);
-    for (auto &[daemon, account] : m_accounts) {
-        while (!account.lots.empty() && now - account.lots.front().issuedAt >= allowanceLifetime) {
-            account.expiredSinceReport += account.lots.front().tokens;
-            account.lots.pop_front();
+    // The room that expired allowances leave is filled from then on only.
+    for (auto earliest = countOutstanding(); earliest <= now; earliest = countOutstanding()) {
+        fill(earliest);
+        for (auto &[daemon, account] : m_accounts) {
+            while (!account.lots.empty()
+                   && account.lots.front().issuedAt + allowanceLifetime <= earliest) {
+                account.expiredSinceReport += account.lots.front().tokens;
+                account.lots.pop_front();
+            }
         }
     }
+    fill(now);
     std::erase_if(m_accounts, [now](const auto &entry) {
         return entry.second.lots.empty() && now - entry.second.reportedAt > accountRetention;
     });
@@ -63,7 +85,7 @@
 {
     update(now);
     m_limits = limits;
-    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - outstanding()));
+    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - m_outstanding));
 }
 
 QuotaBucket::Account &QuotaBucket::accountOf(const Exchange &exchange, const QuotaUse &use,
@@ -112,6 +134,7 @@
         lot.tokens -= part;
         left -= part;
     }
+    m_outstanding -= settled;
     std::erase_if(account.lots, [](const Lot &lot) { return lot.tokens <= 0; });
     // Returned tokens that have expired before are counted as spent and stay so.
     addToLevel(std::min(returned - account.expiredSinceReport, settled - spent));
@@ -137,16 +160,24 @@
     addToLevel(accepted);
 }
 
-double QuotaBucket::totalDemand(core::TimePoint now) const
+void QuotaBucket::countDemand(core::TimePoint now)
 {
-    double total = 0;
+    m_demandPerSecond = 0;
     for (const auto &[daemon, account] : m_accounts) {
         const core::Duration age = now - account.reportedAt;
         if (age < demandRetention)
-            total += account.demandPerSecond
+            m_demandPerSecond += account.demandPerSecond
                 * std::exp(-core::toSeconds(age) / core::toSeconds(demandDecay));
     }
-    return total;
+}
+
+double QuotaBucket::reserved(double meanCost) const
+{
+    const double capacity = m_limits.capacity;
+    return std::max(
+        {minReservedPart * capacity,
+         std::min(maxReservedPart * capacity, m_limits.rate * core::toSeconds(reservedTime)),
+         std::min(capacity, reservedRequests * meanCost)});
 }
 
 bool QuotaBucket::isScarce() const
@@ -160,14 +191,15 @@
         = std::clamp(now - account.reportedAt, core::Duration(0), demandRetention);
     account.demandPerSecond = demandPerSecond;
     account.reportedAt = now;
-    const double total = totalDemand(now);
-    if (total <= 0 || !isScarce()) {
+    countDemand(now);
+    account.part = m_demandPerSecond > 0 ? demandPerSecond / m_demandPerSecond : 0;
+    if (!isScarce()) {
         account.credit = 0;
         return;
     }
-    const double part = m_limits.rate * demandPerSecond / total;
-    account.credit = std::min(account.credit + part * core::toSeconds(elapsed),
-                              part * core::toSeconds(creditAccumulation));
+    const double perSecond = m_limits.rate * account.part;
+    account.credit = std::min(account.credit + perSecond * core::toSeconds(elapsed),
+                              perSecond * core::toSeconds(creditAccumulation));
 }
 
 double QuotaBucket::grantForWaiting(const Account &account, double missing, double smallest) const
@@ -176,7 +208,7 @@
         return 0;
     const double capacity = m_limits.capacity;
     if (smallest > capacity) {
-        const double full = std::max(reservedPart * capacity, capacity - outstanding());
+        const double full = std::max(minFullPart * capacity, capacity - m_outstanding);
         return m_level >= full - roundingTokens ? smallest : 0;
     }
     double granted = std::min(missing, m_level);
@@ -193,12 +225,20 @@
 {
     const double free = usable - use.waiting;
     const double wanted = use.wanted - (usable - use.held);
-    const double spare = m_level - reservedPart * m_limits.capacity;
+    const double spare = m_level - reserved(use.meanCost);
     const double granted = std::min(wanted, std::max(spare, std::min(account.credit, m_level)));
     // Less than a request is of no use there, and is missing elsewhere.
     return granted > 0 && granted + std::max(0.0, free) >= use.meanCost ? granted : 0;
 }
 
+bool QuotaBucket::canIssueSoon(const Account &account, const QuotaUse &use) const
+{
+    // A daemon whose part is less than a request in this time asks again for a whole one.
+    const double untilNextReport
+        = m_limits.rate * account.part * core::toSeconds(creditAccumulation);
+    return account.credit >= (untilNextReport >= use.meanCost ? use.meanCost : 0);
+}
+
 QuotaGrant QuotaBucket::issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now)
 {
     update(now);
@@ -209,7 +249,8 @@
 
     double underway = 0;
     for (const Lot &lot : account.lots) {
-        if (lot.answerNumber > exchange.lastAnswer && now - lot.issuedAt < maxRoundTrip)
+        if (!lot.isOrphan && lot.answerNumber > exchange.lastAnswer
+            && now - lot.issuedAt < maxRoundTrip)
             underway += lot.tokens;
     }
     const double usable = use.held + underway;
@@ -228,8 +269,9 @@
     }
     if (isCharged)
         account.credit -= grant.tokens;
-    grant.isExhausted
-        = unmet > roundingTokens || (isScarce() && use.wanted > grant.tokens && account.credit < 0);
+    grant.isExhausted = unmet > roundingTokens
+        || (isScarce() && use.wanted > grant.tokens && m_demandPerSecond > m_limits.rate
+            && !canIssueSoon(account, use));
     if (grant.isExhausted && m_limits.rate > 0) {
         const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
         grant.fillTime
@@ -237,6 +279,7 @@
     }
     if (grant.tokens > 0)
         account.lots.push_back({exchange.answerNumber, grant.tokens, now, false});
+    m_outstanding += grant.tokens;
     return grant;
 }
 
--- a/src/libs/decisions/quota/quotabucket.h
+++ b/src/libs/decisions/quota/quotabucket.h
@@ -41,7 +41,7 @@
     /// Fills the bucket, and counts allowances that have expired as spent.
     void update(core::TimePoint now);
     QuotaGrant issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now);
-    double outstanding() const;
+    double outstanding() const { return m_outstanding; }
     double available() const { return m_level; }
 
 private:
@@ -61,6 +61,7 @@
         double refundedTotal = 0;
         double expiredSinceReport = 0;
         double demandPerSecond = 0;
+        double part = 0;   ///< Of the demand of all daemons.
         double credit = 0; ///< Part of the refill while demand exceeds the rate.
         core::TimePoint reportedAt;
     };
@@ -69,15 +70,22 @@
     void settle(Account &account, const Exchange &exchange, const QuotaUse &use,
                 core::TimePoint now);
     void refund(double tokens, core::TimePoint now);
+    void fill(core::TimePoint until);
     void addToLevel(double tokens);
     void accrueCredit(Account &account, double demandPerSecond, core::TimePoint now);
-    double totalDemand(core::TimePoint now) const;
+    void countDemand(core::TimePoint now);
+    /// Returns when the first allowance expires.
+    core::TimePoint countOutstanding();
     double grantForWaiting(const Account &account, double missing, double smallest) const;
+    double reserved(double meanCost) const;
     bool isScarce() const;
+    bool canIssueSoon(const Account &account, const QuotaUse &use) const;
     double grantInAdvance(const Account &account, const QuotaUse &use, double usable) const;
 
     Limits m_limits;
     double m_level = 0;
+    double m_outstanding = 0;     ///< Tokens of all lots.
+    double m_demandPerSecond = 0; ///< Of all daemons.
     core::TimePoint m_filledAt;
     std::map<core::HostId, Account> m_accounts;
     struct Refund
--- a/src/libs/decisions/quota/quotaissuer.cpp
+++ b/src/libs/decisions/quota/quotaissuer.cpp
@@ -55,7 +55,8 @@
     for (const auto &[customer, quota] : quotas) {
         const auto found = m_entries.find(customer);
         if (found == m_entries.end()) {
-            m_entries.try_emplace(customer, quota, QuotaBucket(limitsOf(quota), now), std::nullopt);
+            m_entries.emplace(customer,
+                              Entry {quota, QuotaBucket(limitsOf(quota), now), std::nullopt});
             continue;
         }
         found->second.quota = quota;
@@ -86,7 +87,9 @@
 QuotaIssuer::issue(const core::HostId &daemon, const QuotaReport &report, bool areTotalsKnown,
                    std::uint64_t answerNumber, core::TimePoint now)
 {
-    const QuotaBucket::Exchange exchange {daemon, report.lastAnswer, answerNumber, areTotalsKnown};
+    // Another coordinator's numbers say nothing about answers of this one.
+    const std::uint64_t lastAnswer = areTotalsKnown ? report.lastAnswer : 0;
+    const QuotaBucket::Exchange exchange {daemon, lastAnswer, answerNumber, areTotalsKnown};
     std::map<core::CustomerId, QuotaGrant> grants;
     for (const auto &[customer, use] : report.uses) {
         const auto found = m_entries.find(customer);
