Ask only for customers with waiting requests between reports; tests

A call for allowances stated all customers that the daemon had served: at some 600 requests a second, each with a call, that is most of the coordinator's work. What is stated of the others comes with the next regular report. A request that was checked for an exhausted quota first counted twice as demand.

--- a/src/libs/gateway/customers/customerlimits.cpp
+++ b/src/libs/gateway/customers/customerlimits.cpp
@@ -169,7 +169,10 @@
     const core::TimePoint sentAt = net::bootTime();
     m_nextCallAt = sentAt + m_pause;
     const auto address = m_handlers.findCoordinator();
-    const QuotaCall call {m_host, m_allowance.takeReport(false, sentAt)};
+    QuotaCall call {m_host, m_allowance.takeReport(false, sentAt)};
+    // What is stated of other customers comes with the next regular report: a call for each of
+    // hundreds of requests a second must stay small.
+    std::erase_if(call.report.uses, [](const auto &entry) { return entry.second.waiting <= 0; });
     if (!address) {
         if (const Answer answer = m_handlers.answerLocally(call)) {
             apply(*answer, sentAt);
--- a/src/libs/gateway/customers/requestcharge.cpp
+++ b/src/libs/gateway/customers/requestcharge.cpp
@@ -26,7 +26,7 @@
 {
     if (m_isCharged || !m_limits.isExhausted(m_customer, m_tokens))
         return false;
-    m_last = m_limits.trySpend(m_customer, m_tokens, true);
+    m_last = m_limits.trySpend(m_customer, m_tokens, !std::exchange(m_isCounted, true));
     m_isCharged = m_last.verdict == Spending::Granted;
     if (m_last.verdict != Spending::Exhausted)
         return false;
@@ -38,10 +38,9 @@
 {
     if (m_isCharged)
         return Verdict::Granted;
-    const bool isFirst = !m_triedAt;
-    if (isFirst)
+    if (!m_triedAt)
         m_triedAt = now;
-    m_last = m_limits.trySpend(m_customer, m_tokens, isFirst);
+    m_last = m_limits.trySpend(m_customer, m_tokens, !std::exchange(m_isCounted, true));
     const bool isWaitOver = now - *m_triedAt >= maxWait;
     setWaiting(m_last.verdict == Spending::Wait && !isWaitOver);
     switch (m_last.verdict) {
--- a/src/libs/gateway/customers/requestcharge.h
+++ b/src/libs/gateway/customers/requestcharge.h
@@ -46,6 +46,7 @@
     CustomerLimits &m_limits;
     core::CustomerId m_customer;
     double m_tokens;
+    bool m_isCounted = false; ///< As demand.
     bool m_isCharged = false;
     bool m_isWaiting = false; ///< Is counted in the limits.
     std::optional<core::TimePoint> m_triedAt;
--- a/tests/auto/explain/tst_explain.cpp
+++ b/tests/auto/explain/tst_explain.cpp
@@ -111,3 +111,16 @@
     cr_assert_eq(history.contextEvents.size(), 1U);
     cr_assert_neq(historyText(history).find("1.5 requests per second"), std::string::npos);
 }
+
+// Guards against a request refused for its customer's quota whose figures are not shown, nor that
+// the customer was limited then.
+Test(explain, refusalForAQuotaShowsItsFigures)
+{
+    const std::string figures = "status 429, the customer's quota is used up, customer c1, cost "
+                                "1118, allowance 40, last answer of the coordinator 120 ms ago";
+    const auto history
+        = explain(lineOf("02.000", "refuse", "r1", "", figures)
+                  + lineOf("01.900", "customer limit", "", "", "c1 begins to be limited"));
+    cr_assert_eq(history.cause, "refuse: " + figures);
+    cr_assert_eq(history.contextEvents.size(), 1U);
+}
