Test what jackdawctl tells of a request refused for its quota

The log lines of two real daemons are read as jackdawctl does: the cause names the customer, the cost, the allowance, the age of the last answer and the configuration.

--- a/tests/e2e/tst_customerquotas.cpp
+++ b/tests/e2e/tst_customerquotas.cpp
@@ -1,7 +1,7 @@
 #include "earliercoordinator.h"
 #include "support/earliermessages.h"
-#include "support/faultylink.h"
 #include "support/platformfixture.h"
+#include "tools/explain.h"
 
 #include <criterion/criterion.h>
 
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -149,6 +150,27 @@
                       worst, outputs().c_str());
     }
 
+    /// Checks what jackdawctl tells of a refused request of the customer.
+    void expectExplained(const std::string &name, int status, const std::string &cause)
+    {
+        std::istringstream log(outputs());
+        const auto lines = tools::readLogLines(log);
+        const auto isRefused = [&](const json &line) {
+            const std::string id = line.value("request", std::string());
+            return id.starts_with(name) && line.value("step", std::string()) == "refuse";
+        };
+        const auto line = std::ranges::find_if(lines, isRefused);
+        cr_assert(line != lines.end(), "no line about a refusal\n%s", outputs().c_str());
+        const auto history = tools::explainRequest(line->at("request"), lines);
+        cr_expect(history.cause.starts_with("refuse: status " + std::to_string(status)), "%s",
+                  history.cause.c_str());
+        for (const std::string &part :
+             {cause, std::string("allowance"), std::string("last answer of the coordinator"),
+              std::string("configuration 2 in force")})
+            cr_expect_neq(history.cause.find(part), std::string::npos, "%s", history.cause.c_str());
+        cr_expect_neq(outputs().find(name + " begins to be limited"), std::string::npos);
+    }
+
     std::string outputs() const
     {
         std::ifstream file(secondFolder + "/output");
@@ -182,6 +204,8 @@
         if (answer->head.status == 429)
             cr_expect_geq(std::stod("0" + answer->head.headers.value("Retry-After")), 0.5);
     }
+    fixture.expectExplained("busy", 429,
+                            "the customer's quota is used up, customer busy, cost 200");
     const auto calm = static_cast<long>(fixture.answers["calm"].size());
     cr_expect_eq(fixture.answersWith("calm", 200), calm, "%s", fixture.outputs().c_str());
     // One call to the coordinator takes 5 ms to be sent.
