Send the mean cost of a daemon's requests to the coordinator

QuotaUse got the field meanCost, which messages did not carry: the coordinator took it as unknown, and issued less than a request. The amounts are listed once for both directions now, and an amount that is not listed fails to compile.

--- a/src/libs/gateway/customers/quotamessages.cpp
+++ b/src/libs/gateway/customers/quotamessages.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace jackdawlead::gateway::customers {
@@ -31,6 +32,16 @@
     return value;
 }
 
+/// The order of a use's amounts in messages.
+constexpr double QuotaUse::*amountsOfUse[]
+    = {&QuotaUse::spentTotal,      &QuotaUse::returnedTotal,
+       &QuotaUse::refundedTotal,   &QuotaUse::held,
+       &QuotaUse::waiting,         &QuotaUse::smallestWaiting,
+       &QuotaUse::demandPerSecond, &QuotaUse::wanted,
+       &QuotaUse::meanCost};
+static_assert(sizeof(QuotaUse) == std::size(amountsOfUse) * sizeof(double),
+              "an amount would not be sent");
+
 /// Reads numbers of a flat list and records whether all of them can be amounts.
 class AmountReader
 {
@@ -48,17 +59,15 @@
 };
 
 // Flat lists, because the number of values causes most of a message's cost: the incarnation, the
-// token, the last answer, the share; then the name and eight amounts of each customer.
+// token, the last answer, the share; then the name and the amounts of each customer.
 json encodeReport(const QuotaReport &report)
 {
     json value = json::array({report.incarnation.count(), report.token.value(), report.lastAnswer,
                               encodeNumber(report.share)});
     for (const auto &[customer, use] : report.uses) {
         value.push_back(customer.value());
-        for (const double amount :
-             {use.spentTotal, use.returnedTotal, use.refundedTotal, use.held, use.waiting,
-              use.smallestWaiting, use.demandPerSecond, use.wanted})
-            value.push_back(encodeNumber(amount));
+        for (const auto amount : amountsOfUse)
+            value.push_back(encodeNumber(use.*amount));
     }
     return value;
 }
@@ -74,10 +83,8 @@
     report.share = amounts.read(value.at(at++));
     while (at < value.size()) {
         QuotaUse &use = report.uses[core::CustomerId(value.at(at++).get<std::string>())];
-        for (double *amount :
-             {&use.spentTotal, &use.returnedTotal, &use.refundedTotal, &use.held, &use.waiting,
-              &use.smallestWaiting, &use.demandPerSecond, &use.wanted})
-            *amount = amounts.read(value.at(at++));
+        for (const auto amount : amountsOfUse)
+            use.*amount = amounts.read(value.at(at++));
     }
     return amounts.isValid() ? std::optional(std::move(report)) : std::nullopt;
 }
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -107,7 +107,7 @@
     PeerReport report;
     report.quota = {{milliseconds(1733300000123), core::FencingToken(1UL << 40U), 7, 0.25, {}}};
     report.quota->uses[core::CustomerId("c1")]
-        = {1e12 + 0.5, 20, 3, 400.25, 1118, 200, 62877.9, 4470.5};
+        = {1e12 + 0.5, 20, 3, 400.25, 1118, 200, 62877.9, 4470.5, 1118.25};
     report.quota->uses[core::CustomerId("c2")] = {};
     return report;
 }
