--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -19,6 +19,18 @@
     return limits.crossRegionCost;
 }
 
+bool takesPrompt(const EndpointOption &option, const EndpointChooserLimits &limits)
+{
+    return option.stream ? option.stream->keepsTargets
+                         : option.pendingPrefillTokens < limits.maxPendingPrefillTokens;
+}
+
+double promptCost(const EndpointOption &option, const EndpointChooserLimits &limits)
+{
+    return option.stream ? option.stream->cost
+                         : option.pendingPrefillTokens * limits.prefillTokenCost;
+}
+
 struct Candidate
 {
     const EndpointOption *option = nullptr;
@@ -36,13 +48,12 @@
         const double utilization = option.load / option.slots;
         const double maxUtilization
             = option.mustNotRefuse ? limits.maxUtilizationWithoutQueue : limits.maxUtilization;
-        if (utilization >= maxUtilization
-            || option.pendingPrefillTokens >= limits.maxPendingPrefillTokens)
+        if (utilization >= maxUtilization || !takesPrompt(option, limits))
             continue;
         candidates.push_back({&option,
                               utilization + distanceCost(option.distance, limits)
                                   + (option.isConnected ? 0 : limits.newConnectionCost)
-                                  + option.pendingPrefillTokens * limits.prefillTokenCost});
+                                  + promptCost(option, limits)});
     }
     return candidates;
 }
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -10,6 +10,13 @@
 
 enum class Distance { SameDomain, SameRegion, OtherRegion };
 
+/// What is predicted for a stream at an endpoint.
+struct StreamRating
+{
+    double cost = 0;          ///< In utilization.
+    bool keepsTargets = true; ///< Otherwise it is not chosen.
+};
+
 /// An endpoint that could take a request now.
 struct EndpointOption
 {
@@ -23,6 +30,8 @@
     bool wasTried = false;      ///< This request was sent to it before.
     bool mustNotRefuse = false; ///< Gets only requests for which it has a free slot.
     bool needsPermit = false;   ///< Its request limit allows no request of this daemon now.
+    /// Replaces the costs and the limit of pending prefill tokens.
+    std::optional<StreamRating> stream;
 };
 
 struct EndpointChooserLimits
--- /dev/null
+++ b/src/libs/decisions/streams/endpointspeed.cpp
@@ -0,0 +1,92 @@
+#include "decisions/streams/endpointspeed.h"
+
+#include <algorithm>
+
+namespace jackdawlead::decisions::streams {
+
+namespace {
+
+// More than half of the pauses are without a prompt at the observed load.
+constexpr double sampleQuantile = 0.3;
+constexpr std::size_t minSamples = 3;
+// Two pauses in a row of twice the estimate are rare unless the endpoint turned slow or many
+// prompts arrive there, which both are reasons to avoid it for the moment.
+constexpr double longPauseRatio = 2;
+constexpr int longPausesUntilSlow = 2;
+// A pause of up to this ratio holds no prompt.
+constexpr double cleanPauseRatio = 1.25;
+constexpr double minFactor = 0.05;
+constexpr double maxFactor = 50;
+// Without samples an endpoint may have recovered; it is tried again after this time.
+constexpr core::Duration retention = std::chrono::seconds(10);
+
+} // namespace
+
+void EndpointSpeed::recordPause(EngineTimes &times, double requests, core::Duration pause,
+                                core::TimePoint now)
+{
+    const double sample = std::clamp(core::toSeconds(pause)
+                                         / core::toSeconds(times.pause(requests)),
+                                     minFactor, maxFactor);
+    const double known = m_recorded >= minSamples ? m_ownFactor : timeFactor(now);
+    const bool isLong = sample > known * longPauseRatio;
+    m_longPauses = isLong ? m_longPauses + 1 : 0;
+    if (m_longPauses >= longPausesUntilSlow) {
+        // Earlier samples are of the endpoint before it turned slow.
+        const double previous = m_samples[(m_recorded + sampleCount - 1) % sampleCount];
+        m_samples.fill(m_recorded > 0 ? std::min(previous, sample) : sample);
+        m_recorded = std::max(m_recorded, sampleCount);
+        m_longPauses = 0;
+    }
+    m_samples[m_recorded++ % sampleCount] = sample;
+    m_sampledAt = now;
+    if (m_recorded < minSamples)
+        return;
+    updateFactor();
+    if (sample < m_ownFactor * cleanPauseRatio)
+        times.recordPause(requests, core::scaled(pause, 1 / m_ownFactor));
+}
+
+void EndpointSpeed::updateFactor()
+{
+    auto samples = m_samples;
+    const std::size_t count = std::min(m_recorded, sampleCount);
+    const auto nth = samples.begin()
+        + static_cast<std::ptrdiff_t>(sampleQuantile * static_cast<double>(count));
+    std::nth_element(samples.begin(), nth,
+                     samples.begin() + static_cast<std::ptrdiff_t>(count));
+    m_ownFactor = *nth;
+}
+
+void EndpointSpeed::setReported(const EngineTimes &times, core::Duration referencePause,
+                                core::TimePoint now)
+{
+    m_reportedFactor = std::clamp(core::toSeconds(referencePause)
+                                      / core::toSeconds(
+                                          times.pause(EngineTimes::referenceRequests)),
+                                  minFactor, maxFactor);
+    m_reportedAt = now;
+}
+
+double EndpointSpeed::timeFactor(core::TimePoint now) const
+{
+    const bool isOwnKnown = m_recorded >= minSamples && now - m_sampledAt <= retention;
+    const bool isReportKnown
+        = m_reportedAt != core::TimePoint() && now - m_reportedAt <= retention;
+    if (!isReportKnown)
+        return isOwnKnown ? m_ownFactor : 1;
+    // What all daemons saw is exact, but older than a stream of this daemon that turned slow.
+    const bool turnedSlow = isOwnKnown && m_sampledAt > m_reportedAt
+        && m_ownFactor > m_reportedFactor * longPauseRatio;
+    return turnedSlow ? m_ownFactor : m_reportedFactor;
+}
+
+std::optional<core::Duration> EndpointSpeed::ownReferencePause(const EngineTimes &times,
+                                                               core::TimePoint since) const
+{
+    if (m_recorded < minSamples || m_sampledAt < since)
+        return std::nullopt;
+    return core::scaled(times.pause(EngineTimes::referenceRequests), m_ownFactor);
+}
+
+} // namespace jackdawlead::decisions::streams
--- /dev/null
+++ b/src/libs/decisions/streams/streamprediction.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/time.h"
+#include "decisions/streams/enginetimes.h"
+
+namespace jackdawlead::decisions::streams {
+
+/// A stream that is to begin, and its targets.
+struct StreamDemand
+{
+    int promptTokens = 0;
+    core::Duration targetGap {};
+    core::Duration timeLeft {}; ///< Until its first event is late.
+};
+
+/// What is known about an endpoint at which it may begin.
+struct EndpointState
+{
+    double timeFactor = 1;
+    int slots = 1;
+    double requests = 0;    ///< In progress there, of all daemons.
+    double ownTokens = 0;   ///< Prompt tokens of this daemon that are not read yet.
+    double otherTokens = 0; ///< Expected number of those of other daemons.
+};
+
+/// What the endpoint is expected to do if the stream begins there now.
+struct StreamPrediction
+{
+    core::Duration firstEvent {};
+    core::Duration gap {}; ///< Longest one of the streams there while the prompts are read.
+    double cost = 0;       ///< In utilization, for the choice among endpoints.
+    bool keepsTargets = true;
+};
+
+/// Predicts first event, gap and cost. Thread safety: any thread.
+StreamPrediction predictStream(const EngineTimes &times, const StreamDemand &demand,
+                               const EndpointState &endpoint);
+
+} // namespace jackdawlead::decisions::streams
