Streams: choose by predicted pauses and by parts of the endpoints

A daemon learns of other daemons' prompts only after they were read, so that no report says where the next prompt fits.

--- a/bench/streambench.cpp
+++ b/bench/streambench.cpp
@@ -1,6 +1,5 @@
 #include "auto/streamforecast/streampolicies.h"
 
-
 #include <cstdint>
 #include <iomanip>
 #include <iostream>
@@ -19,8 +18,7 @@
     StreamScenario scenario;
 };
 
-template <typename Policy>
-StreamResult print(const char *policy, const StreamScenario &scenario)
+template <typename Policy> StreamResult print(const char *policy, const StreamScenario &scenario)
 {
     const StreamResult result = StreamSimulation<Policy>(scenario).run();
     std::cout << "  " << std::left << std::setw(12) << policy << std::right << " late "
--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -1,11 +1,17 @@
 #include "decisions/endpointchooser.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace jackdawlead::decisions {
 
 namespace {
 
+// How strongly costs shift the share of the streams that an endpoint gets. At 3 the least utilized
+// endpoints got too many streams while loads were half a second old, at 1.5 a quarter fewer streams
+// were late (bench/streambench, 6 holders, 450 streams/s).
+constexpr double streamCostWeight = 1.5;
+
 double distanceCost(Distance distance, const EndpointChooserLimits &limits)
 {
     switch (distance) {
@@ -31,6 +37,12 @@
                          : option.pendingPrefillTokens * limits.prefillTokenCost;
 }
 
+/// For the comparison of endpoints; the limit of the utilization applies to the slots.
+double capacityOf(const EndpointOption &option)
+{
+    return option.stream ? option.stream->capacity : option.slots;
+}
+
 struct Candidate
 {
     const EndpointOption *option = nullptr;
@@ -51,7 +63,8 @@
         if (utilization >= maxUtilization || !takesPrompt(option, limits))
             continue;
         candidates.push_back({&option,
-                              utilization + distanceCost(option.distance, limits)
+                              option.load / capacityOf(option)
+                                  + distanceCost(option.distance, limits)
                                   + (option.isConnected ? 0 : limits.newConnectionCost)
                                   + promptCost(option, limits)});
     }
@@ -71,7 +84,7 @@
             break;
         unreported -= needed;
         level = next;
-        slots += candidates[index].option->slots;
+        slots += capacityOf(*candidates[index].option);
     }
     return slots > 0 ? level + unreported / slots : level;
 }
@@ -83,6 +96,27 @@
     return candidates[static_cast<std::size_t>(draw * static_cast<double>(ties))].option;
 }
 
+// Loads and prompts of other daemons that were reported some hundred milliseconds ago say little
+// about the next prompt, so that streams are spread by what the endpoints can take.
+const EndpointOption *drawByCapacity(const std::vector<Candidate> &candidates, double draw)
+{
+    std::vector<double> weights;
+    weights.reserve(candidates.size());
+    double total = 0;
+    for (const Candidate &candidate : candidates) {
+        weights.push_back(capacityOf(*candidate.option)
+                          * std::exp(-streamCostWeight * candidate.cost));
+        total += weights.back();
+    }
+    double remaining = draw * total;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        remaining -= weights[index];
+        if (remaining < 0)
+            return candidates[index].option;
+    }
+    return candidates.empty() ? nullptr : candidates.back().option;
+}
+
 // Load interpretation (Dahlin): requests that other daemons sent since the loads were reported are
 // assumed to have filled the cheapest candidates up to a common level. Each candidate is drawn with
 // a probability proportional to the gap between its cost and that level.
@@ -91,17 +125,19 @@
 {
     if (candidates.empty())
         return nullptr;
+    if (candidates.front().option->stream && unreportedPerEndpoint > 0)
+        return drawByCapacity(candidates, draw);
     std::ranges::stable_sort(candidates, {}, &Candidate::cost);
     const double level = waterFillingLevel(
         candidates, unreportedPerEndpoint * static_cast<double>(candidates.size()));
     double total = 0;
     for (const Candidate &candidate : candidates)
-        total += std::max(0.0, level - candidate.cost) * candidate.option->slots;
+        total += std::max(0.0, level - candidate.cost) * capacityOf(*candidate.option);
     if (total <= 0)
         return drawAmongCheapest(candidates, draw);
     double remaining = draw * total;
     for (const Candidate &candidate : candidates) {
-        remaining -= std::max(0.0, level - candidate.cost) * candidate.option->slots;
+        remaining -= std::max(0.0, level - candidate.cost) * capacityOf(*candidate.option);
         if (remaining < 0)
             return candidate.option;
     }
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -13,6 +13,7 @@
 /// What is predicted for a stream at an endpoint.
 struct StreamRating
 {
+    double capacity = 1;      ///< Slots, weighted by the endpoint's speed.
     double cost = 0;          ///< In utilization.
     bool keepsTargets = true; ///< Otherwise it is not chosen.
 };
@@ -30,7 +31,7 @@
     bool wasTried = false;      ///< This request was sent to it before.
     bool mustNotRefuse = false; ///< Gets only requests for which it has a free slot.
     bool needsPermit = false;   ///< Its request limit allows no request of this daemon now.
-    /// Replaces the costs and the limit of pending prefill tokens.
+    /// Replaces the slots, the costs and the limit of pending prefill tokens.
     std::optional<StreamRating> stream;
 };
 
--- a/src/libs/decisions/streams/endpointspeed.cpp
+++ b/src/libs/decisions/streams/endpointspeed.cpp
@@ -9,25 +9,24 @@
 // More than half of the pauses are without a prompt at the observed load.
 constexpr double sampleQuantile = 0.3;
 constexpr std::size_t minSamples = 3;
-// Two pauses in a row of twice the estimate are rare unless the endpoint turned slow or many
+// Four pauses in a row of twice the estimate are rare unless the endpoint turned slow or many
 // prompts arrive there, which both are reasons to avoid it for the moment.
 constexpr double longPauseRatio = 2;
-constexpr int longPausesUntilSlow = 2;
-// A pause of up to this ratio holds no prompt.
-constexpr double cleanPauseRatio = 1.25;
+constexpr int longPausesUntilSlow = 4;
 constexpr double minFactor = 0.05;
 constexpr double maxFactor = 50;
 // Without samples an endpoint may have recovered; it is tried again after this time.
+// Own samples of this age are newer than what is reported.
+constexpr core::Duration recentTime = std::chrono::milliseconds(500);
 constexpr core::Duration retention = std::chrono::seconds(10);
 
 } // namespace
 
-void EndpointSpeed::recordPause(EngineTimes &times, double requests, core::Duration pause,
-                                core::TimePoint now)
+void EndpointSpeed::recordPause(double requests, core::Duration pause, core::TimePoint now)
 {
-    const double sample = std::clamp(core::toSeconds(pause)
-                                         / core::toSeconds(times.pause(requests)),
-                                     minFactor, maxFactor);
+    const double sample
+        = std::clamp(core::toSeconds(pause) / core::toSeconds(EngineTimes::pause(requests)),
+                     minFactor, maxFactor);
     const double known = m_recorded >= minSamples ? m_ownFactor : timeFactor(now);
     const bool isLong = sample > known * longPauseRatio;
     m_longPauses = isLong ? m_longPauses + 1 : 0;
@@ -40,11 +39,8 @@
     }
     m_samples[m_recorded++ % sampleCount] = sample;
     m_sampledAt = now;
-    if (m_recorded < minSamples)
-        return;
-    updateFactor();
-    if (sample < m_ownFactor * cleanPauseRatio)
-        times.recordPause(requests, core::scaled(pause, 1 / m_ownFactor));
+    if (m_recorded >= minSamples)
+        updateFactor();
 }
 
 void EndpointSpeed::updateFactor()
@@ -53,40 +49,35 @@
     const std::size_t count = std::min(m_recorded, sampleCount);
     const auto nth = samples.begin()
         + static_cast<std::ptrdiff_t>(sampleQuantile * static_cast<double>(count));
-    std::nth_element(samples.begin(), nth,
-                     samples.begin() + static_cast<std::ptrdiff_t>(count));
+    std::nth_element(samples.begin(), nth, samples.begin() + static_cast<std::ptrdiff_t>(count));
     m_ownFactor = *nth;
 }
 
-void EndpointSpeed::setReported(const EngineTimes &times, core::Duration referencePause,
-                                core::TimePoint now)
+void EndpointSpeed::setReported(core::Duration referencePause, core::TimePoint now)
 {
-    m_reportedFactor = std::clamp(core::toSeconds(referencePause)
-                                      / core::toSeconds(
-                                          times.pause(EngineTimes::referenceRequests)),
-                                  minFactor, maxFactor);
+    m_reportedFactor
+        = std::clamp(core::toSeconds(referencePause) / core::toSeconds(EngineTimes::referencePause),
+                     minFactor, maxFactor);
     m_reportedAt = now;
 }
 
 double EndpointSpeed::timeFactor(core::TimePoint now) const
 {
     const bool isOwnKnown = m_recorded >= minSamples && now - m_sampledAt <= retention;
-    const bool isReportKnown
-        = m_reportedAt != core::TimePoint() && now - m_reportedAt <= retention;
-    if (!isReportKnown)
-        return isOwnKnown ? m_ownFactor : 1;
-    // What all daemons saw is exact, but older than a stream of this daemon that turned slow.
-    const bool turnedSlow = isOwnKnown && m_sampledAt > m_reportedAt
-        && m_ownFactor > m_reportedFactor * longPauseRatio;
-    return turnedSlow ? m_ownFactor : m_reportedFactor;
+    const bool isReportKnown = m_reportedAt != core::TimePoint() && now - m_reportedAt <= retention;
+    const bool isOwnRecent = isOwnKnown && now - m_sampledAt <= recentTime;
+    if (isOwnRecent && (m_recorded >= sampleCount || !isReportKnown))
+        return m_ownFactor;
+    if (isReportKnown)
+        return m_reportedFactor;
+    return isOwnKnown ? m_ownFactor : 1;
 }
 
-std::optional<core::Duration> EndpointSpeed::ownReferencePause(const EngineTimes &times,
-                                                               core::TimePoint since) const
+std::optional<core::Duration> EndpointSpeed::ownReferencePause(core::TimePoint since) const
 {
     if (m_recorded < minSamples || m_sampledAt < since)
         return std::nullopt;
-    return core::scaled(times.pause(EngineTimes::referenceRequests), m_ownFactor);
+    return core::scaled(EngineTimes::referencePause, m_ownFactor);
 }
 
 } // namespace jackdawlead::decisions::streams
--- a/src/libs/decisions/streams/endpointspeed.h
+++ b/src/libs/decisions/streams/endpointspeed.h
@@ -18,25 +18,24 @@
 public:
     /// Records a pause between two events of a stream in a batch of `requests`. Pauses in which
     /// this daemon did not read the stream must not be recorded.
-    void recordPause(EngineTimes &times, double requests, core::Duration pause,
-                     core::TimePoint now);
+    void recordPause(double requests, core::Duration pause, core::TimePoint now);
     /// Sets the pause in a batch of EngineTimes::referenceRequests that all daemons report.
-    void setReported(const EngineTimes &times, core::Duration referencePause, core::TimePoint now);
+    void setReported(core::Duration referencePause, core::TimePoint now);
     /// Forgets everything, because the endpoint was started again.
     void reset() { *this = {}; }
 
     double timeFactor(core::TimePoint now) const;
     /// The own estimate as pause in a batch of EngineTimes::referenceRequests, to be reported;
     /// empty without a sample since `since`.
-    std::optional<core::Duration> ownReferencePause(const EngineTimes &times,
-                                                    core::TimePoint since) const;
+    std::optional<core::Duration> ownReferencePause(core::TimePoint since) const;
 
 private:
     static constexpr std::size_t sampleCount = 12;
 
     void updateFactor();
 
-    std::array<double, sampleCount> m_samples {}; ///< Ring buffer of pauses in terms of EngineTimes.
+    std::array<double, sampleCount>
+        m_samples {}; ///< Ring buffer of pauses in terms of EngineTimes.
     std::size_t m_recorded = 0;
     int m_longPauses = 0; ///< Latest ones in a row that are far above the estimate.
     double m_ownFactor = 1;
--- a/src/libs/decisions/streams/streamprediction.cpp
+++ b/src/libs/decisions/streams/streamprediction.cpp
@@ -9,11 +9,8 @@
 
 // Part of the targets that predictions may use; links and the daemons' own work take the rest.
 constexpr double usableShare = 0.9;
-// Other daemons' prompts arrive independently; at least one short prompt must be expected although
-// none is known.
-constexpr double minOtherTokens = 100;
-constexpr double gapWeight = 0.5;  ///< Of the expected gap, in utilization.
-constexpr double riskWeight = 2.0; ///< Of the probability that streams there are late.
+// A slow endpoint has less time for prompts in each gap and holds its streams for longer.
+constexpr double capacityExponent = 1.3;
 
 } // namespace
 
@@ -23,23 +20,26 @@
     const double factor = endpoint.timeFactor;
     const double batch = std::min<double>(endpoint.requests + 1, endpoint.slots);
     const core::Duration pause = core::scaled(times.pause(batch), factor);
-    const double tokens = endpoint.ownTokens + endpoint.otherTokens + demand.promptTokens;
-    const core::Duration reading = core::scaled(times.readTime(tokens), factor);
+    const double secondsPerToken = core::toSeconds(times.readTime(1000)) * factor / 1000;
+    const core::Duration usableGap = core::scaled(demand.targetGap, usableShare);
+    const double usableTokens = std::max(0.0, core::toSeconds(usableGap - pause)) / secondsPerToken;
+    const double ownTokens = endpoint.ownTokens + demand.promptTokens;
     StreamPrediction prediction;
+    const auto reading = std::chrono::duration_cast<core::Duration>(
+        std::chrono::duration<double>((ownTokens + endpoint.otherTokens) * secondsPerToken));
     prediction.gap = pause + reading;
     prediction.firstEvent = reading + pause / 2;
-    const double gapShare
-        = core::toSeconds(prediction.gap) / (core::toSeconds(demand.targetGap) * usableShare);
-    const double certainTokens = endpoint.ownTokens + demand.promptTokens;
-    const double usableTokens
-        = (core::toSeconds(demand.targetGap) * usableShare - core::toSeconds(pause))
-        / (core::toSeconds(times.readTime(1000)) * factor / 1000);
-    const double others = std::max(minOtherTokens, endpoint.otherTokens);
-    const double risk = std::exp(-std::max(0.0, usableTokens - certainTokens) / others);
-    prediction.cost = gapWeight * gapShare + riskWeight * risk;
-    prediction.keepsTargets
-        = gapShare <= 1 && prediction.firstEvent <= core::scaled(demand.timeLeft, usableShare);
+    prediction.usedBudget = usableTokens > 0 ? ownTokens / usableTokens : ownTokens;
+    prediction.keepsTargets = prediction.gap <= usableGap
+        && prediction.firstEvent <= core::scaled(demand.timeLeft, usableShare);
+    prediction.keepsShare = prediction.keepsTargets
+        && (endpoint.ownTokens == 0 || prediction.usedBudget <= endpoint.share);
     return prediction;
 }
 
+double streamCapacity(int slots, double timeFactor)
+{
+    return slots * std::pow(timeFactor, -capacityExponent);
+}
+
 } // namespace jackdawlead::decisions::streams
--- a/src/libs/decisions/streams/streamprediction.h
+++ b/src/libs/decisions/streams/streamprediction.h
@@ -21,6 +21,7 @@
     double requests = 0;    ///< In progress there, of all daemons.
     double ownTokens = 0;   ///< Prompt tokens of this daemon that are not read yet.
     double otherTokens = 0; ///< Expected number of those of other daemons.
+    double share = 0;       ///< The part of the endpoint that is meant for this daemon.
 };
 
 /// What the endpoint is expected to do if the stream begins there now.
@@ -28,12 +29,17 @@
 {
     core::Duration firstEvent {};
     core::Duration gap {}; ///< Longest one of the streams there while the prompts are read.
-    double cost = 0;       ///< In utilization, for the choice among endpoints.
+    double usedBudget = 0; ///< Part of the prompt tokens that fit into a gap, own ones only.
     bool keepsTargets = true;
+    bool keepsShare = true; ///< The own tokens also leave the other daemons their part.
 };
 
-/// Predicts first event, gap and cost. Thread safety: any thread.
+/// Predicts first event and gap. Thread safety: any thread.
 StreamPrediction predictStream(const EngineTimes &times, const StreamDemand &demand,
                                const EndpointState &endpoint);
 
+/// How many streams an endpoint takes in comparison with others, in slots of an endpoint with time
+/// factor 1.
+double streamCapacity(int slots, double timeFactor);
+
 } // namespace jackdawlead::decisions::streams
--- a/tests/auto/streamforecast/streampolicies.h
+++ b/tests/auto/streamforecast/streampolicies.h
@@ -5,7 +5,8 @@
 #include "decisions/requestcostestimator.h"
 #include "decisions/streams/endpointspeed.h"
 #include "decisions/streams/prefillforecast.h"
-#include "decisions/streams/streamprediction.h"
+#include "decisions/streams/streamchooser.h"
+#include "decisions/streams/streamshares.h"
 
 #include <algorithm>
 #include <map>
@@ -13,7 +14,8 @@
 
 namespace jackdawlead::testsupport {
 
-/// What the daemons count and report of each endpoint, as EndpointPool, PeerLink and Coordinator do.
+/// What the daemons count and report of each endpoint, as EndpointPool, PeerLink and Coordinator
+/// do.
 class SimulatedLoads
 {
 public:
@@ -114,8 +116,7 @@
     void recordFirstEvent(const SimulatedStream &stream, core::TimePoint now)
     {
         m_loads.recordFirstEvent(stream);
-        const bool isOnly
-            = m_loads.at(stream.daemon, stream.endpoint).pendingTokens == 0;
+        const bool isOnly = m_loads.at(stream.daemon, stream.endpoint).pendingTokens == 0;
         costOf(stream.daemon).recordFirstEvent(stream.promptTokens, now - stream.sentAt, isOnly);
     }
     void recordGap(const SimulatedStream & /*stream*/, core::Duration /*gap*/,
@@ -282,19 +283,16 @@
 
     std::optional<int> choose(const SimulatedStream &stream, core::TimePoint now, double draw)
     {
-        std::vector<decisions::EndpointOption> options;
-        const core::Duration timeLeft = stream.arrival + m_scenario.targetLatency - now;
-        const bool canWait = now - stream.arrival < maxHold;
-        for (const int endpoint : candidatesOf(stream)) {
-            auto option = optionFor(stream.daemon, endpoint, now);
-            const auto prediction = decisions::streams::predictStream(
-                of(stream.daemon).times,
-                {stream.promptTokens, m_scenario.targetGap, timeLeft},
-                stateOf(stream.daemon, endpoint, now));
-            option.stream = {prediction.cost, prediction.keepsTargets || !canWait};
-            options.push_back(option);
-        }
-        return indexOf(chooseEndpoint(options, draw, unreportedPerEndpoint()));
+        std::vector<decisions::streams::StreamOption> options;
+        for (const int endpoint : candidatesOf(stream))
+            options.push_back(
+                {optionFor(stream.daemon, endpoint, now), stateOf(stream.daemon, endpoint, now)});
+        const core::TimePoint dueAt = stream.arrival + m_scenario.targetLatency;
+        return indexOf(chooseForStream(std::move(options), of(stream.daemon).times,
+                                       {stream.promptTokens, m_scenario.targetGap, dueAt - now},
+                                       now - stream.arrival < maxHold, draw,
+                                       unreportedPerEndpoint())
+                           .choice);
     }
 
     void recordFirstEvent(const SimulatedStream &stream, core::TimePoint now)
@@ -308,9 +306,10 @@
     }
     void recordGap(const SimulatedStream &stream, core::Duration gap, core::TimePoint now)
     {
+        if (m_loads.at(stream.daemon, stream.endpoint).pendingTokens > 0)
+            return;
         Daemon &daemon = of(stream.daemon);
-        daemon.speeds[index(stream.endpoint)].recordPause(daemon.times, requestsAt(stream), gap,
-                                                          now);
+        daemon.speeds[index(stream.endpoint)].recordPause(requestsAt(stream), gap, now);
     }
 
     void report(int number, core::TimePoint now)
@@ -318,8 +317,8 @@
         PresentChooser::report(number, now);
         Daemon &daemon = of(number);
         for (int endpoint = 0; endpoint < m_scenario.endpoints; ++endpoint) {
-            const auto pause = daemon.speeds[index(endpoint)].ownReferencePause(
-                daemon.times, daemon.lastReportAt);
+            const auto pause
+                = daemon.speeds[index(endpoint)].ownReferencePause(daemon.lastReportAt);
             if (pause)
                 daemon.stated[index(endpoint)] = {*pause, now};
             const auto &entry = m_loads.at(number, endpoint);
@@ -328,9 +327,17 @@
                     - entry.reportedTokens,
                 now);
             if (const auto median = medianPause(endpoint, now))
-                daemon.speeds[index(endpoint)].setReported(daemon.times, *median, now);
+                daemon.speeds[index(endpoint)].setReported(*median, now);
         }
         daemon.lastReportAt = now;
+        std::vector<decisions::streams::SharedEndpoint> endpoints;
+        for (int endpoint = 0; endpoint < m_scenario.endpoints; ++endpoint)
+            endpoints.push_back(
+                {m_ids[index(endpoint)],
+                 decisions::streams::streamCapacity(
+                     SimulatedEngine::slots, daemon.speeds[index(endpoint)].timeFactor(now))});
+        daemon.shares
+            = decisions::streams::sharesOf(index(number), index(m_scenario.daemons), endpoints);
     }
 
     double estimatedFactor(int daemon, int endpoint, core::TimePoint now)
@@ -341,7 +348,7 @@
 
 private:
     static constexpr core::Duration maxHold = std::chrono::milliseconds(400);
-    static constexpr core::Duration statementRetention = std::chrono::seconds(2);
+    static constexpr core::Duration statementRetention = std::chrono::seconds(1);
 
     struct Statement
     {
@@ -354,6 +361,7 @@
         std::vector<decisions::streams::EndpointSpeed> speeds;
         std::vector<decisions::streams::PrefillForecast> forecasts;
         std::vector<Statement> stated;
+        decisions::streams::StreamShares shares;
         core::TimePoint lastReportAt;
     };
 
@@ -369,9 +377,19 @@
     decisions::streams::EndpointState stateOf(int daemon, int endpoint, core::TimePoint now)
     {
         const auto &entry = m_loads.at(daemon, endpoint);
-        return {of(daemon).speeds[index(endpoint)].timeFactor(now), SimulatedEngine::slots,
-                entry.inProgress + entry.othersLoad, static_cast<double>(entry.pendingTokens),
-                of(daemon).forecasts[index(endpoint)].tokens(now)};
+        return {of(daemon).speeds[index(endpoint)].timeFactor(now),
+                SimulatedEngine::slots,
+                entry.inProgress + entry.othersLoad,
+                static_cast<double>(entry.pendingTokens),
+                of(daemon).forecasts[index(endpoint)].tokens(now),
+                shareOf(daemon, endpoint)};
+    }
+
+    double shareOf(int daemon, int endpoint)
+    {
+        const auto &shares = of(daemon).shares;
+        const auto found = shares.find(m_ids[index(endpoint)]);
+        return found == shares.end() ? 0 : found->second;
     }
 
     std::optional<core::Duration> medianPause(int endpoint, core::TimePoint now)
--- a/tests/auto/streamforecast/streamsimulation.h
+++ b/tests/auto/streamforecast/streamsimulation.h
@@ -90,8 +90,7 @@
     {
         scheduleArrival();
         for (int daemon = 0; daemon < m_scenario.daemons; ++daemon)
-            scheduleReport(daemon,
-                           core::scaled(m_scenario.reportPeriod, m_uniform(m_random)));
+            scheduleReport(daemon, core::scaled(m_scenario.reportPeriod, m_uniform(m_random)));
         if (m_scenario.slowAt != core::Duration::max()) {
             schedule(m_scenario.slowAt,
                      [this] { m_engines[0].setTimeFactor(factorOf(0) * m_scenario.slowFactor); });
@@ -146,8 +145,7 @@
 
     void scheduleArrival()
     {
-        const double gap
-            = -std::log(1 - m_uniform(m_random)) / m_scenario.requestsPerSecond;
+        const double gap = -std::log(1 - m_uniform(m_random)) / m_scenario.requestsPerSecond;
         scheduleIn(core::scaled(std::chrono::seconds(1), gap), [this] {
             addStream();
             scheduleArrival();
@@ -164,8 +162,7 @@
         stream.outputTokens
             = 16 + static_cast<int>(-std::log(1 - m_uniform(m_random)) * (meanOutput - 16));
         for (int count = 0; count < m_scenario.holders; ++count)
-            stream.holders.push_back(
-                static_cast<int>(m_uniform(m_random) * m_scenario.endpoints));
+            stream.holders.push_back(static_cast<int>(m_uniform(m_random) * m_scenario.endpoints));
         stream.arrival = m_now;
         m_streams.push_back(std::move(stream));
         trySend(static_cast<int>(m_streams.size()) - 1);
@@ -176,8 +173,7 @@
         SimulatedStream &stream = at(number);
         const auto endpoint = m_policy.choose(stream, m_now, m_uniform(m_draws));
         if (!endpoint) {
-            const core::Duration maxWait
-                = core::scaled(m_scenario.targetLatency, maxWaitFraction);
+            const core::Duration maxWait = core::scaled(m_scenario.targetLatency, maxWaitFraction);
             if (m_now - stream.arrival >= maxWait)
                 stream.isRefused = true;
             else
@@ -270,10 +266,7 @@
     }
 
     SimulatedStream &at(int number) { return m_streams[static_cast<std::size_t>(number)]; }
-    SimulatedEngine &engine(int endpoint)
-    {
-        return m_engines[static_cast<std::size_t>(endpoint)];
-    }
+    SimulatedEngine &engine(int endpoint) { return m_engines[static_cast<std::size_t>(endpoint)]; }
 
     StreamScenario m_scenario;
     std::mt19937_64 m_random;
