--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -56,7 +56,8 @@
 
 // Runs the gateway of the users' platform. The environment variable platform::settingsVariable
 // holds the path of its settings file.
-int runGateway(bool checkOnly, std::uint16_t metricsPort, double logLinesPerSecond)
+int runGateway(bool checkOnly, std::uint16_t metricsPort, double logLinesPerSecond,
+               bool forecastsStreams)
 {
     using namespace jackdawlead;
     const char *path = std::getenv(platform::settingsVariable);
@@ -75,6 +76,7 @@
         return Success;
     }
     settings->metricsPort = metricsPort;
+    settings->forecastsStreams = forecastsStreams;
     observability::LogRateLimits logLimits;
     logLimits.burst = std::max(logLimits.burst, logLinesPerSecond);
     logLimits.linesPerSecond = logLinesPerSecond;
@@ -105,6 +107,8 @@
         options::value<double>()->default_value(
             jackdawlead::observability::LogRateLimits().linesPerSecond),
         "with --platform: maximum log lines per second besides warnings")(
+        "stream-forecast",
+        "with --platform: place streams on routes with a target gap by predicted gaps")(
         "platform",
         "serve the users' platform; JACKDAWLEAD_SETTINGS holds the path of its settings file");
     options::variables_map values;
@@ -121,7 +125,7 @@
     if (values.contains("platform"))
         return runGateway(values.contains("check-settings"),
                           values["metrics-port"].as<std::uint16_t>(),
-                          values["log-lines"].as<double>());
+                          values["log-lines"].as<double>(), values.contains("stream-forecast"));
     if (!values.contains("settings")) {
         std::cerr << "--settings is required\n" << description;
         return UsageError;
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -229,6 +229,7 @@
     std::erase_if(m_leavingEndpoints, [now](const auto &entry) {
         return now - entry.second.reportedAt > leavingRetention;
     });
+    m_streams.update(m_watch.endpoints(), m_settings.regions, now);
     m_totalLoad.clear();
     for (const auto &[host, daemon] : m_daemons) {
         for (const auto &[id, load] : daemon.load)
@@ -289,6 +290,7 @@
     daemon.pinned = report.pinned;
     if (report.isViewRequested) {
         daemon.load = report.load;
+        m_streams.addReport(report.host, report.domain, report.streams, now);
         daemon.inUse = report.inUse;
         daemon.endpoints = report.endpoints;
         daemon.endpointsInBackoff = report.endpointsInBackoff;
@@ -313,7 +315,7 @@
     daemon.knownRevision = report.token == m_token ? report.knownRevision : 0;
     m_lastReportKind = report.isViewRequested ? decisions::ReportPace::Kind::Regular
                                               : decisions::ReportPace::Kind::Demand;
-    PeerView view = report.isViewRequested ? fullViewFor(daemon) : baseViewFor(daemon);
+    PeerView view = report.isViewRequested ? fullViewFor(report.host, daemon) : baseViewFor(daemon);
     view.grants = issuePermits(report);
     return view;
 }
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -12,6 +12,7 @@
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
 #include "gateway/ratelimits.h"
+#include "gateway/streamcollector.h"
 #include "http/controlclient.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -129,7 +130,7 @@
     /// Returns the base view with the contents that changed since the daemon's known revision.
     PeerView contentsViewFor(Daemon &daemon);
     /// Returns the contents view with the loads of all endpoints.
-    PeerView fullViewFor(Daemon &daemon);
+    PeerView fullViewFor(const core::HostId &host, Daemon &daemon);
     void updateContentsHistory();
     decisions::EndpointContents contentsOf(const core::EndpointId &id) const;
 
@@ -147,6 +148,7 @@
     decisions::AdapterPlanner m_planner;
     std::map<core::HostId, Daemon> m_daemons;
     CrashCollector m_crashes;
+    StreamCollector m_streams;
     std::map<core::EndpointId, double> m_totalLoad;
     /// Recently reported by any daemon, sent to all daemons.
     std::map<core::EndpointId, LeavingEndpoint> m_leavingEndpoints;
--- a/src/libs/gateway/coordinatorviews.cpp
+++ b/src/libs/gateway/coordinatorviews.cpp
@@ -38,7 +38,7 @@
     return hosts;
 }
 
-PeerView Coordinator::fullViewFor(Daemon &daemon)
+PeerView Coordinator::fullViewFor(const core::HostId &host, Daemon &daemon)
 {
     PeerView view = contentsViewFor(daemon);
     view.hasLoad = true;
@@ -49,6 +49,7 @@
         return view;
     }
     view.endpoints = known;
+    view.streams = m_streams.viewFor(host, endpoints);
     view.loadsInIdOrder.reserve(endpoints.size());
     for (const auto &[id, endpoint] : endpoints) {
         const auto load = m_totalLoad.find(id);
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -11,6 +11,20 @@
 // age also includes half of the report period in each direction.
 constexpr core::Duration loadPropagationTime = std::chrono::milliseconds(50);
 
+const char *nameOf(decisions::streams::StreamChoiceKind kind)
+{
+    using decisions::streams::StreamChoiceKind;
+    switch (kind) {
+    case StreamChoiceKind::Share:
+        return "own part";
+    case StreamChoiceKind::Other:
+        return "elsewhere";
+    case StreamChoiceKind::Held:
+        break;
+    }
+    return "held back";
+}
+
 } // namespace
 
 void EndpointFinder::recordRefusal(core::TimePoint now)
@@ -21,7 +35,7 @@
 
 decisions::EndpointChoice EndpointFinder::choose(core::TimePoint now) const
 {
-    const std::vector<decisions::EndpointOption> candidates = options(now);
+    std::vector<decisions::EndpointOption> candidates = options(now);
     // Returns early because a request that waits for an adapter calls this fifty times a second,
     // mostly without any option.
     if (candidates.empty()) {
@@ -31,10 +45,34 @@
                                  : decisions::NoEndpointReason::NoCandidates,
                 {}};
     }
+    if (m_streamTargets && m_context.forecast.isEnabled())
+        return chooseForStream(std::move(candidates), now);
     return decisions::chooseEndpoint(candidates, m_context.uniformRandom(),
                                      unreportedPerEndpoint(now));
 }
 
+decisions::EndpointChoice
+EndpointFinder::chooseForStream(std::vector<decisions::EndpointOption> candidates,
+                                core::TimePoint now) const
+{
+    std::vector<decisions::streams::StreamOption> options;
+    options.reserve(candidates.size());
+    for (decisions::EndpointOption &candidate : candidates) {
+        const fleet::Endpoint &endpoint = *m_context.watch.endpoint(candidate.endpoint);
+        const auto state = m_context.forecast.stateOf(endpoint, candidate.load, now);
+        options.push_back({std::move(candidate), state});
+    }
+    const decisions::streams::StreamDemand demand {.promptTokens = m_fields.promptTokens,
+                                                   .targetGap = m_streamTargets->gap,
+                                                   .timeLeft
+                                                   = m_streamTargets->firstEventDueAt - now};
+    auto chosen = decisions::streams::chooseForStream(
+        std::move(options), m_context.forecast.times(), demand, now < m_streamTargets->waitUntil,
+        m_context.uniformRandom(), unreportedPerEndpoint(now));
+    m_context.metrics.recordStreamChoice(nameOf(chosen.kind));
+    return std::move(chosen.choice);
+}
+
 double EndpointFinder::unreportedPerEndpoint(core::TimePoint now) const
 {
     const double otherDaemons = m_context.daemonCount - 1;
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -10,6 +10,15 @@
 
 namespace jackdawlead::gateway {
 
+/// The targets of a stream on a route with a target gap.
+struct StreamTargets
+{
+    core::Duration gap {};
+    core::TimePoint firstEventDueAt;
+    /// Until when the stream waits for an endpoint that is expected to keep the targets.
+    core::TimePoint waitUntil;
+};
+
 /// Finds the endpoints that could take one request now, according to the daemon's view of them.
 /// Thread safety: the event loop's thread only.
 class EndpointFinder
@@ -21,6 +30,8 @@
     { }
 
     void setService(const core::ServiceId &service) { m_service = service; }
+    /// Chooses by predicted gaps, if the daemon forecasts them.
+    void setStreamTargets(const StreamTargets &targets) { m_streamTargets = targets; }
     /// Restricts the choice to endpoints with this version of their software.
     void setSoftwareVersion(const core::SoftwareVersion &version) { m_softwareVersion = version; }
     /// Restricts the choice to endpoints that hold the adapter at this version or a newer one,
@@ -58,6 +69,8 @@
     /// How many requests this daemon may have at an endpoint that must not refuse.
     int mostInProgress(const fleet::Endpoint &endpoint, core::TimePoint now) const;
     std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
+    decisions::EndpointChoice chooseForStream(std::vector<decisions::EndpointOption> candidates,
+                                              core::TimePoint now) const;
     /// Estimated number of requests that other daemons sent to each endpoint of the service since
     /// their last report.
     double unreportedPerEndpoint(core::TimePoint now) const;
@@ -73,6 +86,7 @@
     RequestContext &m_context;
     const platform::RequestFields &m_fields;
     core::ServiceId m_service;
+    std::optional<StreamTargets> m_streamTargets;
     std::optional<core::SoftwareVersion> m_softwareVersion;
     int m_minVersion = 0; ///< Of the adapter.
     int m_runVersion = 0; ///< The highest one that an endpoint stated.
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -97,6 +97,7 @@
            .isStopping = [this] { return m_context.stopRequestedAt.has_value(); }})
     , m_crashes(m_loop, m_timers, m_watch, m_pool, m_metrics, crashHandlers())
     , m_streams(m_store, m_timers, m_settings.host)
+    , m_forecast(m_pool, m_settings.forecastsStreams)
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
@@ -106,6 +107,7 @@
                  .crashes = m_crashes,
                  .streams = m_streams,
                  .paths = m_paths,
+                 .forecast = m_forecast,
                  .forwarder = m_forwarder,
                  .metrics = m_metrics,
                  .work = m_profiler,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -101,6 +101,7 @@
     ForwardedRequests m_forwardedRequests;
     CrashGuard m_crashes;
     StreamVersions m_streams;
+    StreamForecast m_forecast;
     RequestContext m_context;
     CoordinatorElection m_election;
     PeerDirectory m_directory;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -321,6 +321,9 @@
         if (m_context.pool.backoffEnd(endpoint) > m_context.timers.now())
             report.endpointsInBackoff.push_back(id);
     }
+    if (m_context.forecast.isEnabled())
+        report.streams
+            = m_context.forecast.makeReports(m_context.watch.endpoints(), m_context.timers.now());
     report.endpoints = digestOf(m_context.watch.endpoints());
     report.unreachable = m_context.pool.unreachable();
     return report;
@@ -448,6 +451,9 @@
     // Endpoints were added or removed since the report; the next one has the new digest.
     if (!view.loadsInIdOrder.empty() && (!isInIdOrder || view.endpoints != digestOf(endpoints)))
         return;
+    if (view.streams && view.streams->promptTokens.size() == endpoints.size() && isInIdOrder
+        && m_context.forecast.isEnabled())
+        m_context.forecast.applyView(*view.streams, endpoints, m_context.timers.now());
     std::size_t index = 0;
     for (const auto &[id, endpoint] : endpoints) {
         double totalLoad = 0;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -331,6 +331,7 @@
                   {"token", report.token.value()},
                   {"wantsView", report.isViewRequested}};
     encodeInto(message, report.crashes);
+    encodeInto(message, report.streams);
     return pack(message);
 }
 
@@ -364,6 +365,7 @@
     if (view.forwarders)
         message["forwarders"] = *view.forwarders;
     encodeInto(message, view.crashes);
+    encodeInto(message, view.streams);
     return pack(message);
 }
 
@@ -392,6 +394,7 @@
         report.endpointsInBackoff = decodeIds(value.at("resting"));
         report.leaving = decodeStartTimes(value.at("leaving"));
         report.crashes = decodeCrashNews(value);
+        report.streams = decodeStreamReports(value);
         report.waiting = decodeWaiting(value.at("waiting"), now);
         // Daemons of the previous release do not send these.
         report.pinned = decodePinned(value.value("pinned", json::array()));
@@ -428,6 +431,7 @@
         view.loadsInIdOrder = decodeLoadsInIdOrder(value.at("loads").get<std::string>());
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeFleetCrashNews(value);
+        view.streams = decodeStreamView(value);
         view.daemonCount = value.at("daemons").get<int>();
         // Daemons of earlier releases do not send these. A count that is too low would make each
         // daemon's share of the slack of repeated sends too large.
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -9,6 +9,7 @@
 #include "fleet/adapterkey.h"
 #include "fleet/endpoint.h"
 #include "gateway/crashnews.h"
+#include "gateway/peerstreams.h"
 
 #include <absl/status/statusor.h>
 
@@ -56,7 +57,9 @@
     std::uint64_t knownRevision = 0; ///< Of the contents that it received last.
     core::FencingToken token;        ///< Of the coordinator that sent them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
-    bool isViewRequested = true;     ///< False for a report of new demand only.
+    /// Empty if the daemon does not forecast streams, or does not know how.
+    std::optional<StreamReports> streams;
+    bool isViewRequested = true; ///< False for a report of new demand only.
 };
 
 /// The coordinator's view for a daemon: changed contents, and the load of all endpoints.
@@ -88,6 +91,9 @@
     /// Empty if the coordinator, of an earlier release, does not state them.
     std::optional<std::vector<std::string>> forwarders;
     FleetCrashNews crashes;
+    /// Of the endpoints of `endpoints`. Empty if nothing is known: the receiver does not forecast
+    /// streams, or the coordinator does not know how.
+    std::optional<StreamView> streams;
 };
 
 /// Messages are JSON-RPC parameters or results with one field, CBOR in Base64. As JSON objects they
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -144,6 +144,8 @@
 {
     m_context.pool.recordActivity(attempt().endpoint);
     recordPrefillCost();
+    if (isForecast())
+        recordStreamSpeed();
     endPrefill(attempt());
     if (!attempt().runBeganAt) {
         attempt().runBeganAt = now();
@@ -235,7 +237,8 @@
         {.level = observability::LogLevel::Info,
          .step = "late",
          .message = absl::StrCat(m_times.describe(m_exchange->receivedAt, attempt().sentAt),
-                                 ", in progress there ", std::lround(attempt().loadAtSend)),
+                                 ", in progress there ", std::lround(attempt().loadAtSend),
+                                 describePrediction()),
          .peer = attempt().endpoint.value(),
          .request = m_fields.id.value()});
 }
--- a/src/libs/gateway/requestattempt.h
+++ b/src/libs/gateway/requestattempt.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decisions/bufferbudget.h"
+#include "decisions/streams/streamprediction.h"
 #include "fleet/endpoint.h"
 #include "gateway/eventfilter.h"
 #include "gateway/requestforwarder.h"
@@ -41,9 +42,13 @@
     bool isCloseDelimitedThere = false; ///< The connection's end delimits the answer there.
     bool isInProgress = false;          ///< An exchange is in progress.
     core::TimePoint sentAt;
-    core::TimePoint headAt;         ///< When the head arrived.
-    double loadAtSend = 0;          ///< Slots in use at the endpoint when the request was sent.
-    int pendingPrefillTokens = 0;   ///< Until the first event.
+    core::TimePoint headAt;       ///< When the head arrived.
+    double loadAtSend = 0;        ///< Slots in use at the endpoint when the request was sent.
+    int pendingPrefillTokens = 0; ///< Until the first event.
+    /// What was predicted when the request was sent, if it is a stream with a target gap.
+    std::optional<decisions::streams::StreamPrediction> prediction;
+    double otherTokensAtSend = 0; ///< Prompt tokens of other daemons expected there then.
+    std::optional<core::TimePoint> lastProgressAt; ///< The last event of this run.
     bool isCounted = false;         ///< The pool counts it as in progress at the endpoint.
     bool wasLightlyLoaded = false;  ///< The endpoint had no pending prefill and few streams then.
     bool isSilenceReported = false; ///< The log names the silence of the endpoint.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -17,6 +17,7 @@
 #include "gateway/pathmonitor.h"
 #include "gateway/ratelimits.h"
 #include "gateway/requestforwarder.h"
+#include "gateway/streamforecast.h"
 #include "gateway/streamversions.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -42,6 +43,7 @@
     CrashGuard &crashes;
     StreamVersions &streams;
     PathMonitor &paths;
+    StreamForecast &forecast;
     RequestForwarder &forwarder;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -109,6 +109,7 @@
         return;
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.uniformRandom());
     m_finder.setService(m_service);
+    setStreamTargets();
     m_context.budgets[m_service].recordRequest(now());
     if (!m_fields.adapter.isEmpty())
         ++m_context.demand[adapterKey()];
@@ -390,6 +391,8 @@
     next->wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
         && next->loadAtSend < lowUtilization * endpoint.slots;
     next->pendingPrefillTokens = m_fields.promptTokens;
+    if (isForecast())
+        predictStream(endpoint, *next);
     platform::ForwardFields forward;
     if (m_isForwarding) {
         next->events = attempt().events;
--- a/src/libs/gateway/requesttask.h
+++ b/src/libs/gateway/requesttask.h
@@ -23,8 +23,9 @@
 /// Implemented in requesttask.cpp (until the request is sent), requestresume.cpp (streams that
 /// clients take up), requestqueue.cpp (requests that wait at an endpoint), requestpath.cpp (own and
 /// other daemons' connections), requestanswer.cpp (the endpoint's answer), requestreplacement.cpp
-/// (silent endpoints), requestbuffers.cpp (the memory that it takes) and requestend.cpp (retries
-/// and the end of the request). Thread safety: the event loop's thread only.
+/// (silent endpoints), requeststreams.cpp (predicted gaps), requestbuffers.cpp (the memory that it
+/// takes) and requestend.cpp (retries and the end of the request). Thread safety: the event loop's
+/// thread only.
 class RequestTask : public std::enable_shared_from_this<RequestTask>
 {
 public:
@@ -194,6 +195,15 @@
     void applyBackpressure();
     void endPrefill(RequestAttempt &attempt);
     void recordPrefillCost();
+    /// Whether the request is a stream whose gaps this daemon predicts.
+    bool isForecast() const;
+    void setStreamTargets();
+    /// Predicts first event and gap of the attempt. Precondition: isForecast().
+    void predictStream(const fleet::Endpoint &endpoint, RequestAttempt &attempt) const;
+    /// Records what an event says about the speed of its endpoint.
+    void recordStreamSpeed();
+    /// What was predicted for the attempt, as text for the log; empty if nothing was.
+    std::string describePrediction() const;
     void recordRunTime();
     void logIfLate() const;
     void logRepeatedSend() const;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -110,6 +110,8 @@
                              .Add({}))
     , m_cutOff(gauge(*m_registry, "jackdawlead_cut_off",
                      "1 while this daemon reaches endpoints only through other daemons"))
+    , m_streamChoices(counters(*m_registry, "jackdawlead_stream_choices_total",
+                               "Choices of endpoints for streams by predicted gaps"))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -63,6 +63,11 @@
     /// Records a request that this daemon sends to the endpoint for another one.
     void recordForwardedForPeer() { m_forwardedForPeer.Increment(); }
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
+    /// Records a choice of an endpoint for a stream by predicted gaps, also a repeated one.
+    void recordStreamChoice(const std::string &kind)
+    {
+        m_streamChoices.Add({{"kind", kind}}).Increment();
+    }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
     void setControlCalls(double count) { m_controlCalls.Set(count); }
@@ -103,6 +108,7 @@
     prometheus::Counter &m_forwardedByPeer;
     prometheus::Counter &m_forwardedForPeer;
     prometheus::Gauge &m_cutOff;
+    prometheus::Family<prometheus::Counter> &m_streamChoices;
 };
 
 } // namespace jackdawlead::observability
