Streams: state the requests in the batch; tests in virtual time

An endpoint far slower than the others gets a quarter of its capacity, so that one that turned slow keeps less than a tenth of its streams (test).

--- a/src/libs/decisions/streams/endpointspeed.cpp
+++ b/src/libs/decisions/streams/endpointspeed.cpp
@@ -18,6 +18,8 @@
 // Without samples an endpoint may have recovered; it is tried again after this time.
 // Own samples of this age are newer than what is reported.
 constexpr core::Duration recentTime = std::chrono::milliseconds(500);
+// Three of the slowest reports; the coordinator repeats what it knows with each of them.
+constexpr core::Duration reportRetention = std::chrono::milliseconds(2250);
 constexpr core::Duration retention = std::chrono::seconds(10);
 
 } // namespace
@@ -64,7 +66,8 @@
 double EndpointSpeed::timeFactor(core::TimePoint now) const
 {
     const bool isOwnKnown = m_recorded >= minSamples && now - m_sampledAt <= retention;
-    const bool isReportKnown = m_reportedAt != core::TimePoint() && now - m_reportedAt <= retention;
+    const bool isReportKnown
+        = m_reportedAt != core::TimePoint() && now - m_reportedAt <= reportRetention;
     const bool isOwnRecent = isOwnKnown && now - m_sampledAt <= recentTime;
     if (isOwnRecent && (m_recorded >= sampleCount || !isReportKnown))
         return m_ownFactor;
--- a/src/libs/decisions/streams/streamchooser.cpp
+++ b/src/libs/decisions/streams/streamchooser.cpp
@@ -12,10 +12,15 @@
     // Costs are in utilization, so that the capacities have to be slots on average.
     double slots = 0;
     double capacity = 0;
+    std::vector<double> factors;
+    factors.reserve(options.size());
+    for (const StreamOption &option : options)
+        factors.push_back(option.state.timeFactor);
+    const double typicalFactor = typicalFactorOf(std::move(factors));
     for (StreamOption &option : options) {
         option.option.stream.emplace();
         option.option.stream->capacity
-            = streamCapacity(option.state.slots, option.state.timeFactor);
+            = streamCapacity(option.state.slots, option.state.timeFactor, typicalFactor);
         slots += option.state.slots;
         capacity += option.option.stream->capacity;
     }
--- a/src/libs/decisions/streams/streamprediction.cpp
+++ b/src/libs/decisions/streams/streamprediction.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <vector>
 
 namespace jackdawlead::decisions::streams {
 
@@ -11,6 +13,9 @@
 constexpr double usableShare = 0.9;
 // A slow endpoint has less time for prompts in each gap and holds its streams for longer.
 constexpr double capacityExponent = 1.3;
+// Sound endpoints of a deployment differ by a factor of 2.5.
+constexpr double slowRatio = 3;
+constexpr double slowCapacityShare = 0.25;
 
 } // namespace
 
@@ -37,9 +42,20 @@
     return prediction;
 }
 
-double streamCapacity(int slots, double timeFactor)
+double streamCapacity(int slots, double timeFactor, double typicalFactor)
 {
-    return slots * std::pow(timeFactor, -capacityExponent);
+    const double capacity = slots * std::pow(timeFactor, -capacityExponent);
+    return timeFactor > typicalFactor * slowRatio ? capacity * slowCapacityShare : capacity;
+}
+
+double typicalFactorOf(std::vector<double> timeFactors)
+{
+    if (timeFactors.empty())
+        return 1;
+    const auto middle
+        = timeFactors.begin() + static_cast<std::ptrdiff_t>((timeFactors.size() - 1) / 2);
+    std::ranges::nth_element(timeFactors, middle);
+    return *middle;
 }
 
 } // namespace jackdawlead::decisions::streams
--- a/src/libs/decisions/streams/streamprediction.h
+++ b/src/libs/decisions/streams/streamprediction.h
@@ -3,6 +3,8 @@
 #include "core/time.h"
 #include "decisions/streams/enginetimes.h"
 
+#include <vector>
+
 namespace jackdawlead::decisions::streams {
 
 /// A stream that is to begin, and its targets.
@@ -40,6 +42,11 @@
 
 /// How many streams an endpoint takes in comparison with others, in slots of an endpoint with time
 /// factor 1.
-double streamCapacity(int slots, double timeFactor);
+/// `typicalFactor` is the time factor of the fastest half of them; an endpoint that is much slower
+/// gets only so many streams that its recovery is noticed.
+double streamCapacity(int slots, double timeFactor, double typicalFactor);
+
+/// The lower median of the time factors; 1 if there are none.
+double typicalFactorOf(std::vector<double> timeFactors);
 
 } // namespace jackdawlead::decisions::streams
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -59,7 +59,7 @@
     options.reserve(candidates.size());
     for (decisions::EndpointOption &candidate : candidates) {
         const fleet::Endpoint &endpoint = *m_context.watch.endpoint(candidate.endpoint);
-        const auto state = m_context.forecast.stateOf(endpoint, candidate.load, now);
+        const auto state = m_context.forecast.stateOf(endpoint, now);
         options.push_back({std::move(candidate), state});
     }
     const decisions::streams::StreamDemand demand {.promptTokens = m_fields.promptTokens,
--- a/src/libs/gateway/peerstreams.cpp
+++ b/src/libs/gateway/peerstreams.cpp
@@ -13,6 +13,7 @@
 using nlohmann::json;
 
 constexpr char fieldName[] = "streams";
+constexpr int maxRequests = 100'000;
 constexpr int maxPromptTokens = 1'000'000;
 constexpr int maxPauseMicroseconds = 60'000'000;
 constexpr int maxPermille = 1000;
@@ -34,7 +35,7 @@
 
 } // namespace
 
-// Flat lists: the id, the tokens, the pause in microseconds or 0.
+// Flat lists: the id, the requests, the tokens, the pause in microseconds or 0.
 void encodeInto(json &message, const std::optional<StreamReports> &streams)
 {
     if (!streams)
@@ -42,6 +43,7 @@
     json list = json::array();
     for (const auto &[id, report] : *streams) {
         list.push_back(id.value());
+        list.push_back(report.requests);
         list.push_back(report.promptTokens);
         list.push_back(microseconds(report.pause.value_or(core::Duration::zero())));
     }
@@ -54,10 +56,11 @@
     if (list == message.end())
         return std::nullopt;
     StreamReports reports;
-    for (std::size_t at = 0; at < list->size(); at += 3) {
+    for (std::size_t at = 0; at < list->size(); at += 4) {
         StreamReport report;
-        report.promptTokens = boundedInteger(list->at(at + 1), maxPromptTokens);
-        if (const core::Duration pause = pauseFrom(list->at(at + 2));
+        report.requests = boundedInteger(list->at(at + 1), maxRequests);
+        report.promptTokens = boundedInteger(list->at(at + 2), maxPromptTokens);
+        if (const core::Duration pause = pauseFrom(list->at(at + 3));
             pause > core::Duration::zero())
             report.pause = pause;
         reports[core::EndpointId(list->at(at).get<std::string>())] = report;
@@ -65,7 +68,7 @@
     return reports;
 }
 
-// Three lists; that of the shares holds position and share of the few endpoints that have one.
+// Four lists; that of the shares holds position and share of the few endpoints that have one.
 void encodeInto(json &message, const std::optional<StreamView> &streams)
 {
     if (!streams)
@@ -81,7 +84,8 @@
             shares.push_back(permille);
         }
     }
-    message[fieldName] = {streams->promptTokens, std::move(pauses), std::move(shares)};
+    message[fieldName]
+        = {streams->requests, streams->promptTokens, std::move(pauses), std::move(shares)};
 }
 
 std::optional<StreamView> decodeStreamView(const json &message)
@@ -90,13 +94,16 @@
     if (lists == message.end())
         return std::nullopt;
     StreamView view;
-    for (const json &tokens : lists->at(0))
+    for (const json &requests : lists->at(0))
+        view.requests.push_back(boundedInteger(requests, maxRequests));
+    for (const json &tokens : lists->at(1))
         view.promptTokens.push_back(boundedInteger(tokens, maxPromptTokens));
-    for (const json &pause : lists->at(1))
+    for (const json &pause : lists->at(2))
         view.pauses.push_back(pauseFrom(pause));
+    view.requests.resize(view.promptTokens.size());
     view.shares.resize(view.promptTokens.size());
     view.pauses.resize(view.promptTokens.size());
-    const json &shares = lists->at(2);
+    const json &shares = lists->at(3);
     for (std::size_t at = 0; at < shares.size(); at += 2) {
         const auto position = shares.at(at).get<std::size_t>();
         const int permille = boundedInteger(shares.at(at + 1), maxPermille);
--- a/src/libs/gateway/peerstreams.h
+++ b/src/libs/gateway/peerstreams.h
@@ -15,6 +15,7 @@
 /// What a daemon states about the streams at one endpoint.
 struct StreamReport
 {
+    int requests = 0;     ///< Of this daemon in progress there.
     int promptTokens = 0; ///< That it sent and that are not read yet.
     /// Its estimate of the pause between two events, in the reference batch; empty if it saw none
     /// since its last report.
@@ -28,6 +29,7 @@
 /// ids.
 struct StreamView
 {
+    std::vector<int> requests;          ///< Of all daemons in progress there.
     std::vector<int> promptTokens;      ///< Of all daemons, that are not read yet.
     std::vector<core::Duration> pauses; ///< In the reference batch; zero if unknown.
     std::vector<double> shares;         ///< The parts that are meant for the receiver.
--- a/src/libs/gateway/requeststreams.cpp
+++ b/src/libs/gateway/requeststreams.cpp
@@ -34,7 +34,7 @@
 
 void RequestTask::predictStream(const fleet::Endpoint &endpoint, RequestAttempt &attempt) const
 {
-    const auto state = m_context.forecast.stateOf(endpoint, attempt.loadAtSend, now());
+    const auto state = m_context.forecast.stateOf(endpoint, now());
     attempt.otherTokensAtSend = state.otherTokens;
     attempt.prediction = decisions::streams::predictStream(
         m_context.forecast.times(),
--- a/src/libs/gateway/streamcollector.h
+++ b/src/libs/gateway/streamcollector.h
@@ -42,11 +42,13 @@
         decisions::streams::StreamShares shares;
     };
 
+    std::vector<decisions::streams::SharedEndpoint>
+    capacitiesOf(const std::vector<const fleet::Endpoint *> &endpoints) const;
     void updateShares(const Endpoints &endpoints, const Regions &regions);
 
     std::map<core::HostId, Daemon> m_daemons;
-    std::map<core::EndpointId, int> m_promptTokens;
-    std::map<core::EndpointId, core::Duration> m_pauses;
+    std::map<core::EndpointId, StreamReport> m_totals; ///< Without pauses.
+    std::map<core::EndpointId, Pause> m_pauses;        ///< The medians.
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/streamforecast.cpp
+++ b/src/libs/gateway/streamforecast.cpp
@@ -21,7 +21,7 @@
     std::erase(pauses, core::Duration::zero());
     if (pauses.empty())
         return {};
-    const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 2);
+    const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>((pauses.size() - 1) / 2);
     std::ranges::nth_element(pauses, middle);
     return *middle;
 }
@@ -41,7 +41,8 @@
 
 double StreamForecast::requestsAt(const core::EndpointId &id) const
 {
-    return m_pool.inProgress(id) + m_pool.otherDaemonsLoad(id);
+    const auto entry = m_entries.find(id);
+    return m_pool.inProgress(id) + (entry == m_entries.end() ? 0 : entry->second.otherRequests);
 }
 
 // A prompt of this daemon that is being read lengthens the pauses of its streams there; those of
@@ -63,15 +64,16 @@
 }
 
 decisions::streams::EndpointState StreamForecast::stateOf(const fleet::Endpoint &endpoint,
-                                                          double load, core::TimePoint now) const
+                                                          core::TimePoint now) const
 {
     decisions::streams::EndpointState state;
     state.slots = std::max(1, endpoint.slots);
-    state.requests = load;
+    state.requests = m_pool.inProgress(endpoint.id);
     state.ownTokens = m_pool.pendingPrefillTokens(endpoint.id);
     const auto found = m_entries.find(endpoint.id);
     if (found == m_entries.end() || found->second.incarnation != endpoint.startTime)
         return state;
+    state.requests += found->second.otherRequests;
     state.timeFactor = found->second.speed.timeFactor(now);
     state.otherTokens = found->second.prompts.tokens(now);
     state.share = found->second.share;
@@ -85,6 +87,7 @@
     StreamReports reports;
     for (const auto &[id, endpoint] : endpoints) {
         StreamReport report;
+        report.requests = m_pool.inProgress(id);
         report.promptTokens = m_pool.pendingPrefillTokens(id);
         const auto entry = m_entries.find(id);
         if (entry != m_entries.end() && entry->second.incarnation == endpoint.startTime)
@@ -105,6 +108,7 @@
         Entry &entry = entryFor(id, endpoint.startTime);
         const int others = view.promptTokens[index] - m_pool.pendingPrefillTokens(id);
         entry.prompts.setReported(std::max(0, others), now);
+        entry.otherRequests = std::max(0, view.requests[index] - m_pool.inProgress(id));
         entry.share = view.shares[index];
         const core::Duration pause = view.pauses[index++];
         if (pause <= core::Duration::zero())
--- a/src/libs/gateway/streamforecast.h
+++ b/src/libs/gateway/streamforecast.h
@@ -31,8 +31,8 @@
     /// Records the first event of a prompt that is still counted as pending.
     void recordFirstEvent(const core::EndpointId &id, fleet::StartTime incarnation,
                           int promptTokens, core::Duration time, core::TimePoint now);
-    /// The state for a prediction, with the load that the chooser uses.
-    decisions::streams::EndpointState stateOf(const fleet::Endpoint &endpoint, double load,
+    /// The state for a prediction.
+    decisions::streams::EndpointState stateOf(const fleet::Endpoint &endpoint,
                                               core::TimePoint now) const;
     const decisions::streams::EngineTimes &times() const { return m_times; }
 
@@ -47,6 +47,7 @@
         fleet::StartTime incarnation {};
         decisions::streams::EndpointSpeed speed;
         decisions::streams::PrefillForecast prompts;
+        int otherRequests = 0; ///< Of other daemons.
         double share = 0;
         bool isSlow = false; ///< As stated in the log.
     };
--- a/tests/auto/streamforecast/streampolicies.h
+++ b/tests/auto/streamforecast/streampolicies.h
@@ -28,6 +28,8 @@
         double othersLoad = 0;
         double reportedLoad = 0; ///< Own, as of the last report.
         double reportedTokens = 0;
+        double reportedRequests = 0;
+        double othersRequests = 0;
     };
 
     SimulatedLoads(int daemons, int endpoints)
@@ -134,6 +136,9 @@
             entry.reportedLoad
                 = m_loads.ownLoad(daemon, endpoint, costOf(daemon).tokensPerSecond(), now);
             entry.reportedTokens = entry.pendingTokens;
+            entry.reportedRequests = entry.inProgress;
+            entry.othersRequests = m_loads.sum(endpoint, &SimulatedLoads::Entry::reportedRequests)
+                - entry.reportedRequests;
             entry.othersLoad
                 = m_loads.sum(endpoint, &SimulatedLoads::Entry::reportedLoad) - entry.reportedLoad;
         }
@@ -273,6 +278,7 @@
     ForecastChooser(const StreamScenario &scenario, const std::vector<SimulatedEngine> &engines)
         : PresentChooser(scenario, engines)
         , m_daemons(static_cast<std::size_t>(scenario.daemons))
+        , m_medians(static_cast<std::size_t>(scenario.endpoints))
     {
         for (Daemon &daemon : m_daemons) {
             daemon.speeds.resize(static_cast<std::size_t>(scenario.endpoints));
@@ -330,12 +336,15 @@
                 daemon.speeds[index(endpoint)].setReported(*median, now);
         }
         daemon.lastReportAt = now;
+        std::vector<double> factors;
+        for (const auto &speed : daemon.speeds)
+            factors.push_back(speed.timeFactor(now));
+        const double typical = decisions::streams::typicalFactorOf(factors);
         std::vector<decisions::streams::SharedEndpoint> endpoints;
         for (int endpoint = 0; endpoint < m_scenario.endpoints; ++endpoint)
-            endpoints.push_back(
-                {m_ids[index(endpoint)],
-                 decisions::streams::streamCapacity(
-                     SimulatedEngine::slots, daemon.speeds[index(endpoint)].timeFactor(now))});
+            endpoints.push_back({m_ids[index(endpoint)],
+                                 decisions::streams::streamCapacity(
+                                     SimulatedEngine::slots, factors[index(endpoint)], typical)});
         daemon.shares
             = decisions::streams::sharesOf(index(number), index(m_scenario.daemons), endpoints);
     }
@@ -349,6 +358,7 @@
 private:
     static constexpr core::Duration maxHold = std::chrono::milliseconds(400);
     static constexpr core::Duration statementRetention = std::chrono::seconds(1);
+    static constexpr core::Duration medianRetention = std::chrono::seconds(10);
 
     struct Statement
     {
@@ -371,7 +381,7 @@
     double requestsAt(const SimulatedStream &stream)
     {
         const auto &entry = m_loads.at(stream.daemon, stream.endpoint);
-        return entry.inProgress + entry.othersLoad;
+        return entry.inProgress + entry.othersRequests;
     }
 
     decisions::streams::EndpointState stateOf(int daemon, int endpoint, core::TimePoint now)
@@ -379,7 +389,7 @@
         const auto &entry = m_loads.at(daemon, endpoint);
         return {of(daemon).speeds[index(endpoint)].timeFactor(now),
                 SimulatedEngine::slots,
-                entry.inProgress + entry.othersLoad,
+                entry.inProgress + entry.othersRequests,
                 static_cast<double>(entry.pendingTokens),
                 of(daemon).forecasts[index(endpoint)].tokens(now),
                 shareOf(daemon, endpoint)};
@@ -400,14 +410,19 @@
             if (statement.at != core::TimePoint() && now - statement.at <= statementRetention)
                 pauses.push_back(statement.pause);
         }
-        if (pauses.empty())
-            return std::nullopt;
+        Statement &known = m_medians[index(endpoint)];
+        if (pauses.empty()) {
+            const bool isKnown = known.at != core::TimePoint() && now - known.at <= medianRetention;
+            return isKnown ? std::optional(known.pause) : std::nullopt;
+        }
         const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>(pauses.size() / 2);
         std::nth_element(pauses.begin(), middle, pauses.end());
+        known = {*middle, now};
         return *middle;
     }
 
     std::vector<Daemon> m_daemons;
+    std::vector<Statement> m_medians;
 };
 
 } // namespace jackdawlead::testsupport
