--- a/src/libs/decisions/streams/endpointspeed.cpp
+++ b/src/libs/decisions/streams/endpointspeed.cpp
@@ -29,7 +29,7 @@
     const double sample
         = std::clamp(core::toSeconds(pause) / core::toSeconds(EngineTimes::pause(requests)),
                      minFactor, maxFactor);
-    const double known = m_recorded >= minSamples ? m_ownFactor : timeFactor(now);
+    const double known = m_recorded >= minSamples ? m_ownFactor : timeFactor(now, sample);
     const bool isLong = sample > known * longPauseRatio;
     m_longPauses = isLong ? m_longPauses + 1 : 0;
     if (m_longPauses >= longPausesUntilSlow) {
@@ -63,7 +63,7 @@
     m_reportedAt = now;
 }
 
-double EndpointSpeed::timeFactor(core::TimePoint now) const
+double EndpointSpeed::timeFactor(core::TimePoint now, double unknown) const
 {
     const bool isOwnKnown = m_recorded >= minSamples && now - m_sampledAt <= retention;
     const bool isReportKnown
@@ -73,7 +73,7 @@
         return m_ownFactor;
     if (isReportKnown)
         return m_reportedFactor;
-    return isOwnKnown ? m_ownFactor : 1;
+    return isOwnKnown ? m_ownFactor : unknown;
 }
 
 std::optional<core::Duration> EndpointSpeed::ownReferencePause(core::TimePoint since) const
--- a/src/libs/decisions/streams/endpointspeed.h
+++ b/src/libs/decisions/streams/endpointspeed.h
@@ -24,7 +24,8 @@
     /// Forgets everything, because the endpoint was started again.
     void reset() { *this = {}; }
 
-    double timeFactor(core::TimePoint now) const;
+    /// `unknown` if there is neither a sample nor a report.
+    double timeFactor(core::TimePoint now, double unknown) const;
     /// The own estimate as pause in a batch of EngineTimes::referenceRequests, to be reported;
     /// empty without a sample since `since`.
     std::optional<core::Duration> ownReferencePause(core::TimePoint since) const;
--- a/src/libs/decisions/streams/enginetimes.cpp
+++ b/src/libs/decisions/streams/enginetimes.cpp
@@ -9,9 +9,6 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-// Growth of the pause per request, as a part of the reference pause. The time factors follow the
-// batches at hand, so that an error here matters only for changes of a batch.
-constexpr double growth = 0.016;
 // Shorter prompts take hardly longer than the step that precedes them.
 constexpr int minSampleTokens = 600;
 // Prompts that are not known make samples longer, so that a sample below the estimate moves it more
@@ -36,14 +33,9 @@
 }
 
 core::Duration EngineTimes::pause(double requests)
-{
-    return core::scaled(referencePause, 1 + growth * (requests - referenceRequests));
-}
-
-core::Duration EngineTimes::readTime(double promptTokens) const
 {
     return std::chrono::duration_cast<core::Duration>(
-        Milliseconds(m_readMsPerToken * promptTokens));
+        std::chrono::duration<double>(pauseSeconds(requests)));
 }
 
 } // namespace jackdawlead::decisions::streams
--- a/src/libs/decisions/streams/enginetimes.h
+++ b/src/libs/decisions/streams/enginetimes.h
@@ -18,12 +18,25 @@
 
     /// The pause between two events in a batch of `requests`.
     static core::Duration pause(double requests);
-    core::Duration readTime(double promptTokens) const;
+    static double pauseSeconds(double requests)
+    {
+        return core::toSeconds(referencePause) * (1 + growth * (requests - referenceRequests));
+    }
+    double readSecondsPerToken() const { return m_readMsPerToken / 1000; }
+    /// Sets the lower median of the endpoints' time factors.
+    void setTypicalFactor(double factor) { m_typicalFactor = factor; }
+    /// The time factor of endpoints of which nothing is known.
+    double typicalFactor() const { return m_typicalFactor; }
 
     static constexpr double referenceRequests = 16;
     static constexpr core::Duration referencePause = std::chrono::milliseconds(50);
 
 private:
+    /// Growth of the pause per request, as a part of the reference pause. The time factors follow
+    /// the batches at hand, so that an error here matters only for changes of a batch.
+    static constexpr double growth = 0.016;
+
+    double m_typicalFactor = 1;
     double m_readMsPerToken = 1.7 / 29.4; ///< Cautious until there are samples.
 };
 
--- a/src/libs/decisions/streams/streamprediction.cpp
+++ b/src/libs/decisions/streams/streamprediction.cpp
@@ -11,32 +11,35 @@
 
 // Part of the targets that predictions may use; links and the daemons' own work take the rest.
 constexpr double usableShare = 0.9;
-// A slow endpoint has less time for prompts in each gap and holds its streams for longer.
-constexpr double capacityExponent = 1.3;
+// In seconds; keeps the used part of a gap finite where the pauses alone fill it.
+constexpr double minUsableReading = 0.001;
 // Sound endpoints of a deployment differ by a factor of 2.5.
 constexpr double slowRatio = 3;
 constexpr double slowCapacityShare = 0.25;
 
+core::Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace
 
 StreamPrediction predictStream(const EngineTimes &times, const StreamDemand &demand,
                                const EndpointState &endpoint)
 {
-    const double factor = endpoint.timeFactor;
     const double batch = std::min<double>(endpoint.requests + 1, endpoint.slots);
-    const core::Duration pause = core::scaled(times.pause(batch), factor);
-    const double secondsPerToken = core::toSeconds(times.readTime(1000)) * factor / 1000;
-    const core::Duration usableGap = core::scaled(demand.targetGap, usableShare);
-    const double usableTokens = std::max(0.0, core::toSeconds(usableGap - pause)) / secondsPerToken;
-    const double ownTokens = endpoint.ownTokens + demand.promptTokens;
+    const double pause = times.pauseSeconds(batch) * endpoint.timeFactor;
+    const double perToken = times.readSecondsPerToken() * endpoint.timeFactor;
+    const double ownReading = (endpoint.ownTokens + demand.promptTokens) * perToken;
+    const double reading = ownReading + endpoint.otherTokens * perToken;
+    const double usableGap = core::toSeconds(demand.targetGap) * usableShare;
+    const double usableReading = std::max(minUsableReading, usableGap - pause);
     StreamPrediction prediction;
-    const auto reading = std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double>((ownTokens + endpoint.otherTokens) * secondsPerToken));
-    prediction.gap = pause + reading;
-    prediction.firstEvent = reading + pause / 2;
-    prediction.usedBudget = usableTokens > 0 ? ownTokens / usableTokens : ownTokens;
-    prediction.keepsTargets = prediction.gap <= usableGap
-        && prediction.firstEvent <= core::scaled(demand.timeLeft, usableShare);
+    prediction.gap = fromSeconds(pause + reading);
+    prediction.firstEvent = fromSeconds(reading + pause / 2);
+    prediction.usedBudget = ownReading / usableReading;
+    prediction.keepsTargets = pause + reading <= usableGap
+        && reading + pause / 2 <= core::toSeconds(demand.timeLeft) * usableShare;
     prediction.keepsShare = prediction.keepsTargets
         && (endpoint.ownTokens == 0 || prediction.usedBudget <= endpoint.share);
     return prediction;
@@ -44,8 +47,10 @@
 
 double streamCapacity(int slots, double timeFactor, double typicalFactor)
 {
-    const double capacity = slots * std::pow(timeFactor, -capacityExponent);
-    return timeFactor > typicalFactor * slowRatio ? capacity * slowCapacityShare : capacity;
+    const double ratio = timeFactor / typicalFactor;
+    // Two square roots take a fraction of the time of a general power.
+    const double capacity = slots / (ratio * std::sqrt(std::sqrt(ratio)));
+    return ratio > slowRatio ? capacity * slowCapacityShare : capacity;
 }
 
 double typicalFactorOf(std::vector<double> timeFactors)
--- a/src/libs/decisions/streams/streamprediction.h
+++ b/src/libs/decisions/streams/streamprediction.h
@@ -40,10 +40,10 @@
 StreamPrediction predictStream(const EngineTimes &times, const StreamDemand &demand,
                                const EndpointState &endpoint);
 
-/// How many streams an endpoint takes in comparison with others, in slots of an endpoint with time
-/// factor 1.
-/// `typicalFactor` is the time factor of the fastest half of them; an endpoint that is much slower
-/// gets only so many streams that its recovery is noticed.
+/// How many streams an endpoint takes in comparison with others, in slots of one with the typical
+/// time factor. A slow one has less time for prompts in each gap and holds its streams for longer,
+/// so that the capacity falls with the power 5/4 of the factor. One that is much slower than
+/// typical gets only so many streams that its recovery is noticed.
 double streamCapacity(int slots, double timeFactor, double typicalFactor);
 
 /// The lower median of the time factors; 1 if there are none.
--- a/src/libs/gateway/streamforecast.cpp
+++ b/src/libs/gateway/streamforecast.cpp
@@ -59,7 +59,7 @@
 {
     if (m_pool.pendingPrefillTokens(id) != promptTokens)
         return;
-    const double factor = entryFor(id, incarnation).speed.timeFactor(now);
+    const double factor = entryFor(id, incarnation).speed.timeFactor(now, m_times.typicalFactor());
     m_times.recordFirstEvent(promptTokens, requestsAt(id), core::scaled(time, 1 / factor));
 }
 
@@ -70,11 +70,12 @@
     state.slots = std::max(1, endpoint.slots);
     state.requests = m_pool.inProgress(endpoint.id);
     state.ownTokens = m_pool.pendingPrefillTokens(endpoint.id);
+    state.timeFactor = m_times.typicalFactor();
     const auto found = m_entries.find(endpoint.id);
     if (found == m_entries.end() || found->second.incarnation != endpoint.startTime)
         return state;
     state.requests += found->second.otherRequests;
-    state.timeFactor = found->second.speed.timeFactor(now);
+    state.timeFactor = found->second.speed.timeFactor(now, m_times.typicalFactor());
     state.otherTokens = found->second.prompts.tokens(now);
     state.share = found->second.share;
     return state;
@@ -103,6 +104,10 @@
                                core::TimePoint now)
 {
     const core::Duration medianPause = medianOf(view.pauses);
+    if (medianPause > core::Duration::zero())
+        m_times.setTypicalFactor(
+            core::toSeconds(medianPause)
+            / core::toSeconds(decisions::streams::EngineTimes::referencePause));
     std::size_t index = 0;
     for (const auto &[id, endpoint] : endpoints) {
         Entry &entry = entryFor(id, endpoint.startTime);
--- a/tests/auto/streamforecast/streampolicies.h
+++ b/tests/auto/streamforecast/streampolicies.h
@@ -305,7 +305,8 @@
     {
         PresentChooser::recordFirstEvent(stream, now);
         Daemon &daemon = of(stream.daemon);
-        const double factor = daemon.speeds[index(stream.endpoint)].timeFactor(now);
+        const double factor
+            = daemon.speeds[index(stream.endpoint)].timeFactor(now, daemon.times.typicalFactor());
         if (m_loads.at(stream.daemon, stream.endpoint).pendingTokens == 0)
             daemon.times.recordFirstEvent(stream.promptTokens, requestsAt(stream),
                                           core::scaled(now - stream.sentAt, 1 / factor));
@@ -338,8 +339,9 @@
         daemon.lastReportAt = now;
         std::vector<double> factors;
         for (const auto &speed : daemon.speeds)
-            factors.push_back(speed.timeFactor(now));
+            factors.push_back(speed.timeFactor(now, daemon.times.typicalFactor()));
         const double typical = decisions::streams::typicalFactorOf(factors);
+        daemon.times.setTypicalFactor(typical);
         std::vector<decisions::streams::SharedEndpoint> endpoints;
         for (int endpoint = 0; endpoint < m_scenario.endpoints; ++endpoint)
             endpoints.push_back({m_ids[index(endpoint)],
@@ -351,7 +353,7 @@
 
     double estimatedFactor(int daemon, int endpoint, core::TimePoint now)
     {
-        return of(daemon).speeds[index(endpoint)].timeFactor(now);
+        return of(daemon).speeds[index(endpoint)].timeFactor(now, of(daemon).times.typicalFactor());
     }
     const decisions::streams::EngineTimes &times(int daemon) { return of(daemon).times; }
 
@@ -387,12 +389,13 @@
     decisions::streams::EndpointState stateOf(int daemon, int endpoint, core::TimePoint now)
     {
         const auto &entry = m_loads.at(daemon, endpoint);
-        return {of(daemon).speeds[index(endpoint)].timeFactor(now),
-                SimulatedEngine::slots,
-                entry.inProgress + entry.othersRequests,
-                static_cast<double>(entry.pendingTokens),
-                of(daemon).forecasts[index(endpoint)].tokens(now),
-                shareOf(daemon, endpoint)};
+        return {
+            of(daemon).speeds[index(endpoint)].timeFactor(now, of(daemon).times.typicalFactor()),
+            SimulatedEngine::slots,
+            entry.inProgress + entry.othersRequests,
+            static_cast<double>(entry.pendingTokens),
+            of(daemon).forecasts[index(endpoint)].tokens(now),
+            shareOf(daemon, endpoint)};
     }
 
     double shareOf(int daemon, int endpoint)
--- a/tests/auto/streamforecast/tst_streamforecast.cpp
+++ b/tests/auto/streamforecast/tst_streamforecast.cpp
@@ -108,13 +108,13 @@
     core::TimePoint now = begin;
     for (int pause = 0; pause < 30; ++pause)
         speed.recordPause(16, milliseconds(pause < 15 ? 50 : 175), now += milliseconds(50));
-    cr_expect(speed.timeFactor(now) > 3);
+    cr_expect(speed.timeFactor(now, 1) > 3);
     speed.setReported(milliseconds(175), now);
-    cr_expect(speed.timeFactor(now + seconds(1)) > 3);
-    cr_expect(speed.timeFactor(now + seconds(11)) < 1.5);
+    cr_expect(speed.timeFactor(now + seconds(1), 1) > 3);
+    cr_expect(speed.timeFactor(now + seconds(11), 1) < 1.5);
     for (int pause = 0; pause < 12; ++pause)
         speed.recordPause(16, milliseconds(50), now += milliseconds(50));
-    cr_expect_float_eq(speed.timeFactor(now), 1, 0.1);
+    cr_expect_float_eq(speed.timeFactor(now, 1), 1, 0.1);
 }
 
 // A single slow stream among sound ones must not make its endpoint slow.
@@ -124,7 +124,7 @@
     core::TimePoint now = begin;
     for (int pause = 0; pause < 60; ++pause)
         speed.recordPause(16, milliseconds(pause % 3 == 0 ? 400 : 50), now += milliseconds(20));
-    cr_expect_float_eq(speed.timeFactor(now), 1, 0.1, "factor %f", speed.timeFactor(now));
+    cr_expect_float_eq(speed.timeFactor(now, 1), 1, 0.1, "factor %f", speed.timeFactor(now, 1));
 }
 
 // Reports that are absent must not count as endpoints without prompts for ever, nor old ones as
