--- /dev/null
+++ b/src/libs/decisions/streams/streamchooser.cpp
@@ -0,0 +1,55 @@
+#include "decisions/streams/streamchooser.h"
+
+#include <utility>
+
+namespace jackdawlead::decisions::streams {
+
+namespace {
+
+StreamRating ratingOf(const StreamOption &option, const StreamPrediction &prediction,
+                      const EngineTimes &times)
+{
+    return {.capacity
+            = streamCapacity(option.state.slots, option.state.timeFactor, times.typicalFactor()),
+            .cost = prediction.usedBudget,
+            .keepsTargets = prediction.keepsTargets};
+}
+
+EndpointChoice chooseOwnPart(const std::vector<StreamOption> &options, const EngineTimes &times,
+                             const StreamDemand &demand, double draw)
+{
+    std::vector<EndpointOption> shared;
+    for (const StreamOption &option : options) {
+        if (option.state.share <= 0 || option.option.isEjected || option.option.wasTried)
+            continue;
+        const StreamPrediction prediction = predictStream(times, demand, option.state);
+        if (!prediction.keepsShare)
+            continue;
+        shared.push_back(option.option);
+        shared.back().stream = ratingOf(option, prediction, times);
+    }
+    return chooseEndpoint(shared, draw);
+}
+
+} // namespace
+
+StreamChoice chooseForStream(std::vector<StreamOption> options, const EngineTimes &times,
+                             const StreamDemand &demand, bool mayWait, double draw,
+                             double unreportedPerEndpoint)
+{
+    if (EndpointChoice own = chooseOwnPart(options, times, demand, draw); own.endpoint)
+        return {std::move(own), StreamChoiceKind::Share};
+    std::vector<EndpointOption> all;
+    all.reserve(options.size());
+    for (StreamOption &option : options) {
+        StreamRating rating = ratingOf(option, predictStream(times, demand, option.state), times);
+        rating.keepsTargets |= !mayWait;
+        option.option.stream = rating;
+        all.push_back(std::move(option.option));
+    }
+    EndpointChoice choice = chooseEndpoint(all, draw, unreportedPerEndpoint);
+    const bool isChosen = choice.endpoint.has_value();
+    return {std::move(choice), isChosen ? StreamChoiceKind::Other : StreamChoiceKind::Held};
+}
+
+} // namespace jackdawlead::decisions::streams
--- a/src/libs/gateway/coordinator.cpp
+++ b/src/libs/gateway/coordinator.cpp
@@ -226,6 +226,7 @@
     std::erase_if(m_leavingEndpoints, [now](const auto &entry) {
         return now - entry.second.reportedAt > leavingRetention;
     });
+    m_streams.update(m_watch.endpoints(), m_settings.regions, now);
     m_totalLoad.clear();
     for (const auto &[host, daemon] : m_daemons) {
         for (const auto &[id, load] : daemon.load)
@@ -287,6 +288,7 @@
     daemon.pinned = report.pinned;
     if (report.isViewRequested) {
         daemon.load = report.load;
+        m_streams.addReport(report.host, report.domain, report.streams, now);
         daemon.inUse = report.inUse;
         daemon.endpoints = report.endpoints;
         daemon.endpointsInBackoff = report.endpointsInBackoff;
@@ -311,7 +313,7 @@
     daemon.knownRevision = report.token == m_token ? report.knownRevision : 0;
     m_lastReportKind = report.isViewRequested ? decisions::ReportPace::Kind::Regular
                                               : decisions::ReportPace::Kind::Demand;
-    PeerView view = report.isViewRequested ? fullViewFor(daemon) : baseViewFor(daemon);
+    PeerView view = report.isViewRequested ? fullViewFor(report.host, daemon) : baseViewFor(daemon);
     view.grants = issuePermits(report);
     if (report.quota)
         view.quota = m_quotas.answer(report.host, *report.quota, now);
--- a/src/libs/gateway/coordinator.h
+++ b/src/libs/gateway/coordinator.h
@@ -15,6 +15,7 @@
 #include "gateway/fleetwatch.h"
 #include "gateway/peermessages.h"
 #include "gateway/ratelimits.h"
+#include "gateway/streamcollector.h"
 #include "http/controlclient.h"
 #include "observability/eventloopprofiler.h"
 #include "observability/gatewaymetrics.h"
@@ -139,7 +140,7 @@
     /// Returns the base view with the contents that changed since the daemon's known revision.
     PeerView contentsViewFor(Daemon &daemon);
     /// Returns the contents view with the loads of all endpoints.
-    PeerView fullViewFor(Daemon &daemon);
+    PeerView fullViewFor(const core::HostId &host, Daemon &daemon);
     void updateContentsHistory();
     decisions::EndpointContents contentsOf(const core::EndpointId &id) const;
 
@@ -159,6 +160,7 @@
     customers::CustomerReadiness m_readiness;
     CrashCollector m_crashes;
     customers::QuotaCoordinator m_quotas;
+    StreamCollector m_streams;
     std::map<core::EndpointId, double> m_totalLoad;
     /// Recently reported by any daemon, sent to all daemons.
     std::map<core::EndpointId, LeavingEndpoint> m_leavingEndpoints;
--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -314,6 +314,7 @@
         message["understandsCustomers"] = true;
     encodeInto(message, report.crashes);
     customers::encodeInto(message, report.quota);
+    encodeInto(message, report.streams);
     return packMessage(message);
 }
 
@@ -348,6 +349,7 @@
         message["forwarders"] = *view.forwarders;
     encodeInto(message, view.crashes);
     customers::encodeInto(message, view.quota);
+    encodeInto(message, view.streams);
     return packMessage(message);
 }
 
@@ -377,6 +379,7 @@
         report.leaving = decodeStartTimes(value.at("leaving"));
         report.crashes = decodeCrashNews(value);
         report.quota = customers::decodeQuotaReport(value);
+        report.streams = decodeStreamReports(value);
         report.waiting = decodeWaiting(value.at("waiting"), now);
         // Daemons of the previous release do not send these.
         report.pinned = decodePinned(value.value("pinned", json::array()));
@@ -415,6 +418,7 @@
         view.endpoints = EndpointsDigest {value.at("endpoints").get<std::uint64_t>()};
         view.crashes = decodeFleetCrashNews(value);
         view.quota = customers::decodeQuotaAnswer(value);
+        view.streams = decodeStreamView(value);
         view.daemonCount = value.at("daemons").get<int>();
         // Daemons of earlier releases do not send these. A count that is too low would make each
         // daemon's share of the slack of repeated sends too large.
--- a/src/libs/gateway/peermessages.h
+++ b/src/libs/gateway/peermessages.h
@@ -10,6 +10,7 @@
 #include "fleet/endpoint.h"
 #include "gateway/crashnews.h"
 #include "gateway/customers/quotamessages.h"
+#include "gateway/peerstreams.h"
 
 #include <absl/status/statusor.h>
 
@@ -57,12 +58,14 @@
     std::uint64_t knownRevision = 0; ///< Of the contents that it received last.
     core::FencingToken token;        ///< Of the coordinator that sent them.
     EndpointsDigest endpoints {};    ///< Of the endpoints that the daemon knows.
-    bool isViewRequested = true;     ///< False for a report of new demand only.
     /// Empty if no customer has a quota, and from daemons of earlier releases.
     std::optional<decisions::quota::QuotaReport> quota;
     /// Whether it checks keys and its configuration lists customers. Not sent if false, so that
     /// reports of deployments without customers keep their bytes.
     bool understandsCustomers = false;
+    /// Empty if the daemon does not forecast streams, or does not know how.
+    std::optional<StreamReports> streams;
+    bool isViewRequested = true; ///< False for a report of new demand only.
 };
 
 /// The coordinator's view for a daemon: changed contents, and the load of all endpoints.
@@ -96,6 +99,9 @@
     FleetCrashNews crashes;
     /// The answer to the report's quota; empty if there is none, and from earlier releases.
     std::optional<decisions::quota::QuotaAnswer> quota;
+    /// Of the endpoints of `endpoints`. Empty if nothing is known: the receiver does not forecast
+    /// streams, or the coordinator does not know how.
+    std::optional<StreamView> streams;
 };
 
 /// Messages are JSON-RPC parameters or results with one field, CBOR in Base64. As JSON objects they
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -115,6 +115,7 @@
         return;
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.uniformRandom());
     m_finder.setService(m_service);
+    setStreamTargets();
     m_context.budgets[m_service].recordRequest(now());
     if (!m_fields.adapter.isEmpty())
         ++m_context.demand[adapterKey()];
@@ -420,6 +421,8 @@
     next->wasLightlyLoaded = m_context.pool.pendingPrefillTokens(endpoint.id) == 0
         && next->loadAtSend < lowUtilization * endpoint.slots;
     next->pendingPrefillTokens = m_fields.promptTokens;
+    if (isForecast())
+        predictStream(endpoint, *next);
     platform::ForwardFields forward;
     if (m_isForwarding) {
         next->events = attempt().events;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -129,6 +129,8 @@
                          .Name("jackdawlead_customer_tokens_held")
                          .Help("What this daemon may charge the customer now")
                          .Register(*m_registry))
+    , m_streamChoices(counters(*m_registry, "jackdawlead_stream_choices_total",
+                               "Choices of endpoints for streams by predicted gaps"))
 { }
 
 void GatewayMetrics::recordResponse(int status, core::Duration total)
--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -75,6 +75,8 @@
     std::string extraSettings;
     /// Whether daemons that are started are told that the system starts for the first time.
     bool isFirstStart = true;
+    /// Options of daemons that are started, besides --platform.
+    std::vector<std::string> daemonOptions;
 
     explicit PlatformFixture(const char *service = "plain", bool isStarted = true,
                              int retrySlack = 400)
@@ -138,7 +140,9 @@
                             << "\n"
                             << extraSettings;
         setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
-        return Process({JACKDAWLEADD, "--platform"}, daemonFolder + "/output", blockedSignals);
+        std::vector<std::string> command {JACKDAWLEADD, "--platform"};
+        command.insert(command.end(), daemonOptions.begin(), daemonOptions.end());
+        return Process(command, daemonFolder + "/output", blockedSignals);
     }
 
     bool waitUntil(const std::function<bool()> &condition, core::Duration timeout = limit)
