--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-double distanceCost(Distance distance, const EndpointChooserLimits &limits)
+double distanceCost(const EndpointOption &option, const EndpointChooserLimits &limits)
 {
-    switch (distance) {
+    if (option.distanceCost)
+        return *option.distanceCost;
+    switch (option.distance) {
     case Distance::SameDomain:
         return 0;
     case Distance::SameRegion:
@@ -40,7 +42,7 @@
             || option.pendingPrefillTokens >= limits.maxPendingPrefillTokens)
             continue;
         candidates.push_back({&option,
-                              utilization + distanceCost(option.distance, limits)
+                              utilization + distanceCost(option, limits)
                                   + (option.isConnected ? 0 : limits.newConnectionCost)
                                   + option.pendingPrefillTokens * limits.prefillTokenCost});
     }
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -18,6 +18,8 @@
     double load = 0;              ///< Slots that all daemons' known requests occupy.
     int pendingPrefillTokens = 0; ///< Prompt tokens sent by this daemon and not prefilled yet.
     Distance distance = Distance::SameDomain;
+    /// Replaces the constant cost of the distance, in utilization; see DomainOverflow.
+    std::optional<double> distanceCost {};
     bool isConnected = true;    ///< An idle connection is open.
     bool isEjected = false;     ///< See EndpointHealth.
     bool wasTried = false;      ///< This request was sent to it before.
--- /dev/null
+++ b/src/libs/decisions/routing/domainoptions.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "decisions/routing/domainstate.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace jackdawlead::decisions {
+
+/// Groups the endpoints that could take one request by their failure domain. Thread safety: one
+/// thread at a time.
+class DomainOptions
+{
+public:
+    /// Adds the next option, in the order of the chooser's options. Options that are ejected or
+    /// were tried belong to their domain, but don't count as capacity.
+    void add(const EndpointOption &option, const core::FailureDomainId &domain, double ownLoad);
+    const std::vector<DomainState> &domains() const { return m_domains; }
+    /// Sets costs that make the chooser prefer the domain, then the others by distance. Returns the
+    /// domain's share of the options. Precondition: `options` are those that were added.
+    double applyCosts(std::vector<EndpointOption> &options,
+                      const core::FailureDomainId &domain) const;
+
+private:
+    std::vector<DomainState> m_domains;
+    std::vector<std::size_t> m_domainOf; ///< Index in m_domains for each option.
+};
+
+} // namespace jackdawlead::decisions
