Send the surplus of a short domain by rates and a slow correction

The leaving share follows from the domain's rate and the time in a slot, and is corrected by the wait in the domain; neighbours get what they can take in the long run.

--- a/src/libs/decisions/routing/domainoptions.cpp
+++ b/src/libs/decisions/routing/domainoptions.cpp
@@ -1,6 +1,7 @@
 #include "decisions/routing/domainoptions.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdawlead::decisions {
 
@@ -39,17 +40,25 @@
     state->ownLoad += ownLoad;
 }
 
-double DomainOptions::applyCosts(std::vector<EndpointOption> &options,
-                                 const core::FailureDomainId &domain) const
+double DomainOptions::applyDecision(std::vector<EndpointOption> &options,
+                                    const OverflowDecision &decision) const
 {
+    std::size_t kept = 0;
     double chosen = 0;
     for (std::size_t index = 0; index < options.size(); ++index) {
         const DomainState &state = m_domains[m_domainOf[index]];
-        const bool isChosen = state.domain == domain;
+        if (decision.excludesFarther && state.distance > decision.distance)
+            continue;
+        const bool isChosen = state.distance == decision.distance
+            && (!decision.domain || state.domain == *decision.domain);
         options[index].distanceCost = isChosen ? 0 : costOf(state.distance);
         chosen += isChosen ? 1 : 0;
+        if (kept != index)
+            options[kept] = std::move(options[index]);
+        ++kept;
     }
-    return chosen > 0 ? chosen / static_cast<double>(options.size()) : 1;
+    options.resize(kept);
+    return chosen > 0 ? chosen / static_cast<double>(kept) : 1;
 }
 
 } // namespace jackdawlead::decisions
--- a/src/libs/decisions/routing/domainoptions.h
+++ b/src/libs/decisions/routing/domainoptions.h
@@ -17,10 +17,11 @@
     /// were tried belong to their domain, but don't count as capacity.
     void add(const EndpointOption &option, const core::FailureDomainId &domain, double ownLoad);
     const std::vector<DomainState> &domains() const { return m_domains; }
-    /// Sets costs that make the chooser prefer the domain, then the others by distance. Returns the
-    /// domain's share of the options. Precondition: `options` are those that were added.
-    double applyCosts(std::vector<EndpointOption> &options,
-                      const core::FailureDomainId &domain) const;
+    /// Sets costs that make the chooser prefer the domain of the decision, then the others by
+    /// distance, and removes the options that the decision excludes. Returns the chosen part of
+    /// the options. Precondition: `options` are those that were added.
+    double applyDecision(std::vector<EndpointOption> &options,
+                         const OverflowDecision &decision) const;
 
 private:
     std::vector<DomainState> m_domains;
--- a/src/libs/decisions/routing/domainoverflow.cpp
+++ b/src/libs/decisions/routing/domainoverflow.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double daemonSmoothing = 0.02;
-
 double ramp(double value, double first, double last)
 {
     return std::clamp((value - first) / (last - first), 0.0, 1.0);
@@ -26,23 +24,21 @@
 }
 
 core::Duration DomainOverflow::expectedBase(const Service &service, const DomainState &domain,
-                                            const DomainState *home) const
+                                            const DomainState &home) const
 {
     core::Duration expected = m_parameters.initialFirstEvent;
-    if (home != nullptr) {
-        const auto speed = service.speeds.find(home->domain);
-        if (speed != service.speeds.end() && speed->second.firstEvent)
-            expected = *speed->second.firstEvent;
-    }
-    if (domain.distance == Distance::SameRegion)
-        expected += m_parameters.domainRoundTrip;
-    else if (domain.distance == Distance::OtherRegion)
-        expected += m_parameters.regionRoundTrip;
-    return expected;
+    const auto speed = service.speeds.find(home.domain);
+    if (speed != service.speeds.end() && speed->second.firstEvent)
+        expected = *speed->second.firstEvent;
+    if (domain.distance == home.distance)
+        return expected;
+    return expected
+        + (domain.distance == Distance::SameRegion ? m_parameters.domainRoundTrip
+                                                   : m_parameters.regionRoundTrip);
 }
 
 core::Duration DomainOverflow::baseTime(const Service &service, const DomainState &domain,
-                                        const DomainState *home, core::TimePoint now) const
+                                        const DomainState &home, core::TimePoint now) const
 {
     const core::Duration expected = expectedBase(service, domain, home);
     const auto speed = service.speeds.find(domain.domain);
@@ -56,46 +52,48 @@
 
 core::Duration DomainOverflow::predictedFirstEvent(const Service &service,
                                                    const DomainState &domain,
-                                                   const DomainState *home,
+                                                   const DomainState &home,
                                                    core::TimePoint now) const
 {
     return baseTime(service, domain, home, now)
         + core::scaled(slotTime(service, domain.domain), std::max(0.0, domain.utilization() - 1));
 }
 
-double DomainOverflow::homeLoad(const Service &service, const DomainState &home,
-                                const std::optional<core::Duration> &age) const
+double DomainOverflow::homeLoad(const DomainState &home, const OverflowRequest &request) const
 {
-    const double weight = freshness(age);
-    return weight * home.load + (1 - weight) * home.ownLoad * service.daemons;
+    const double weight = freshness(request.age, m_parameters.freshAge);
+    return weight * home.load + (1 - weight) * home.ownLoad * request.domainDaemons;
 }
 
-double DomainOverflow::freshness(const std::optional<core::Duration> &age) const
+double DomainOverflow::freshness(const std::optional<core::Duration> &age,
+                                 core::Duration freshAge)
 {
     if (!age)
         return 0;
-    return std::min(1.0, std::chrono::duration<double>(m_parameters.freshAge) / *age);
+    return std::min(1.0, std::chrono::duration<double>(freshAge) / *age);
 }
 
-double DomainOverflow::availableSlots(const Service &service, const DomainState &domain,
-                                      const std::optional<core::Duration> &age) const
+double DomainOverflow::availableSlots(const DomainState &domain, const OverflowRequest &request,
+                                      double utilization, core::Duration freshAge) const
 {
-    const double ours = std::min(domain.load, domain.ownLoad * service.daemons);
-    const double weight = freshness(age);
-    const double known = domain.slots * m_parameters.freeUtilization - (domain.load - ours);
+    const double ours = std::min(domain.load, domain.ownLoad * request.domainDaemons);
+    const double weight = freshness(request.age, freshAge);
+    const double known = domain.slots * utilization - (domain.load - ours);
     const double unknown = domain.slots * m_parameters.unknownFreeShare;
     return std::max(0.0, weight * known) + (1 - weight) * unknown;
 }
 
 std::vector<DomainOverflow::Candidate>
 DomainOverflow::candidates(const Service &service, const std::vector<DomainState> &domains,
-                           const DomainState *home, Distance distance, core::Duration latest,
+                           const DomainState &home, Distance distance, core::Duration latest,
                            const OverflowRequest &request, core::Duration target,
                            core::TimePoint now) const
 {
+    const double utilization = m_parameters.freeUtilization
+        + m_parameters.neighbourQueue * std::max(0.0, home.utilization() - 1);
     std::vector<Candidate> candidates;
     for (const DomainState &domain : domains) {
-        if (domain.distance != distance || &domain == home || domain.slots <= 0)
+        if (domain.distance != distance || &domain == &home || domain.slots <= 0)
             continue;
         const auto speed = service.speeds.find(domain.domain);
         if (speed != service.speeds.end() && speed->second.hasFailed
@@ -108,7 +106,8 @@
             = baseTime(service, domain, home, now) - expectedBase(service, domain, home);
         const double slow = ramp(std::chrono::duration<double>(added) / target,
                                  m_parameters.firstSlow, m_parameters.allSlow);
-        const double rate = (1 - slow) * availableSlots(service, domain, request.age)
+        const double rate = (1 - slow) * availableSlots(domain, request, utilization,
+                                                      m_parameters.freshNeighbourAge)
             / core::toSeconds(slotTime(service, domain.domain));
         if (rate > 0)
             candidates.push_back({&domain, firstEvent, rate});
@@ -116,11 +115,40 @@
     return candidates;
 }
 
-double DomainOverflow::domainRate(const Service &service, core::TimePoint now) const
+double DomainOverflow::homeRate(const Service &service, const DomainState &home,
+                                const OverflowRequest &request, core::TimePoint now) const
 {
     const std::chrono::duration<double> timeConstant = m_parameters.rateTimeConstant;
-    return service.sends * std::exp(-(now - service.sendsAt) / timeConstant) / timeConstant.count()
-        * service.daemons;
+    const double rate = service.sends * std::exp(-(now - service.sendsAt) / timeConstant)
+        / timeConstant.count() * request.domainDaemons;
+    return request.homeSlots > home.slots ? rate * home.slots / request.homeSlots : rate;
+}
+
+double DomainOverflow::leavingShare(Service &service, const DomainState &home,
+                                    const OverflowRequest &request, double part,
+                                    core::TimePoint now) const
+{
+    updateShortage(service, part > m_parameters.beginLeave, now);
+    const double error = part - m_parameters.setPoint;
+    const double elapsed = std::min(1.0, core::toSeconds(now - service.trimmedAt));
+    service.trimmedAt = now;
+    if (!service.isSendingAway || part < m_parameters.minLeave) {
+        service.trim -= service.trim * m_parameters.trimPerSecond * elapsed;
+        return 0;
+    }
+    const double weight = freshness(request.age, m_parameters.freshAge);
+    service.trim = std::clamp(service.trim
+                                  + m_parameters.trimPerSecond * weight * elapsed
+                                      * std::clamp(error, -1.0, 1.0),
+                              -m_parameters.maxTrim, m_parameters.maxTrim);
+    // What the domain serves of its own requests while its slots are busy, and the surplus.
+    const double served = availableSlots(home, request, 1, m_parameters.freshNeighbourAge)
+        / core::toSeconds(slotTime(service, home.domain));
+    const double surplus = 1 - served / std::max(homeRate(service, home, request, now), 1e-9);
+    const double share = std::clamp(
+        std::max(0.0, surplus) + service.trim + m_parameters.gain * weight * error, 0.0, 1.0);
+    return std::max(
+        share, ramp(part, m_parameters.firstLeaveAdapter, m_parameters.allLeaveAdapter));
 }
 
 core::Duration DomainOverflow::latestUseful(core::Duration homeFirstEvent, core::Duration left,
@@ -142,75 +170,107 @@
     }
 }
 
+// The nearest endpoints that could take the request count as its home: without a copy of the
+// adapter in the domain these are those of the region.
+DomainState DomainOverflow::nearestOf(const std::vector<DomainState> &domains)
+{
+    DomainState nearest;
+    for (const DomainState &domain : domains) {
+        if (domain.slots <= 0 || (nearest.slots > 0 && domain.distance > nearest.distance))
+            continue;
+        if (nearest.slots <= 0 || domain.distance < nearest.distance) {
+            nearest = domain;
+            continue;
+        }
+        nearest.slots += domain.slots;
+        nearest.load += domain.load;
+        nearest.ownLoad += domain.ownLoad;
+    }
+    return nearest;
+}
+
 OverflowDecision DomainOverflow::decide(const std::vector<DomainState> &domains,
                                         const OverflowRequest &request, double draw,
                                         core::TimePoint now)
 {
     Service &service = m_services[request.service];
-    const auto found = std::ranges::find_if(domains, [](const DomainState &domain) {
-        return domain.distance == Distance::SameDomain && domain.slots > 0;
-    });
-    const DomainState *home = found == domains.end() ? nullptr : &*found;
+    DomainState home = nearestOf(domains);
+    OverflowDecision decision;
+    decision.distance = home.distance;
+    if (home.distance != Distance::SameDomain)
+        decision.reason = OverflowReason::NoCopy;
+    if (home.slots <= 0)
+        return decision;
+    home.load = homeLoad(home, request);
     const core::Duration target = request.target > core::Duration::zero()
         ? request.target
         : m_parameters.defaultTarget;
-    OverflowDecision decision;
-    double share = 1;
-    double regionShare = 1;
-    core::Duration latest = core::Duration::max();
-    if (home != nullptr) {
-        if (home->ownLoad >= 1 && freshness(request.age) >= 1)
-            service.daemons += daemonSmoothing * (home->load / home->ownLoad - service.daemons);
-        const core::Duration base = baseTime(service, *home, home, now);
-        DomainState estimated = *home;
-        estimated.load = homeLoad(service, *home, request.age);
-        decision.homeFirstEvent = predictedFirstEvent(service, estimated, home, now);
-        // A target that the domain never meets must not send everything away.
-        const core::Duration left = target - request.waited;
-        const core::Duration budget = std::max(left - base, core::scaled(target, 0.1));
-        const double part = std::chrono::duration<double>(decision.homeFirstEvent - base) / budget;
-        updateShortage(service, part > m_parameters.beginLeave, now);
-        share = service.isSendingAway
-            ? ramp(part, m_parameters.firstLeave, m_parameters.allLeave)
-            : 0;
-        regionShare = service.isSendingAway
-            ? ramp(part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion)
-            : 0;
-        latest = latestUseful(decision.homeFirstEvent, left, target);
-        decision.domain = home->domain;
-        decision.firstEvent = decision.homeFirstEvent;
-    }
+    const core::Duration base = baseTime(service, home, home, now);
+    decision.homeFirstEvent = predictedFirstEvent(service, home, home, now);
+    decision.firstEvent = decision.homeFirstEvent;
+    // A target that the domain never meets must not send everything away.
+    const core::Duration left = target - request.waited;
+    const core::Duration budget = std::max(left - base, core::scaled(target, 0.1));
+    const double part = std::chrono::duration<double>(decision.homeFirstEvent - base) / budget;
+    const double share = home.distance == Distance::SameDomain
+        ? leavingShare(service, home, request, part, now)
+        : ramp(part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion);
     decision.leavingShare = share;
-    if (draw >= share)
-        return decision;
-    const double rate = std::max(domainRate(service, now), 1e-9);
-    double remaining = share;
+    const core::Duration latest = latestUseful(decision.homeFirstEvent, left, target);
+    chooseNeighbour(decision, service, domains, home, request,
+                    {draw, share, part, latest, target}, now);
+    return decision;
+}
+
+void DomainOverflow::chooseNeighbour(OverflowDecision &decision, const Service &service,
+                                     const std::vector<DomainState> &domains,
+                                     const DomainState &home, const OverflowRequest &request,
+                                     Leaving leaving, core::TimePoint now) const
+{
+    const double rate = std::max(homeRate(service, home, request, now), 1e-9);
+    const double regionShare = std::min(
+        leaving.share,
+        ramp(leaving.part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion));
+    bool isAnyUseful = false;
+    double remaining = leaving.share;
     for (const Distance distance : {Distance::SameRegion, Distance::OtherRegion}) {
-        const auto near
-            = candidates(service, domains, home, distance, latest, request, target, now);
+        if (distance <= home.distance)
+            continue;
+        // Computed only for requests that leave, or may have no choice.
+        if (leaving.draw >= remaining && leaving.part < 1)
+            return;
+        const auto near = candidates(service, domains, home, distance, leaving.latest, request,
+                                     leaving.target, now);
+        isAnyUseful = isAnyUseful || !near.empty();
         double possible = 0;
         for (const Candidate &candidate : near)
             possible += candidate.rate;
-        const double limit = distance == Distance::SameRegion ? share : regionShare;
+        const double limit = distance == Distance::SameRegion ? leaving.share : regionShare;
         const double taken = std::min({remaining, limit, possible / rate});
-        if (draw < taken) {
-            double rest = draw / taken * possible;
-            for (const Candidate &candidate : near) {
-                rest -= candidate.rate;
-                if (rest >= 0 && &candidate != &near.back())
-                    continue;
-                decision.domain = candidate.state->domain;
-                decision.distance = distance;
-                decision.firstEvent = candidate.firstEvent;
-                decision.reason
-                    = home == nullptr ? OverflowReason::NoCopy : OverflowReason::Shortage;
-                return decision;
-            }
+        if (leaving.draw < taken) {
+            const Candidate &chosen = drawCandidate(near, leaving.draw / taken * possible);
+            decision.domain = chosen.state->domain;
+            decision.distance = distance;
+            decision.firstEvent = chosen.firstEvent;
+            if (decision.reason == OverflowReason::None)
+                decision.reason = OverflowReason::Shortage;
+            return;
         }
-        draw -= taken;
+        leaving.draw -= taken;
         remaining -= taken;
     }
-    return decision;
+    decision.excludesFarther = !isAnyUseful;
+}
+
+const DomainOverflow::Candidate &
+DomainOverflow::drawCandidate(const std::vector<Candidate> &candidates, double rate)
+{
+    for (const Candidate &candidate : candidates) {
+        rate -= candidate.rate;
+        if (rate < 0)
+            return candidate;
+    }
+    return candidates.back();
 }
 
 double DomainOverflow::weightOf(const Speed &speed, core::TimePoint now) const
--- a/src/libs/decisions/routing/domainoverflow.h
+++ b/src/libs/decisions/routing/domainoverflow.h
@@ -11,26 +11,43 @@
 
 struct DomainOverflowParameters
 {
-    /// The part of the time until the target that requests may wait in their domain before the
-    /// first ones leave, and that at which all leave. A queue in front of the slots keeps the
-    /// domain busy; the distance to 1 covers differences between its endpoints.
-    double firstLeave = 0.2;
-    double allLeave = 0.8;
-    /// The same for another region, whose traffic costs four times as much.
+    /// Part of the time until the target that requests wait in their domain while some of them
+    /// leave it. A queue in front of the slots keeps the domain busy; the distance to 1 covers
+    /// differences between its endpoints.
+    double setPoint = 0.4;
+    /// Change of the leaving share for a wait that is off by the whole part. Higher values make
+    /// the share swing, because a change shows in the loads only half a second later.
+    double gain = 0.5;
+    /// Change of the share in a second for the same, which corrects errors of the rates.
+    double trimPerSecond = 0.15;
+    double maxTrim = 0.5;
+    /// Waits from which requests leave the region, whose traffic costs four times as much, and at
+    /// which all may.
     double firstLeaveRegion = 0.45;
     double allLeaveRegion = 0.9;
+    /// Waits from which requests leave even if the domain as a whole is not short, because the
+    /// endpoints with their adapter are.
+    double firstLeaveAdapter = 0.9;
+    double allLeaveAdapter = 1.5;
     /// While nothing was sent away lately, requests leave only from this part on: a burst that ends
     /// within a few report periods is served by the queue, without traffic between domains.
     double beginLeave = 0.35;
+    /// Below this part nothing leaves, so that no slot of the domain stays idle meanwhile.
+    double minLeave = 0.05;
     /// Time without requests that had to leave after which a shortage counts as ended.
     core::Duration endDelay = std::chrono::seconds(3);
     /// Utilization up to which a neighbour's slots count as free; the rest is for its own requests.
-    double freeUtilization = 0.95;
+    double freeUtilization = 1.0;
+    /// Part of the queue in this domain that may also form in front of a neighbour's slots.
+    double neighbourQueue = 0.5;
     /// Share of the slots of a domain with unknown loads that may be free.
     double unknownFreeShare = 0.05;
     /// Age from which the loads of other daemons say less the older they get: a report period of
     /// 750 ms, its propagation, and a lost report.
     core::Duration freshAge = std::chrono::milliseconds(1600);
+    /// The same for neighbours: what this domain sends there is always known, and the demand of
+    /// their own clients changes slowly.
+    core::Duration freshNeighbourAge = std::chrono::seconds(4);
     /// Target of routes that state none.
     core::Duration defaultTarget = std::chrono::seconds(1);
     /// Initial time of a request in a slot, and of a first event, until answers show them.
@@ -49,7 +66,7 @@
     double minGain = 0.15;
     /// Time after which a domain that was slow or failed is tried again.
     core::Duration retryTime = std::chrono::seconds(4);
-    core::Duration rateTimeConstant = std::chrono::seconds(2);
+    core::Duration rateTimeConstant = std::chrono::seconds(4);
 };
 
 /// Decides whether a request leaves its failure domain, then its region, and for which domain.
@@ -65,7 +82,8 @@
     { }
 
     /// Chooses the domain for a request among those with endpoints that could take it. `draw` is
-    /// uniform in [0, 1). Precondition: at most one domain has Distance::SameDomain.
+    /// uniform in [0, 1) and the same for each choice of one request: a waiting request is chosen
+    /// for again fifty times a second. Precondition: at most one domain has Distance::SameDomain.
     OverflowDecision decide(const std::vector<DomainState> &domains, const OverflowRequest &request,
                             double draw, core::TimePoint now);
     /// Records a first send of a request.
@@ -98,7 +116,8 @@
         std::map<core::FailureDomainId, Speed> speeds;
         double sends = 0; ///< First sends; decays exponentially.
         core::TimePoint sendsAt;
-        double daemons = 1; ///< Daemons of the domain with as many requests as this one, smoothed.
+        double trim = 0; ///< Added to the leaving share.
+        core::TimePoint trimmedAt;
         bool isSendingAway = false;
         core::TimePoint lastShortageAt;
     };
@@ -109,36 +128,56 @@
         core::Duration firstEvent {}; ///< Predicted, from the send.
         double rate = 0; ///< Requests per second that it can take from this domain.
     };
+    /// How a request is to leave its domain.
+    struct Leaving
+    {
+        double draw = 0;
+        double share = 0;         ///< Of the requests that leave.
+        double part = 0;          ///< Of the time until the target that it would wait at home.
+        core::Duration latest {}; ///< First event elsewhere that is worth the traffic.
+        core::Duration target {};
+    };
+
+    static DomainState nearestOf(const std::vector<DomainState> &domains);
+    /// Precondition: there are candidates.
+    static const Candidate &drawCandidate(const std::vector<Candidate> &candidates, double rate);
+    void chooseNeighbour(OverflowDecision &decision, const Service &service,
+                         const std::vector<DomainState> &domains, const DomainState &home,
+                         const OverflowRequest &request, Leaving leaving,
+                         core::TimePoint now) const;
 
     core::Duration slotTime(const Service &service, const core::FailureDomainId &domain) const;
-    double freshness(const std::optional<core::Duration> &age) const;
+    static double freshness(const std::optional<core::Duration> &age, core::Duration freshAge);
     /// Weight of an answer that arrives now.
     double weightOf(const Speed &speed, core::TimePoint now) const;
     /// Time to the first event if the domain's endpoints are as fast as the home domain's.
     core::Duration expectedBase(const Service &service, const DomainState &domain,
-                                const DomainState *home) const;
+                                const DomainState &home) const;
     /// Predicted time from the send to the first event without a wait for a slot.
     core::Duration baseTime(const Service &service, const DomainState &domain,
-                            const DomainState *home, core::TimePoint now) const;
+                            const DomainState &home, core::TimePoint now) const;
     core::Duration predictedFirstEvent(const Service &service, const DomainState &domain,
-                                       const DomainState *home, core::TimePoint now) const;
+                                       const DomainState &home, core::TimePoint now) const;
     /// Load of the home domain; while the loads of others are old, estimated from this daemon's.
-    double homeLoad(const Service &service, const DomainState &home,
-                    const std::optional<core::Duration> &age) const;
+    double homeLoad(const DomainState &home, const OverflowRequest &request) const;
     /// Slots that this domain's requests may occupy in a neighbour, with those that they do.
-    double availableSlots(const Service &service, const DomainState &domain,
-                          const std::optional<core::Duration> &age) const;
+    double availableSlots(const DomainState &domain, const OverflowRequest &request,
+                          double utilization, core::Duration freshAge) const;
     /// The neighbours at this distance with a first event before `latest`.
     std::vector<Candidate> candidates(const Service &service,
                                       const std::vector<DomainState> &domains,
-                                      const DomainState *home, Distance distance,
+                                      const DomainState &home, Distance distance,
                                       core::Duration latest, const OverflowRequest &request,
                                       core::Duration target, core::TimePoint now) const;
-    /// Requests per second of all daemons of the domain.
-    double domainRate(const Service &service, core::TimePoint now) const;
+    /// Requests per second of all daemons of the domain for the home endpoints.
+    double homeRate(const Service &service, const DomainState &home,
+                    const OverflowRequest &request, core::TimePoint now) const;
     /// The time from the send by which a first event elsewhere is worth leaving the domain.
     core::Duration latestUseful(core::Duration homeFirstEvent, core::Duration left,
                                 core::Duration target) const;
+    /// The share of requests that leave, if those that stay wait for this part of their time.
+    double leavingShare(Service &service, const DomainState &home, const OverflowRequest &request,
+                        double part, core::TimePoint now) const;
     void updateShortage(Service &service, bool isShort, core::TimePoint now) const;
 
     DomainOverflowParameters m_parameters;
--- a/src/libs/decisions/routing/domainstate.h
+++ b/src/libs/decisions/routing/domainstate.h
@@ -29,6 +29,9 @@
     core::Duration waited {}; ///< Since the arrival.
     /// Age of the other daemons' loads; empty if they are not known.
     std::optional<core::Duration> age;
+    double domainDaemons = 1; ///< Daemons of this domain; the mean of all domains if unknown.
+    /// Slots of all endpoints of the service in this domain, whatever adapters they hold.
+    double homeSlots = 0;
 };
 
 /// Why a request leaves its domain.
@@ -41,12 +44,15 @@
 /// The domain that a request should use, and the predictions behind the choice.
 struct OverflowDecision
 {
-    core::FailureDomainId domain; ///< Empty if there is no candidate.
     OverflowReason reason = OverflowReason::None;
     Distance distance = Distance::SameDomain;
+    /// Empty if any domain at the distance will do.
+    std::optional<core::FailureDomainId> domain;
     core::Duration homeFirstEvent {}; ///< Predicted; zero without an endpoint in the domain.
     core::Duration firstEvent {};     ///< Predicted in the chosen domain.
-    double leavingShare = 0;          ///< Of the requests like this one.
+    double leavingShare = 0; ///< Of the requests like this one.
+    /// No farther domain is worth its traffic, so the request rather waits than goes there.
+    bool excludesFarther = false;
 };
 
 } // namespace jackdawlead::decisions
--- a/tests/auto/domainoverflow/overflowsimulation.h
+++ b/tests/auto/domainoverflow/overflowsimulation.h
@@ -23,6 +23,7 @@
     core::TimePoint arrivedAt;
     core::TimePoint sentAt;
     core::Duration work {}; ///< Time in a slot of an endpoint of ordinary speed.
+    double draw = 0; ///< Uniform in [0, 1).
     int endpoint = -1;
     std::vector<int> tried;
 };
@@ -213,6 +214,7 @@
             SimulatedRequest request;
             request.daemon = first + any(m_random);
             request.arrivedAt = m_now;
+            request.draw = std::uniform_real_distribution<double>(0, 1)(m_random);
             // Between half and one and a half of the mean, like streams of bounded length.
             request.work = core::scaled(m_scenario.slotTime,
                                         std::uniform_real_distribution<double>(0.5, 1.5)(m_random));
