--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -54,9 +54,17 @@
     return Success;
 }
 
+struct GatewayOptions
+{
+    bool checkOnly = false;
+    std::uint16_t metricsPort = 0;
+    double logLinesPerSecond = 0;
+    bool isDomainOverflowEnabled = false;
+};
+
 // Runs the gateway of the users' platform. The environment variable platform::settingsVariable
 // holds the path of its settings file.
-int runGateway(bool checkOnly, std::uint16_t metricsPort, double logLinesPerSecond)
+int runGateway(const GatewayOptions &options)
 {
     using namespace jackdawlead;
     const char *path = std::getenv(platform::settingsVariable);
@@ -70,14 +78,15 @@
         std::cerr << path << ":\n" << std::string(settings.status().message()) << "\n";
         return InvalidSettings;
     }
-    if (checkOnly) {
+    if (options.checkOnly) {
         std::cout << path << ": settings are valid\n";
         return Success;
     }
-    settings->metricsPort = metricsPort;
+    settings->metricsPort = options.metricsPort;
+    settings->isDomainOverflowEnabled = options.isDomainOverflowEnabled;
     observability::LogRateLimits logLimits;
-    logLimits.burst = std::max(logLimits.burst, logLinesPerSecond);
-    logLimits.linesPerSecond = logLinesPerSecond;
+    logLimits.burst = std::max(logLimits.burst, options.logLinesPerSecond);
+    logLimits.linesPerSecond = options.logLinesPerSecond;
     observability::startBoundedLogging("INFO", settings->host, logLimits);
     gateway::Gateway gateway(*std::move(settings), read);
     if (const absl::Status status = gateway.start(); !status.ok()) {
@@ -105,6 +114,8 @@
         options::value<double>()->default_value(
             jackdawlead::observability::LogRateLimits().linesPerSecond),
         "with --platform: maximum log lines per second besides warnings")(
+        "domain-overflow",
+        "with --platform: decide by predicted times when requests leave their failure domain")(
         "platform",
         "serve the users' platform; JACKDAWLEAD_SETTINGS holds the path of its settings file");
     options::variables_map values;
@@ -119,9 +130,10 @@
         return Success;
     }
     if (values.contains("platform"))
-        return runGateway(values.contains("check-settings"),
-                          values["metrics-port"].as<std::uint16_t>(),
-                          values["log-lines"].as<double>());
+        return runGateway({.checkOnly = values.contains("check-settings"),
+                           .metricsPort = values["metrics-port"].as<std::uint16_t>(),
+                           .logLinesPerSecond = values["log-lines"].as<double>(),
+                           .isDomainOverflowEnabled = values.contains("domain-overflow")});
     if (!values.contains("settings")) {
         std::cerr << "--settings is required\n" << description;
         return UsageError;
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -16,6 +16,7 @@
     core::EndpointId endpoint;
     int slots = 1;
     double load = 0;              ///< Slots that all daemons' known requests occupy.
+    double ownLoad = 0;           ///< Of them, those of this daemon's requests.
     int pendingPrefillTokens = 0; ///< Prompt tokens sent by this daemon and not prefilled yet.
     Distance distance = Distance::SameDomain;
     /// Replaces the constant cost of the distance, in utilization; see DomainOverflow.
--- a/src/libs/decisions/routing/domainoptions.cpp
+++ b/src/libs/decisions/routing/domainoptions.cpp
@@ -26,8 +26,7 @@
 
 } // namespace
 
-void DomainOptions::add(const EndpointOption &option, const core::FailureDomainId &domain,
-                        double ownLoad)
+void DomainOptions::add(const EndpointOption &option, const core::FailureDomainId &domain)
 {
     auto state = std::ranges::find(m_domains, domain, &DomainState::domain);
     if (state == m_domains.end())
@@ -37,7 +36,7 @@
         return;
     state->slots += option.slots;
     state->load += option.load;
-    state->ownLoad += ownLoad;
+    state->ownLoad += option.ownLoad;
 }
 
 double DomainOptions::applyDecision(std::vector<EndpointOption> &options,
--- a/src/libs/decisions/routing/domainoptions.h
+++ b/src/libs/decisions/routing/domainoptions.h
@@ -15,7 +15,7 @@
 public:
     /// Adds the next option, in the order of the chooser's options. Options that are ejected or
     /// were tried belong to their domain, but don't count as capacity.
-    void add(const EndpointOption &option, const core::FailureDomainId &domain, double ownLoad);
+    void add(const EndpointOption &option, const core::FailureDomainId &domain);
     const std::vector<DomainState> &domains() const { return m_domains; }
     /// Sets costs that make the chooser prefer the domain of the decision, then the others by
     /// distance, and removes the options that the decision excludes. Returns the chosen part of
--- a/src/libs/decisions/routing/domainoverflow.cpp
+++ b/src/libs/decisions/routing/domainoverflow.cpp
@@ -65,8 +65,7 @@
     return weight * home.load + (1 - weight) * home.ownLoad * request.domainDaemons;
 }
 
-double DomainOverflow::freshness(const std::optional<core::Duration> &age,
-                                 core::Duration freshAge)
+double DomainOverflow::freshness(const std::optional<core::Duration> &age, core::Duration freshAge)
 {
     if (!age)
         return 0;
@@ -106,8 +105,8 @@
             = baseTime(service, domain, home, now) - expectedBase(service, domain, home);
         const double slow = ramp(std::chrono::duration<double>(added) / target,
                                  m_parameters.firstSlow, m_parameters.allSlow);
-        const double rate = (1 - slow) * availableSlots(domain, request, utilization,
-                                                      m_parameters.freshNeighbourAge)
+        const double rate = (1 - slow)
+            * availableSlots(domain, request, utilization, m_parameters.freshNeighbourAge)
             / core::toSeconds(slotTime(service, domain.domain));
         if (rate > 0)
             candidates.push_back({&domain, firstEvent, rate});
@@ -137,18 +136,17 @@
         return 0;
     }
     const double weight = freshness(request.age, m_parameters.freshAge);
-    service.trim = std::clamp(service.trim
-                                  + m_parameters.trimPerSecond * weight * elapsed
-                                      * std::clamp(error, -1.0, 1.0),
-                              -m_parameters.maxTrim, m_parameters.maxTrim);
+    service.trim = std::clamp(
+        service.trim + m_parameters.trimPerSecond * weight * elapsed * std::clamp(error, -1.0, 1.0),
+        -m_parameters.maxTrim, m_parameters.maxTrim);
     // What the domain serves of its own requests while its slots are busy, and the surplus.
     const double served = availableSlots(home, request, 1, m_parameters.freshNeighbourAge)
         / core::toSeconds(slotTime(service, home.domain));
     const double surplus = 1 - served / std::max(homeRate(service, home, request, now), 1e-9);
     const double share = std::clamp(
         std::max(0.0, surplus) + service.trim + m_parameters.gain * weight * error, 0.0, 1.0);
-    return std::max(
-        share, ramp(part, m_parameters.firstLeaveAdapter, m_parameters.allLeaveAdapter));
+    return std::max(share,
+                    ramp(part, m_parameters.firstLeaveAdapter, m_parameters.allLeaveAdapter));
 }
 
 core::Duration DomainOverflow::latestUseful(core::Duration homeFirstEvent, core::Duration left,
@@ -202,9 +200,8 @@
     if (home.slots <= 0)
         return decision;
     home.load = homeLoad(home, request);
-    const core::Duration target = request.target > core::Duration::zero()
-        ? request.target
-        : m_parameters.defaultTarget;
+    const core::Duration target
+        = request.target > core::Duration::zero() ? request.target : m_parameters.defaultTarget;
     const core::Duration base = baseTime(service, home, home, now);
     decision.homeFirstEvent = predictedFirstEvent(service, home, home, now);
     decision.firstEvent = decision.homeFirstEvent;
@@ -217,8 +214,8 @@
         : ramp(part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion);
     decision.leavingShare = share;
     const core::Duration latest = latestUseful(decision.homeFirstEvent, left, target);
-    chooseNeighbour(decision, service, domains, home, request,
-                    {draw, share, part, latest, target}, now);
+    chooseNeighbour(decision, service, domains, home, request, {draw, share, part, latest, target},
+                    now);
     return decision;
 }
 
@@ -228,9 +225,9 @@
                                      Leaving leaving, core::TimePoint now) const
 {
     const double rate = std::max(homeRate(service, home, request, now), 1e-9);
-    const double regionShare = std::min(
-        leaving.share,
-        ramp(leaving.part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion));
+    const double regionShare
+        = std::min(leaving.share,
+                   ramp(leaving.part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion));
     bool isAnyUseful = false;
     double remaining = leaving.share;
     for (const Distance distance : {Distance::SameRegion, Distance::OtherRegion}) {
@@ -305,8 +302,8 @@
     speed.hasFailed = false;
 }
 
-void DomainOverflow::recordEnd(const core::ServiceId &service,
-                               const core::FailureDomainId &domain, core::Duration duration)
+void DomainOverflow::recordEnd(const core::ServiceId &service, const core::FailureDomainId &domain,
+                               core::Duration duration)
 {
     Speed &speed = m_services[service].speeds[domain];
     if (!speed.slotTime)
@@ -314,6 +311,17 @@
     *speed.slotTime += core::scaled(duration - *speed.slotTime, m_parameters.smoothingFactor);
 }
 
+// The answer takes its slot from the end of the wait to its own end.
+void DomainOverflow::recordAnswer(const core::ServiceId &service,
+                                  const core::FailureDomainId &domain, core::Duration delay,
+                                  double utilization, core::TimePoint now)
+{
+    const core::Duration wait
+        = core::scaled(slotTime(m_services[service], domain), std::max(0.0, utilization - 1));
+    recordFirstEvent(service, domain, delay, utilization, now);
+    recordEnd(service, domain, std::max(core::Duration::zero(), delay - wait));
+}
+
 void DomainOverflow::recordFailure(const core::ServiceId &service,
                                    const core::FailureDomainId &domain, core::TimePoint now)
 {
--- a/src/libs/decisions/routing/domainoverflow.h
+++ b/src/libs/decisions/routing/domainoverflow.h
@@ -23,8 +23,8 @@
     double maxTrim = 0.5;
     /// Waits from which requests leave the region, whose traffic costs four times as much, and at
     /// which all may.
-    double firstLeaveRegion = 0.45;
-    double allLeaveRegion = 0.9;
+    double firstLeaveRegion = 0.5;
+    double allLeaveRegion = 0.95;
     /// Waits from which requests leave even if the domain as a whole is not short, because the
     /// endpoints with their adapter are.
     double firstLeaveAdapter = 0.9;
@@ -95,6 +95,9 @@
     /// Records that an answer ended this long after its first event.
     void recordEnd(const core::ServiceId &service, const core::FailureDomainId &domain,
                    core::Duration duration);
+    /// Records an answer that came as a whole, like recordFirstEvent().
+    void recordAnswer(const core::ServiceId &service, const core::FailureDomainId &domain,
+                      core::Duration delay, double utilization, core::TimePoint now);
     /// Records a send to the domain without an answer.
     void recordFailure(const core::ServiceId &service, const core::FailureDomainId &domain,
                        core::TimePoint now);
@@ -126,7 +129,7 @@
     {
         const DomainState *state = nullptr;
         core::Duration firstEvent {}; ///< Predicted, from the send.
-        double rate = 0; ///< Requests per second that it can take from this domain.
+        double rate = 0;              ///< Requests per second that it can take from this domain.
     };
     /// How a request is to leave its domain.
     struct Leaving
@@ -170,8 +173,8 @@
                                       core::Duration latest, const OverflowRequest &request,
                                       core::Duration target, core::TimePoint now) const;
     /// Requests per second of all daemons of the domain for the home endpoints.
-    double homeRate(const Service &service, const DomainState &home,
-                    const OverflowRequest &request, core::TimePoint now) const;
+    double homeRate(const Service &service, const DomainState &home, const OverflowRequest &request,
+                    core::TimePoint now) const;
     /// The time from the send by which a first event elsewhere is worth leaving the domain.
     core::Duration latestUseful(core::Duration homeFirstEvent, core::Duration left,
                                 core::Duration target) const;
--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -24,9 +24,9 @@
     core::Duration heartbeat = std::chrono::milliseconds(1200);
     /// After it the store has removed the record of an endpoint that is gone.
     core::Duration recordExpiry = std::chrono::milliseconds(3600);
-    core::Duration budgetWindow {}; ///< Window in which retries are counted.
-    double budgetRatio = 0;         ///< Retries per request.
-    double budgetSlack = 0;         ///< Retries that are allowed in addition.
+    core::Duration budgetWindow {};                       ///< Window in which retries are counted.
+    double budgetRatio = 0;                               ///< Retries per request.
+    double budgetSlack = 0;                               ///< Retries that are allowed in addition.
     core::Duration quotaWindow = std::chrono::seconds(8); ///< Window in which quotas are checked.
     double quotaOverage = 0; ///< Fraction by which the use in a window may exceed a quota.
     double quotaSlack = 0;   ///< Tokens by which it may exceed a quota in addition.
@@ -47,6 +47,7 @@
     net::Address store;
     std::size_t memoryLimit = 256UL * 1024 * 1024; ///< Bytes after which the process is killed.
     std::uint16_t metricsPort = 0;                 ///< 0 disables the metrics.
+    bool isDomainOverflowEnabled = false;          ///< See gateway::OverflowRouter.
     bool isFirstStart = true;                      ///< The whole system starts for the first time.
     Bounds bounds;
 };
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -19,9 +19,34 @@
     m_refusalDelay *= 2;
 }
 
+void EndpointFinder::setTarget(core::Duration target, core::TimePoint receivedAt)
+{
+    m_target = target;
+    m_receivedAt = receivedAt;
+    // Without the switch the sequence of draws stays the same.
+    if (m_context.overflow.isEnabled())
+        m_overflowDraw = m_context.uniformRandom();
+}
+
+double EndpointFinder::preferDomain(std::vector<decisions::EndpointOption> &options,
+                                    core::TimePoint now) const
+{
+    if (!m_context.overflow.isEnabled())
+        return 1;
+    OverflowInputs inputs {.service = m_service,
+                           .target = m_target,
+                           .waited = now - m_receivedAt,
+                           .loadAge = {},
+                           .daemonCount = m_context.daemonCount,
+                           .draw = m_overflowDraw};
+    if (m_context.loadsReceivedAt)
+        inputs.loadAge = now - *m_context.loadsReceivedAt + loadPropagationTime;
+    return m_context.overflow.prefer(options, inputs, now);
+}
+
 decisions::EndpointChoice EndpointFinder::choose(core::TimePoint now) const
 {
-    const std::vector<decisions::EndpointOption> candidates = options(now);
+    std::vector<decisions::EndpointOption> candidates = options(now);
     // Returns early because a request that waits for an adapter calls this fifty times a second,
     // mostly without any option.
     if (candidates.empty()) {
@@ -31,8 +56,9 @@
                                  : decisions::NoEndpointReason::NoCandidates,
                 {}};
     }
+    const double preferredShare = preferDomain(candidates, now);
     return decisions::chooseEndpoint(candidates, m_context.uniformRandom(),
-                                     unreportedPerEndpoint(now));
+                                     unreportedPerEndpoint(now) * preferredShare);
 }
 
 double EndpointFinder::unreportedPerEndpoint(core::TimePoint now) const
@@ -156,7 +182,8 @@
     decisions::EndpointOption option;
     option.endpoint = endpoint.id;
     option.slots = endpoint.slots;
-    option.load = pool.load(endpoint.id, endpoint.slots) + pool.otherDaemonsLoad(endpoint.id);
+    option.ownLoad = pool.load(endpoint.id, endpoint.slots);
+    option.load = option.ownLoad + pool.otherDaemonsLoad(endpoint.id);
     option.pendingPrefillTokens = pool.pendingPrefillTokens(endpoint.id);
     option.isEjected = pool.health(endpoint.id).isEjected(now);
     option.wasTried = wasTried;
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -21,6 +21,8 @@
     { }
 
     void setService(const core::ServiceId &service) { m_service = service; }
+    /// Sets the target until the first event, and since when the request waits.
+    void setTarget(core::Duration target, core::TimePoint receivedAt);
     /// Restricts the choice to endpoints with this version of their software.
     void setSoftwareVersion(const core::SoftwareVersion &version) { m_softwareVersion = version; }
     /// Restricts the choice to endpoints that hold the adapter at this version or a newer one,
@@ -58,6 +60,8 @@
     /// How many requests this daemon may have at an endpoint that must not refuse.
     int mostInProgress(const fleet::Endpoint &endpoint, core::TimePoint now) const;
     std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
+    /// See OverflowRouter::prefer().
+    double preferDomain(std::vector<decisions::EndpointOption> &options, core::TimePoint now) const;
     /// Estimated number of requests that other daemons sent to each endpoint of the service since
     /// their last report.
     double unreportedPerEndpoint(core::TimePoint now) const;
@@ -74,8 +78,11 @@
     const platform::RequestFields &m_fields;
     core::ServiceId m_service;
     std::optional<core::SoftwareVersion> m_softwareVersion;
-    int m_minVersion = 0; ///< Of the adapter.
-    int m_runVersion = 0; ///< The highest one that an endpoint stated.
+    core::Duration m_target {};
+    core::TimePoint m_receivedAt;
+    double m_overflowDraw = 0; ///< See OverflowInputs.
+    int m_minVersion = 0;      ///< Of the adapter.
+    int m_runVersion = 0;      ///< The highest one that an endpoint stated.
     std::set<core::EndpointId> m_tried;
     core::TimePoint m_retryTriedAt;
     /// Delay until the next send to an endpoint that was tried, doubled with each refusal. While an
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -97,6 +97,7 @@
            .isStopping = [this] { return m_context.stopRequestedAt.has_value(); }})
     , m_crashes(m_loop, m_timers, m_watch, m_pool, m_metrics, crashHandlers())
     , m_streams(m_store, m_timers, m_settings.host)
+    , m_overflow(m_settings, m_watch, m_metrics)
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
@@ -107,6 +108,7 @@
                  .streams = m_streams,
                  .paths = m_paths,
                  .forwarder = m_forwarder,
+                 .overflow = m_overflow,
                  .metrics = m_metrics,
                  .work = m_profiler,
                  .buffers = m_buffers,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/forwardedrequests.h"
+#include "gateway/overflowrouter.h"
 #include "gateway/pathmonitor.h"
 #include "gateway/peerlink.h"
 #include "gateway/requestcontext.h"
@@ -101,6 +102,7 @@
     ForwardedRequests m_forwardedRequests;
     CrashGuard m_crashes;
     StreamVersions m_streams;
+    OverflowRouter m_overflow;
     RequestContext m_context;
     CoordinatorElection m_election;
     PeerDirectory m_directory;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -448,6 +448,7 @@
     // Endpoints were added or removed since the report; the next one has the new digest.
     if (!view.loadsInIdOrder.empty() && (!isInIdOrder || view.endpoints != digestOf(endpoints)))
         return;
+    m_context.loadsReceivedAt = m_context.timers.now();
     std::size_t index = 0;
     for (const auto &[id, endpoint] : endpoints) {
         double totalLoad = 0;
--- a/src/libs/gateway/requestanswer.cpp
+++ b/src/libs/gateway/requestanswer.cpp
@@ -109,6 +109,7 @@
 {
     if (!attempt().via)
         m_context.paths.recordActivity();
+    attempt().overflow.bytes += bytes.size();
     if (!attempt().isStream) {
         bufferAnswer(bytes);
         return;
@@ -147,6 +148,9 @@
     endPrefill(attempt());
     if (!attempt().runBeganAt) {
         attempt().runBeganAt = now();
+        if (!m_isForwarding)
+            m_context.overflow.recordFirstEvent(attempt().overflow, now() - attempt().sentAt,
+                                                now());
         m_finder.requireVersion(attempt().adapterVersion.value_or(0));
         m_finder.recordRunVersion(attempt().traits.version.value_or(0));
     }
@@ -324,6 +328,8 @@
 
 void RequestTask::handleConnectionFailure(http::ExchangeEnd end)
 {
+    if (attempt().headAt == core::TimePoint())
+        m_context.overflow.recordFailure(attempt().overflow, now());
     if (attempt().via)
         handlePeerFailure(end);
     else if (end == http::ExchangeEnd::Broken)
@@ -369,8 +375,11 @@
         if (m_times.hasEvents()) {
             m_context.metrics.recordFirstEvent(m_times.firstAt() - m_exchange->receivedAt);
             m_context.metrics.recordLongestPause(m_times.longestGap());
-            if (m_sends == 1 && attempt().runBeganAt)
-                m_context.cost.recordStreamDuration(m_times.lastAt() - *attempt().runBeganAt);
+            if (m_sends == 1 && attempt().runBeganAt) {
+                const core::Duration duration = m_times.lastAt() - *attempt().runBeganAt;
+                m_context.cost.recordStreamDuration(duration);
+                m_context.overflow.recordStreamEnd(attempt().overflow, duration);
+            }
         }
         recordRunTime();
         m_status = attempt().answer.status;
@@ -423,6 +432,8 @@
         return;
     }
     recordRunTime();
+    if (attempt().answer.status < firstFailureStatus)
+        m_context.overflow.recordAnswer(attempt().overflow, now() - attempt().sentAt, now());
     m_exchange->respond(attempt().answer.status,
                         platform::forwardedResponseHeaders(attempt().answer), attempt().answerBody);
     m_status = attempt().answer.status;
--- a/src/libs/gateway/requestattempt.h
+++ b/src/libs/gateway/requestattempt.h
@@ -5,6 +5,7 @@
 #include "decisions/bufferbudget.h"
 #include "fleet/endpoint.h"
 #include "gateway/eventfilter.h"
+#include "gateway/overflowsend.h"
 #include "gateway/requestforwarder.h"
 #include "http/clientconnection.h"
 #include "platform/endpointcodec.h"
@@ -41,7 +42,8 @@
     bool isCloseDelimitedThere = false; ///< The connection's end delimits the answer there.
     bool isInProgress = false;          ///< An exchange is in progress.
     core::TimePoint sentAt;
-    core::TimePoint headAt;         ///< When the head arrived.
+    core::TimePoint headAt; ///< When the head arrived.
+    OverflowSend overflow;
     double loadAtSend = 0;          ///< Slots in use at the endpoint when the request was sent.
     int pendingPrefillTokens = 0;   ///< Until the first event.
     bool isCounted = false;         ///< The pool counts it as in progress at the endpoint.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -14,6 +14,7 @@
 #include "gateway/crashguard.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
+#include "gateway/overflowrouter.h"
 #include "gateway/pathmonitor.h"
 #include "gateway/ratelimits.h"
 #include "gateway/requestforwarder.h"
@@ -43,6 +44,7 @@
     StreamVersions &streams;
     PathMonitor &paths;
     RequestForwarder &forwarder;
+    OverflowRouter &overflow;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
     decisions::BufferBudget &buffers;
@@ -70,6 +72,8 @@
     std::function<void(const core::EndpointId &)> onEndpointBackoff;
     /// Daemons that report to the coordinator, from its last view; one until the first view.
     int daemonCount = 1;
+    /// When the loads of the other daemons last arrived; empty before.
+    std::optional<core::TimePoint> loadsReceivedAt {};
     /// Interval of load reports; the known load of the other daemons is about that old.
     core::Duration reportPeriod {};
     std::mt19937_64 random;
--- a/src/libs/gateway/requestpath.cpp
+++ b/src/libs/gateway/requestpath.cpp
@@ -26,6 +26,7 @@
                                  std::unique_ptr<http::ClientConnection> connection)
 {
     endCount(attempt);
+    m_context.overflow.recordRelease(attempt.overflow);
     if (attempt.via)
         m_context.forwarder.giveBack(*attempt.via, std::move(connection));
     else
--- a/src/libs/gateway/requesttask.cpp
+++ b/src/libs/gateway/requesttask.cpp
@@ -109,6 +109,7 @@
         return;
     m_service = decisions::RouteTable::chooseTarget(*m_route, m_context.uniformRandom());
     m_finder.setService(m_service);
+    m_finder.setTarget(m_route->targetLatency, m_exchange->receivedAt);
     m_context.budgets[m_service].recordRequest(now());
     if (!m_fields.adapter.isEmpty())
         ++m_context.demand[adapterKey()];
@@ -401,6 +402,8 @@
     m_attempts.add(std::move(next));
 
     m_finder.markTried(endpoint.id);
+    attempt().overflow = m_context.overflow.recordSend(
+        m_service, endpoint.id, m_sends == 1, attempt().loadAtSend / endpoint.slots, now());
     if (m_sends == 1)
         m_context.metrics.recordWaitTime(attempt().sentAt - m_exchange->receivedAt);
     m_context.pool.beginRequest(endpoint.id, adapterKey());
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -110,8 +110,23 @@
                              .Add({}))
     , m_cutOff(gauge(*m_registry, "jackdawlead_cut_off",
                      "1 while this daemon reaches endpoints only through other daemons"))
+    , m_overflowRequests(counters(*m_registry, "jackdawlead_overflow_requests_total",
+                                  "Sends that left the failure domain, by neighbour and reason"))
+    , m_overflowBytes(counters(*m_registry, "jackdawlead_overflow_bytes_total",
+                               "Bytes of answers to such sends, by neighbour and reason"))
 { }
 
+void GatewayMetrics::recordOverflowRequest(const std::string &neighbour, const std::string &reason)
+{
+    m_overflowRequests.Add({{"neighbour", neighbour}, {"reason", reason}}).Increment();
+}
+
+void GatewayMetrics::recordOverflowBytes(const std::string &neighbour, const std::string &reason,
+                                         double bytes)
+{
+    m_overflowBytes.Add({{"neighbour", neighbour}, {"reason", reason}}).Increment(bytes);
+}
+
 void GatewayMetrics::recordResponse(int status, core::Duration total)
 {
     m_responses.Add({{"status", std::to_string(status)}}).Increment();
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -62,6 +62,10 @@
     void recordForwardedByPeer() { m_forwardedByPeer.Increment(); }
     /// Records a request that this daemon sends to the endpoint for another one.
     void recordForwardedForPeer() { m_forwardedForPeer.Increment(); }
+    /// Records a send that leaves the failure domain for the neighbour.
+    void recordOverflowRequest(const std::string &neighbour, const std::string &reason);
+    /// Records bytes of an answer from the neighbour.
+    void recordOverflowBytes(const std::string &neighbour, const std::string &reason, double bytes);
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
     void recordHeldRequest() { m_heldRequests.Increment(); }
     void recordLimitedSend() { m_limitedSends.Increment(); }
@@ -103,6 +107,8 @@
     prometheus::Counter &m_forwardedByPeer;
     prometheus::Counter &m_forwardedForPeer;
     prometheus::Gauge &m_cutOff;
+    prometheus::Family<prometheus::Counter> &m_overflowRequests;
+    prometheus::Family<prometheus::Counter> &m_overflowBytes;
 };
 
 } // namespace jackdawlead::observability
--- a/tests/auto/domainoverflow/baselinepolicies.h
+++ b/tests/auto/domainoverflow/baselinepolicies.h
@@ -37,6 +37,7 @@
             option.endpoint = core::EndpointId(std::to_string(endpoint));
             option.slots = scenario().slots;
             option.load = m_state.knownLoad(request.daemon, endpoint);
+            option.ownLoad = m_state.own[request.daemon][endpoint];
             option.distance = m_state.distance(request.daemon, endpoint);
             option.wasTried = std::ranges::find(request.tried, endpoint) != request.tried.end();
             options.push_back(std::move(option));
@@ -206,8 +207,7 @@
                                 core::TimePoint now) const
     {
         const double slowness = scenario().slowness[scenario().domainOfEndpoint(endpoint)];
-        const double waiting
-            = std::max(0, m_state.trueLoad[endpoint] - scenario().slots + 1);
+        const double waiting = std::max(0, m_state.trueLoad[endpoint] - scenario().slots + 1);
         return core::scaled(scenario().slotTime, slowness * waiting / scenario().slots)
             + core::scaled(scenario().prefill, slowness)
             + m_state.roundTrip(m_state.distance(request.daemon, endpoint))
--- a/tests/auto/domainoverflow/overflowpolicy.h
+++ b/tests/auto/domainoverflow/overflowpolicy.h
@@ -21,8 +21,7 @@
         decisions::DomainOptions grouped;
         for (const decisions::EndpointOption &option : options) {
             const int endpoint = std::stoi(option.endpoint.value());
-            grouped.add(option, domainId(scenario().domainOfEndpoint(endpoint)),
-                        m_state.own[request.daemon][endpoint]);
+            grouped.add(option, domainId(scenario().domainOfEndpoint(endpoint)));
         }
         const core::TimePoint viewAt = m_state.viewAt[request.daemon];
         const decisions::OverflowRequest wanted {
@@ -32,8 +31,8 @@
             .age = viewAt == core::TimePoint() ? std::nullopt : std::optional(now - viewAt),
             .domainDaemons = static_cast<double>(scenario().daemonsPerDomain),
             .homeSlots = static_cast<double>(scenario().endpointsPerDomain * scenario().slots)};
-        const auto decision = m_overflows[request.daemon].decide(grouped.domains(), wanted,
-                                                                 request.draw, now);
+        const auto decision
+            = m_overflows[request.daemon].decide(grouped.domains(), wanted, request.draw, now);
         const double share = grouped.applyDecision(options, decision);
         return chosenOf(decisions::chooseEndpoint(options, draw,
                                                   unreportedPerEndpoint(request.daemon) * share));
@@ -47,9 +46,8 @@
     }
     void recordFirstEvent(const SimulatedRequest &request, core::TimePoint now)
     {
-        m_overflows[request.daemon].recordFirstEvent(service(), domainOf(request),
-                                                     now - request.sentAt,
-                                                     m_utilization[key(request)], now);
+        m_overflows[request.daemon].recordFirstEvent(
+            service(), domainOf(request), now - request.sentAt, m_utilization[key(request)], now);
         m_firstEvents[key(request)] = now;
         m_utilization.erase(key(request));
     }
