--- a/src/libs/decisions/routing/domainoverflow.cpp
+++ b/src/libs/decisions/routing/domainoverflow.cpp
@@ -92,7 +92,7 @@
         + m_parameters.neighbourQueue * std::max(0.0, home.utilization() - 1);
     std::vector<Candidate> candidates;
     for (const DomainState &domain : domains) {
-        if (domain.distance != distance || &domain == &home || domain.slots <= 0)
+        if (domain.distance != distance || domain.slots <= 0)
             continue;
         const auto speed = service.speeds.find(domain.domain);
         if (speed != service.speeds.end() && speed->second.hasFailed
@@ -216,6 +216,12 @@
     const core::Duration latest = latestUseful(decision.homeFirstEvent, left, target);
     chooseNeighbour(decision, service, domains, home, request, {draw, share, part, latest, target},
                     now);
+    if (decision.domain) {
+        // One request finds out whether a domain that failed answers again.
+        const auto speed = service.speeds.find(*decision.domain);
+        if (speed != service.speeds.end() && speed->second.hasFailed)
+            speed->second.failedAt = now;
+    }
     return decision;
 }
 
@@ -225,8 +231,9 @@
                                      Leaving leaving, core::TimePoint now) const
 {
     const double rate = std::max(homeRate(service, home, request, now), 1e-9);
-    const double regionShare
-        = std::min(leaving.share,
+    // Old loads say little about a need that is worth four times the price.
+    const double regionShare = freshness(request.age, m_parameters.freshAge)
+        * std::min(leaving.share,
                    ramp(leaving.part, m_parameters.firstLeaveRegion, m_parameters.allLeaveRegion));
     bool isAnyUseful = false;
     double remaining = leaving.share;
@@ -256,7 +263,7 @@
         leaving.draw -= taken;
         remaining -= taken;
     }
-    decision.excludesFarther = !isAnyUseful;
+    decision.excludesFarther = !isAnyUseful && leaving.part >= 1;
 }
 
 const DomainOverflow::Candidate &
