--- a/src/libs/decisions/routing/domainoverflow.cpp
+++ b/src/libs/decisions/routing/domainoverflow.cpp
@@ -46,7 +46,7 @@
         return expected;
     // Old answers of a neighbour lose weight, so that one that was slow is tried again.
     const double weight = std::exp(-(now - speed->second.updatedAt)
-                                   / std::chrono::duration<double>(m_parameters.retryTime));
+                                   / std::chrono::duration<double>(m_parameters.slowTimeConstant));
     return expected + core::scaled(*speed->second.firstEvent - expected, weight);
 }
 
--- a/src/libs/decisions/routing/domainoverflow.h
+++ b/src/libs/decisions/routing/domainoverflow.h
@@ -39,7 +39,7 @@
     /// Utilization up to which a neighbour's slots count as free; the rest is for its own requests.
     double freeUtilization = 1.0;
     /// Part of the queue in this domain that may also form in front of a neighbour's slots.
-    double neighbourQueue = 0.5;
+    double neighbourQueue = 0.4;
     /// Share of the slots of a domain with unknown loads that may be free.
     double unknownFreeShare = 0.05;
     /// Age from which the loads of other daemons say less the older they get: a report period of
@@ -60,12 +60,14 @@
     core::Duration speedTimeConstant = std::chrono::seconds(1);
     /// Additional time to a neighbour's first events, as a part of the target, from which less is
     /// sent to it, and from which nothing is: a narrow link or slow endpoints.
-    double firstSlow = 0.15;
-    double allSlow = 0.6;
+    double firstSlow = 0.1;
+    double allSlow = 0.3;
     /// Gain, as a part of the target, for which a request that is late anyway leaves its domain.
     double minGain = 0.15;
-    /// Time after which a domain that was slow or failed is tried again.
-    core::Duration retryTime = std::chrono::seconds(4);
+    /// Time after which a request finds out whether a domain that failed answers again.
+    core::Duration retryTime = std::chrono::seconds(2);
+    /// Time constant in which a neighbour that was slow counts as ordinary again without answers.
+    core::Duration slowTimeConstant = std::chrono::seconds(4);
     core::Duration rateTimeConstant = std::chrono::seconds(4);
 };
 
