--- a/bench/overflowbench.cpp
+++ b/bench/overflowbench.cpp
@@ -1,6 +1,7 @@
 #include "auto/domainoverflow/baselinepolicies.h"
 #include "auto/domainoverflow/overflowpolicy.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <iomanip>
 #include <iostream>
@@ -54,19 +55,15 @@
         change(scenario);
         rows.push_back({name, scenario});
     };
-    add("one domain at 1.4, others at 0.5", [](OverflowScenario &) { });
-    add("one domain at 2.2, others at 0.7", [](OverflowScenario &scenario) {
-        scenario.demand = {2.2, 0.7, 0.7, 0.7, 0.7, 0.7};
-    });
-    add("no domain short: all at 0.8", [](OverflowScenario &scenario) {
-        scenario.demand = {0.8, 0.8, 0.8, 0.8, 0.8, 0.8};
-    });
-    add("all short: all at 1.2", [](OverflowScenario &scenario) {
-        scenario.demand = {1.2, 1.2, 1.2, 1.2, 1.2, 1.2};
-    });
-    add("region full: 1.4, neighbours 0.97, other region 0.4", [](OverflowScenario &scenario) {
-        scenario.demand = {1.4, 0.97, 0.97, 0.4, 0.4, 0.4};
-    });
+    add("one domain at 1.4, others at 0.5", [](OverflowScenario &) {});
+    add("one domain at 2.2, others at 0.7",
+        [](OverflowScenario &scenario) { scenario.demand = {2.2, 0.7, 0.7, 0.7, 0.7, 0.7}; });
+    add("no domain short: all at 0.8",
+        [](OverflowScenario &scenario) { scenario.demand = {0.8, 0.8, 0.8, 0.8, 0.8, 0.8}; });
+    add("all short: all at 1.2",
+        [](OverflowScenario &scenario) { scenario.demand = {1.2, 1.2, 1.2, 1.2, 1.2, 1.2}; });
+    add("region full: 1.4, neighbours 0.97, other region 0.4",
+        [](OverflowScenario &scenario) { scenario.demand = {1.4, 0.97, 0.97, 0.4, 0.4, 0.4}; });
     add("one neighbour slow (3.5) but free", [](OverflowScenario &scenario) {
         scenario.demand = {1.4, 0.1, 0.5, 0.5, 0.5, 0.5};
         scenario.slowness = {1, 3.5, 1, 1, 1, 1};
@@ -84,9 +81,8 @@
         scenario.demand = {1.4, 0.97, 0.97, 0.4, 0.4, 0.4};
         scenario.lossProbability = 0.1;
     });
-    add("figures 3 s old", [](OverflowScenario &scenario) {
-        scenario.viewDelay = std::chrono::seconds(3);
-    });
+    add("figures 3 s old",
+        [](OverflowScenario &scenario) { scenario.viewDelay = std::chrono::seconds(3); });
     add("coordinator lost from 15 s to 25 s", [](OverflowScenario &scenario) {
         scenario.coordinatorLost = Window {std::chrono::seconds(15), std::chrono::seconds(25)};
     });
@@ -95,26 +91,80 @@
         scenario.burst
             = Window {std::chrono::milliseconds(20000), std::chrono::milliseconds(21500)};
     });
-    add("24 adapters with 4 copies in the region of their callers",
-        [](OverflowScenario &scenario) {
-            scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
-            scenario.adapters = 24;
-            scenario.copies = 4;
-        });
-    add("24 adapters with 4 copies in the domain of their callers",
-        [](OverflowScenario &scenario) {
-            scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
-            scenario.adapters = 24;
-            scenario.copies = 4;
-            scenario.areCopiesAtHome = true;
-        });
+    add("24 adapters with 4 copies in the region of their callers", [](OverflowScenario &scenario) {
+        scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
+        scenario.adapters = 24;
+        scenario.copies = 4;
+    });
+    add("24 adapters with 4 copies in the domain of their callers", [](OverflowScenario &scenario) {
+        scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
+        scenario.adapters = 24;
+        scenario.copies = 4;
+        scenario.areCopiesAtHome = true;
+    });
     return rows;
 }
 
+// Times of one choice among 60 endpoints in six domains, of which the first is short.
+void printChoiceCost()
+{
+    constexpr int choices = 20'000;
+    constexpr int endpoints = 60;
+    std::vector<decisions::EndpointOption> options(endpoints);
+    std::vector<core::FailureDomainId> domains;
+    for (int domain = 0; domain < 6; ++domain)
+        domains.emplace_back("domain-" + std::to_string(domain));
+    for (int endpoint = 0; endpoint < endpoints; ++endpoint) {
+        const int domain = endpoint / 10;
+        options[endpoint].domain = &domains[domain];
+        options[endpoint].endpoint = core::EndpointId("endpoint-" + std::to_string(endpoint));
+        options[endpoint].slots = 32;
+        options[endpoint].load = domain == 0 ? 38 : 16;
+        options[endpoint].ownLoad = 3;
+        options[endpoint].distance = domain == 0 ? decisions::Distance::SameDomain
+            : domain < 3                         ? decisions::Distance::SameRegion
+                                                 : decisions::Distance::OtherRegion;
+    }
+    const auto measure = [](auto choose) {
+        const auto begin = std::chrono::steady_clock::now();
+        for (int choice = 0; choice < choices; ++choice)
+            choose(choice);
+        const std::chrono::duration<double, std::micro> time
+            = std::chrono::steady_clock::now() - begin;
+        return time.count() / choices;
+    };
+    std::size_t chosen = 0;
+    const auto drawOf = [](int choice) { return choice / static_cast<double>(choices); };
+    const double constants = measure([&](int choice) {
+        auto copy = options;
+        chosen += decisions::chooseEndpoint(copy, drawOf(choice), 4).endpoint->value().size();
+    });
+    decisions::DomainOverflow overflow;
+    const core::ServiceId service("chat");
+    const double withOverflow = measure([&](int choice) {
+        const core::TimePoint now(std::chrono::milliseconds(10) * choice);
+        auto copy = options;
+        const decisions::DomainOptions grouped(copy);
+        overflow.recordSend(service, now);
+        const auto decision = overflow.decide(
+            grouped.domains(),
+            {service, std::chrono::milliseconds(800), {}, std::chrono::milliseconds(300), 12, 320},
+            drawOf(choice), now);
+        const double share = grouped.applyDecision(copy, decision);
+        chosen
+            += decisions::chooseEndpoint(copy, drawOf(choice), 4 * share).endpoint->value().size();
+    });
+    std::cout << std::fixed << std::setprecision(2) << "choice at 60 endpoints: constants "
+              << constants << " us, overflow " << withOverflow << " us\n";
+    if (chosen == 0)
+        std::cout << "nothing was chosen\n";
+}
+
 } // namespace
 
 int main(int argc, char *argv[])
 {
+    printChoiceCost();
     const int seeds = argc > 1 ? std::atoi(argv[1]) : 3;
     const std::string only = argc > 2 ? argv[2] : "";
     std::cout << "72 daemons, 60 endpoints with 32 slots, target 800 ms, reports every 250 to "
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -19,6 +19,8 @@
     double ownLoad = 0;           ///< Of them, those of this daemon's requests.
     int pendingPrefillTokens = 0; ///< Prompt tokens sent by this daemon and not prefilled yet.
     Distance distance = Distance::SameDomain;
+    /// Valid during the choice; a copy for each option made a choice noticeably slower.
+    const core::FailureDomainId *domain = nullptr;
     /// Replaces the constant cost of the distance, in utilization; see DomainOverflow.
     std::optional<double> distanceCost {};
     bool isConnected = true;    ///< An idle connection is open.
--- a/src/libs/decisions/routing/domainoptions.cpp
+++ b/src/libs/decisions/routing/domainoptions.cpp
@@ -26,32 +26,51 @@
 
 } // namespace
 
-void DomainOptions::add(const EndpointOption &option, const core::FailureDomainId &domain)
+DomainOptions::DomainOptions(const std::vector<EndpointOption> &options)
 {
-    auto state = std::ranges::find(m_domains, domain, &DomainState::domain);
-    if (state == m_domains.end())
-        state = m_domains.insert(state, {domain, option.distance});
-    m_domainOf.push_back(static_cast<std::size_t>(state - m_domains.begin()));
-    if (option.isEjected || option.wasTried)
-        return;
-    state->slots += option.slots;
-    state->load += option.load;
-    state->ownLoad += option.ownLoad;
+    m_domainOf.reserve(options.size());
+    std::size_t last = 0;
+    for (const EndpointOption &option : options) {
+        last = indexOf(option, last);
+        m_domainOf.push_back(last);
+        if (option.isEjected || option.wasTried)
+            continue;
+        DomainState &state = m_domains[last];
+        state.slots += option.slots;
+        state.load += option.load;
+        state.ownLoad += option.ownLoad;
+    }
+}
+
+std::size_t DomainOptions::indexOf(const EndpointOption &option, std::size_t expected)
+{
+    if (expected < m_domains.size() && m_domains[expected].domain == *option.domain)
+        return expected;
+    const auto found = std::ranges::find(m_domains, *option.domain, &DomainState::domain);
+    const auto index = static_cast<std::size_t>(found - m_domains.begin());
+    if (found == m_domains.end())
+        m_domains.push_back({*option.domain, option.distance});
+    return index;
 }
 
 double DomainOptions::applyDecision(std::vector<EndpointOption> &options,
                                     const OverflowDecision &decision) const
 {
+    std::vector<double> costs;
+    costs.reserve(m_domains.size());
+    for (const DomainState &state : m_domains) {
+        const bool isChosen = state.distance == decision.distance
+            && (!decision.domain || state.domain == *decision.domain);
+        costs.push_back(isChosen ? 0 : costOf(state.distance));
+    }
     std::size_t kept = 0;
     double chosen = 0;
     for (std::size_t index = 0; index < options.size(); ++index) {
-        const DomainState &state = m_domains[m_domainOf[index]];
-        if (decision.excludesFarther && state.distance > decision.distance)
+        const std::size_t domain = m_domainOf[index];
+        if (decision.excludesFarther && m_domains[domain].distance > decision.distance)
             continue;
-        const bool isChosen = state.distance == decision.distance
-            && (!decision.domain || state.domain == *decision.domain);
-        options[index].distanceCost = isChosen ? 0 : costOf(state.distance);
-        chosen += isChosen ? 1 : 0;
+        options[index].distanceCost = costs[domain];
+        chosen += costs[domain] > 0 ? 0 : 1;
         if (kept != index)
             options[kept] = std::move(options[index]);
         ++kept;
--- a/src/libs/decisions/routing/domainoptions.h
+++ b/src/libs/decisions/routing/domainoptions.h
@@ -13,17 +13,20 @@
 class DomainOptions
 {
 public:
-    /// Adds the next option, in the order of the chooser's options. Options that are ejected or
-    /// were tried belong to their domain, but don't count as capacity.
-    void add(const EndpointOption &option, const core::FailureDomainId &domain);
+    /// Options that are ejected or were tried belong to their domain, but don't count as capacity.
+    /// Precondition: each option states its domain.
+    explicit DomainOptions(const std::vector<EndpointOption> &options);
     const std::vector<DomainState> &domains() const { return m_domains; }
     /// Sets costs that make the chooser prefer the domain of the decision, then the others by
     /// distance, and removes the options that the decision excludes. Returns the chosen part of
-    /// the options. Precondition: `options` are those that were added.
+    /// the options. Precondition: `options` are those of the constructor.
     double applyDecision(std::vector<EndpointOption> &options,
                          const OverflowDecision &decision) const;
 
 private:
+    /// Index in m_domains of the option's domain, which is added if it is new.
+    std::size_t indexOf(const EndpointOption &option, std::size_t expected);
+
     std::vector<DomainState> m_domains;
     std::vector<std::size_t> m_domainOf; ///< Index in m_domains for each option.
 };
--- a/src/libs/decisions/routing/domainstate.h
+++ b/src/libs/decisions/routing/domainstate.h
@@ -50,7 +50,7 @@
     std::optional<core::FailureDomainId> domain;
     core::Duration homeFirstEvent {}; ///< Predicted; zero without an endpoint in the domain.
     core::Duration firstEvent {};     ///< Predicted in the chosen domain.
-    double leavingShare = 0; ///< Of the requests like this one.
+    double leavingShare = 0;          ///< Of the requests like this one.
     /// No farther domain is worth its traffic, so the request rather waits than goes there.
     bool excludesFarther = false;
 };
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -188,6 +188,7 @@
     option.isEjected = pool.health(endpoint.id).isEjected(now);
     option.wasTried = wasTried;
     option.distance = distanceTo(endpoint.domain);
+    option.domain = &endpoint.domain;
     option.isConnected = pool.hasIdleConnection(endpoint.id);
     option.needsPermit = !m_context.limits.hasPermit(endpoint);
     option.mustNotRefuse = m_context.refusalLimits.limitOf(endpoint.service, now).has_value();
--- a/src/libs/gateway/overflowrouter.cpp
+++ b/src/libs/gateway/overflowrouter.cpp
@@ -71,9 +71,7 @@
 {
     if (!isEnabled() || options.empty())
         return 1;
-    decisions::DomainOptions grouped;
-    for (const decisions::EndpointOption &option : options)
-        grouped.add(option, m_watch.endpoint(option.endpoint)->domain);
+    const decisions::DomainOptions grouped(options);
     const decisions::OverflowRequest request {
         .service = inputs.service,
         .target = inputs.target,
--- a/tests/auto/domainoverflow/baselinepolicies.h
+++ b/tests/auto/domainoverflow/baselinepolicies.h
@@ -14,7 +14,10 @@
 public:
     explicit PolicyBase(const SimulatedState &state)
         : m_state(state)
-    { }
+    {
+        for (int domain = 0; domain < scenario().domains; ++domain)
+            m_domains.emplace_back("domain-" + std::to_string(domain));
+    }
 
     void recordSend(const SimulatedRequest &, core::TimePoint) { }
     void recordFirstEvent(const SimulatedRequest &, core::TimePoint) { }
@@ -39,6 +42,7 @@
             option.load = m_state.knownLoad(request.daemon, endpoint);
             option.ownLoad = m_state.own[request.daemon][endpoint];
             option.distance = m_state.distance(request.daemon, endpoint);
+            option.domain = &m_domains[scenario().domainOfEndpoint(endpoint)];
             option.wasTried = std::ranges::find(request.tried, endpoint) != request.tried.end();
             options.push_back(std::move(option));
         }
@@ -65,6 +69,7 @@
     }
 
     const SimulatedState &m_state;
+    std::vector<core::FailureDomainId> m_domains;
 };
 
 /// Today's constants.
--- a/tests/auto/domainoverflow/overflowpolicy.h
+++ b/tests/auto/domainoverflow/overflowpolicy.h
@@ -18,11 +18,7 @@
     std::optional<int> choose(const SimulatedRequest &request, core::TimePoint now, double draw)
     {
         auto options = optionsOf(request);
-        decisions::DomainOptions grouped;
-        for (const decisions::EndpointOption &option : options) {
-            const int endpoint = std::stoi(option.endpoint.value());
-            grouped.add(option, domainId(scenario().domainOfEndpoint(endpoint)));
-        }
+        const decisions::DomainOptions grouped(options);
         const core::TimePoint viewAt = m_state.viewAt[request.daemon];
         const decisions::OverflowRequest wanted {
             .service = service(),
@@ -66,13 +62,9 @@
     using Key = std::tuple<int, core::TimePoint, core::TimePoint, int>;
 
     static core::ServiceId service() { return core::ServiceId("chat"); }
-    static core::FailureDomainId domainId(int domain)
+    const core::FailureDomainId &domainOf(const SimulatedRequest &request) const
     {
-        return core::FailureDomainId("domain-" + std::to_string(domain));
-    }
-    core::FailureDomainId domainOf(const SimulatedRequest &request) const
-    {
-        return domainId(scenario().domainOfEndpoint(request.endpoint));
+        return m_domains[scenario().domainOfEndpoint(request.endpoint)];
     }
     static Key key(const SimulatedRequest &request)
     {
--- a/tests/auto/domainoverflow/overflowscenario.h
+++ b/tests/auto/domainoverflow/overflowscenario.h
@@ -32,7 +32,7 @@
     std::vector<double> demand = {1.4, 0.5, 0.5, 0.5, 0.5, 0.5};
     /// Demand of domain 0 outside of `burst`, if there is one.
     double demandOutsideBurst = 0.5;
-    std::optional<Window> burst;
+    std::optional<Window> burst {};
     /// Factor on the times of the endpoints of each domain.
     std::vector<double> slowness = {1, 1, 1, 1, 1, 1};
     core::Duration slotTime = std::chrono::milliseconds(2000); ///< Mean time in a slot.
@@ -41,8 +41,8 @@
     core::Duration shortestReportPeriod = std::chrono::milliseconds(250);
     core::Duration longestReportPeriod = std::chrono::milliseconds(750);
     core::Duration viewDelay = std::chrono::milliseconds(50);
-    std::optional<Window> coordinatorLost; ///< No views.
-    std::optional<Window> regionsCut;      ///< Nothing passes between the regions.
+    std::optional<Window> coordinatorLost {}; ///< No views.
+    std::optional<Window> regionsCut {};      ///< Nothing passes between the regions.
     double lossProbability = 0;            ///< Of the requests between regions; costs a time-out.
     double answerBytes = 20'000;
     double linkBytesPerSecond = 60e6 / 8; ///< Between the regions, each way.
@@ -66,7 +66,7 @@
 {
     double shortCredit = 0; ///< Mean credit of the requests of domain 0.
     double otherCredit = 0; ///< The same of all other domains.
-    double bytes = 0;       ///< Bytes of answers that left a domain, those between regions four times.
+    double bytes = 0; ///< Bytes of answers that left a domain, those between regions four times.
     double domainBytes = 0; ///< Between domains of a region.
     double regionBytes = 0; ///< Between regions.
     /// Largest number of requests from other domains that one domain took in 500 ms.
--- a/tests/auto/domainoverflow/overflowsimulation.h
+++ b/tests/auto/domainoverflow/overflowsimulation.h
@@ -23,7 +23,7 @@
     core::TimePoint arrivedAt;
     core::TimePoint sentAt;
     core::Duration work {}; ///< Time in a slot of an endpoint of ordinary speed.
-    double draw = 0; ///< Uniform in [0, 1).
+    double draw = 0;        ///< Uniform in [0, 1).
     int endpoint = -1;
     std::vector<int> tried;
 };
@@ -72,11 +72,11 @@
 
     const OverflowScenario &scenario;
     std::vector<int> trueLoad;
-    std::vector<std::vector<int>> own;       ///< Requests in progress, by daemon and endpoint.
-    std::vector<std::vector<int>> reported;  ///< The same as of the last report.
-    std::vector<std::vector<double>> others; ///< From the last view.
-    std::vector<core::TimePoint> viewAt;     ///< State that the last view shows.
-    std::vector<std::vector<bool>> copies;   ///< By adapter and endpoint.
+    std::vector<std::vector<int>> own;         ///< Requests in progress, by daemon and endpoint.
+    std::vector<std::vector<int>> reported;    ///< The same as of the last report.
+    std::vector<std::vector<double>> others;   ///< From the last view.
+    std::vector<core::TimePoint> viewAt;       ///< State that the last view shows.
+    std::vector<std::vector<bool>> copies;     ///< By adapter and endpoint.
     std::map<int, core::TimePoint> linkFreeAt; ///< Link between regions, by region that answers.
 };
 
