--- a/bench/overflowbench.cpp
+++ b/bench/overflowbench.cpp
@@ -91,6 +91,10 @@
         scenario.burst
             = Window {std::chrono::milliseconds(20000), std::chrono::milliseconds(21500)};
     });
+    add("herd of 12: jump to 1.8, neighbours at 0.2 and 0.4", [](OverflowScenario &scenario) {
+        scenario.demand = {1.8, 0.2, 0.4, 0.5, 0.5, 0.5};
+        scenario.burst = Window {std::chrono::seconds(20), std::chrono::seconds(40)};
+    });
     add("24 adapters with 4 copies in the region of their callers", [](OverflowScenario &scenario) {
         scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
         scenario.adapters = 24;
--- a/tests/auto/domainoverflow/overflowscenario.h
+++ b/tests/auto/domainoverflow/overflowscenario.h
@@ -43,7 +43,7 @@
     core::Duration viewDelay = std::chrono::milliseconds(50);
     std::optional<Window> coordinatorLost {}; ///< No views.
     std::optional<Window> regionsCut {};      ///< Nothing passes between the regions.
-    double lossProbability = 0;            ///< Of the requests between regions; costs a time-out.
+    double lossProbability = 0; ///< Of the requests between regions; costs a time-out.
     double answerBytes = 20'000;
     double linkBytesPerSecond = 60e6 / 8; ///< Between the regions, each way.
     /// Copies of each adapter; 0: every endpoint can take every request.
