--- a/tests/support/platformfixture.h
+++ b/tests/support/platformfixture.h
@@ -73,6 +73,8 @@
     int budgetSlack = 400;
     /// Whether daemons that are started are told that the system starts for the first time.
     bool isFirstStart = true;
+    /// Further arguments of daemons that are started.
+    std::vector<std::string> daemonArguments;
 
     explicit PlatformFixture(const char *service = "plain", bool isStarted = true,
                              int retrySlack = 400)
@@ -135,7 +137,9 @@
                             << budgetSlack << "\nbootstrap=" << (isFirstStart ? "true" : "false")
                             << "\n";
         setenv("JACKDAWLEAD_SETTINGS", path.c_str(), 1);
-        return Process({JACKDAWLEADD, "--platform"}, daemonFolder + "/output", blockedSignals);
+        std::vector<std::string> arguments {JACKDAWLEADD, "--platform"};
+        arguments.insert(arguments.end(), daemonArguments.begin(), daemonArguments.end());
+        return Process(arguments, daemonFolder + "/output", blockedSignals);
     }
 
     bool waitUntil(const std::function<bool()> &condition, core::Duration timeout = limit)
