--- a/bench/overflowbench.cpp
+++ b/bench/overflowbench.cpp
@@ -116,6 +116,7 @@
     constexpr int endpoints = 60;
     std::vector<decisions::EndpointOption> options(endpoints);
     std::vector<core::FailureDomainId> domains;
+    domains.reserve(6);
     for (int domain = 0; domain < 6; ++domain)
         domains.emplace_back("domain-" + std::to_string(domain));
     for (int endpoint = 0; endpoint < endpoints; ++endpoint) {
@@ -140,8 +141,7 @@
     std::size_t chosen = 0;
     const auto drawOf = [](int choice) { return choice / static_cast<double>(choices); };
     const double constants = measure([&](int choice) {
-        auto copy = options;
-        chosen += decisions::chooseEndpoint(copy, drawOf(choice), 4).endpoint->value().size();
+        chosen += decisions::chooseEndpoint(options, drawOf(choice), 4).endpoint->value().size();
     });
     decisions::DomainOverflow overflow;
     const core::ServiceId service("chat");
--- a/tests/auto/domainoverflow/baselinepolicies.h
+++ b/tests/auto/domainoverflow/baselinepolicies.h
@@ -124,6 +124,7 @@
         m_searchTime = {};
         const int home = scenario().domainOfDaemon(request.daemon);
         std::vector<int> order;
+        order.reserve(scenario().domains);
         for (int domain = 0; domain < scenario().domains; ++domain)
             order.push_back(domain);
         std::ranges::stable_sort(order, {}, [this, home](int domain) {
--- a/tests/e2e/tst_overflowingdomains.cpp
+++ b/tests/e2e/tst_overflowingdomains.cpp
@@ -40,6 +40,7 @@
     void callTogether(int count)
     {
         std::vector<AnswerPtr> answers;
+        answers.reserve(count);
         for (int number = 0; number < count; ++number)
             answers.push_back(start("/get/", "r" + std::to_string(m_requests++)));
         cr_assert(waitUntil([&answers] {
