--- a/src/libs/decisions/endpointchooser.cpp
+++ b/src/libs/decisions/endpointchooser.cpp
@@ -12,9 +12,11 @@
 // were late (bench/streambench, 6 holders, 450 streams/s).
 constexpr double streamCostWeight = 1.5;
 
-double distanceCost(Distance distance, const EndpointChooserLimits &limits)
+double distanceCost(const EndpointOption &option, const EndpointChooserLimits &limits)
 {
-    switch (distance) {
+    if (option.distanceCost)
+        return *option.distanceCost;
+    switch (option.distance) {
     case Distance::SameDomain:
         return 0;
     case Distance::SameRegion:
@@ -63,8 +65,7 @@
         if (utilization >= maxUtilization || !takesPrompt(option, limits))
             continue;
         candidates.push_back({&option,
-                              option.load / capacityOf(option)
-                                  + distanceCost(option.distance, limits)
+                              option.load / capacityOf(option) + distanceCost(option, limits)
                                   + (option.isConnected ? 0 : limits.newConnectionCost)
                                   + promptCost(option, limits)});
     }
--- a/src/libs/decisions/endpointchooser.h
+++ b/src/libs/decisions/endpointchooser.h
@@ -24,8 +24,13 @@
     core::EndpointId endpoint;
     int slots = 1;
     double load = 0;              ///< Slots that all daemons' known requests occupy.
+    double ownLoad = 0;           ///< Of them, those of this daemon's requests.
     int pendingPrefillTokens = 0; ///< Prompt tokens sent by this daemon and not prefilled yet.
     Distance distance = Distance::SameDomain;
+    /// Valid during the choice; a copy for each option made a choice noticeably slower.
+    const core::FailureDomainId *domain = nullptr;
+    /// Replaces the constant cost of the distance, in utilization; see DomainOverflow.
+    std::optional<double> distanceCost {};
     bool isConnected = true;    ///< An idle connection is open.
     bool isEjected = false;     ///< See EndpointHealth.
     bool wasTried = false;      ///< This request was sent to it before.
--- a/src/libs/fleet/hostsettings.h
+++ b/src/libs/fleet/hostsettings.h
@@ -48,6 +48,7 @@
     std::size_t memoryLimit = 256UL * 1024 * 1024; ///< Bytes after which the process is killed.
     std::uint16_t metricsPort = 0;                 ///< 0 disables the metrics.
     bool forecastsStreams = false;                 ///< Places streams by predicted gaps.
+    bool isDomainOverflowEnabled = false;          ///< See gateway::OverflowRouter.
     bool isFirstStart = true;                      ///< The whole system starts for the first time.
     Bounds bounds;
 };
--- a/src/libs/gateway/endpointfinder.cpp
+++ b/src/libs/gateway/endpointfinder.cpp
@@ -33,6 +33,31 @@
     m_refusalDelay *= 2;
 }
 
+void EndpointFinder::setTarget(core::Duration target, core::TimePoint receivedAt)
+{
+    m_target = target;
+    m_receivedAt = receivedAt;
+    // Without the switch the sequence of draws stays the same.
+    if (m_context.overflow.isEnabled())
+        m_overflowDraw = m_context.uniformRandom();
+}
+
+double EndpointFinder::preferDomain(std::vector<decisions::EndpointOption> &options,
+                                    core::TimePoint now) const
+{
+    if (!m_context.overflow.isEnabled())
+        return 1;
+    OverflowInputs inputs {.service = m_service,
+                           .target = m_target,
+                           .waited = now - m_receivedAt,
+                           .loadAge = {},
+                           .daemonCount = m_context.daemonCount,
+                           .draw = m_overflowDraw};
+    if (m_context.loadsReceivedAt)
+        inputs.loadAge = now - *m_context.loadsReceivedAt + loadPropagationTime;
+    return m_context.overflow.prefer(options, inputs, now);
+}
+
 decisions::EndpointChoice EndpointFinder::choose(core::TimePoint now) const
 {
     std::vector<decisions::EndpointOption> candidates = options(now);
@@ -45,15 +70,16 @@
                                  : decisions::NoEndpointReason::NoCandidates,
                 {}};
     }
+    const double preferredShare = preferDomain(candidates, now);
+    const double unreported = unreportedPerEndpoint(now) * preferredShare;
     if (m_streamTargets && m_context.forecast.isEnabled())
-        return chooseForStream(std::move(candidates), now);
-    return decisions::chooseEndpoint(candidates, m_context.uniformRandom(),
-                                     unreportedPerEndpoint(now));
+        return chooseForStream(std::move(candidates), unreported, now);
+    return decisions::chooseEndpoint(candidates, m_context.uniformRandom(), unreported);
 }
 
 decisions::EndpointChoice
 EndpointFinder::chooseForStream(std::vector<decisions::EndpointOption> candidates,
-                                core::TimePoint now) const
+                                double unreported, core::TimePoint now) const
 {
     std::vector<decisions::streams::StreamOption> options;
     options.reserve(candidates.size());
@@ -68,7 +94,7 @@
                                                    = m_streamTargets->firstEventDueAt - now};
     auto chosen = decisions::streams::chooseForStream(
         std::move(options), m_context.forecast.times(), demand, now < m_streamTargets->waitUntil,
-        m_context.uniformRandom(), unreportedPerEndpoint(now));
+        m_context.uniformRandom(), unreported);
     m_context.metrics.recordStreamChoice(nameOf(chosen.kind));
     return std::move(chosen.choice);
 }
@@ -194,11 +220,13 @@
     decisions::EndpointOption option;
     option.endpoint = endpoint.id;
     option.slots = endpoint.slots;
-    option.load = pool.load(endpoint.id, endpoint.slots) + pool.otherDaemonsLoad(endpoint.id);
+    option.ownLoad = pool.load(endpoint.id, endpoint.slots);
+    option.load = option.ownLoad + pool.otherDaemonsLoad(endpoint.id);
     option.pendingPrefillTokens = pool.pendingPrefillTokens(endpoint.id);
     option.isEjected = pool.health(endpoint.id).isEjected(now);
     option.wasTried = wasTried;
     option.distance = distanceTo(endpoint.domain);
+    option.domain = &endpoint.domain;
     option.isConnected = pool.hasIdleConnection(endpoint.id);
     option.needsPermit = !m_context.limits.hasPermit(endpoint);
     option.mustNotRefuse = m_context.refusalLimits.limitOf(endpoint.service, now).has_value();
--- a/src/libs/gateway/endpointfinder.h
+++ b/src/libs/gateway/endpointfinder.h
@@ -32,6 +32,8 @@
     void setService(const core::ServiceId &service) { m_service = service; }
     /// Chooses by predicted gaps, if the daemon forecasts them.
     void setStreamTargets(const StreamTargets &targets) { m_streamTargets = targets; }
+    /// Sets the target until the first event, and since when the request waits.
+    void setTarget(core::Duration target, core::TimePoint receivedAt);
     /// Restricts the choice to endpoints with this version of their software.
     void setSoftwareVersion(const core::SoftwareVersion &version) { m_softwareVersion = version; }
     /// Restricts the choice to endpoints that hold the adapter at this version or a newer one,
@@ -70,7 +72,9 @@
     int mostInProgress(const fleet::Endpoint &endpoint, core::TimePoint now) const;
     std::vector<decisions::EndpointOption> options(core::TimePoint now) const;
     decisions::EndpointChoice chooseForStream(std::vector<decisions::EndpointOption> candidates,
-                                              core::TimePoint now) const;
+                                              double unreported, core::TimePoint now) const;
+    /// See OverflowRouter::prefer().
+    double preferDomain(std::vector<decisions::EndpointOption> &options, core::TimePoint now) const;
     /// Estimated number of requests that other daemons sent to each endpoint of the service since
     /// their last report.
     double unreportedPerEndpoint(core::TimePoint now) const;
@@ -88,8 +92,11 @@
     core::ServiceId m_service;
     std::optional<StreamTargets> m_streamTargets;
     std::optional<core::SoftwareVersion> m_softwareVersion;
-    int m_minVersion = 0; ///< Of the adapter.
-    int m_runVersion = 0; ///< The highest one that an endpoint stated.
+    core::Duration m_target {};
+    core::TimePoint m_receivedAt;
+    double m_overflowDraw = 0; ///< See OverflowInputs.
+    int m_minVersion = 0;      ///< Of the adapter.
+    int m_runVersion = 0;      ///< The highest one that an endpoint stated.
     std::set<core::EndpointId> m_tried;
     core::TimePoint m_retryTriedAt;
     /// Delay until the next send to an endpoint that was tried, doubled with each refusal. While an
--- a/src/libs/gateway/gateway.cpp
+++ b/src/libs/gateway/gateway.cpp
@@ -96,6 +96,7 @@
     , m_crashes(m_loop, m_timers, m_watch, m_pool, m_metrics, crashHandlers())
     , m_streams(m_store, m_timers, m_settings.host)
     , m_forecast(m_pool, m_settings.forecastsStreams)
+    , m_overflow(m_settings, m_watch, m_metrics)
     , m_context {.settings = m_settings,
                  .loop = m_loop,
                  .timers = m_timers,
@@ -108,6 +109,7 @@
                  .paths = m_paths,
                  .forecast = m_forecast,
                  .forwarder = m_forwarder,
+                 .overflow = m_overflow,
                  .metrics = m_metrics,
                  .work = m_profiler,
                  .buffers = m_buffers,
--- a/src/libs/gateway/gateway.h
+++ b/src/libs/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
 #include "gateway/forwardedrequests.h"
+#include "gateway/overflowrouter.h"
 #include "gateway/pathmonitor.h"
 #include "gateway/peerlink.h"
 #include "gateway/requestcontext.h"
@@ -105,6 +106,7 @@
     CrashGuard m_crashes;
     StreamVersions m_streams;
     StreamForecast m_forecast;
+    OverflowRouter m_overflow;
     RequestContext m_context;
     CoordinatorElection m_election;
     PeerDirectory m_directory;
--- a/src/libs/gateway/peerlink.cpp
+++ b/src/libs/gateway/peerlink.cpp
@@ -465,6 +465,7 @@
     if (view.streams && view.streams->promptTokens.size() == endpoints.size() && isInIdOrder
         && m_context.forecast.isEnabled())
         m_context.forecast.applyView(*view.streams, endpoints, m_context.timers.now());
+    m_context.loadsReceivedAt = m_context.timers.now();
     std::size_t index = 0;
     for (const auto &[id, endpoint] : endpoints) {
         double totalLoad = 0;
--- a/src/libs/gateway/requestattempt.h
+++ b/src/libs/gateway/requestattempt.h
@@ -6,6 +6,7 @@
 #include "decisions/streams/streamprediction.h"
 #include "fleet/endpoint.h"
 #include "gateway/eventfilter.h"
+#include "gateway/overflowsend.h"
 #include "gateway/requestforwarder.h"
 #include "http/clientconnection.h"
 #include "platform/endpointcodec.h"
@@ -42,7 +43,8 @@
     bool isCloseDelimitedThere = false; ///< The connection's end delimits the answer there.
     bool isInProgress = false;          ///< An exchange is in progress.
     core::TimePoint sentAt;
-    core::TimePoint headAt;       ///< When the head arrived.
+    core::TimePoint headAt; ///< When the head arrived.
+    OverflowSend overflow;
     double loadAtSend = 0;        ///< Slots in use at the endpoint when the request was sent.
     int pendingPrefillTokens = 0; ///< Until the first event.
     /// What was predicted when the request was sent, if it is a stream with a target gap.
--- a/src/libs/gateway/requestcontext.h
+++ b/src/libs/gateway/requestcontext.h
@@ -15,6 +15,7 @@
 #include "gateway/customers/customerlimits.h"
 #include "gateway/endpointpool.h"
 #include "gateway/fleetwatch.h"
+#include "gateway/overflowrouter.h"
 #include "gateway/pathmonitor.h"
 #include "gateway/ratelimits.h"
 #include "gateway/requestforwarder.h"
@@ -47,6 +48,7 @@
     PathMonitor &paths;
     StreamForecast &forecast;
     RequestForwarder &forwarder;
+    OverflowRouter &overflow;
     observability::GatewayMetrics &metrics;
     observability::EventLoopProfiler &work;
     decisions::BufferBudget &buffers;
@@ -74,6 +76,8 @@
     std::function<void(const core::EndpointId &)> onEndpointBackoff;
     /// Daemons that report to the coordinator, from its last view; one until the first view.
     int daemonCount = 1;
+    /// When the loads of the other daemons last arrived; empty before.
+    std::optional<core::TimePoint> loadsReceivedAt {};
     /// Interval of load reports; the known load of the other daemons is about that old.
     core::Duration reportPeriod {};
     std::mt19937_64 random;
--- a/src/libs/observability/gatewaymetrics.cpp
+++ b/src/libs/observability/gatewaymetrics.cpp
@@ -131,8 +131,23 @@
                          .Register(*m_registry))
     , m_streamChoices(counters(*m_registry, "jackdawlead_stream_choices_total",
                                "Choices of endpoints for streams by predicted gaps"))
+    , m_overflowRequests(counters(*m_registry, "jackdawlead_overflow_requests_total",
+                                  "Sends that left the failure domain, by neighbour and reason"))
+    , m_overflowBytes(counters(*m_registry, "jackdawlead_overflow_bytes_total",
+                               "Bytes of answers to such sends, by neighbour and reason"))
 { }
 
+void GatewayMetrics::recordOverflowRequest(const std::string &neighbour, const std::string &reason)
+{
+    m_overflowRequests.Add({{"neighbour", neighbour}, {"reason", reason}}).Increment();
+}
+
+void GatewayMetrics::recordOverflowBytes(const std::string &neighbour, const std::string &reason,
+                                         double bytes)
+{
+    m_overflowBytes.Add({{"neighbour", neighbour}, {"reason", reason}}).Increment(bytes);
+}
+
 void GatewayMetrics::recordResponse(int status, core::Duration total)
 {
     m_responses.Add({{"status", std::to_string(status)}}).Increment();
--- a/src/libs/observability/gatewaymetrics.h
+++ b/src/libs/observability/gatewaymetrics.h
@@ -62,6 +62,10 @@
     void recordForwardedByPeer() { m_forwardedByPeer.Increment(); }
     /// Records a request that this daemon sends to the endpoint for another one.
     void recordForwardedForPeer() { m_forwardedForPeer.Increment(); }
+    /// Records a send that leaves the failure domain for the neighbour.
+    void recordOverflowRequest(const std::string &neighbour, const std::string &reason);
+    /// Records bytes of an answer from the neighbour.
+    void recordOverflowBytes(const std::string &neighbour, const std::string &reason, double bytes);
     void setCutOff(bool isCutOff) { m_cutOff.Set(isCutOff ? 1 : 0); }
     /// Records a choice of an endpoint for a stream by predicted gaps, also a repeated one.
     void recordStreamChoice(const std::string &kind)
@@ -143,6 +147,8 @@
     prometheus::Family<prometheus::Counter> &m_customerRefunds;
     prometheus::Family<prometheus::Gauge> &m_customerHeld;
     prometheus::Family<prometheus::Counter> &m_streamChoices;
+    prometheus::Family<prometheus::Counter> &m_overflowRequests;
+    prometheus::Family<prometheus::Counter> &m_overflowBytes;
 };
 
 } // namespace jackdawlead::observability
