--- a/tests/e2e/tst_customerkeys.cpp
+++ b/tests/e2e/tst_customerkeys.cpp
@@ -224,10 +224,11 @@
     KeyFixture fixture;
     const std::string forged = "Tenant: other\r\ntenant: x\r\nRequest-Priority: 0\r\n";
     // A field that the connection lists is dropped, which must not concern the daemon's own one.
-    for (const std::string connection : {"", "Connection: Tenant\r\n"}) {
-        cr_expect_eq(fixture.statusOf(keyField(firstKey) + forged + connection), 200);
-        cr_expect_eq(fixture.statusOf(forged + connection, "/open/"), 200);
-    }
+    const std::string listed = forged + "Connection: Tenant\r\n";
+    cr_expect_eq(fixture.statusOf(keyField(firstKey) + forged), 200);
+    cr_expect_eq(fixture.statusOf(keyField(firstKey) + listed), 200);
+    cr_expect_eq(fixture.statusOf(forged, "/open/"), 200);
+    cr_expect_eq(fixture.statusOf(listed, "/open/"), 200);
     cr_expect_eq(fixture.statusOf(forged), 401);
     int ofCustomers = 0;
     for (const auto &head : fixture.heads()) {
