--- a/src/libs/decisions/quota/quotaallowance.cpp
+++ b/src/libs/decisions/quota/quotaallowance.cpp
@@ -12,6 +12,9 @@
 constexpr double sharePart = 0.25;
 // A refused caller comes back after no less than this.
 constexpr core::Duration minRetryAfter = std::chrono::milliseconds(500);
+// Refusing for longer than it takes to fill the bucket leaves tokens unused; asking each time that
+// a request comes would cost the coordinator a call for each.
+constexpr core::Duration minExhaustion = std::chrono::milliseconds(300);
 constexpr core::Duration minReportInterval = std::chrono::milliseconds(250);
 constexpr core::Duration maxReportInterval = std::chrono::milliseconds(750);
 constexpr double intervalWeight = 0.3;
@@ -155,7 +158,8 @@
         decision.answerAge = answerAge;
         return decision;
     }
-    if (entry.exhaustedAt && now - *entry.exhaustedAt < exhaustionLifetime) {
+    const core::Duration lifetime = std::clamp(entry.fillTime, minExhaustion, exhaustionLifetime);
+    if (entry.exhaustedAt && now - *entry.exhaustedAt < lifetime) {
         decision.verdict = Verdict::Exhausted;
         decision.retryAfter = spread(entry.fillTime);
         return decision;
--- a/src/libs/decisions/quota/quotabucket.cpp
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -20,7 +20,7 @@
 // A bucket counts as full if allowances leave no room, but not if they are most of the capacity.
 constexpr double minFullPart = 0.5;
 // Below this part of the capacity, daemons get no more than their part of the refill.
-constexpr double scarcePart = 0.2;
+constexpr double scarcePart = 0.1;
 // The demand of a daemon that has not reported for three of the slowest reports is unknown.
 constexpr core::Duration demandRetention = contactTimeout;
 // As in QuotaDemand: reports of immediate calls are made when the demand is highest.
@@ -31,6 +31,7 @@
 constexpr core::Duration maxRoundTrip = std::chrono::milliseconds(100);
 // A daemon's unused part of the refill accumulates for the time of its slowest report.
 constexpr core::Duration creditAccumulation = std::chrono::milliseconds(750);
+constexpr double maxFillSeconds = 60;
 constexpr double roundingTokens = 1e-6;
 
 } // namespace
@@ -239,6 +240,16 @@
     return account.credit >= (untilNextReport >= use.meanCost ? use.meanCost : 0);
 }
 
+core::Duration QuotaBucket::fillTime(const Account &account, double tokens) const
+{
+    const auto timeOf = [](double lacking, double perSecond) {
+        return lacking > 0 && perSecond > 0 ? std::min(lacking / perSecond, maxFillSeconds) : 0;
+    };
+    const double ofBucket = timeOf(tokens - m_level, m_limits.rate);
+    const double ofPart = isScarce() ? timeOf(-account.credit, m_limits.rate * account.part) : 0;
+    return core::scaled(std::chrono::seconds(1), std::max(ofBucket, ofPart));
+}
+
 QuotaGrant QuotaBucket::issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now)
 {
     update(now);
@@ -272,11 +283,8 @@
     grant.isExhausted = unmet > roundingTokens
         || (isScarce() && use.wanted > grant.tokens && m_demandPerSecond > m_limits.rate
             && !canIssueSoon(account, use));
-    if (grant.isExhausted && m_limits.rate > 0) {
-        const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
-        grant.fillTime
-            = core::scaled(std::chrono::seconds(1), std::max(0.0, lacking) / m_limits.rate);
-    }
+    if (grant.isExhausted)
+        grant.fillTime = fillTime(account, unmet > roundingTokens ? smallestMissing : use.meanCost);
     if (grant.tokens > 0)
         account.lots.push_back({exchange.answerNumber, grant.tokens, now, false});
     m_outstanding += grant.tokens;
--- a/src/libs/decisions/quota/quotabucket.h
+++ b/src/libs/decisions/quota/quotabucket.h
@@ -79,6 +79,8 @@
     double grantForWaiting(const Account &account, double missing, double smallest) const;
     double reserved(double meanCost) const;
     bool isScarce() const;
+    /// Until the bucket, and the daemon's part of it, suffice for the tokens.
+    core::Duration fillTime(const Account &account, double tokens) const;
     bool canIssueSoon(const Account &account, const QuotaUse &use) const;
     double grantInAdvance(const Account &account, const QuotaUse &use, double usable) const;
 
