Quota bench: the permits baseline issues whole requests and its refusals count

It issued the tokens of waiting requests twice, parts that no request could use, and its 429 expired at once, which made it look worse than the design it stands for.

--- a/tests/auto/quota/quotapolicies.h
+++ b/tests/auto/quota/quotapolicies.h
@@ -144,10 +144,11 @@
         m_filledAt = now;
         std::map<core::CustomerId, decisions::quota::QuotaGrant> grants;
         for (const auto &[customer, use] : report.uses) {
-            const double asked = std::max(0.0, use.waiting - use.held) + use.wanted;
-            const double tokens = std::clamp(asked, 0.0, std::max(0.0, m_level));
+            const double missing = std::max(0.0, use.waiting - use.held);
+            const bool isEnough = m_level + use.held >= use.smallestWaiting;
+            const double tokens = isEnough ? std::min(m_level, std::max(missing, use.wanted)) : 0.0;
             m_level -= tokens;
-            grants[customer] = {tokens, use.waiting > use.held + tokens, {}};
+            grants[customer] = {tokens, missing > tokens, {}};
         }
         return grants;
     }
@@ -171,9 +172,16 @@
     using QuotaAllowance::removeWaiting;
     using QuotaAllowance::setQuotas;
     using QuotaAllowance::setTolerance;
-    using QuotaAllowance::trySpend;
     using QuotaAllowance::Verdict;
 
+    Decision trySpend(const core::CustomerId &customer, double tokens, bool isFirst,
+                      core::TimePoint now)
+    {
+        Decision decision = QuotaAllowance::trySpend(customer, tokens, isFirst, now);
+        if (decision.verdict == Verdict::Wait && now < m_exhaustedUntil)
+            decision.verdict = Verdict::Exhausted;
+        return decision;
+    }
     void refund(const core::CustomerId &, double) { }
     QuotaReport takeReport(bool, core::TimePoint now)
     {
@@ -183,8 +191,16 @@
     {
         answer.share = 0;
         const core::Duration lifetime = std::chrono::seconds(1);
+        // The base class would count it from the earlier time that is passed for the expiry.
+        for (auto &[customer, grant] : answer.grants) {
+            m_exhaustedUntil = grant.isExhausted ? now + decisions::quota::exhaustionLifetime : now;
+            grant.isExhausted = false;
+        }
         QuotaAllowance::apply(answer, now + lifetime - decisions::quota::allowanceLifetime, now);
     }
+
+private:
+    core::TimePoint m_exhaustedUntil;
 };
 
 struct ExpiringPermits
