--- a/tests/auto/quota/quotafaults.h
+++ b/tests/auto/quota/quotafaults.h
@@ -102,4 +102,20 @@
     static constexpr bool isClockPaused = false;
 };
 
+/// A fault: the coordinator issues the full rate beside the shares of daemons out of contact.
+class UnwithheldIssuer : public QuotaIssuer
+{
+public:
+    using QuotaIssuer::QuotaIssuer;
+
+    void setWithheld(double, core::TimePoint) { }
+};
+
+struct UnwithheldShares
+{
+    using Coordinator = IssuingCoordinator<UnwithheldIssuer>;
+    using Daemon = QuotaAllowance;
+    static constexpr bool isClockPaused = false;
+};
+
 } // namespace jackdawlead::testsupport
--- a/tests/auto/quota/tst_quota.cpp
+++ b/tests/auto/quota/tst_quota.cpp
@@ -73,6 +73,7 @@
     cr_expect_gt(brokenSeeds<ReissuedAllowances>(), 0, "lost allowances are issued again");
     cr_expect_gt(brokenSeeds<AllowancesOfFrozenDaemons>(), 0, "frozen daemons spend later");
     cr_expect_gt(brokenSeeds<UnboundedRefunds>(), 0, "refunds have no bound");
+    cr_expect_gt(brokenSeeds<UnwithheldShares>(), 0, "shares are used and issued, too");
 }
 
 // Guards against refusals and waits of a customer that uses less than half of its limit.
