--- a/src/libs/decisions/quota/quotabucket.cpp
+++ b/src/libs/decisions/quota/quotabucket.cpp
@@ -20,7 +20,7 @@
 // A bucket counts as full if allowances leave no room, but not if they are most of the capacity.
 constexpr double minFullPart = 0.5;
 // Below this part of the capacity, daemons get no more than their part of the refill.
-constexpr double scarcePart = 0.2;
+constexpr double scarcePart = 0.1;
 // The demand of a daemon that has not reported for three of the slowest reports is unknown.
 constexpr core::Duration demandRetention = contactTimeout;
 // As in QuotaDemand: reports of immediate calls are made when the demand is highest.
@@ -31,23 +31,14 @@
 constexpr core::Duration maxRoundTrip = std::chrono::milliseconds(100);
 // A daemon's unused part of the refill accumulates for the time of its slowest report.
 constexpr core::Duration creditAccumulation = std::chrono::milliseconds(750);
+constexpr double maxFillSeconds = 60;
 constexpr double roundingTokens = 1e-6;
 
 } // namespace
 
-double QuotaBucket::outstanding() const
-{
-    double sum = 0;
-    for (const auto &[daemon, account] : m_accounts) {
-        for (const Lot &lot : account.lots)
-            sum += lot.tokens;
-    }
-    return sum;
-}
-
 void QuotaBucket::addToLevel(double tokens)
 {
-    const double room = m_limits.capacity - outstanding() - m_level;
+    const double room = m_limits.capacity - m_outstanding - m_level;
     m_level += std::clamp(tokens, 0.0, std::max(0.0, room));
 }
 
@@ -59,17 +50,23 @@
     m_filledAt = until;
 }
 
+core::TimePoint QuotaBucket::countOutstanding()
+{
+    core::TimePoint earliest = core::TimePoint::max();
+    m_outstanding = 0;
+    for (const auto &[daemon, account] : m_accounts) {
+        for (const Lot &lot : account.lots)
+            m_outstanding += lot.tokens;
+        if (!account.lots.empty())
+            earliest = std::min(earliest, account.lots.front().issuedAt + allowanceLifetime);
+    }
+    return earliest;
+}
+
 void QuotaBucket::update(core::TimePoint now)
 {
     // The room that expired allowances leave is filled from then on only.
-    while (true) {
-        core::TimePoint earliest = core::TimePoint::max();
-        for (const auto &[daemon, account] : m_accounts) {
-            if (!account.lots.empty())
-                earliest = std::min(earliest, account.lots.front().issuedAt + allowanceLifetime);
-        }
-        if (earliest > now)
-            break;
+    for (auto earliest = countOutstanding(); earliest <= now; earliest = countOutstanding()) {
         fill(earliest);
         for (auto &[daemon, account] : m_accounts) {
             while (!account.lots.empty()
@@ -89,7 +86,7 @@
 {
     update(now);
     m_limits = limits;
-    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - outstanding()));
+    m_level = std::min(m_level, std::max(0.0, m_limits.capacity - m_outstanding));
 }
 
 QuotaBucket::Account &QuotaBucket::accountOf(const Exchange &exchange, const QuotaUse &use,
@@ -138,6 +135,7 @@
         lot.tokens -= part;
         left -= part;
     }
+    m_outstanding -= settled;
     std::erase_if(account.lots, [](const Lot &lot) { return lot.tokens <= 0; });
     // Returned tokens that have expired before are counted as spent and stay so.
     addToLevel(std::min(returned - account.expiredSinceReport, settled - spent));
@@ -163,16 +161,15 @@
     addToLevel(accepted);
 }
 
-double QuotaBucket::totalDemand(core::TimePoint now) const
+void QuotaBucket::countDemand(core::TimePoint now)
 {
-    double total = 0;
+    m_demandPerSecond = 0;
     for (const auto &[daemon, account] : m_accounts) {
         const core::Duration age = now - account.reportedAt;
         if (age < demandRetention)
-            total += account.demandPerSecond
+            m_demandPerSecond += account.demandPerSecond
                 * std::exp(-core::toSeconds(age) / core::toSeconds(demandDecay));
     }
-    return total;
 }
 
 double QuotaBucket::reserved(double meanCost) const
@@ -195,8 +192,8 @@
         = std::clamp(now - account.reportedAt, core::Duration(0), demandRetention);
     account.demandPerSecond = demandPerSecond;
     account.reportedAt = now;
-    const double total = totalDemand(now);
-    account.part = total > 0 ? demandPerSecond / total : 0;
+    countDemand(now);
+    account.part = m_demandPerSecond > 0 ? demandPerSecond / m_demandPerSecond : 0;
     if (!isScarce()) {
         account.credit = 0;
         return;
@@ -212,7 +209,7 @@
         return 0;
     const double capacity = m_limits.capacity;
     if (smallest > capacity) {
-        const double full = std::max(minFullPart * capacity, capacity - outstanding());
+        const double full = std::max(minFullPart * capacity, capacity - m_outstanding);
         return m_level >= full - roundingTokens ? smallest : 0;
     }
     double granted = std::min(missing, m_level);
@@ -243,6 +240,16 @@
     return account.credit >= (untilNextReport >= use.meanCost ? use.meanCost : 0);
 }
 
+core::Duration QuotaBucket::fillTime(const Account &account, double tokens) const
+{
+    const auto timeOf = [](double lacking, double perSecond) {
+        return lacking > 0 && perSecond > 0 ? std::min(lacking / perSecond, maxFillSeconds) : 0;
+    };
+    const double ofBucket = timeOf(tokens - m_level, m_limits.rate);
+    const double ofPart = isScarce() ? timeOf(-account.credit, m_limits.rate * account.part) : 0;
+    return core::scaled(std::chrono::seconds(1), std::max(ofBucket, ofPart));
+}
+
 QuotaGrant QuotaBucket::issue(const Exchange &exchange, const QuotaUse &use, core::TimePoint now)
 {
     update(now);
@@ -253,7 +260,8 @@
 
     double underway = 0;
     for (const Lot &lot : account.lots) {
-        if (lot.answerNumber > exchange.lastAnswer && now - lot.issuedAt < maxRoundTrip)
+        if (!lot.isOrphan && lot.answerNumber > exchange.lastAnswer
+            && now - lot.issuedAt < maxRoundTrip)
             underway += lot.tokens;
     }
     const double usable = use.held + underway;
@@ -273,15 +281,13 @@
     if (isCharged)
         account.credit -= grant.tokens;
     grant.isExhausted = unmet > roundingTokens
-        || (isScarce() && use.wanted > grant.tokens && totalDemand(now) > m_limits.rate
+        || (isScarce() && use.wanted > grant.tokens && m_demandPerSecond > m_limits.rate
             && !canIssueSoon(account, use));
-    if (grant.isExhausted && m_limits.rate > 0) {
-        const double lacking = std::max(unmet > 0 ? unmet : use.wanted, -account.credit) - m_level;
-        grant.fillTime
-            = core::scaled(std::chrono::seconds(1), std::max(0.0, lacking) / m_limits.rate);
-    }
+    if (grant.isExhausted)
+        grant.fillTime = fillTime(account, unmet > roundingTokens ? smallestMissing : use.meanCost);
     if (grant.tokens > 0)
         account.lots.push_back({exchange.answerNumber, grant.tokens, now, false});
+    m_outstanding += grant.tokens;
     return grant;
 }
 
