Test that started daemons serve customers below their limits at once

All daemons are killed and started again: no request gets 429, and at least 0.9 of them are served while the first coordinator is found.

--- a/tests/e2e/tst_customerquotas.cpp
+++ b/tests/e2e/tst_customerquotas.cpp
@@ -264,6 +264,31 @@
     cr_expect_geq(served, usedShare * rate * 4, "%f\n%s", served, fixture.outputs().c_str());
 }
 
+// Guards against customers below their limits that are refused because all daemons were killed: no
+// answer is known, and the buckets of the coordinator are empty.
+Test(customerquotas, startedDaemonsServeAtOnce, .timeout = 90)
+{
+    QuotaFixture fixture;
+    fixture.platform.killDaemon();
+    fixture.secondDaemon.kill();
+    fixture.platform.isFirstStart = false;
+    fixture.platform.startDaemon();
+    fixture.secondDaemon
+        = fixture.platform.startDaemonAt(fixture.secondAddress, fixture.secondFolder);
+    cr_assert(fixture.platform.waitUntil([&] { return fixture.platform.pollReadiness() == 200; }));
+    // 0.4 of the limit.
+    fixture.startLoad("calm", milliseconds(125));
+    fixture.platform.runLoopFor(seconds(6));
+    fixture.endLoads();
+    const auto all = static_cast<double>(fixture.answers["calm"].size());
+    cr_expect_eq(fixture.answersWith("calm", 429), 0, "%s", fixture.outputs().c_str());
+    // A request waits for the first coordinator for half a second at most.
+    constexpr double servedShare = 0.9;
+    cr_expect_geq(static_cast<double>(fixture.answersWith("calm", 200)), servedShare * all,
+                  "%ld of %f\n%s", fixture.answersWith("calm", 200), all,
+                  fixture.outputs().c_str());
+}
+
 // Guards against daemons that spend more than the quota together while they can't reach each other
 // and the store, and against one that spends for good although its share is withheld nowhere.
 Test(customerquotas, cutDaemonsKeepTheSum, .timeout = 90)
