--- a/src/libs/decisions/streams/streamchooser.cpp
+++ b/src/libs/decisions/streams/streamchooser.cpp
@@ -23,6 +23,17 @@
         && !option.option.isEjected && !option.option.wasTried && !option.option.needsPermit;
 }
 
+/// Whether the targets are kept there once all prompts are read; otherwise waiting for it is no
+/// use.
+bool keepsTargetsWhenIdle(const StreamOption &option, const EngineTimes &times,
+                          const StreamDemand &demand)
+{
+    EndpointState idle = option.state;
+    idle.ownTokens = 0;
+    idle.otherTokens = 0;
+    return predictStream(times, demand, idle).keepsTargets;
+}
+
 EndpointChoice chooseOwnPart(const std::vector<StreamOption> &options, const EngineTimes &times,
                              const StreamDemand &demand, double draw)
 {
@@ -46,13 +57,18 @@
 {
     if (EndpointChoice own = chooseOwnPart(options, times, demand, draw); own.endpoint)
         return {std::move(own), StreamChoiceKind::Share};
-    if (demand.mayAwaitShare && std::ranges::any_of(options, hasUsableShare))
+    const auto mayKeepTargets
+        = [&](const StreamOption &option) { return keepsTargetsWhenIdle(option, times, demand); };
+    if (demand.mayAwaitShare && std::ranges::any_of(options, [&](const StreamOption &option) {
+            return hasUsableShare(option) && mayKeepTargets(option);
+        }))
         return {{std::nullopt, NoEndpointReason::AllFull, {}}, StreamChoiceKind::Held};
+    const bool mayWait = demand.mayAwaitTargets && std::ranges::any_of(options, mayKeepTargets);
     std::vector<EndpointOption> all;
     all.reserve(options.size());
     for (StreamOption &option : options) {
         StreamRating rating = ratingOf(option, predictStream(times, demand, option.state), times);
-        rating.keepsTargets |= !demand.mayAwaitTargets;
+        rating.keepsTargets |= !mayWait;
         option.option.stream = rating;
         all.push_back(std::move(option.option));
     }
--- a/tests/auto/streamforecast/tst_streamforecast.cpp
+++ b/tests/auto/streamforecast/tst_streamforecast.cpp
@@ -202,3 +202,14 @@
         = chooseForStream({optionAt("slow", 20, 0, 0)}, times, shortPrompt(false), 0.5, 3);
     cr_expect(chosen.choice.endpoint.has_value());
 }
+
+// A target that no endpoint can keep delays all streams if they wait for it.
+Test(streamforecast, streamDoesNotWaitForTargetsThatNothingKeeps)
+{
+    StreamDemand demand = shortPrompt(true);
+    demand.targetGap = milliseconds(20);
+    demand.mayAwaitShare = true;
+    const auto chosen
+        = chooseForStream({optionAt("a", 1, 0, 1), optionAt("b", 1, 0, 0)}, {}, demand, 0.5, 3);
+    cr_expect(chosen.choice.endpoint.has_value());
+}
