--- a/bench/overflowbench.cpp
+++ b/bench/overflowbench.cpp
@@ -95,6 +95,9 @@
         scenario.demand = {1.8, 0.2, 0.4, 0.5, 0.5, 0.5};
         scenario.burst = Window {std::chrono::seconds(20), std::chrono::seconds(40)};
     });
+    add("two domains of a region at 1.4, the third at 0.3", [](OverflowScenario &scenario) {
+        scenario.demand = {1.4, 1.4, 0.3, 0.5, 0.5, 0.5};
+    });
     add("24 adapters with 4 copies in the region of their callers", [](OverflowScenario &scenario) {
         scenario.demand = {0.5, 0.5, 0.5, 0.5, 0.5, 0.5};
         scenario.adapters = 24;
--- a/src/libs/decisions/routing/domainoverflow.h
+++ b/src/libs/decisions/routing/domainoverflow.h
@@ -36,9 +36,11 @@
     double minLeave = 0.05;
     /// Time without requests that had to leave after which a shortage counts as ended.
     core::Duration endDelay = std::chrono::seconds(3);
-    /// Utilization up to which a neighbour's slots count as free; the rest is for its own requests.
+    /// Utilization up to which a neighbour's slots count as free. With 0.95 nothing went to the
+    /// neighbours of a full region, and its link to the other one was filled.
     double freeUtilization = 1.0;
-    /// Part of the queue in this domain that may also form in front of a neighbour's slots.
+    /// Part of the queue in this domain that may also form in front of a neighbour's slots. With
+    /// 0.8 neighbours that were nearly full passed requests on among each other.
     double neighbourQueue = 0.4;
     /// Share of the slots of a domain with unknown loads that may be free.
     double unknownFreeShare = 0.05;
--- a/tests/auto/domainoverflow/tst_domainoverflow.cpp
+++ b/tests/auto/domainoverflow/tst_domainoverflow.cpp
@@ -164,6 +164,13 @@
                   "one neighbour took %.0f in 500 ms", result.mostTaken);
 }
 
+// Guards against two short domains that fill one neighbour in turns and then both leave it.
+// Load: two domains of a region at 1.4, the third at 0.3, the others at 0.5.
+Test(domainoverflow, twoShortDomainsShareANeighbour, .timeout = 120)
+{
+    checkAgainstOracle("two short domains", {.demand = {1.4, 1.4, 0.3, 0.5, 0.5, 0.5}});
+}
+
 // Guards against 12 daemons that all send to the neighbour which looks best, and against neighbours
 // that get more than what exceeds the capacity. Load: 12 daemons with 18 requests a second each see
 // the same views: their domain at 1.2 of its slots, and two neighbours with 256 and 192 free ones.
@@ -220,6 +227,60 @@
     cr_assert_lt(unknown, known / 2, "%d with unknown loads, %d with known ones", unknown, known);
 }
 
+// Guards against requests that all wait for the time-out of a link which was just found broken.
+// Load: 20 requests a second at each of 12 daemons, their domain at 1.3, one neighbour of the
+// region, which fails.
+Test(domainoverflow, failedNeighbourIsTriedByOneRequest)
+{
+    DomainOverflow overflow;
+    const core::ServiceId service("chat");
+    const core::FailureDomainId neighbour("b");
+    // The sends to the neighbour in 3 s; each of them draws the lowest number.
+    const auto sendsFrom = [&](core::TimePoint begin, int requests) {
+        int sends = 0;
+        for (int number = 0; number < requests; ++number) {
+            const core::TimePoint now = begin + milliseconds(50) * number;
+            overflow.recordSend(service, now);
+            const auto decision = overflow.decide(
+                {stateOf("a", Distance::SameDomain, 416), stateOf("b", Distance::SameRegion, 64)},
+                requestAt(milliseconds(300)), 0, now);
+            sends += decision.domain == neighbour ? 1 : 0;
+        }
+        return sends;
+    };
+    const core::TimePoint begin(seconds(10));
+    cr_assert_eq(sendsFrom(begin, 60), 60);
+    overflow.recordFailure(service, neighbour, begin + seconds(3));
+    cr_assert_eq(sendsFrom(begin + seconds(3), 38), 0);
+    cr_assert_eq(sendsFrom(begin + seconds(5), 38), 1);
+    overflow.recordFirstEvent(service, neighbour, milliseconds(110), 0.2, begin + seconds(7));
+    cr_assert_eq(sendsFrom(begin + seconds(7), 20), 20);
+}
+
+// Guards against a neighbour or link that gets its full part although its answers come later and
+// later. Load: as above, with two equal neighbours, of which one answers 280 ms later.
+Test(domainoverflow, neighbourThatAnswersLateGetsNothing)
+{
+    DomainOverflow overflow;
+    const core::ServiceId service("chat");
+    std::map<std::string, int> sends;
+    constexpr int requests = 100;
+    for (int number = 0; number < requests; ++number) {
+        const core::TimePoint now(seconds(10) + milliseconds(50) * number);
+        overflow.recordSend(service, now);
+        overflow.recordFirstEvent(service, core::FailureDomainId("a"), milliseconds(100), 0.5, now);
+        overflow.recordFirstEvent(service, core::FailureDomainId("b"), milliseconds(380), 0.5, now);
+        overflow.recordFirstEvent(service, core::FailureDomainId("c"), milliseconds(103), 0.5, now);
+        const auto decision = overflow.decide(
+            {stateOf("a", Distance::SameDomain, 416), stateOf("b", Distance::SameRegion, 64),
+             stateOf("c", Distance::SameRegion, 64)},
+            requestAt(milliseconds(300)), number / static_cast<double>(requests), now);
+        ++sends[decision.domain ? decision.domain->value() : "a"];
+    }
+    cr_assert_eq(sends["b"], 0);
+    cr_assert_gt(sends["c"], requests / 10);
+}
+
 // Guards against a beginning and an end in turns while a domain is at the edge of a shortage.
 // Load: this domain in turns at 1.0 and at 1.3 for 250 ms each.
 Test(domainoverflow, shortageDoesNotEndBetweenTwoPeaks)
