--- a/tests/e2e/tst_customerquotas.cpp
+++ b/tests/e2e/tst_customerquotas.cpp
@@ -289,8 +289,8 @@
                   fixture.outputs().c_str());
 }
 
-// Guards against daemons that spend more than the quota together while they can't reach each other
-// and the store, and against one that spends for good although its share is withheld nowhere.
+// Guards against daemons that spend more than the quota together while the coordinator is stopped
+// and after it goes on, and against a daemon out of contact that does not serve its share.
 Test(customerquotas, cutDaemonsKeepTheSum, .timeout = 90)
 {
     QuotaFixture fixture;
