Test of exhausted quotas: state the times of delayed answers

In one of three runs of all six tests, three at once on a machine with a load of 13 for 7 cores, two answers of the customer below its limit took over 100 ms. The message now tells which.

--- a/tests/e2e/tst_customerquotas.cpp
+++ b/tests/e2e/tst_customerquotas.cpp
@@ -211,7 +211,11 @@
     // One call to the coordinator takes 5 ms to be sent.
     constexpr core::Duration roundTrip = milliseconds(100);
     for (const AnswerPtr &answer : fixture.answers["calm"])
-        cr_expect_lt((answer->endedAt - answer->startedAt).count(), roundTrip.count());
+        cr_expect_lt(
+            (answer->endedAt - answer->startedAt).count(), roundTrip.count(),
+            "%lld ms, %lld ms after the begin",
+            static_cast<long long>(core::toMilliseconds(answer->endedAt - answer->startedAt)),
+            static_cast<long long>(core::toMilliseconds(answer->startedAt - from)));
 }
 
 // Guards against retries by the daemon that are charged like requests of the client, and against a
