--- a/tests/e2e/tst_customerquotas.cpp
+++ b/tests/e2e/tst_customerquotas.cpp
@@ -211,7 +211,11 @@
     // One call to the coordinator takes 5 ms to be sent.
     constexpr core::Duration roundTrip = milliseconds(100);
     for (const AnswerPtr &answer : fixture.answers["calm"])
-        cr_expect_lt((answer->endedAt - answer->startedAt).count(), roundTrip.count());
+        cr_expect_lt(
+            (answer->endedAt - answer->startedAt).count(), roundTrip.count(),
+            "%lld ms, %lld ms after the begin",
+            static_cast<long long>(core::toMilliseconds(answer->endedAt - answer->startedAt)),
+            static_cast<long long>(core::toMilliseconds(answer->startedAt - from)));
 }
 
 // Guards against retries by the daemon that are charged like requests of the client, and against a
@@ -289,8 +293,8 @@
                   fixture.outputs().c_str());
 }
 
-// Guards against daemons that spend more than the quota together while they can't reach each other
-// and the store, and against one that spends for good although its share is withheld nowhere.
+// Guards against daemons that spend more than the quota together while the coordinator is stopped
+// and after it goes on, and against a daemon out of contact that does not serve its share.
 Test(customerquotas, cutDaemonsKeepTheSum, .timeout = 90)
 {
     QuotaFixture fixture;
