--- a/bench/overflowbench.cpp
+++ b/bench/overflowbench.cpp
@@ -160,12 +160,12 @@
     const double constants = measure([&](int choice) {
         chosen += decisions::chooseEndpoint(options, drawOf(choice), 4).endpoint->value().size();
     });
-    decisions::DomainOverflow overflow;
+    decisions::routing::DomainOverflow overflow;
     const core::ServiceId service("chat");
     const double withOverflow = measure([&](int choice) {
         const core::TimePoint now(std::chrono::milliseconds(10) * choice);
         auto copy = options;
-        const decisions::DomainOptions grouped(copy);
+        const decisions::routing::DomainOptions grouped(copy);
         overflow.recordSend(service, now);
         const auto decision = overflow.decide(
             grouped.domains(),
--- a/src/libs/decisions/routing/domainoptions.cpp
+++ b/src/libs/decisions/routing/domainoptions.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace jackdawlead::decisions {
+namespace jackdawlead::decisions::routing {
 
 namespace {
 
@@ -79,4 +79,4 @@
     return chosen > 0 ? chosen / static_cast<double>(kept) : 1;
 }
 
-} // namespace jackdawlead::decisions
+} // namespace jackdawlead::decisions::routing
--- a/src/libs/decisions/routing/domainoptions.h
+++ b/src/libs/decisions/routing/domainoptions.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <vector>
 
-namespace jackdawlead::decisions {
+namespace jackdawlead::decisions::routing {
 
 /// Groups the endpoints that could take one request by their failure domain. Thread safety: one
 /// thread at a time.
@@ -31,4 +31,4 @@
     std::vector<std::size_t> m_domainOf; ///< Index in m_domains for each option.
 };
 
-} // namespace jackdawlead::decisions
+} // namespace jackdawlead::decisions::routing
--- a/src/libs/decisions/routing/domainoverflow.cpp
+++ b/src/libs/decisions/routing/domainoverflow.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace jackdawlead::decisions {
+namespace jackdawlead::decisions::routing {
 
 namespace {
 
@@ -343,4 +343,4 @@
     return found != m_services.end() && found->second.isSendingAway;
 }
 
-} // namespace jackdawlead::decisions
+} // namespace jackdawlead::decisions::routing
--- a/src/libs/decisions/routing/domainoverflow.h
+++ b/src/libs/decisions/routing/domainoverflow.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace jackdawlead::decisions {
+namespace jackdawlead::decisions::routing {
 
 struct DomainOverflowParameters
 {
@@ -191,4 +191,4 @@
     std::map<core::ServiceId, Service> m_services;
 };
 
-} // namespace jackdawlead::decisions
+} // namespace jackdawlead::decisions::routing
--- a/src/libs/decisions/routing/domainstate.h
+++ b/src/libs/decisions/routing/domainstate.h
@@ -6,7 +6,7 @@
 
 #include <optional>
 
-namespace jackdawlead::decisions {
+namespace jackdawlead::decisions::routing {
 
 /// The endpoints of one failure domain that could take a request now, as a daemon knows them.
 /// Thread safety: a value type.
@@ -55,4 +55,4 @@
     bool excludesFarther = false;
 };
 
-} // namespace jackdawlead::decisions
+} // namespace jackdawlead::decisions::routing
--- a/src/libs/gateway/overflowrouter.cpp
+++ b/src/libs/gateway/overflowrouter.cpp
@@ -15,23 +15,23 @@
 // Endpoints come and go within seconds; the sum over all of them is not formed for each choice.
 constexpr core::Duration homeSlotsPeriod = std::chrono::milliseconds(500);
 
-const char *nameOf(decisions::OverflowReason reason)
+const char *nameOf(decisions::routing::OverflowReason reason)
 {
     switch (reason) {
-    case decisions::OverflowReason::Shortage:
+    case decisions::routing::OverflowReason::Shortage:
         return "shortage";
-    case decisions::OverflowReason::NoCopy:
+    case decisions::routing::OverflowReason::NoCopy:
         return "no copy of the adapter";
-    case decisions::OverflowReason::None:
+    case decisions::routing::OverflowReason::None:
         break;
     }
     return "no usable endpoint";
 }
 
-std::string describe(const std::vector<decisions::DomainState> &domains)
+std::string describe(const std::vector<decisions::routing::DomainState> &domains)
 {
     std::string text;
-    for (const decisions::DomainState &domain : domains) {
+    for (const decisions::routing::DomainState &domain : domains) {
         absl::StrAppend(&text, text.empty() ? "" : ", ", domain.domain.value(), " ",
                         static_cast<int>(domain.load), " of ", static_cast<int>(domain.slots),
                         " slots");
@@ -71,8 +71,8 @@
 {
     if (!isEnabled() || options.empty())
         return 1;
-    const decisions::DomainOptions grouped(options);
-    const decisions::OverflowRequest request {
+    const decisions::routing::DomainOptions grouped(options);
+    const decisions::routing::OverflowRequest request {
         .service = inputs.service,
         .target = inputs.target,
         .waited = inputs.waited,
@@ -86,8 +86,8 @@
 }
 
 void OverflowRouter::logChange(const core::ServiceId &id,
-                               const std::vector<decisions::DomainState> &domains,
-                               const decisions::OverflowDecision &decision,
+                               const std::vector<decisions::routing::DomainState> &domains,
+                               const decisions::routing::OverflowDecision &decision,
                                const OverflowInputs &inputs, core::TimePoint now)
 {
     Service &service = m_services[id];
--- a/src/libs/gateway/overflowrouter.h
+++ b/src/libs/gateway/overflowrouter.h
@@ -70,16 +70,17 @@
     };
 
     double homeSlots(const core::ServiceId &service, core::TimePoint now);
-    void logChange(const core::ServiceId &id, const std::vector<decisions::DomainState> &domains,
-                   const decisions::OverflowDecision &decision, const OverflowInputs &inputs,
-                   core::TimePoint now);
+    void logChange(const core::ServiceId &id,
+                   const std::vector<decisions::routing::DomainState> &domains,
+                   const decisions::routing::OverflowDecision &decision,
+                   const OverflowInputs &inputs, core::TimePoint now);
 
     const fleet::HostSettings &m_settings;
     const FleetWatch &m_watch;
     observability::GatewayMetrics &m_metrics;
-    decisions::DomainOverflow m_overflow;
+    decisions::routing::DomainOverflow m_overflow;
     std::map<core::ServiceId, Service> m_services;
-    decisions::OverflowDecision m_lastDecision;
+    decisions::routing::OverflowDecision m_lastDecision;
 };
 
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/overflowsend.h
+++ b/src/libs/gateway/overflowsend.h
@@ -14,7 +14,7 @@
     core::ServiceId service;
     core::FailureDomainId domain; ///< Of the endpoint; empty if --domain-overflow is off.
     bool isAway = false;          ///< The domain is not the daemon's.
-    decisions::OverflowReason reason = decisions::OverflowReason::None;
+    decisions::routing::OverflowReason reason = decisions::routing::OverflowReason::None;
     double utilization = 0; ///< Of the endpoint, before the send.
     std::size_t bytes = 0;  ///< Of the answer that have arrived.
 };
--- a/tests/auto/domainoverflow/overflowpolicy.h
+++ b/tests/auto/domainoverflow/overflowpolicy.h
@@ -18,9 +18,9 @@
     std::optional<int> choose(const SimulatedRequest &request, core::TimePoint now, double draw)
     {
         auto options = optionsOf(request);
-        const decisions::DomainOptions grouped(options);
+        const decisions::routing::DomainOptions grouped(options);
         const core::TimePoint viewAt = m_state.viewAt[request.daemon];
-        const decisions::OverflowRequest wanted {
+        const decisions::routing::OverflowRequest wanted {
             .service = service(),
             .target = scenario().target,
             .waited = now - request.arrivedAt,
@@ -71,7 +71,7 @@
         return {request.daemon, request.arrivedAt, request.sentAt, request.endpoint};
     }
 
-    std::vector<decisions::DomainOverflow> m_overflows;
+    std::vector<decisions::routing::DomainOverflow> m_overflows;
     std::map<Key, double> m_utilization;
     std::map<Key, core::TimePoint> m_firstEvents;
 };
--- a/tests/auto/domainoverflow/tst_domainoverflow.cpp
+++ b/tests/auto/domainoverflow/tst_domainoverflow.cpp
@@ -9,6 +9,7 @@
 
 using namespace jackdawlead;
 using namespace jackdawlead::decisions;
+using namespace jackdawlead::decisions::routing;
 using namespace jackdawlead::testsupport;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
