--- a/src/libs/gateway/customers/customerlimits.cpp
+++ b/src/libs/gateway/customers/customerlimits.cpp
@@ -30,9 +30,10 @@
 // first configuration.
 constexpr core::Duration firstAnswerWait = std::chrono::milliseconds(500);
 constexpr core::Duration retryAfterUnknown = std::chrono::milliseconds(500);
-// A customer counts as limited until none of its requests was refused for this long: longer than an
-// answer of the coordinator counts, so that the state does not change with each answer.
-constexpr core::Duration limitationTime = std::chrono::seconds(2);
+// A customer counts as limited until none of its requests was refused for this long. Of one that
+// steadily exceeds its quota each daemon refuses a request every few seconds; with 2 s the lines
+// about the begin and the end of the limitation repeated all the time.
+constexpr core::Duration limitationTime = std::chrono::seconds(10);
 
 fleet::StartTime incarnationOf(core::TimePoint now)
 {
