Quotas: withhold all shares when a term goes on after an interruption

Cause: a lease that ends while its renewal is on the way goes on with the same token. Daemons that were told meanwhile that there is no coordinator use their shares, but the coordinator still counted them as in contact and issued the whole quota beside the shares for up to 0.75 s. Change: QuotaHolders::resume() counts a daemon as in contact only once it confirms an answer sent after the interruption.

--- a/src/libs/decisions/quota/quotaholders.cpp
+++ b/src/libs/decisions/quota/quotaholders.cpp
@@ -23,7 +23,7 @@
 void QuotaHolders::reset(const Records &records, core::FencingToken token, core::TimePoint now)
 {
     m_token = token;
-    m_lastNumber = 0;
+    m_lastNumber = m_resumedAfter = 0;
     m_holders.clear();
     for (const auto &[daemon, record] : records) {
         Holder holder;
@@ -35,6 +35,13 @@
     }
 }
 
+void QuotaHolders::resume()
+{
+    m_resumedAfter = m_lastNumber;
+    for (auto &[daemon, holder] : m_holders)
+        holder.contactBegin.reset();
+}
+
 double QuotaHolders::largestShare(const Holder &holder, core::TimePoint now)
 {
     double largest = 0;
@@ -57,13 +64,14 @@
     return found != m_holders.end() && isInContact(found->second, now);
 }
 
-void QuotaHolders::confirm(Holder &holder, std::uint64_t number)
+void QuotaHolders::confirm(Holder &holder, std::uint64_t number) const
 {
     // The daemon ignores answers that arrive after a later one.
     while (!holder.sent.empty() && holder.sent.front().number < number)
         holder.sent.pop_front();
     holder.lastConfirmed = std::max(holder.lastConfirmed, number);
-    if (!holder.sent.empty() && holder.sent.front().number == number)
+    const bool isSent = !holder.sent.empty() && holder.sent.front().number == number;
+    if (isSent && number > m_resumedAfter)
         holder.contactBegin = holder.sent.front().at;
 }
 
--- a/src/libs/decisions/quota/quotaholders.h
+++ b/src/libs/decisions/quota/quotaholders.h
@@ -27,6 +27,9 @@
 
     /// Begins a term with the holders of the predecessor, none of which is in contact.
     void reset(const Records &records, core::FencingToken token, core::TimePoint now);
+    /// Goes on with the present term after a time without answers, in which daemons may have begun
+    /// to use their shares: they are in contact again once they confirm an answer of after it.
+    void resume();
     /// Applies a report: the daemon received the answer that it names. Returns whether the totals
     /// of the report count since an answer of this coordinator to this incarnation.
     bool recordReport(const core::HostId &daemon, const QuotaReport &report, core::TimePoint now);
@@ -63,11 +66,12 @@
 
     static bool isInContact(const Holder &holder, core::TimePoint now);
     static double largestShare(const Holder &holder, core::TimePoint now);
-    static void confirm(Holder &holder, std::uint64_t number);
+    void confirm(Holder &holder, std::uint64_t number) const;
     void planShare(const core::HostId &daemon, Holder &holder, core::TimePoint now) const;
 
     core::FencingToken m_token;
     std::uint64_t m_lastNumber = 0;
+    std::uint64_t m_resumedAfter = 0; ///< Answers up to this one say nothing about the contact.
     std::map<core::HostId, Holder> m_holders;
 };
 
--- a/src/libs/gateway/customers/quotacoordinator.cpp
+++ b/src/libs/gateway/customers/quotacoordinator.cpp
@@ -44,7 +44,9 @@
     m_issuer.reset(now);
     // A lease that ended while its renewal was on the way goes on with the same token. The numbers
     // of the answers must go on too, because daemons ignore lower ones.
-    if (std::exchange(m_token, token) != token)
+    if (std::exchange(m_token, token) == token)
+        m_holders.resume();
+    else
         m_holders.reset(m_recordedHolders, token, now);
 }
 
--- a/tests/auto/quota/tst_quotaholders.cpp
+++ b/tests/auto/quota/tst_quotaholders.cpp
@@ -116,6 +116,22 @@
     cr_expect_eq(fleet.holders().withheld(now + milliseconds(10)), 0);
 }
 
+// Guards against shares that count twice after the lease had ended for a moment: daemons were told
+// that there is no coordinator and began to use them, and the coordinator goes on with its term.
+Test(quotaholders, resumedTermNeedsNewAnswers)
+{
+    Fleet fleet;
+    const core::TimePoint now = fleet.runAll(2, start, seconds(10));
+    cr_expect_eq(fleet.holders().withheld(now), 0);
+    fleet.holders().resume();
+    cr_expect_float_eq(fleet.holders().withheld(now), 1, 1e-9);
+    // The first report after it confirms an answer of before.
+    fleet.exchange("h0", now);
+    cr_expect_float_eq(fleet.holders().withheld(now), 1, 1e-9);
+    fleet.exchange("h0", now + milliseconds(10));
+    cr_expect_float_eq(fleet.holders().withheld(now + milliseconds(10)), 0.5, 1e-9);
+}
+
 // Guards against a share that is withheld for ever, or given away while it may be in use.
 Test(quotaholders, shareIsReleasedAfterItsLifetime)
 {
