Streams: put a reason beside its constant; rename a test of quotas

A comment on the retention of samples stood above another constant, and exhaustionIsBelievedBriefly did not say what ends.

--- a/src/libs/decisions/streams/endpointspeed.cpp
+++ b/src/libs/decisions/streams/endpointspeed.cpp
@@ -15,11 +15,11 @@
 constexpr int longPausesUntilSlow = 4;
 constexpr double minFactor = 0.05;
 constexpr double maxFactor = 50;
-// Without samples an endpoint may have recovered; it is tried again after this time.
 // Own samples of this age are newer than what is reported.
 constexpr core::Duration recentTime = std::chrono::milliseconds(500);
 // Three of the slowest reports; the coordinator repeats what it knows with each of them.
 constexpr core::Duration reportRetention = std::chrono::milliseconds(2250);
+// Without samples an endpoint may have recovered; it is tried again after this time.
 constexpr core::Duration retention = std::chrono::seconds(10);
 
 } // namespace
--- a/tests/auto/quota/tst_quotamodules.cpp
+++ b/tests/auto/quota/tst_quotamodules.cpp
@@ -197,7 +197,7 @@
 
 // Guards against 429 without a recent answer that says so, and against refusals that come back
 // together.
-Test(quotamodules, exhaustionIsBelievedBriefly)
+Test(quotamodules, exhaustionEndsSoonAfterTheAnswer)
 {
     Daemon daemon;
     cr_expect(daemon.spend(100, start) == Verdict::Unavailable);
