Quotas: decide in one place whether a quota is used up

Cause: CustomerLimits kept the time of exhausted answers beside QuotaAllowance, with another lifetime, and also of answers that the allowance ignores because a former coordinator sent them. Change: QuotaAllowance::isExhausted() is the only decision.

--- a/src/libs/decisions/quota/quotaallowance.cpp
+++ b/src/libs/decisions/quota/quotaallowance.cpp
@@ -158,8 +158,7 @@
         decision.answerAge = answerAge;
         return decision;
     }
-    const core::Duration lifetime = std::clamp(entry.fillTime, minExhaustion, exhaustionLifetime);
-    if (entry.exhaustedAt && now - *entry.exhaustedAt < lifetime) {
+    if (isExhausted(entry, now)) {
         decision.verdict = Verdict::Exhausted;
         decision.retryAfter = spread(entry.fillTime);
         return decision;
@@ -170,6 +169,21 @@
     return decision;
 }
 
+bool QuotaAllowance::isExhausted(const Customer &customer, core::TimePoint now)
+{
+    const core::Duration lifetime
+        = std::clamp(customer.fillTime, minExhaustion, exhaustionLifetime);
+    return customer.exhaustedAt && now - *customer.exhaustedAt < lifetime;
+}
+
+bool QuotaAllowance::isExhausted(const core::CustomerId &customer, double tokens,
+                                 core::TimePoint now) const
+{
+    const auto found = m_customers.find(customer);
+    return found != m_customers.end() && isInContact(now) && isExhausted(found->second, now)
+        && held(customer, now) + roundingTokens < tokens;
+}
+
 void QuotaAllowance::addWaiting(const core::CustomerId &customer, double tokens)
 {
     const auto found = m_customers.find(customer);
--- a/src/libs/decisions/quota/quotaallowance.h
+++ b/src/libs/decisions/quota/quotaallowance.h
@@ -44,6 +44,8 @@
     /// `isFirst` counts the tokens as demand; false for a request that waits already.
     Decision trySpend(const core::CustomerId &customer, double tokens, bool isFirst,
                       core::TimePoint now);
+    /// Whether trySpend() would return Exhausted.
+    bool isExhausted(const core::CustomerId &customer, double tokens, core::TimePoint now) const;
     /// A request begins, or ends, to wait for an allowance.
     void addWaiting(const core::CustomerId &customer, double tokens);
     void removeWaiting(const core::CustomerId &customer, double tokens);
@@ -92,6 +94,7 @@
     void returnExcess(Customer &customer, core::TimePoint now) const;
     Decision spendShare(Customer &customer, double tokens, core::TimePoint now);
     bool isInContact(core::TimePoint now) const;
+    static bool isExhausted(const Customer &customer, core::TimePoint now);
     core::Duration spread(core::Duration duration);
 
     fleet::StartTime m_incarnation;
--- a/src/libs/gateway/customers/customerlimits.cpp
+++ b/src/libs/gateway/customers/customerlimits.cpp
@@ -86,11 +86,7 @@
 
 bool CustomerLimits::isExhausted(const core::CustomerId &customer, double tokens) const
 {
-    const core::TimePoint now = net::bootTime();
-    const auto exhausted = m_exhaustedAt.find(customer);
-    return exhausted != m_exhaustedAt.end()
-        && now - exhausted->second < decisions::quota::exhaustionLifetime
-        && m_allowance.held(customer, now) < tokens;
+    return m_allowance.isExhausted(customer, tokens, net::bootTime());
 }
 
 CustomerLimits::Decision CustomerLimits::trySpend(const core::CustomerId &customer, double tokens,
@@ -148,15 +144,8 @@
 
 void CustomerLimits::apply(const QuotaAnswer &answer, core::TimePoint sentAt)
 {
-    const core::TimePoint now = net::bootTime();
     m_hasAnswer = true;
-    m_allowance.apply(answer, sentAt, now);
-    for (const auto &[customer, grant] : answer.grants) {
-        if (grant.isExhausted)
-            m_exhaustedAt[customer] = sentAt;
-        else
-            m_exhaustedAt.erase(customer);
-    }
+    m_allowance.apply(answer, sentAt, net::bootTime());
     if (m_allowance.isReportDue())
         scheduleCall();
 }
--- a/src/libs/gateway/customers/customerlimits.h
+++ b/src/libs/gateway/customers/customerlimits.h
@@ -102,8 +102,6 @@
     Handlers m_handlers;
     decisions::quota::QuotaAllowance m_allowance;
     std::map<core::CustomerId, fleet::Quota> m_quotas;
-    /// When the report was sent whose answer said that the quota is used up.
-    std::map<core::CustomerId, core::TimePoint> m_exhaustedAt;
     std::map<core::CustomerId, Limitation> m_limitations;
     bool m_hasQuotas = false;
     bool m_hasAnswer = false; ///< Since customers have quotas.
--- a/tests/auto/customerlimits/tst_customerlimits.cpp
+++ b/tests/auto/customerlimits/tst_customerlimits.cpp
@@ -165,3 +165,18 @@
     fixture.run(decisions::quota::exhaustionLifetime);
     cr_expect_not(RequestCharge(fixture.limits, customer, 500).isExhausted());
 }
+
+// Guards against requests that are refused because of an answer that the allowance ignores: one of
+// a former coordinator, which arrives late.
+Test(customerlimits, ignoredAnswerExhaustsNothing)
+{
+    Fixture fixture;
+    fixture.configure();
+    cr_assert(fixture.limits.takeReport(true).has_value());
+    fixture.limits.applyAnswer(
+        decisions::quota::QuotaAnswer {core::FencingToken(2), 1, 0, {{customer, {}}}});
+    const decisions::quota::QuotaGrant exhausted {0, true, milliseconds(700)};
+    fixture.limits.applyAnswer(
+        decisions::quota::QuotaAnswer {core::FencingToken(1), 9, 0, {{customer, exhausted}}});
+    cr_expect_not(fixture.limits.isExhausted(customer, 500));
+}
