--- a/src/libs/gateway/peerlink.h
+++ b/src/libs/gateway/peerlink.h
@@ -17,7 +17,8 @@
 namespace jackdawlead::gateway {
 
 /// Sends reports to the coordinator and receives its views, as JSON-RPC over HTTP between the
-/// daemons. Thread safety: the event loop's thread only.
+/// daemons. Implemented in peerlink.cpp and peerleaserecord.cpp (the lease's record from relays).
+/// Thread safety: the event loop's thread only.
 class PeerLink
 {
 public:
@@ -52,6 +53,8 @@
     std::optional<net::Address> coordinatorElsewhere() const;
 
 private:
+    static constexpr char leaseRecordPath[] = "/lease-record";
+
     /// Adds demand that no coordinator received to the next report, because adapters without demand
     /// are not loaded. Only while the first coordinator is awaited, which bounds the collected
     /// demand.
