Escape names in the paths and queries of calls to the stores

What callers saw: an entry of another writer whose name holds &, +, #, % or a blank stood in the list of endpoints, which had several pages. After a restart of all daemons almost no request was served.

Cause: the name after which a page begins was joined to the query as it is, so that the store read another name. After "a&b" it returned the page after "a", which ended with "a&b" again: the daemon requested it without end and never had a list. After "%7Ab" the store continued after "zb", and the list ended early without an error. The paths of reads, writes and removals, and those of the product's own object API, were joined in the same way.

Evidence: oddentries/listContinuesAfterAnyName restarts a daemon, as a real process, beside such an entry at the end of a page.

Change: net::RequestTarget is the only place that builds paths and queries from names and values. It escapes all bytes but the unreserved ones, so that no name can end a part of the target, and each is read as it was written: %41 is sent as %2541. net::parseTarget() takes the targets of watches at relays apart.

--- a/src/libs/objectapi/objectclient.cpp
+++ b/src/libs/objectapi/objectclient.cpp
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr const char *apiVersion = "jackdawlead.dev/v1";
+constexpr const char *versionParameter = "resourceVersion";
 constexpr net::HttpTimeouts callTimeouts {std::chrono::seconds(2), std::chrono::seconds(2)};
 
 json toJson(const std::string &kind, const Object &object)
@@ -83,10 +84,13 @@
     , m_server(std::move(server))
 { }
 
-std::string ObjectClient::path(const std::string &kind, const std::string &name)
+net::RequestTarget ObjectClient::target(const std::string &kind, const std::string &name)
 {
-    const std::string collection = std::string("/apis/") + apiVersion + "/" + kind;
-    return name.empty() ? collection : collection + "/" + name;
+    net::RequestTarget target(std::string("/apis/") + apiVersion);
+    target.addSegment(kind);
+    if (!name.empty())
+        target.addSegment(name);
+    return target;
 }
 
 void ObjectClient::send(const char *step, net::HttpRequest request, ObjectHandler handler)
@@ -114,28 +118,29 @@
                           ObjectHandler handler)
 {
     const std::string body = toJson(kind, {name, {}, spec}).dump();
-    send("create", {.method = "POST", .path = path(kind), .headers = {}, .body = body},
+    send("create", {.method = "POST", .path = target(kind).text(), .headers = {}, .body = body},
          std::move(handler));
 }
 
 void ObjectClient::read(const std::string &kind, const std::string &name, ObjectHandler handler)
 {
-    send("read", {.method = "GET", .path = path(kind, name), .headers = {}, .body = {}},
+    send("read", {.method = "GET", .path = target(kind, name).text(), .headers = {}, .body = {}},
          std::move(handler));
 }
 
 void ObjectClient::update(const std::string &kind, const Object &object, ObjectHandler handler)
 {
     const std::string body = toJson(kind, object).dump();
-    send("update", {.method = "PUT", .path = path(kind, object.name), .headers = {}, .body = body},
+    const std::string path = target(kind, object.name).text();
+    send("update", {.method = "PUT", .path = path, .headers = {}, .body = body},
          std::move(handler));
 }
 
 void ObjectClient::remove(const std::string &kind, const Object &object, ObjectHandler handler)
 {
-    const std::string target
-        = path(kind, object.name) + "?resourceVersion=" + object.resourceVersion;
-    send("remove", {.method = "DELETE", .path = target, .headers = {}, .body = {}},
+    const std::string path
+        = target(kind, object.name).addParameter(versionParameter, object.resourceVersion).text();
+    send("remove", {.method = "DELETE", .path = path, .headers = {}, .body = {}},
          std::move(handler));
 }
 
@@ -144,7 +149,8 @@
     ++m_callCount;
     const std::string peer = m_server.toString();
     m_http.send(
-        m_server, {.method = "GET", .path = path(kind), .headers = {}, .body = {}}, callTimeouts,
+        m_server, {.method = "GET", .path = target(kind).text(), .headers = {}, .body = {}},
+        callTimeouts,
         [peer, handler = std::move(handler)](const absl::StatusOr<net::HttpResponse> &reply) {
             if (!reply.ok()) {
                 handler(withStep(reply.status(), "list", peer));
@@ -182,8 +188,11 @@
 {
     ++m_callCount;
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
-    const std::string target = path(kind) + "?watch=true&resourceVersion=" + resourceVersion
-        + "&timeoutSeconds=" + std::to_string(seconds.count());
+    const std::string path = target(kind)
+                                 .addParameter("watch", "true")
+                                 .addParameter(versionParameter, resourceVersion)
+                                 .addParameter("timeoutSeconds", std::int64_t {seconds.count()})
+                                 .text();
     const std::string peer = m_server.toString();
     struct Progress
     {
@@ -216,7 +225,7 @@
     };
     // The server sends a bookmark at least each few seconds, so a silent watch is a lost one.
     const net::HttpTimeouts timeouts {std::chrono::seconds(10), std::chrono::seconds(10)};
-    return m_http.stream(m_server, {.method = "GET", .path = target, .headers = {}, .body = {}},
+    return m_http.stream(m_server, {.method = "GET", .path = path, .headers = {}, .body = {}},
                          timeouts, std::move(handlers));
 }
 
--- a/src/libs/objectapi/objectclient.h
+++ b/src/libs/objectapi/objectclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/httpclient.h"
+#include "net/requesttarget.h"
 
 #include <absl/status/statusor.h>
 
@@ -71,7 +72,7 @@
 
 private:
     void send(const char *step, net::HttpRequest request, ObjectHandler handler);
-    static std::string path(const std::string &kind, const std::string &name = {});
+    static net::RequestTarget target(const std::string &kind, const std::string &name = {});
 
     net::HttpClient &m_http;
     net::Address m_server;
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "core/text.h"
+#include "net/requesttarget.h"
 #include "observability/log.h"
 #include "platform/boundedjson.h"
 #include "platform/watchcodec.h"
@@ -151,6 +152,11 @@
     return events;
 }
 
+net::RequestTarget objectTarget(ObjectKind kind, std::string_view name)
+{
+    return net::RequestTarget(collectionPath(kind)).addSegment(name);
+}
+
 } // namespace
 
 std::string collectionPath(ObjectKind kind)
@@ -246,10 +252,11 @@
 
 void ObjectStoreClient::list(ObjectKind kind, const std::string &after, Handler<ObjectPage> handler)
 {
-    net::HttpRequest request;
-    request.path = collectionPath(kind);
+    net::RequestTarget target(collectionPath(kind));
     if (!after.empty())
-        absl::StrAppend(&request.path, "?after=", after);
+        target.addParameter(wire::afterParameter, after);
+    net::HttpRequest request;
+    request.path = target.text();
     m_transport(request, callTimeout, [this, handler = std::move(handler)](auto response) {
         auto page = decodeResponse<ObjectPage>(response, decodePage);
         if (page.ok())
@@ -262,7 +269,7 @@
                              Handler<StoredObject> handler)
 {
     net::HttpRequest request;
-    request.path = absl::StrCat(collectionPath(kind), "/", name);
+    request.path = objectTarget(kind, name).text();
     m_transport(request, timeoutFor(kind), [this, handler = std::move(handler)](auto response) {
         handler(decodeResponse<StoredObject>(response, decodeObject));
     });
@@ -305,7 +312,7 @@
 void ObjectStoreClient::replace(ObjectKind kind, const StoredObject &object,
                                 Handler<WriteResult> handler)
 {
-    write(kind, "PUT", absl::StrCat(collectionPath(kind), "/", object.name), encodeObject(object),
+    write(kind, "PUT", objectTarget(kind, object.name).text(), encodeObject(object),
           std::move(handler));
 }
 
@@ -314,8 +321,9 @@
 {
     net::HttpRequest request;
     request.method = "DELETE";
-    request.path = absl::StrCat(collectionPath(kind), "/", object.name,
-                                "?revision=", object.position.revision);
+    request.path = objectTarget(kind, object.name)
+                       .addParameter(wire::revisionParameter, object.position.revision)
+                       .text();
     m_transport(request, timeoutFor(kind), [this, handler = std::move(handler)](auto response) {
         const bool isConflict = response.ok() && response->status == 409;
         if (isConflict)
--- a/src/libs/platform/watchcodec.cpp
+++ b/src/libs/platform/watchcodec.cpp
@@ -1,17 +1,13 @@
 #include "platform/watchcodec.h"
 
-#include "core/text.h"
+#include "net/requesttarget.h"
 #include "platform/wirenames.h"
 
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
-#include <absl/strings/string_view.h>
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
-#include <vector>
 
 namespace jackdawlead::platform {
 
@@ -22,51 +18,53 @@
 constexpr char knownEraParameter[] = "known_era";
 
 /// The value of the parameter `name`; nullopt if it is missing or not a number.
-std::optional<std::uint64_t> numericParameter(const std::vector<absl::string_view> &parameters,
-                                              absl::string_view name)
+std::optional<std::uint64_t> numericParameter(const net::ParsedTarget &target,
+                                              std::string_view name)
 {
-    for (const absl::string_view parameter : parameters) {
-        const std::vector<absl::string_view> parts = absl::StrSplit(parameter, '=');
-        std::uint64_t value = 0;
-        if (parts.size() == 2 && parts[0] == name && absl::SimpleAtoi(parts[1], &value))
-            return value;
-    }
-    return std::nullopt;
+    std::uint64_t value = 0;
+    const auto text = target.parameter(name);
+    return text && absl::SimpleAtoi(*text, &value) ? std::optional(value) : std::nullopt;
+}
+
+net::RequestTarget watchTarget(const WatchRequest &watch)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(watch.wait);
+    net::RequestTarget target(collectionPath(watch.kind));
+    target.addParameter(wire::watchParameter, watch.since.revision)
+        .addParameter(wire::waitParameter, std::int64_t {wait.count()});
+    return target;
 }
 
 } // namespace
 
 std::string formatWatchTarget(const WatchRequest &watch)
 {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(watch.wait);
-    return absl::StrCat(collectionPath(watch.kind), "?", wire::watchParameter, "=",
-                        watch.since.revision, "&", wire::waitParameter, "=", wait.count());
+    return watchTarget(watch).text();
 }
 
 std::string formatRelayWatchTarget(const WatchRequest &watch)
 {
-    std::string target = formatWatchTarget(watch);
+    net::RequestTarget target = watchTarget(watch);
     if (watch.knownEra)
-        absl::StrAppend(&target, "&", sinceEraParameter, "=", watch.since.era.value(), "&",
-                        knownEraParameter, "=", watch.knownEra->value());
-    return target;
+        target.addParameter(sinceEraParameter, watch.since.era.value())
+            .addParameter(knownEraParameter, watch.knownEra->value());
+    return target.text();
 }
 
 std::optional<WatchRequest> parseRelayWatchTarget(std::string_view target)
 {
-    const std::vector<absl::string_view> parts = absl::StrSplit(core::toAbsl(target), '?');
-    if (parts.size() != 2)
+    const auto parsed = net::parseTarget(target);
+    if (!parsed)
         return std::nullopt;
-    const std::vector<absl::string_view> parameters = absl::StrSplit(parts[1], '&');
-    const auto since = numericParameter(parameters, wire::watchParameter);
-    const auto wait = numericParameter(parameters, wire::waitParameter);
+    const auto since = numericParameter(*parsed, wire::watchParameter);
+    const auto wait = numericParameter(*parsed, wire::waitParameter);
     if (!since || !wait)
         return std::nullopt;
-    const auto sinceEra = numericParameter(parameters, sinceEraParameter);
-    const auto knownEra = numericParameter(parameters, knownEraParameter);
+    const auto sinceEra = numericParameter(*parsed, sinceEraParameter);
+    const auto knownEra = numericParameter(*parsed, knownEraParameter);
     for (const ObjectKind kind :
          {ObjectKind::Configuration, ObjectKind::Endpoints, ObjectKind::AdapterVersions}) {
-        if (collectionPath(kind) != parts[0])
+        if (collectionPath(kind) != parsed->path)
             continue;
         WatchRequest watch {kind,
                             {core::StoreEra(sinceEra.value_or(0)), *since},
--- a/src/libs/platform/wirenames.h
+++ b/src/libs/platform/wirenames.h
@@ -55,6 +55,10 @@
 };
 
 inline constexpr char objectsPath[] = "/-/objects/";
+/// Name after which a page of a list begins.
+inline constexpr char afterParameter[] = "after";
+/// Revision that an object must still have to be removed.
+inline constexpr char revisionParameter[] = "revision";
 /// Store revision after which a watch reports changes.
 inline constexpr char watchParameter[] = "watch";
 /// Milliseconds after which the store answers a watch without a change.
--- a/tests/e2e/tst_oddentries.cpp
+++ b/tests/e2e/tst_oddentries.cpp
@@ -36,6 +36,68 @@
             "null"};
 }
 
+/// Names with characters that have a meaning in a path or a query, or none outside of ASCII; the
+/// last ones look like escaped characters.
+const std::vector<std::string> oddNames {
+    "a&b", "a+b",    "a#b",       "a%b",      "a b",       "a?b",   "a/b",  "a=b",
+    "a;b", "a\"b\\", "a\xC3\xA9", "a\x01\nb", "a&after=z", "a%7Ab", "a%zz", "%7Ab"};
+
+std::string label(const std::string &name)
+{
+    return json(name).dump(-1, ' ', true);
+}
+
+/// A fixture with a list of endpoints of several pages, of which one entry, that names no endpoint
+/// to use, is the last one of its page. The endpoints are on the last page.
+struct PagedFixture : PlatformFixture
+{
+    static constexpr std::size_t pageSize = 3;
+    std::string oddName;
+
+    explicit PagedFixture(std::string name)
+        : oddName(std::move(name))
+    {
+        for (std::size_t number = 1; number < pageSize; ++number)
+            store.put("servers", namesBefore() + std::to_string(number), unusable());
+        for (int number = 0; number < 4; ++number)
+            store.put("servers", "b-" + std::to_string(number), unusable());
+        store.put("servers", oddName, unusable());
+        store.setPageSize(pageSize);
+    }
+
+    static json unusable() { return {{"service", "plain"}, {"state", "written by another"}}; }
+
+    void restartDaemon()
+    {
+        killDaemon();
+        startDaemon();
+    }
+
+    /// The share of requests that are served, one after the other.
+    double servedShare()
+    {
+        constexpr int count = 20;
+        int served = 0;
+        for (int number = 0; number < count; ++number) {
+            const auto id = "share" + std::to_string(m_requests++);
+            served += call("/get/a", id)->head.status == 200 ? 1 : 0;
+        }
+        return static_cast<double>(served) / count;
+    }
+
+private:
+    /// The begin of names of which none follows in the list after the entry. If possible they
+    /// follow what is in front of its odd character, so that a page after that is the same again.
+    std::string namesBefore() const
+    {
+        if (!oddName.starts_with('a'))
+            return "!";
+        return oddName > "a!" ? "a!" : "A-";
+    }
+
+    int m_requests = 0;
+};
+
 /// Expects that the daemon still follows the endpoints and the configuration, and serves.
 void expectStoreIsFollowed(PlatformFixture &fixture)
 {
@@ -118,6 +180,45 @@
     cr_assert_eq(lease().at("token"), token, "%s", fixture.output().c_str());
 }
 
+// Guards against a list that starts again at its first page, or that leaves out objects, because
+// the name after which a page begins holds a character with a meaning in a query. No daemon that
+// started while such an entry stood had a list of endpoints, and each asked the store without end.
+Test(oddentries, listContinuesAfterAnyName, .timeout = 240)
+{
+    for (const std::string &name : oddNames) {
+        PagedFixture fixture(name);
+        fixture.killDaemon();
+        const int lists = fixture.store.lists("servers");
+        fixture.startDaemon();
+        cr_expect(fixture.waitUntil([&fixture] { return fixture.pollReadiness() == 200; },
+                                    std::chrono::seconds(5)),
+                  "not ready beside %s", label(name).c_str());
+        cr_expect_eq(fixture.servedShare(), 1.0, "beside %s", label(name).c_str());
+        constexpr int pages = 3; // Of nine entries.
+        cr_expect_leq(fixture.store.lists("servers") - lists, pages, "%d pages read beside %s",
+                      fixture.store.lists("servers") - lists, label(name).c_str());
+        fixture.store.remove("servers", name);
+        expectStoreIsFollowed(fixture);
+    }
+}
+
+// The same for each kind that a daemon lists.
+Test(oddentries, listsOfAllKindsContinueAfterAnyName, .timeout = 240)
+{
+    for (const std::string &name : oddNames) {
+        PagedFixture fixture(name);
+        for (const char *kind : {"config", "versions"})
+            fixture.store.put(kind, name, PagedFixture::unusable());
+        fixture.store.put("versions", "z.a", {{"model", "z"}, {"adapter", "a"}, {"version", 2}});
+        fixture.store.setPageSize(1);
+        fixture.restartDaemon();
+        cr_expect(fixture.waitUntil([&fixture] { return fixture.pollReadiness() == 200; },
+                                    std::chrono::seconds(5)),
+                  "not ready beside %s", label(name).c_str());
+        cr_expect_eq(fixture.servedShare(), 1.0, "beside %s", label(name).c_str());
+    }
+}
+
 // Guards against a daemon that ends because of an endpoint's odd report, and against asking such an
 // endpoint for its report again and again: each report request is a probe that costs.
 Test(oddentries, oddReportIsNotRequestedWithoutAPause, .timeout = 60)
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -9,6 +9,7 @@
 #include "fakeoptions.h"
 #include "net/eventloop.h"
 #include "net/httpserver.h"
+#include "net/requesttarget.h"
 #include "net/timerservice.h"
 
 #include <nlohmann/json.hpp>
@@ -132,7 +133,8 @@
         const std::string target = path.substr(0, path.find('?'));
         const std::size_t slash = target.find('/');
         const std::string kind = target.substr(0, slash);
-        const std::string name = slash == std::string::npos ? "" : target.substr(slash + 1);
+        const std::string name
+            = slash == std::string::npos ? "" : net::unescaped(target.substr(slash + 1));
         if (request.method == "GET" && query(path, "watch") == "true") {
             startWatch(exchange, kind, path);
             return;
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -1,6 +1,7 @@
 #include "support/platformfakes.h"
 
 #include <algorithm>
+#include <charconv>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -13,6 +14,22 @@
 
 constexpr std::string_view objectsPath = "/-/objects/";
 
+/// Decodes escaped bytes; other text stays as it is.
+std::string unescaped(const std::string &text)
+{
+    std::string result;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned byte = 0;
+        const char *digits = text.data() + at + 1;
+        const bool isEscape = text[at] == '%' && at + 2 < text.size()
+            && std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2;
+        result.push_back(isEscape ? static_cast<char>(byte) : text[at]);
+        at += isEscape ? 2 : 0;
+    }
+    return result;
+}
+
+/// Names and values of the query, decoded like those of a form: plus signs stand for blanks.
 std::map<std::string, std::string> queryOf(const std::string &target)
 {
     std::map<std::string, std::string> query;
@@ -21,8 +38,9 @@
         return query;
     std::istringstream parts(target.substr(mark + 1));
     for (std::string part; std::getline(parts, part, '&');) {
+        std::ranges::replace(part, '+', ' ');
         const std::size_t equals = part.find('=');
-        query[part.substr(0, equals)] = part.substr(equals + 1);
+        query[unescaped(part.substr(0, equals))] = unescaped(part.substr(equals + 1));
     }
     return query;
 }
@@ -174,7 +192,8 @@
 
 void FakeStore::serve(const std::shared_ptr<http::ServerExchange> &exchange)
 {
-    const std::string &target = exchange->head.target;
+    // A fragment is no part of what a server is asked for.
+    const std::string target = exchange->head.target.substr(0, exchange->head.target.find('#'));
     if (m_mode == Mode::Silent) {
         m_unanswered.push_back(exchange);
         return;
@@ -187,7 +206,8 @@
         = target.substr(objectsPath.size(), target.find('?') - objectsPath.size());
     const std::size_t slash = path.find('/');
     const std::string kind = path.substr(0, slash);
-    const std::string name = slash == std::string::npos ? std::string() : path.substr(slash + 1);
+    const std::string name
+        = slash == std::string::npos ? std::string() : unescaped(path.substr(slash + 1));
     if (!m_silentKind.empty() && kind == m_silentKind) {
         m_unanswered.push_back(exchange);
         return;
@@ -199,7 +219,7 @@
     } else if (query.contains("watch")) {
         watch(kind, std::stoull(query["watch"]), std::stoi(query["wait_ms"]), exchange);
     } else if (name.empty() && method == "GET") {
-        list(kind, *exchange);
+        list(kind, query["after"], *exchange);
     } else if (spec(kind, name).is_null()) {
         reject(*exchange, 404);
     } else if (method == "DELETE") {
@@ -215,16 +235,35 @@
     }
 }
 
-void FakeStore::list(const std::string &kind, http::ServerExchange &exchange)
+void FakeStore::list(const std::string &kind, const std::string &after,
+                     http::ServerExchange &exchange)
 {
-    ++m_listCount;
+    ++m_listCounts[kind];
     json items = json::array();
-    if (const auto objects = m_contents.kinds.find(kind); objects != m_contents.kinds.end()) {
-        for (const auto &[name, object] : objects->second)
-            items.push_back(encode(name, object));
-    }
-    respond(exchange, 200,
-            {{"items", items}, {"has_more", false}, {"current_rev", m_contents.revision}});
+    const auto &objects = m_contents.kinds[kind];
+    auto object = objects.upper_bound(after);
+    for (; object != objects.end() && items.size() < m_pageSize; ++object)
+        items.push_back(encode(object->first, object->second));
+    json page {{"items", items},
+               {"has_more", object != objects.end()},
+               {"current_rev", m_contents.revision}};
+    if (editPage)
+        editPage(kind, page);
+    respond(exchange, 200, page);
+}
+
+int FakeStore::lists() const
+{
+    int count = 0;
+    for (const auto &[kind, lists] : m_listCounts)
+        count += lists;
+    return count;
+}
+
+int FakeStore::lists(const std::string &kind) const
+{
+    const auto found = m_listCounts.find(kind);
+    return found == m_listCounts.end() ? 0 : found->second;
 }
 
 bool FakeStore::respondToWatch(const Watch &watch, bool isOver)
@@ -240,7 +279,9 @@
     }
     if (events.empty() && !isOver)
         return false;
-    const json body {{"events", events}, {"current_rev", m_contents.revision}};
+    json body {{"events", events}, {"current_rev", m_contents.revision}};
+    if (editEvents)
+        editEvents(watch.kind, body);
     const core::Duration delay = nextDelay(watch.kind);
     if (delay == core::Duration::zero()) {
         respond(*watch.exchange, 200, body);
@@ -273,8 +314,12 @@
                       const std::shared_ptr<http::ServerExchange> &exchange)
 {
     ++m_watchCount;
+    if (m_watchStatus != 0) {
+        reject(*exchange, m_watchStatus);
+        return;
+    }
     Watch watch {kind, since, exchange, {}};
-    if (respondToWatch(watch, false))
+    if (respondToWatch(watch, !m_doWatchesWait))
         return;
     if (kind == m_silencedWatchKind) {
         m_silencedWatchKind.clear();
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -42,8 +42,19 @@
     void delayWatchAnswers(const std::string &kind, core::Duration delay, int period);
     /// Number of watches requested so far.
     int watches() const { return m_watchCount; }
-    /// Number of lists requested so far, of all kinds.
-    int lists() const { return m_listCount; }
+    /// Number of pages of lists requested so far, of all kinds.
+    int lists() const;
+    /// The same of one kind.
+    int lists(const std::string &kind) const;
+    /// From now on a list has at most that many objects to a page.
+    void setPageSize(std::size_t size) { m_pageSize = size; }
+    /// If set, changes the body of an answer to a list or a watch of the kind before it is sent.
+    std::function<void(const std::string &kind, nlohmann::json &page)> editPage;
+    std::function<void(const std::string &kind, nlohmann::json &events)> editEvents;
+    /// Watches of each kind are rejected with this status; zero for none.
+    void setWatchStatus(int status) { m_watchStatus = status; }
+    /// Watches are answered at once, also if there is no change.
+    void setWatchesWait(bool doWait) { m_doWatchesWait = doWait; }
     /// Writes an object unconditionally, like the operator or an endpoint.
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     /// The same with any text as the spec, whatever JSON allows; other texts of the name stay.
@@ -98,7 +109,7 @@
     };
 
     void serve(const std::shared_ptr<http::ServerExchange> &exchange);
-    void list(const std::string &kind, http::ServerExchange &exchange);
+    void list(const std::string &kind, const std::string &after, http::ServerExchange &exchange);
     void watch(const std::string &kind, std::uint64_t since, int waitMilliseconds,
                const std::shared_ptr<http::ServerExchange> &exchange);
     void write(const std::string &kind, const std::string &name, http::ServerExchange &exchange);
@@ -130,7 +141,10 @@
     LateAnswers m_lateAnswers;
     std::list<net::TimerService::Subscription> m_lateAnswerTimers;
     int m_watchCount = 0;
-    int m_listCount = 0;
+    std::map<std::string, int> m_listCounts; ///< By kind.
+    std::size_t m_pageSize = 500;
+    int m_watchStatus = 0;
+    bool m_doWatchesWait = true;
     std::vector<std::shared_ptr<http::ServerExchange>> m_unanswered;
 };
 
