Store: a list without progress is an error and is repeated ever more slowly

What callers saw: while the pages of a list repeated, a daemon that had started waited for it for ever. Each request was held for 0.5 s and refused, and the store received calls without a pause from each daemon.

Cause: the three readers of lists (endpoints, configuration and versions; the records of streams; the entries of daemons) requested the page after the last name for as long as the store stated that more follow. Each page counted as a success of the whole, so that the store counted as reachable and the delay of retries never grew. For the versions, a failure did not count for requests.

Change: ObjectLister reads the lists for all three. A name that follows a second time ends the list with kDataLoss; only a complete list counts as a success. The existing delays of retries, 0.1 to 1 s, then grow from list to list, and a daemon without a list refuses requests at once, whichever kind is missing. The interval of the streams' records doubles up to 2 s.

--- a/src/libs/gateway/fleetwatch.cpp
+++ b/src/libs/gateway/fleetwatch.cpp
@@ -107,7 +107,7 @@
 
 bool FleetWatch::isInitializing() const
 {
-    return !isInitialized() && isStoreReachable();
+    return !isInitialized() && isStoreReachable() && m_versionFollower.contact().isReachable();
 }
 
 bool FleetWatch::isStoreReachable() const
--- a/src/libs/gateway/peerdirectory.cpp
+++ b/src/libs/gateway/peerdirectory.cpp
@@ -27,6 +27,7 @@
     , m_timers(timers)
     , m_self(std::move(self))
     , m_onPeers(std::move(onPeers))
+    , m_lister(store, timers, kind)
 { }
 
 PeerDirectory::~PeerDirectory()
@@ -55,7 +56,7 @@
         enter();
     if (std::exchange(m_isReading, true))
         return;
-    readAll({}, [this](const auto &objects) { apply(objects); });
+    readAll([this](const auto &objects) { apply(objects); });
 }
 
 nlohmann::json PeerDirectory::ownEntry() const
@@ -110,27 +111,15 @@
     });
 }
 
-void PeerDirectory::readAll(std::vector<platform::StoredObject> before, PagesHandler handler)
+void PeerDirectory::readAll(EntriesHandler handler)
 {
-    const std::string after = before.empty() ? std::string() : before.back().name;
-    m_store.list(kind, after,
-                 [this, alive = m_isAlive, objects = std::move(before),
-                  handler = std::move(handler)](const auto &page) mutable {
-                     if (!*alive)
-                         return;
-                     if (!page.ok()) {
-                         m_isReading = false;
-                         observability::logError(observability::LogLevel::Warn, page.status());
-                         return;
-                     }
-                     objects.insert(objects.end(), page->items.begin(), page->items.end());
-                     if (page->hasMore && !page->items.empty()) {
-                         readAll(std::move(objects), std::move(handler));
-                         return;
-                     }
-                     m_isReading = false;
-                     handler(std::move(objects));
-                 });
+    m_lister.start([this, handler = std::move(handler)](const auto &list) {
+        m_isReading = false;
+        if (list.ok())
+            handler(list->objects);
+        else
+            observability::logError(observability::LogLevel::Warn, list.status());
+    });
 }
 
 void PeerDirectory::apply(const std::vector<platform::StoredObject> &objects)
@@ -173,7 +162,7 @@
 {
     if (std::exchange(m_isReading, true))
         return;
-    readAll({}, [this, hosts = std::move(hosts)](const auto &objects) {
+    readAll([this, hosts = std::move(hosts)](const auto &objects) {
         for (const platform::StoredObject &object : objects) {
             if (!hosts.contains(core::HostId(object.name)))
                 remove(object);
--- a/src/libs/gateway/peerdirectory.h
+++ b/src/libs/gateway/peerdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/hostsettings.h"
+#include "gateway/objectlister.h"
 #include "net/httpmessage.h"
 #include "net/timerservice.h"
 #include "platform/objectstoreclient.h"
@@ -45,7 +46,7 @@
         core::FailureDomainId domain;
         net::Address address;
     };
-    using PagesHandler = std::function<void(std::vector<platform::StoredObject>)>;
+    using EntriesHandler = std::function<void(const std::vector<platform::StoredObject> &)>;
 
     nlohmann::json ownEntry() const;
     static std::optional<Entry> decode(const platform::StoredObject &object);
@@ -54,7 +55,7 @@
     void replace(const platform::StoredObject &object);
     void remove(const platform::StoredObject &object);
     /// Reads all entries; the handler is not called after an error, which the next period corrects.
-    void readAll(std::vector<platform::StoredObject> before, PagesHandler handler);
+    void readAll(EntriesHandler handler);
     void apply(const std::vector<platform::StoredObject> &objects);
 
     platform::ObjectStoreClient &m_store;
@@ -62,6 +63,7 @@
     net::TimerService &m_timers;
     net::Address m_self;
     PeersHandler m_onPeers;
+    ObjectLister m_lister;
     bool m_isNeeded = false;
     bool m_isEntered = false;
     bool m_isWithdrawn = false; ///< For good.
--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -44,6 +44,7 @@
     , m_watchWait(shared.watchWait)
     , m_onRegained(shared.onRegained)
     , m_onEvent(std::move(onEvent))
+    , m_lister(m_store, m_timers, kind)
     , m_random(std::random_device()())
 { }
 
@@ -55,64 +56,40 @@
 void StoreFollower::start()
 {
     m_isListing = true;
-    m_listedObjects.clear();
-    listNext();
+    m_lister.start([this](auto list) { handleList(std::move(list)); });
 }
 
-void StoreFollower::listNext()
+// The pages before the last one prove nothing: a store whose list never ends answers them as well.
+void StoreFollower::handleList(absl::StatusOr<ObjectList> list)
 {
-    const std::string after = m_listedObjects.empty() ? std::string() : m_listedObjects.back().name;
-    m_store.list(m_kind, after,
-                 [this, alive = m_isAlive, sentAt = m_timers.now(),
-                  isFirst = m_listedObjects.empty()](auto page) {
-                     if (!*alive)
-                         return;
-                     if (!page.ok()) {
-                         handleFailure(page.status());
-                         return;
-                     }
-                     if (isFirst)
-                         m_listSentAt = sentAt;
-                     const bool isLast = !page->hasMore;
-                     recordSuccess(isLast ? m_listSentAt : m_contact.confirmedAt());
-                     // The watch continues from the first page's revision, so it repeats changes
-                     // that were made while the other pages were read.
-                     if (isFirst)
-                         m_listPosition = page->position;
-                     if (page->position.era != m_listPosition.era) {
-                         start(); // The pages belong to different eras.
-                         return;
-                     }
-                     std::ranges::move(page->items, std::back_inserter(m_listedObjects));
-                     if (page->hasMore && !m_listedObjects.empty()) {
-                         listNext();
-                         return;
-                     }
-                     const bool isInitialList = !m_hasInitialList && !m_listedObjects.empty();
-                     finishList();
-                     if (isInitialList)
-                         m_nextCallTimer = m_timers.once(firstWatchDelay, [this] { watchNext(); });
-                     else
-                         watchNext();
-                 });
+    if (!list.ok()) {
+        handleFailure(list.status());
+        return;
+    }
+    recordSuccess(list->sentAt);
+    const bool isInitialList = !m_hasInitialList && !list->objects.empty();
+    applyList(*list);
+    if (isInitialList)
+        m_nextCallTimer = m_timers.once(firstWatchDelay, [this] { watchNext(); });
+    else
+        watchNext();
 }
 
-void StoreFollower::finishList()
+void StoreFollower::applyList(const ObjectList &list)
 {
     // Watches of other daemons continue after this list; otherwise each of them would have to list
     // the kind as well.
     m_isListing = false;
-    platform::ObjectEvents changes {m_objects.replaceAll(m_listedObjects), m_listPosition,
-                                    m_position.era, m_listSentAt};
-    m_listedObjects.clear();
-    moveTo(m_listPosition);
+    platform::ObjectEvents changes {m_objects.replaceAll(list.objects), list.position,
+                                    m_position.era, list.sentAt};
+    moveTo(list.position);
     const std::size_t count = changes.events.size();
     processEvents(changes.events);
     if (std::exchange(m_hasInitialList, true)) {
         m_relay.recordWatchResult(m_kind, changes, {});
         return;
     }
-    m_relay.resetHistory(m_kind, m_position, m_listSentAt);
+    m_relay.resetHistory(m_kind, m_position, list.sentAt);
     observability::log({.step = "follow store",
                         .message = absl::StrCat(count, " objects in the initial list"),
                         .peer = platform::collectionPath(m_kind)});
@@ -249,7 +226,7 @@
 void StoreFollower::repeatCall()
 {
     if (m_isListing)
-        listNext();
+        m_lister.resume([this](auto list) { handleList(std::move(list)); });
     else
         watchNext();
 }
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -3,6 +3,7 @@
 #include "decisions/storecontact.h"
 #include "decisions/storeoutage.h"
 #include "gateway/objectindex.h"
+#include "gateway/objectlister.h"
 #include "gateway/watchrelay.h"
 #include "net/timerservice.h"
 #include "platform/objectstoreclient.h"
@@ -58,8 +59,8 @@
 private:
     /// Sends the call again that failed.
     void repeatCall();
-    void listNext();
-    void finishList();
+    void handleList(absl::StatusOr<ObjectList> list);
+    void applyList(const ObjectList &list);
     void watchNext();
     void handleWatchResult(absl::StatusOr<platform::ObjectEvents> events);
     void applyWatchAnswer(platform::ObjectEvents events);
@@ -81,11 +82,9 @@
     core::Duration m_watchWait;
     std::function<void()> m_onRegained;
     EventHandler m_onEvent;
-    std::vector<platform::StoredObject> m_listedObjects;
+    ObjectLister m_lister;
     ObjectIndex m_objects;
     bool m_isListing = false;
-    core::StorePosition m_listPosition;
-    core::TimePoint m_listSentAt; ///< When its first page was requested.
     core::StorePosition m_position;
     bool m_hasInitialList = false;
     decisions::StoreContact m_contact;
--- a/src/libs/gateway/streamversions.cpp
+++ b/src/libs/gateway/streamversions.cpp
@@ -25,6 +25,7 @@
 // The time of the last listing of a version is that late, and a take-up arrives after the stream.
 constexpr core::Duration retentionMargin = std::chrono::seconds(2);
 constexpr core::Duration minFetchInterval = std::chrono::milliseconds(200);
+constexpr core::Duration maxFetchInterval = std::chrono::seconds(2);
 // Time from a stream's first event until its record can be read, in addition to the publish period.
 constexpr core::Duration recordDelay = std::chrono::milliseconds(200);
 // A caller whose stream broke off has lost its latency target; this bounds how long it is held.
@@ -54,6 +55,8 @@
     , m_self(std::move(self))
     , m_history(timers.now())
     , m_publishPeriod(minPublishPeriod)
+    , m_lister(store, timers, platform::ObjectKind::Streams)
+    , m_fetchInterval(minFetchInterval)
 { }
 
 StreamVersions::~StreamVersions()
@@ -159,11 +162,8 @@
     if (begunBy.isEmpty() || m_knownAsOf >= settledAt || now - askedAt > maxLookupTime)
         return {std::nullopt, Failure::Unknown};
     const bool isFetchDue = m_knownAsOf < askedAt || now >= settledAt;
-    if (isFetchDue && !m_isFetching && now - m_fetchStartedAt >= minFetchInterval) {
-        m_isFetching = true;
-        m_fetchStartedAt = now;
-        fetch({});
-    }
+    if (isFetchDue && !m_isFetching && now - m_fetchStartedAt >= m_fetchInterval)
+        fetch();
     return {};
 }
 
@@ -294,33 +294,28 @@
     return begins;
 }
 
-void StreamVersions::fetch(const std::string &after)
+void StreamVersions::fetch()
 {
-    ++m_storeCalls;
-    m_store.list(platform::ObjectKind::Streams, after, [this, alive = m_isAlive](auto page) {
-        if (!*alive)
-            return;
-        if (!page.ok()) {
-            finishFetch(false);
-            return;
-        }
-        for (const platform::StoredObject &record : page->items)
-            m_fetchedPages.merge(decodeBegins(record.spec));
-        if (page->hasMore && !page->items.empty())
-            fetch(page->items.back().name);
-        else
-            finishFetch(true);
-    });
+    m_isFetching = true;
+    m_fetchStartedAt = m_timers.now();
+    m_lister.start([this](const auto &list) { finishFetch(list); });
 }
 
-void StreamVersions::finishFetch(bool isComplete)
+void StreamVersions::finishFetch(const absl::StatusOr<ObjectList> &list)
 {
     m_isFetching = false;
-    Begins pages = std::exchange(m_fetchedPages, {});
-    if (!isComplete)
+    if (!list.ok()) {
+        observability::logError(observability::LogLevel::Warn, list.status());
+        // The same list would probably be as unreadable again.
+        if (absl::IsDataLoss(list.status()))
+            m_fetchInterval = std::min(m_fetchInterval * 2, maxFetchInterval);
         return;
-    m_fetched = std::move(pages);
-    m_knownAsOf = m_fetchStartedAt;
+    }
+    m_fetchInterval = minFetchInterval;
+    m_fetched.clear();
+    for (const platform::StoredObject &record : list->objects)
+        m_fetched.merge(decodeBegins(record.spec));
+    m_knownAsOf = list->sentAt;
 }
 
 // The records of hosts that are gone for good would stay otherwise.
--- a/src/libs/gateway/streamversions.h
+++ b/src/libs/gateway/streamversions.h
@@ -2,6 +2,7 @@
 
 #include "decisions/softwareversionhistory.h"
 #include "fleet/endpoint.h"
+#include "gateway/objectlister.h"
 #include "net/timerservice.h"
 #include "platform/objectstoreclient.h"
 
@@ -103,7 +104,7 @@
     /// There was no daemon before.
     void setPastKnown() { m_history.setPastKnown(); }
     /// Calls to the store so far.
-    std::uint64_t storeCalls() const { return m_storeCalls; }
+    std::uint64_t storeCalls() const { return m_storeCalls + m_lister.calls(); }
 
 private:
     enum class RequestHash : std::uint64_t {};
@@ -131,8 +132,8 @@
     nlohmann::json encodeBegins() const;
     /// The streams of a record, as begun now.
     Begins decodeBegins(const nlohmann::json &spec) const;
-    void fetch(const std::string &after);
-    void finishFetch(bool isComplete);
+    void fetch();
+    void finishFetch(const absl::StatusOr<ObjectList> &list);
     void removeRecords();
     void removeNext();
     void dropExpired(Begins &begins) const;
@@ -154,15 +155,16 @@
     bool m_hasPublishFailed = false; ///< The last attempt, because the store did not take it.
     core::TimePoint m_publishedAt;
 
-    Begins m_fetched;      ///< Begun by other daemons, as of the last complete fetch.
-    Begins m_fetchedPages; ///< Of the fetch in progress.
+    ObjectLister m_lister;
+    Begins m_fetched; ///< Begun by other daemons, as of the last complete fetch.
     bool m_isFetching = false;
+    core::Duration m_fetchInterval; ///< Between the begins of two fetches.
     core::TimePoint m_fetchStartedAt;
     core::TimePoint m_knownAsOf; ///< When the last complete fetch started.
 
     bool m_areRecordsLeft = true; ///< The store may hold records that are no longer needed.
     std::vector<platform::StoredObject> m_recordsToRemove;
-    std::uint64_t m_storeCalls = 0;
+    std::uint64_t m_storeCalls = 0; ///< Other than those of the fetches.
     net::TimerService::Subscription m_publishTimer;
     net::TimerService::Subscription m_historyTimer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -110,6 +110,8 @@
         = decodeElements<StoredObject>(memberText(text, "items"), [era](std::string_view object) {
               return decodeObject(object, era);
           });
+    if (!page.items.empty())
+        page.lastName = page.items.back().name;
     page.hasMore = memberText(text, "has_more") == "true";
     page.position = decodeCurrentPosition(text, era);
     return page;
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -30,6 +30,7 @@
 struct ObjectPage
 {
     std::vector<StoredObject> items;
+    std::string lastName; ///< After which the next page begins; empty if no item has a name.
     bool hasMore = false;
     core::StorePosition position; ///< Of the store, not of an object, when the page was read.
 };
--- a/tests/e2e/tst_oddentries.cpp
+++ b/tests/e2e/tst_oddentries.cpp
@@ -219,6 +219,39 @@
     }
 }
 
+// Guards against a daemon that calls the store without end while its list makes no progress, and
+// that lets requests wait which it can't serve.
+Test(oddentries, daemonWithoutAListRefusesAtOnce, .timeout = 120)
+{
+    for (const char *kind : {"config", "servers", "versions"}) {
+        PlatformFixture fixture;
+        fixture.store.editPage = [kind](const std::string &listed, json &page) {
+            if (listed == kind)
+                page["has_more"] = true;
+        };
+        fixture.store.put("versions", "z.a", {{"model", "z"}, {"adapter", "a"}, {"version", 2}});
+        fixture.killDaemon();
+        const int lists = fixture.store.lists();
+        fixture.startDaemon();
+        fixture.runLoopFor(milliseconds(1000));
+        constexpr core::Duration answerLimit = milliseconds(200);
+        for (int number = 0; number < 10; ++number) {
+            const auto answer = fixture.call("/get/a", "r" + std::to_string(number));
+            cr_expect_eq(answer->head.status, 503, "%s", kind);
+            cr_expect(answer->head.headers.contains("Retry-After"), "%s", kind);
+            cr_expect_lt(answer->endedAt - answer->startedAt, answerLimit, "%s", kind);
+            fixture.runLoopFor(milliseconds(200));
+        }
+        cr_expect(fixture.waitUntil([&fixture] { return fixture.pollReadiness() == 503; }), "%s",
+                  kind);
+        constexpr int maxLists = 30;
+        cr_expect_leq(fixture.store.lists() - lists, maxLists, "%s: %d pages", kind,
+                      fixture.store.lists() - lists);
+        fixture.store.editPage = nullptr;
+        cr_expect(fixture.waitUntilServed("/get/a"), "%s", kind);
+    }
+}
+
 // Guards against a daemon that ends because of an endpoint's odd report, and against asking such an
 // endpoint for its report again and again: each report request is a probe that costs.
 Test(oddentries, oddReportIsNotRequestedWithoutAPause, .timeout = 60)
