Store: an incomplete answer is an error, not a short list

What callers saw: a list that ended early ended without an error. Endpoints that it left out were not used until their entries changed, and known ones counted as gone.

Cause: an answer without "items", or with anything else in its place, was an empty list; any "has_more" but true was its end, and so was an empty page of which the store stated that more follow. An answer to a watch without "events" was one without changes, so that those were lost.

Change: items and events must be arrays and has_more a boolean; other answers count as failed calls, which are repeated with the usual delays.

--- a/src/libs/platform/boundedjson.cpp
+++ b/src/libs/platform/boundedjson.cpp
@@ -118,6 +118,12 @@
     return parts;
 }
 
+[[noreturn]] void throwWrongType(const char *what)
+{
+    constexpr int wrongType = 302; // The library's code for values of another type.
+    throw json::type_error::create(wrongType, what, nullptr);
+}
+
 } // namespace
 
 void throwOutOfRange(const char *what)
@@ -151,7 +157,17 @@
 
 std::vector<std::string_view> elementTexts(std::string_view array)
 {
+    if (!trimmed(array).starts_with('['))
+        throwWrongType("not an array");
     return partsOf(array, '[');
 }
 
+bool booleanOf(std::string_view text)
+{
+    const bool isTrue = trimmed(text) == "true";
+    if (!isTrue && trimmed(text) != "false")
+        throwWrongType("not a boolean");
+    return isTrue;
+}
+
 } // namespace jackdawlead::platform
--- a/src/libs/platform/boundedjson.h
+++ b/src/libs/platform/boundedjson.h
@@ -24,8 +24,12 @@
 /// built, so that a value that cannot be parsed does not affect the others. Thread safety: any
 /// thread.
 std::string_view memberText(std::string_view object, std::string_view name);
-/// The texts of the elements of a JSON array. Thread safety: any thread.
+/// The texts of the elements of a JSON array. Errors: nlohmann::json::exception if the text is no
+/// array. Thread safety: any thread.
 std::vector<std::string_view> elementTexts(std::string_view array);
+/// The value of a JSON boolean. Errors: nlohmann::json::exception if the text is none. Thread
+/// safety: any thread.
+bool booleanOf(std::string_view text);
 
 [[noreturn]] void throwOutOfRange(const char *what);
 
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -112,7 +112,7 @@
           });
     if (!page.items.empty())
         page.lastName = page.items.back().name;
-    page.hasMore = memberText(text, "has_more") == "true";
+    page.hasMore = booleanOf(memberText(text, "has_more"));
     page.position = decodeCurrentPosition(text, era);
     return page;
 }
--- a/tests/auto/storefollower/tst_storefollower.cpp
+++ b/tests/auto/storefollower/tst_storefollower.cpp
@@ -38,6 +38,13 @@
         store.put("versions", "m.a", {{"model", "m"}, {"adapter", "a"}, {"version", version}});
     }
 
+    /// Ends the present watches with the loss of the history that they follow.
+    void loseHistory()
+    {
+        store.put("config", "other", json::object());
+        store.compactHistory();
+    }
+
     /// Changes the lists of one kind.
     void editPages(const std::string &kind, const std::function<void(json &page)> &edit)
     {
@@ -123,3 +130,53 @@
         }
     }
 }
+
+// Guards against a list that ends early without an error: no endpoint that was left out was used
+// before its entry changed, and known ones counted as gone.
+Test(storefollower, incompletePageIsNoList, .timeout = 60)
+{
+    const std::vector<std::pair<const char *, std::function<void(json &)>>> edits {
+        {"no items although more follow",
+         [](json &page) {
+             page["items"] = json::array();
+             page["has_more"] = true;
+         }},
+        {"without items", [](json &page) { page.erase("items"); }},
+        {"items are no array", [](json &page) { page["items"] = "none"; }},
+        {"without has_more", [](json &page) { page.erase("has_more"); }},
+        {"has_more is no boolean", [](json &page) { page["has_more"] = 1; }},
+        {"without current_rev", [](json &page) { page.erase("current_rev"); }}};
+    for (const auto &[name, edit] : edits) {
+        Fixture fixture;
+        fixture.editPages("servers", edit);
+        fixture.start();
+        cr_expect_not(fixture.follower.watch.isInitialized(), "%s", name);
+        fixture.store.editPage = nullptr;
+        cr_expect(fixture.waitUntilInitialized(), "%s", name);
+        cr_expect_eq(fixture.endpoints(), 2U, "%s", name);
+        fixture.runLoopFor(std::chrono::seconds(1)); // Until the first watch waits.
+        fixture.editPages("servers", edit);
+        fixture.loseHistory();
+        fixture.runLoopFor(milliseconds(500));
+        cr_expect_eq(fixture.endpoints(), 2U, "%s, known endpoints", name);
+    }
+}
+
+// Guards against changes that are lost because an answer to a watch has no list of them.
+Test(storefollower, answerWithoutEventsArrayIsNoAnswer, .timeout = 60)
+{
+    for (const json &events : {json(), json("none")}) {
+        Fixture fixture;
+        fixture.start();
+        cr_assert(fixture.waitUntilInitialized());
+        fixture.runLoopFor(std::chrono::seconds(1)); // Until the first watch waits.
+        fixture.store.editEvents = [events](const std::string &kind, json &body) {
+            if (kind == "servers")
+                body["events"] = events;
+        };
+        fixture.store.remove("servers", fixture.first.id);
+        fixture.runLoopFor(milliseconds(300));
+        fixture.store.editEvents = nullptr;
+        cr_expect(fixture.waitUntil([&fixture] { return fixture.endpoints() == 1; }));
+    }
+}
