Store: delay lists and watches that the store always ends at once

What callers saw: nothing yet; the store received calls without a pause, and a store whose rate is used up refuses the calls of all daemons.

Cause: after the loss of the history (410) the kind was listed at once, also if the watch from that very list had failed in this way, as with a history shorter than the time that the list takes. A watch that was answered without a change was followed by the next one at once, however early the answer was.

Evidence: storefollower/lostHistoryIsNotFollowedByALoopOfLists counted 12,636 lists of each kind in 4.3 s before, watchesThatDoNotWaitAreDelayed 98,343 watches.

Change: the first list after a watch that went on is requested at once, others after the delays of retries, 0.1 to 1 s. From the second successive watch that ends without a change within 0.1 s the next one is delayed in the same way.

Measured after it: at most 10 lists of each kind and 24 watches in that time; firstListAfterALossOfTheHistoryIsNotDelayed passes, tst_storefollower 12 of 12.

--- a/src/libs/gateway/storefollower.cpp
+++ b/src/libs/gateway/storefollower.cpp
@@ -32,6 +32,8 @@
 constexpr core::Duration confirmWait = std::chrono::milliseconds(1);
 constexpr core::Duration minConfirmInterval = std::chrono::milliseconds(100);
 constexpr core::Duration maxRetryDelay = std::chrono::milliseconds(1000);
+// A watch without changes that ends earlier did not wait.
+constexpr core::Duration minWatchTime = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -75,6 +77,18 @@
         watchNext();
 }
 
+// The first list is not delayed. A store that never has the history since its own list would be
+// listed without end otherwise.
+void StoreFollower::listAgain()
+{
+    if (m_listsWithoutWatch++ == 0) {
+        start();
+        return;
+    }
+    m_isListing = true;
+    m_nextCallTimer = m_timers.once(retryDelay(m_listsWithoutWatch - 2), [this] { repeatCall(); });
+}
+
 void StoreFollower::applyList(const ObjectList &list)
 {
     // Watches of other daemons continue after this list; otherwise each of them would have to list
@@ -103,6 +117,7 @@
     else if (m_hasNewChanges && m_kind == platform::ObjectKind::AdapterVersions)
         wait = std::min(wait, watchWaitAfterChange);
     m_isWatching = true;
+    m_watchStartedAt = m_timers.now();
     m_store.watch(
         m_kind, m_position, wait,
         [this, number = ++m_watchNumber, since = m_position, alive = m_isAlive](auto events) {
@@ -125,6 +140,7 @@
     m_confirmStartedAt = now;
     m_nextCallTimer.cancel();
     m_isWatching = true;
+    m_watchStartedAt = {}; // This one is meant to end early.
     m_store.watchCurrent(m_kind, m_position, confirmWait,
                          [this, number = ++m_watchNumber, alive = m_isAlive](auto events) {
                              if (!*alive)
@@ -150,9 +166,10 @@
 {
     if (events.sinceEra != m_position.era) {
         // The store came back from a copy and has given out the watched revision again.
-        start();
+        listAgain();
         return;
     }
+    m_listsWithoutWatch = 0;
     moveTo(events.position);
     m_objects.applyEvents(events.events);
     const bool hasEvents = !events.events.empty();
@@ -161,8 +178,13 @@
     core::Duration nextDelay {};
     if (hasEvents)
         nextDelay = m_kind == platform::ObjectKind::Endpoints ? endpointEventDelay : eventDelay;
+    const bool isEarly = !hasEvents && m_timers.now() - m_watchStartedAt < minWatchTime;
+    m_earlyAnswers = isEarly ? m_earlyAnswers + 1 : 0;
+    // One early answer may be due to a short wait after a failure.
+    if (m_earlyAnswers > 1)
+        nextDelay = retryDelay(m_earlyAnswers - 2);
     m_relay.recordWatchResult(m_kind, events, nextDelay);
-    if (hasEvents)
+    if (nextDelay > core::Duration::zero())
         m_nextCallTimer = m_timers.once(nextDelay, [this] { watchNext(); });
     else
         watchNext();
@@ -233,23 +255,28 @@
 
 void StoreFollower::handleFailure(const absl::Status &status)
 {
-    const bool isHistoryLost = absl::IsOutOfRange(status);
+    const bool isHistoryLost = !m_isListing && absl::IsOutOfRange(status);
     if (isHistoryLost) {
-        start();
+        listAgain();
         return;
     }
     m_relay.recordStoreFailure(m_kind);
     if (m_contact.isReachable())
         observability::logError(observability::LogLevel::Warn, status);
-    constexpr int maxDoublings = 5;
-    const auto baseDelay = std::min<core::Duration>(
-        minRetryDelay * (1 << std::min(m_contact.failures(), maxDoublings)), maxRetryDelay);
+    m_earlyAnswers = 0;
+    const core::Duration delay = retryDelay(m_contact.failures());
     m_contact.recordFailure();
     m_outage.recordFailure();
-    // Adds up to half of the delay at random, so that daemons do not reconnect at the same time.
-    std::uniform_real_distribution<double> spread(1.0, 1.5);
-    const auto delay = core::scaled(baseDelay, spread(m_random));
     m_nextCallTimer = m_timers.once(delay, [this] { repeatCall(); });
 }
 
+core::Duration StoreFollower::retryDelay(int repetitions)
+{
+    constexpr int maxDoublings = 5;
+    const auto delay = std::min<core::Duration>(
+        minRetryDelay * (1 << std::min(repetitions, maxDoublings)), maxRetryDelay);
+    std::uniform_real_distribution<double> spread(1.0, 1.5);
+    return core::scaled(delay, spread(m_random));
+}
+
 } // namespace jackdawlead::gateway
--- a/src/libs/gateway/storefollower.h
+++ b/src/libs/gateway/storefollower.h
@@ -61,6 +61,8 @@
     void repeatCall();
     void handleList(absl::StatusOr<ObjectList> list);
     void applyList(const ObjectList &list);
+    /// Lists again, because the watch cannot go on.
+    void listAgain();
     void watchNext();
     void handleWatchResult(absl::StatusOr<platform::ObjectEvents> events);
     void applyWatchAnswer(platform::ObjectEvents events);
@@ -68,6 +70,9 @@
     void handleLateAnswer(const core::StorePosition &since,
                           absl::StatusOr<platform::ObjectEvents> events);
     void handleFailure(const absl::Status &status);
+    /// Delay before a call is repeated after that many others. Adds up to half of the delay at
+    /// random, so that daemons do not call at the same time.
+    core::Duration retryDelay(int repetitions);
     void recordSuccess(core::TimePoint asOf);
     /// Continues from `position`, which may be in a new era.
     void moveTo(const core::StorePosition &position);
@@ -85,6 +90,9 @@
     ObjectLister m_lister;
     ObjectIndex m_objects;
     bool m_isListing = false;
+    int m_listsWithoutWatch = 0; ///< Repeated since the last watch that went on.
+    int m_earlyAnswers = 0;      ///< Successive watches that were answered too early.
+    core::TimePoint m_watchStartedAt;
     core::StorePosition m_position;
     bool m_hasInitialList = false;
     decisions::StoreContact m_contact;
--- a/tests/auto/storefollower/tst_storefollower.cpp
+++ b/tests/auto/storefollower/tst_storefollower.cpp
@@ -180,3 +180,46 @@
         cr_expect(fixture.waitUntil([&fixture] { return fixture.endpoints() == 1; }));
     }
 }
+
+// Guards against a loop of lists at a store that has no history since its own list.
+Test(storefollower, lostHistoryIsNotFollowedByALoopOfLists, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.store.setWatchStatus(410);
+    fixture.start();
+    cr_assert(fixture.waitUntilInitialized());
+    fixture.runLoopFor(observationTime);
+    for (const std::string &kind : followedKinds)
+        cr_expect_leq(fixture.store.lists(kind), maxAttempts + 2, "%s: %d lists", kind.c_str(),
+                      fixture.store.lists(kind));
+    fixture.store.setWatchStatus(0);
+    fixture.store.remove("servers", fixture.first.id);
+    cr_expect(fixture.waitUntil([&fixture] { return fixture.endpoints() == 1; }));
+}
+
+// Guards against a delay of the list after a single loss of the history.
+Test(storefollower, firstListAfterALossOfTheHistoryIsNotDelayed, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.start();
+    cr_assert(fixture.waitUntilInitialized());
+    fixture.runLoopFor(std::chrono::seconds(1)); // Until the first watch waits.
+    const int lists = fixture.store.lists("servers");
+    fixture.loseHistory();
+    fixture.runLoopFor(milliseconds(60));
+    cr_expect_eq(fixture.store.lists("servers"), lists + 1);
+}
+
+// Guards against a loop of watches at a store that answers them without a change and at once.
+Test(storefollower, watchesThatDoNotWaitAreDelayed, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.store.setWatchesWait(false);
+    fixture.start();
+    cr_assert(fixture.waitUntilInitialized());
+    fixture.runLoopFor(observationTime);
+    const auto maxWatches = static_cast<int>(followedKinds.size()) * maxAttempts;
+    cr_expect_leq(fixture.store.watches(), maxWatches, "%d watches", fixture.store.watches());
+    fixture.store.remove("servers", fixture.first.id);
+    cr_expect(fixture.waitUntil([&fixture] { return fixture.endpoints() == 1; }));
+}
