Move the bounded JSON parser to core

The client of the product's own object API needs it as well, and it knows no name of the platform's formats. The code is unchanged but for the namespace; the daemon builds, and so do the tests of the decoders.

--- a/src/libs/platform/boundedjson.cpp
+++ b/src/libs/core/boundedjson.cpp
@@ -1,11 +1,11 @@
-#include "platform/boundedjson.h"
+#include "core/boundedjson.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <string>
 #include <type_traits>
 
-namespace jackdawlead::platform {
+namespace jackdawlead::core {
 
 namespace {
 
@@ -170,4 +170,4 @@
     return isTrue;
 }
 
-} // namespace jackdawlead::platform
+} // namespace jackdawlead::core
--- a/src/libs/platform/boundedjson.h
+++ b/src/libs/core/boundedjson.h
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace jackdawlead::platform {
+namespace jackdawlead::core {
 
 // Messages are nested up to about ten levels deep. Copying and destroying a value uses the stack
 // for each level, and a value with 100,000 of them overflowed it.
@@ -68,4 +68,4 @@
     return member == object.end() ? fallback : integerOf<Integer>(*member);
 }
 
-} // namespace jackdawlead::platform
+} // namespace jackdawlead::core
--- a/src/libs/gateway/coordinatorelection.cpp
+++ b/src/libs/gateway/coordinatorelection.cpp
@@ -1,8 +1,8 @@
 #include "gateway/coordinatorelection.h"
 
+#include "core/boundedjson.h"
 #include "net/clocks.h"
 #include "observability/log.h"
-#include "platform/boundedjson.h"
 #include "platform/decoder.h"
 
 #include <absl/strings/str_cat.h>
@@ -115,8 +115,8 @@
         record.isReleased = object.spec.at("released").get<bool>();
         // Daemons of the previous release state neither of these.
         record.hasWaited = object.spec.value("waited", false);
-        record.writtenIn = core::StoreEra(platform::integerMember(
-            object.spec, "era", std::uint64_t {object.position.era.value()}));
+        record.writtenIn = core::StoreEra(
+            core::integerMember(object.spec, "era", std::uint64_t {object.position.era.value()}));
         auto address = platform::decodeAddress(object.spec.at("address").get<std::string>());
         if (address.ok())
             record.address = *std::move(address);
--- a/src/libs/gateway/messageencoding.cpp
+++ b/src/libs/gateway/messageencoding.cpp
@@ -1,6 +1,6 @@
 #include "gateway/messageencoding.h"
 
-#include "platform/boundedjson.h"
+#include "core/boundedjson.h"
 #include "rpc/rpccodec.h"
 
 #include <absl/strings/escaping.h>
@@ -29,12 +29,12 @@
 
 nlohmann::json unpackMessage(const std::string &text)
 {
-    const nlohmann::json envelope = platform::parseJson(text);
+    const nlohmann::json envelope = core::parseJson(text);
     std::string bytes;
     // Invalid Base64 results in an empty string, which the CBOR parser rejects.
     if (!absl::Base64Unescape(envelope.at(payloadField).get<std::string>(), &bytes))
         bytes.clear();
-    return platform::parseCbor(bytes);
+    return core::parseCbor(bytes);
 }
 
 net::HttpRequest peerCall(const char *method, const std::string &params)
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -1,7 +1,7 @@
 #include "platform/decoder.h"
 
+#include "core/boundedjson.h"
 #include "core/error.h"
-#include "platform/boundedjson.h"
 #include "platform/customerdecoder.h"
 #include "platform/wirenames.h"
 
@@ -28,7 +28,7 @@
 {
     const auto number = value.get<double>();
     if (!(std::abs(number) <= maxSeconds))
-        throwOutOfRange("time out of range");
+        core::throwOutOfRange("time out of range");
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(number));
 }
 
@@ -62,17 +62,17 @@
     route.targetLatency = milliseconds(value.value("target_latency_ms", json(0)));
     route.targetGap = milliseconds(value.value("gap_target_ms", json(0)));
     if (const auto priority = value.find("priority"); priority != value.end())
-        route.priority = integerOf<int>(*priority);
+        route.priority = core::integerOf<int>(*priority);
     route.isAnonymous = value.value("anonymous", false);
-    route.maxAttempts = integerMember(value, "max_attempts", 1);
+    route.maxAttempts = core::integerMember(value, "max_attempts", 1);
     return route;
 }
 
 fleet::EngineSpec decodeEngine(const json &value)
 {
     fleet::EngineSpec engine;
-    engine.slots = integerMember(value, "slots", 0);
-    engine.adapterSlots = integerMember(value, "adapter_slots", 0);
+    engine.slots = core::integerMember(value, "slots", 0);
+    engine.adapterSlots = core::integerMember(value, "adapter_slots", 0);
     engine.weightsMegabytes = value.value("weights_mb", 0.0);
     engine.loadsPerSecond = value.value("loads_per_s", 0.0);
     for (const json &entry : value.value("models", json::array())) {
@@ -91,7 +91,7 @@
     fleet::ServiceSpec service;
     service.service = core::ServiceId(value.at("name").get<std::string>());
     // "max_conns" limits the connections of all clients to one endpoint together.
-    service.maxConnections = integerMember(value, "max_conns", std::size_t {0});
+    service.maxConnections = core::integerMember(value, "max_conns", std::size_t {0});
     if (const auto path = value.find("health_path"); path != value.end() && path->is_string())
         service.healthPath = path->get<std::string>();
     if (const auto engine = value.find("engine"); engine != value.end() && engine->is_object())
@@ -105,7 +105,7 @@
     for (const json &entry : value) {
         fleet::LoadedModel model;
         model.model = core::ModelId(entry.at("name").get<std::string>());
-        model.version = integerMember(entry, "version", 0);
+        model.version = core::integerMember(entry, "version", 0);
         model.adapters = entry.value("adapters", std::vector<std::string>());
         models.push_back(std::move(model));
     }
@@ -132,15 +132,17 @@
     auto decoded = catchJsonErrors("decode configuration", [&spec] {
         fleet::Configuration configuration;
         // "version" is the generation of the configuration, not the version of its format.
-        configuration.generation = core::Generation(integerOf<std::uint64_t>(spec.at("version")));
+        configuration.generation
+            = core::Generation(core::integerOf<std::uint64_t>(spec.at("version")));
         for (const json &route : spec.at("routes"))
             configuration.routes.push_back(decodeRoute(route));
         for (const json &service : spec.at("services"))
             configuration.services.push_back(decodeService(service));
         const json limits = spec.value("limits", json::object());
         configuration.limits.headerBytes
-            = integerMember(limits, "max_header_bytes", std::size_t {0});
-        configuration.limits.bodyBytes = integerMember(limits, "max_body_bytes", std::size_t {0});
+            = core::integerMember(limits, "max_header_bytes", std::size_t {0});
+        configuration.limits.bodyBytes
+            = core::integerMember(limits, "max_body_bytes", std::size_t {0});
         configuration.limits.headerTimeout
             = milliseconds(limits.value("header_timeout_ms", json(0)));
         configuration.limits.idleTimeout = milliseconds(limits.value("idle_timeout_ms", json(0)));
@@ -171,7 +173,7 @@
         if (const auto version = spec.find("version");
             version != spec.end() && version->is_string())
             endpoint.softwareVersion = core::SoftwareVersion(version->get<std::string>());
-        endpoint.slots = integerOf<int>(spec.at("slots"));
+        endpoint.slots = core::integerOf<int>(spec.at("slots"));
         const auto state = spec.at("state").get<std::string>();
         endpoint.isLeaving = state == "draining";
         isKnownState = state == "ready" || endpoint.isLeaving;
@@ -179,8 +181,8 @@
             remaining != spec.end() && remaining->is_number())
             endpoint.remaining = milliseconds(*remaining);
         // "born" is the start time of the incarnation, "seq" the number of orders it accepted.
-        endpoint.startTime = fleet::StartTime(integerMember(spec, "born", std::int64_t {0}));
-        endpoint.orderRevision = integerMember(spec, "seq", std::uint64_t {0});
+        endpoint.startTime = fleet::StartTime(core::integerMember(spec, "born", std::int64_t {0}));
+        endpoint.orderRevision = core::integerMember(spec, "seq", std::uint64_t {0});
         endpoint.models = decodeModels(spec.value("models", json::array()));
         return endpoint;
     });
@@ -195,11 +197,11 @@
 absl::StatusOr<fleet::EndpointReport> decodeReport(const std::string &body)
 {
     return catchJsonErrors("decode report", [&body] {
-        const json value = parseJson(body);
+        const json value = core::parseJson(body);
         fleet::EndpointReport report;
         // "born" and "seq" as in decodeEndpoint(); "pending" lists loads in flight.
-        report.startTime = fleet::StartTime(integerMember(value, "born", std::int64_t {0}));
-        report.orderRevision = integerOf<std::uint64_t>(value.at("seq"));
+        report.startTime = fleet::StartTime(core::integerMember(value, "born", std::int64_t {0}));
+        report.orderRevision = core::integerOf<std::uint64_t>(value.at("seq"));
         report.isBusy = value.value("busy", false);
         report.models = decodeModels(value.at("models"));
         report.pending = value.value("pending", std::vector<std::string>());
@@ -214,7 +216,7 @@
         // An entry without "adapter" announces a version of the model itself.
         announced.model = core::ModelId(spec.at("model").get<std::string>());
         announced.adapter = core::AdapterId(spec.value("adapter", std::string()));
-        announced.version = integerOf<int>(spec.at("version"));
+        announced.version = core::integerOf<int>(spec.at("version"));
         return announced;
     });
 }
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -1,10 +1,10 @@
 #include "platform/objectstoreclient.h"
 
+#include "core/boundedjson.h"
 #include "core/error.h"
 #include "core/text.h"
 #include "net/requesttarget.h"
 #include "observability/log.h"
-#include "platform/boundedjson.h"
 #include "platform/watchcodec.h"
 #include "platform/wirenames.h"
 
@@ -67,15 +67,15 @@
 
 StoredObject decodeObject(std::string_view text, core::StoreEra era)
 {
-    const json metadata = parseJson(memberText(text, "metadata"));
+    const json metadata = core::parseJson(core::memberText(text, "metadata"));
     StoredObject object {metadata.at("name").get<std::string>(),
-                         {era, integerMember(metadata, "revision", std::uint64_t {0})},
+                         {era, core::integerMember(metadata, "revision", std::uint64_t {0})},
                          {}};
-    const std::string_view spec = memberText(text, "spec");
+    const std::string_view spec = core::memberText(text, "spec");
     if (spec.empty())
         return object;
     try {
-        object.spec = parseJson(spec);
+        object.spec = core::parseJson(spec);
     } catch (const json::exception &error) {
         // Other writers may leave entries that cannot be read; no decoder accepts the empty spec.
         logUnreadable(object.name, error);
@@ -88,7 +88,7 @@
 std::vector<Element> decodeElements(std::string_view array, const Decode &decode)
 {
     std::vector<Element> elements;
-    for (const std::string_view text : elementTexts(array)) {
+    for (const std::string_view text : core::elementTexts(array)) {
         try {
             elements.push_back(decode(text));
         } catch (const json::exception &error) {
@@ -100,19 +100,19 @@
 
 core::StorePosition decodeCurrentPosition(std::string_view text, core::StoreEra era)
 {
-    return {era, integerOf<std::uint64_t>(parseJson(memberText(text, "current_rev")))};
+    return {era,
+            core::integerOf<std::uint64_t>(core::parseJson(core::memberText(text, "current_rev")))};
 }
 
 ObjectPage decodePage(std::string_view text, core::StoreEra era)
 {
     ObjectPage page;
-    page.items
-        = decodeElements<StoredObject>(memberText(text, "items"), [era](std::string_view object) {
-              return decodeObject(object, era);
-          });
+    page.items = decodeElements<StoredObject>(
+        core::memberText(text, "items"),
+        [era](std::string_view object) { return decodeObject(object, era); });
     if (!page.items.empty())
         page.lastName = page.items.back().name;
-    page.hasMore = booleanOf(memberText(text, "has_more"));
+    page.hasMore = core::booleanOf(core::memberText(text, "has_more"));
     page.position = decodeCurrentPosition(text, era);
     return page;
 }
@@ -120,7 +120,8 @@
 /// The era in a field that only relays write, or that of the response.
 core::StoreEra decodeEra(std::string_view text, core::StoreEra era)
 {
-    return text.empty() ? era : core::StoreEra(integerOf<std::uint64_t>(parseJson(text)));
+    return text.empty() ? era
+                        : core::StoreEra(core::integerOf<std::uint64_t>(core::parseJson(text)));
 }
 
 // A relay answers from its own state, which may be older or newer than the watch.
@@ -129,23 +130,25 @@
     // Relays of the previous release don't state it; they answer as long as their last update is
     // not older than this.
     constexpr core::Duration maxUnstatedAge = std::chrono::seconds(3);
-    const std::string_view relayed = memberText(text, relayedAsOfField);
+    const std::string_view relayed = core::memberText(text, relayedAsOfField);
     if (relayed.empty())
         return answer.sentAt - maxUnstatedAge;
-    return answer.sentAt + std::chrono::milliseconds(integerOf<std::int64_t>(parseJson(relayed)));
+    return answer.sentAt
+        + std::chrono::milliseconds(core::integerOf<std::int64_t>(core::parseJson(relayed)));
 }
 
 ObjectEvents decodeEvents(std::string_view text, core::StoreEra era, const StoreAnswer &answer)
 {
     ObjectEvents events;
-    events.events
-        = decodeElements<ObjectEvent>(memberText(text, "events"), [era](std::string_view event) {
-              return ObjectEvent {decodeObject(memberText(event, "object"),
-                                               decodeEra(memberText(event, relayedEraField), era)),
-                                  memberText(event, "removed") == "true"};
-          });
+    events.events = decodeElements<ObjectEvent>(
+        core::memberText(text, "events"), [era](std::string_view event) {
+            return ObjectEvent {
+                decodeObject(core::memberText(event, "object"),
+                             decodeEra(core::memberText(event, relayedEraField), era)),
+                core::memberText(event, "removed") == "true"};
+        });
     events.position = decodeCurrentPosition(text, era);
-    const std::string_view relayedEra = memberText(text, relayedSinceEraField);
+    const std::string_view relayedEra = core::memberText(text, relayedSinceEraField);
     events.sinceEra = decodeEra(relayedEra, era);
     if (!relayedEra.empty())
         events.asOf = decodeAsOf(text, answer);
@@ -356,7 +359,7 @@
         const auto decode = [isConflict](std::string_view text, core::StoreEra era) {
             WriteResult result;
             result.isWritten = !isConflict;
-            if (!memberText(text, "metadata").empty())
+            if (!core::memberText(text, "metadata").empty())
                 result.object = decodeObject(text, era);
             return result;
         };
--- a/tests/auto/customers/tst_customerdecoder.cpp
+++ b/tests/auto/customers/tst_customerdecoder.cpp
@@ -1,5 +1,5 @@
+#include "core/boundedjson.h"
 #include "customerconfig.h"
-#include "platform/boundedjson.h"
 #include "platform/decoder.h"
 
 #include <criterion/criterion.h>
@@ -139,7 +139,7 @@
         "[\"sk-secret-7f3a\xff\"]",          "[735173517351e9999]"};
     for (const std::string &text : texts) {
         try {
-            parseJson(text);
+            core::parseJson(text);
             cr_assert_fail("malformed text was accepted");
         } catch (const json::exception &error) {
             const std::string message = error.what();
