Store: read the name of an object apart from its other metadata

What callers saw: nothing yet. An object was left out of lists and watches if another writer had put something unreadable into its metadata, such as deeply nested finalizers; a known endpoint then stayed in use after its entry had become unusable. A list could not go on after a page on which no name can be read as text.

Cause: the metadata were parsed as a whole, and the next page began after the last object that could be decoded.

Change: name and revision are parsed on their own, and the next page begins after the name of the last item, taken byte by byte if it is no valid text.

--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -65,12 +65,19 @@
     }
 }
 
+std::string_view nameText(std::string_view object)
+{
+    return core::memberText(core::memberText(object, "metadata"), "name");
+}
+
+// Each member is parsed on its own, because other writers may leave others that cannot be read.
 StoredObject decodeObject(std::string_view text, core::StoreEra era)
 {
-    const json metadata = core::parseJson(core::memberText(text, "metadata"));
-    StoredObject object {metadata.at("name").get<std::string>(),
-                         {era, core::integerMember(metadata, "revision", std::uint64_t {0})},
-                         {}};
+    const std::string_view revision
+        = core::memberText(core::memberText(text, "metadata"), "revision");
+    StoredObject object {core::parseJson(nameText(text)).get<std::string>(), {era, 0}, {}};
+    if (!revision.empty())
+        object.position.revision = core::integerOf<std::uint64_t>(core::parseJson(revision));
     const std::string_view spec = core::memberText(text, "spec");
     if (spec.empty())
         return object;
@@ -98,6 +105,29 @@
     return elements;
 }
 
+/// The name of an object, also if it is no valid text; empty if it can't be read.
+std::string decodeAnyName(std::string_view object)
+{
+    const std::string_view text = nameText(object);
+    try {
+        return core::parseJson(text).get<std::string>();
+    } catch (const json::exception &) {
+        const bool isPlain = text.size() >= 2 && text.starts_with('"')
+            && text.find('\\') == std::string_view::npos;
+        return std::string(isPlain ? text.substr(1, text.size() - 2) : std::string_view());
+    }
+}
+
+/// The name of the last item that has one.
+std::string decodeLastName(std::string_view items)
+{
+    std::string name;
+    std::vector<std::string_view> texts = core::elementTexts(items);
+    for (; name.empty() && !texts.empty(); texts.pop_back())
+        name = decodeAnyName(texts.back());
+    return name;
+}
+
 core::StorePosition decodeCurrentPosition(std::string_view text, core::StoreEra era)
 {
     return {era,
@@ -110,9 +140,9 @@
     page.items = decodeElements<StoredObject>(
         core::memberText(text, "items"),
         [era](std::string_view object) { return decodeObject(object, era); });
-    if (!page.items.empty())
-        page.lastName = page.items.back().name;
     page.hasMore = core::booleanOf(core::memberText(text, "has_more"));
+    if (page.hasMore)
+        page.lastName = decodeLastName(core::memberText(text, "items"));
     page.position = decodeCurrentPosition(text, era);
     return page;
 }
--- a/src/libs/platform/objectstoreclient.h
+++ b/src/libs/platform/objectstoreclient.h
@@ -30,8 +30,8 @@
 struct ObjectPage
 {
     std::vector<StoredObject> items;
-    std::string lastName; ///< After which the next page begins; empty if no item has a name.
     bool hasMore = false;
+    std::string lastName; ///< After which the next page begins; empty if no item has a name.
     core::StorePosition position; ///< Of the store, not of an object, when the page was read.
 };
 
--- a/tests/auto/storefollower/tst_objectlister.cpp
+++ b/tests/auto/storefollower/tst_objectlister.cpp
@@ -155,3 +155,42 @@
     cr_assert(fixture.result.ok());
     cr_expect(fixture.names() == std::vector<std::string>({"a", "b"}));
 }
+
+// Guards against an object that is left out because another writer has put something into its
+// metadata that cannot be read.
+Test(objectlister, objectWithOddMetadataIsRead)
+{
+    constexpr int depth = 100000;
+    Fixture fixture;
+    fixture.fake.put("servers", "a", {{"known", true}});
+    const std::string odd = fixture.fake.addText(std::string(depth, '[') + std::string(depth, ']'));
+    fixture.fake.editPage = [&odd](const std::string &, json &page) {
+        page["items"][0]["metadata"]["finalizers"] = odd;
+    };
+    ObjectLister lister(fixture.store, fixture.timers, ObjectKind::Endpoints);
+    fixture.start(lister);
+    cr_assert(fixture.result.ok());
+    cr_assert_eq(fixture.result->objects.size(), 1U);
+    cr_expect_eq(fixture.result->objects.front().name, "a");
+    cr_expect_eq(fixture.result->objects.front().spec.at("known"), true);
+}
+
+// Guards against a list that ends at pages on which no name can be read.
+Test(objectlister, listContinuesAfterANameThatCannotBeRead)
+{
+    const std::string oddName = "b\xFF&";
+    Fixture fixture;
+    for (const std::string &name : {std::string("a"), oddName, std::string("c")})
+        fixture.fake.put("servers", name, json::object());
+    fixture.fake.setPageSize(1);
+    const std::string odd = fixture.fake.addText('"' + oddName + '"');
+    fixture.fake.editPage = [&](const std::string &, json &page) {
+        json &name = page["items"][0]["metadata"]["name"];
+        if (name == oddName)
+            name = odd;
+    };
+    ObjectLister lister(fixture.store, fixture.timers, ObjectKind::Endpoints);
+    fixture.start(lister);
+    cr_assert(fixture.result.ok(), "%s", std::string(fixture.result.status().message()).c_str());
+    cr_expect(fixture.names() == std::vector<std::string>({"a", "c"}));
+}
--- a/tests/support/platformfakes.cpp
+++ b/tests/support/platformfakes.cpp
@@ -87,10 +87,15 @@
 }
 
 void FakeStore::putText(const std::string &kind, const std::string &name, const std::string &spec)
+{
+    put(kind, name, addText(spec));
+}
+
+std::string FakeStore::addText(const std::string &text)
 {
     const std::string placeholder = "@text" + std::to_string(m_texts.size()) + "@";
-    m_texts[placeholder] = spec;
-    put(kind, name, placeholder);
+    m_texts[placeholder] = text;
+    return placeholder;
 }
 
 void FakeStore::respond(http::ServerExchange &exchange, int status, const json &body) const
--- a/tests/support/platformfakes.h
+++ b/tests/support/platformfakes.h
@@ -59,6 +59,8 @@
     void put(const std::string &kind, const std::string &name, const nlohmann::json &spec);
     /// The same with any text as the spec, whatever JSON allows; other texts of the name stay.
     void putText(const std::string &kind, const std::string &name, const std::string &spec);
+    /// Returns a placeholder; a string with it as its content is replaced by `text` in answers.
+    std::string addText(const std::string &text);
     void remove(const std::string &kind, const std::string &name);
     /// Number of objects of a kind.
     std::size_t count(const std::string &kind) const;
