Reject entries of endpoints whose name no header field can hold

What callers saw: nothing yet. Requests, orders and reports name the endpoint in Expect-Instance. An entry of another writer with a line break in its name and otherwise complete would have put a field of its choice, or a second request, into requests to the address that it states; one with a blank at its end names another endpoint than its receiver reads.

Cause: the name was written into the head of the request as it is.

Evidence: decoder/endpointWithANameThatNoFieldCanHoldIsRejected failed before for each such name.

Change: net::isFieldValue() decides (RFC 9110, 5.5), and the decoder of endpoints skips entries with other names. Names with &, +, #, %, blanks inside or letters outside of ASCII stay usable.

--- a/src/libs/net/httpsyntax.cpp
+++ b/src/libs/net/httpsyntax.cpp
@@ -16,6 +16,16 @@
     });
 }
 
+bool isFieldValue(std::string_view value)
+{
+    const auto isBlank = [](char character) { return character == ' ' || character == '\t'; };
+    return !value.empty() && !isBlank(value.front()) && !isBlank(value.back())
+        && std::ranges::none_of(value, [](char character) {
+               return character != '\t'
+                   && absl::ascii_iscntrl(static_cast<unsigned char>(character));
+           });
+}
+
 bool isTransferCodingKnown(const Headers &headers)
 {
     bool isChunked = false;
--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -2,6 +2,7 @@
 
 #include "core/boundedjson.h"
 #include "core/error.h"
+#include "net/httpsyntax.h"
 #include "platform/customerdecoder.h"
 #include "platform/wirenames.h"
 
@@ -160,6 +161,9 @@
 
 absl::StatusOr<fleet::Endpoint> decodeEndpoint(const std::string &name, const json &spec)
 {
+    // Requests name the endpoint in a header field.
+    if (!net::isFieldValue(name))
+        return formatError("decode endpoint", "name that no header field can hold");
     bool isKnownState = true;
     auto decoded = catchJsonErrors("decode endpoint", [&] {
         fleet::Endpoint endpoint;
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -282,3 +282,14 @@
         endless += ",a:1";
     cr_assert_eq(partsOf(endless).size(), 64U);
 }
+
+// Guards against an entry whose name would end the field that names the endpoint in requests, and
+// begin another field or a request.
+Test(decoder, endpointWithANameThatNoFieldCanHoldIsRejected)
+{
+    for (const char *name : {"", " i", "i ", "\ti", "i\r\nHold: 1", "i\n", "i\x7F", "i\x01"})
+        cr_expect_not(decodeEndpoint(name, endpointSpec).ok(), "%s", name);
+    cr_expect_not(decodeEndpoint(std::string("i\0j", 3), endpointSpec).ok());
+    for (const char *name : {"i-7f3a91c2", "a&b+c#d%41 e?f/g", "i\xC3\xA9", "i\tj"})
+        cr_expect(decodeEndpoint(name, endpointSpec).ok(), "%s", name);
+}
