Reject addresses that are no IPv4 numbers

What callers saw: nothing yet. An entry with a host name or an incomplete number as its address was an endpoint to use, and requests for it went to that port of the daemon's own machine, at worst to the daemon itself.

Cause: decodeAddress() took any text before the port, and a connection to a text that inet_pton() does not accept was opened to 0.0.0.0.

Evidence: decoder/addressThatIsNoNumberIsRejected failed before for host names, 10.0.0, ::1, a blank in front and a line break.

--- a/src/libs/platform/decoder.cpp
+++ b/src/libs/platform/decoder.cpp
@@ -3,6 +3,7 @@
 #include "core/boundedjson.h"
 #include "core/error.h"
 #include "net/httpsyntax.h"
+#include "net/ipaddress.h"
 #include "platform/customerdecoder.h"
 #include "platform/wirenames.h"
 
@@ -234,7 +235,7 @@
     address.ip = text.substr(0, colon);
     const char *end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-    if (parsed.ec != std::errc() || parsed.ptr != end || address.ip.empty())
+    if (parsed.ec != std::errc() || parsed.ptr != end || !net::isIpv4Address(address.ip))
         return formatError("decode address", text);
     return address;
 }
--- a/tests/auto/platformformats/tst_platformformats.cpp
+++ b/tests/auto/platformformats/tst_platformformats.cpp
@@ -293,3 +293,18 @@
     for (const char *name : {"i-7f3a91c2", "a&b+c#d%41 e?f/g", "i\xC3\xA9", "i\tj"})
         cr_expect(decodeEndpoint(name, endpointSpec).ok(), "%s", name);
 }
+
+// Guards against connections to a port of the daemon's own machine, which an address that is no
+// number stood for.
+Test(decoder, addressThatIsNoNumberIsRejected)
+{
+    for (const char *address :
+         {"runner:80", "127.0.0.1.5:80", "10.0.0:80", "::1:80", " 10.0.0.2:80",
+          "10.0.0.2\r\nX: 1:80", "10.0.0.2:", "10.0.0.2:80 ", ":80"}) {
+        nlohmann::json spec = endpointSpec;
+        spec["address"] = address;
+        cr_expect_not(decodeAddress(address).ok(), "%s", address);
+        cr_expect_not(decodeEndpoint("i", spec).ok(), "%s", address);
+    }
+    cr_expect(decodeAddress("10.0.0.2:80").ok());
+}
