Peers: escape ids in the list of loads

What callers saw: nothing yet. The load of an endpoint whose id holds = or ; was lost in the messages between daemons, or counted for another endpoint.

Cause: ids and loads are joined as ID=LOAD;ID=LOAD without escapes.

Evidence: peermessages/loadsOfEndpointsWithAnyIdAreDecodedUnchanged failed before, for reports and views.

Change: ids are escaped. Those of letters, digits and -._~ are sent as before; a daemon of an earlier release does not know the others by that name and ignores their loads.

--- a/src/libs/gateway/peermessages.cpp
+++ b/src/libs/gateway/peermessages.cpp
@@ -2,6 +2,7 @@
 
 #include "core/error.h"
 #include "gateway/messageencoding.h"
+#include "net/requesttarget.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -37,12 +38,12 @@
 }
 
 // One string for all endpoints, because separate fields caused most of a message's cost. Tenths of
-// a slot are precise enough and shorter.
+// a slot are precise enough and shorter. Ids may hold the separators, so that they are escaped.
 std::string encodeLoads(const std::map<core::EndpointId, double> &loads)
 {
     std::string text;
     for (const auto &[id, load] : loads)
-        absl::StrAppend(&text, id.value(), "=", std::lround(load * 10), ";");
+        absl::StrAppend(&text, net::escaped(id.value()), "=", std::lround(load * 10), ";");
     return text;
 }
 
@@ -54,7 +55,7 @@
             = absl::StrSplit(entry, absl::MaxSplits('=', 1));
         double tenths = 0;
         if (absl::SimpleAtod(parts.second, &tenths))
-            loads[core::EndpointId(std::string(parts.first))] = tenths / 10;
+            loads[core::EndpointId(net::unescaped(std::string(parts.first)))] = tenths / 10;
     }
     return loads;
 }
--- a/tests/auto/peermessages/tst_peermessages.cpp
+++ b/tests/auto/peermessages/tst_peermessages.cpp
@@ -464,3 +464,24 @@
             "%f", amount);
     }
 }
+
+// Guards against the loads of endpoints that are lost or taken for those of others because an id
+// holds a separator of the list.
+Test(peermessages, loadsOfEndpointsWithAnyIdAreDecodedUnchanged)
+{
+    const std::map<core::EndpointId, double> loads {{core::EndpointId("a=1;b"), 2},
+                                                    {core::EndpointId("b"), 3},
+                                                    {core::EndpointId("a%3D1"), 4},
+                                                    {core::EndpointId("a b&\xC3\xA9"), 5}};
+    PeerReport report;
+    report.host = core::HostId("h1");
+    report.load = loads;
+    const auto decoded = decodePeerReport(encode(report, now), now);
+    cr_assert(decoded.ok());
+    cr_expect(decoded->load == loads);
+    PeerView view;
+    view.load = loads;
+    const auto decodedView = decodePeerView(encode(view, now), now);
+    cr_assert(decodedView.ok());
+    cr_expect(decodedView->load == loads);
+}
