Own object API: ignore roots of configurations of other names

What callers saw: nothing yet. Once another writer had left a readable root under a name of its own and with a higher generation, no daemon took a configuration any more.

Cause: the daemons followed all roots, while the tools write and read `main`.

Change: only the root `main` counts, in lists and in watches.

--- a/src/libs/serving/configtask.cpp
+++ b/src/libs/serving/configtask.cpp
@@ -27,11 +27,11 @@
     , m_roots(context.objects, context.timers, objectapi::kinds::configRoots,
               {[this](const std::vector<objectapi::Object> &roots) {
                    for (const objectapi::Object &root : roots)
-                       rootSeen(root.spec);
+                       rootListed(root);
                },
                [this](const std::string &type, const objectapi::Object &root) {
                    if (type != "DELETED")
-                       rootSeen(root.spec);
+                       rootListed(root);
                },
                [this](const absl::Status &status) {
                    observability::logError(observability::LogLevel::Warn, status);
@@ -116,6 +116,12 @@
         readRootFromPeer(host);
 }
 
+void ConfigTask::rootListed(const objectapi::Object &root)
+{
+    if (root.name == rootName)
+        rootSeen(root.spec);
+}
+
 void ConfigTask::rootSeen(const nlohmann::json &spec)
 {
     auto root = config::rootFromJson(spec);
--- a/src/libs/serving/configtask.h
+++ b/src/libs/serving/configtask.h
@@ -34,6 +34,8 @@
 
 private:
     void readRoot();
+    /// Another writer may leave roots under names of its own.
+    void rootListed(const objectapi::Object &root);
     void rootSeen(const nlohmann::json &spec);
     void readRootFromPeer(const core::HostId &peer);
     void askAllPeers();
--- a/tests/e2e/tst_objectapi.cpp
+++ b/tests/e2e/tst_objectapi.cpp
@@ -211,3 +211,26 @@
             [&] { return std::to_string(fleet.generation(0)) == next; }, limit));
     }
 }
+
+// Guards against configurations that no daemon takes any more because another writer has left a
+// root of its own, or one that cannot be read.
+Test(objectapi, rootsOfOtherNamesAreNoConfiguration, .timeout = 200)
+{
+    Fleet fleet({.daemons = 1, .engines = 1});
+    cr_assert(fleet.isReady());
+    for (const auto &[name, spec] : std::map<std::string, std::string> {
+             {"a&b", R"({"generation":1000,"release":"x","digest":"x","parts":[]})"},
+             {"odd", "17"}}) {
+        net::HttpRequest request {"POST", "/apis/jackdawlead.dev/v1/configroots", {}, {}};
+        request.body = R"({"metadata":{"name":")" + name + R"("},"spec":)" + spec + "}";
+        cr_assert(fleet.caller().waitForAll({fleet.caller().start(fleet.platformPort(), request)},
+                                            limit));
+    }
+    fleet.caller().runLoopFor(std::chrono::seconds(1));
+    const std::uint64_t generation = fleet.generation(0);
+    cr_expect_lt(generation, 1000U);
+    cr_assert_eq(fleet.control({"apply", fleet.writeManifest("next", 20)}), 0);
+    cr_expect(
+        fleet.caller().waitUntil([&] { return fleet.generation(0) == generation + 1; }, limit),
+        "generation %d", static_cast<int>(fleet.generation(0)));
+}
