Own object API: skip objects and hosts that cannot be read

What callers saw: nothing yet. One such object made each list of its kind fail, one such host the whole list of hosts, and an event with a type that is no text ended each watch.

Cause: an answer was parsed as a whole, and the first fault in it was the result. A list whose metadata are no object threw outside the parser, so that its handler was never called. Unknown roles and states stood for endpoints and live hosts, and ports were taken modulo 65,536.

Change: each element is parsed on its own, with the limit of depth that the platform's answers have; unreadable ones are skipped and logged. An answer without an array of items or without its version is no list.

--- a/src/libs/objectapi/hostlist.cpp
+++ b/src/libs/objectapi/hostlist.cpp
@@ -1,6 +1,9 @@
 #include "objectapi/hostlist.h"
 
+#include "core/boundedjson.h"
 #include "core/error.h"
+#include "net/ipaddress.h"
+#include "observability/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,26 +15,53 @@
 
 using nlohmann::json;
 
-HostEntry entryFromJson(const json &item)
+absl::Status entryError(const std::string &peer, std::string_view what)
+{
+    return core::makeError(absl::StatusCode::kInternal, "host-list", peer,
+                           "entry skipped: " + std::string(what));
+}
+
+absl::StatusOr<HostEntry> entryFromJson(const json &item, const std::string &peer)
 {
     HostEntry entry;
-    entry.name = item.at("name");
-    entry.role = item.at("role") == "daemon" ? HostRole::Daemon : HostRole::Endpoint;
-    entry.address = {item.at("ip"), item.at("port")};
+    entry.name = item.at("name").get<std::string>();
+    const auto role = item.at("role").get<std::string>();
+    entry.role = role == "daemon" ? HostRole::Daemon : HostRole::Endpoint;
+    entry.address
+        = {item.at("ip").get<std::string>(), core::integerOf<std::uint16_t>(item.at("port"))};
     entry.pool = core::PoolId(item.value("pool", std::string()));
-    entry.region = core::RegionId(item.at("region"));
-    entry.failureDomain = core::FailureDomainId(item.at("failureDomain"));
-    entry.isLeaving = item.at("state") == "leaving";
+    entry.region = core::RegionId(item.at("region").get<std::string>());
+    entry.failureDomain = core::FailureDomainId(item.at("failureDomain").get<std::string>());
+    const auto state = item.at("state").get<std::string>();
+    entry.isLeaving = state == "leaving";
+    if (entry.role == HostRole::Endpoint && role != "endpoint")
+        return entryError(peer, "unknown role");
+    if (!entry.isLeaving && state != "live")
+        return entryError(peer, "unknown state");
+    if (!net::isIpv4Address(entry.address.ip))
+        return entryError(peer, "the address is no number");
     return entry;
 }
 
+absl::StatusOr<HostEntry> parseEntry(std::string_view text, const std::string &peer)
+{
+    try {
+        return entryFromJson(core::parseJson(text), peer);
+    } catch (const json::exception &error) {
+        return entryError(peer, error.what());
+    }
+}
+
 absl::StatusOr<HostListClient::Hosts> parseHosts(const std::string &body, const std::string &peer)
 {
     try {
         std::vector<HostEntry> entries;
-        const json list = json::parse(body);
-        for (const json &item : list.at("items"))
-            entries.push_back(entryFromJson(item));
+        for (const std::string_view text : core::elementTexts(core::memberText(body, "items"))) {
+            if (auto entry = parseEntry(text, peer); entry.ok())
+                entries.push_back(*std::move(entry));
+            else
+                observability::logError(observability::LogLevel::Warn, entry.status());
+        }
         return HostListClient::Hosts(std::move(entries));
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kInternal, "host-list", peer,
--- a/src/libs/objectapi/hostlist.h
+++ b/src/libs/objectapi/hostlist.h
@@ -26,8 +26,8 @@
     bool isLeaving = false;
 };
 
-/// Reads the host list. Errors: kUnavailable and kInternal with step `host-list`.
-/// Thread safety: the loop's thread only.
+/// Reads the host list without the entries that cannot be read. Errors: kUnavailable and kInternal
+/// with step `host-list`. Thread safety: the loop's thread only.
 class HostListClient
 {
 public:
--- a/src/libs/objectapi/objectclient.cpp
+++ b/src/libs/objectapi/objectclient.cpp
@@ -1,6 +1,8 @@
 #include "objectapi/objectclient.h"
 
+#include "core/boundedjson.h"
 #include "core/error.h"
+#include "observability/log.h"
 
 #include <utility>
 
@@ -25,19 +27,64 @@
             {"spec", object.spec}};
 }
 
-absl::StatusOr<Object> objectFromJson(const json &source, const char *step, const std::string &peer)
+/// Errors: kInternal, `decode` has thrown an exception of the JSON library.
+template <typename Decode>
+auto catchJsonErrors(const char *step, const std::string &peer, const Decode &decode)
+    -> absl::StatusOr<decltype(decode())>
 {
     try {
-        const json &metadata = source.at("metadata");
-        return Object {metadata.value("name", std::string()),
-                       metadata.value("resourceVersion", std::string()),
-                       source.value("spec", json::object())};
+        return decode();
     } catch (const json::exception &error) {
         return core::makeError(absl::StatusCode::kInternal, step, peer,
-                               std::string("malformed object: ") + error.what());
+                               std::string("malformed answer: ") + error.what());
     }
 }
 
+Object objectFromJson(const json &source)
+{
+    const json &metadata = source.at("metadata");
+    return {metadata.value("name", std::string()), metadata.value("resourceVersion", std::string()),
+            source.value("spec", json::object())};
+}
+
+/// Skips an object that cannot be read, since other writers may leave such ones.
+void logSkipped(const absl::Status &status)
+{
+    observability::logError(observability::LogLevel::Warn, status);
+}
+
+absl::StatusOr<ObjectList> parseList(const std::string &body, const std::string &peer)
+{
+    return catchJsonErrors("list", peer, [&] {
+        const json metadata = core::parseJson(core::memberText(body, "metadata"));
+        ObjectList list;
+        list.resourceVersion = metadata.at("resourceVersion").get<std::string>();
+        for (const std::string_view text : core::elementTexts(core::memberText(body, "items"))) {
+            auto object = catchJsonErrors("list", peer,
+                                          [text] { return objectFromJson(core::parseJson(text)); });
+            if (object.ok())
+                list.items.push_back(*std::move(object));
+            else
+                logSkipped(object.status());
+        }
+        return list;
+    });
+}
+
+struct Event
+{
+    std::string type;
+    Object object;
+};
+
+absl::StatusOr<Event> parseEvent(std::string_view line, const std::string &peer)
+{
+    return catchJsonErrors("watch", peer, [line] {
+        const json event = core::parseJson(line);
+        return Event {event.at("type").get<std::string>(), objectFromJson(event.at("object"))};
+    });
+}
+
 absl::StatusCode codeOf(int status, const std::string &method)
 {
     switch (status) {
@@ -110,7 +157,9 @@
                         handler(statusError(reply->status, method, step, peer, reply->body));
                         return;
                     }
-                    handler(objectFromJson(json::parse(reply->body, nullptr, false), step, peer));
+                    handler(catchJsonErrors(step, peer, [&reply] {
+                        return objectFromJson(core::parseJson(reply->body));
+                    }));
                 });
 }
 
@@ -160,24 +209,7 @@
                 handler(statusError(reply->status, "GET", "list", peer, reply->body));
                 return;
             }
-            const json body = json::parse(reply->body, nullptr, false);
-            ObjectList result;
-            if (!body.is_object() || !body.contains("items")) {
-                handler(
-                    core::makeError(absl::StatusCode::kInternal, "list", peer, "malformed list"));
-                return;
-            }
-            if (body.contains("metadata"))
-                result.resourceVersion = body["metadata"].value("resourceVersion", std::string());
-            for (const json &item : body["items"]) {
-                auto object = objectFromJson(item, "list", peer);
-                if (!object.ok()) {
-                    handler(object.status());
-                    return;
-                }
-                result.items.push_back(*std::move(object));
-            }
-            handler(std::move(result));
+            handler(parseList(reply->body, peer));
         });
 }
 
@@ -208,13 +240,13 @@
         progress->pending += data;
         std::size_t end = 0;
         while ((end = progress->pending.find('\n')) != std::string::npos) {
-            const json event = json::parse(progress->pending.substr(0, end), nullptr, false);
+            const std::string line = progress->pending.substr(0, end);
             progress->pending.erase(0, end + 1);
-            if (!event.is_object() || !event.contains("object"))
-                continue;
-            const auto object = objectFromJson(event["object"], "watch", peer);
-            if (object.ok())
-                onEvent(event.value("type", std::string()), *object);
+            const auto event = parseEvent(line, peer);
+            if (event.ok())
+                onEvent(event->type, event->object);
+            else if (!line.empty())
+                logSkipped(event.status());
         }
     };
     handlers.onEnd = [progress, peer, onEnd = std::move(onEnd)](const absl::Status &status) {
--- a/src/libs/objectapi/objectclient.h
+++ b/src/libs/objectapi/objectclient.h
@@ -39,10 +39,11 @@
 };
 
 /// Speaks the platform's object API: versioned objects, conditional updates, lists and watches.
-/// Every error carries the step (`create`, `read`, `update`, `remove`, `list`, `watch`) and the
-/// peer. Codes: kNotFound, kAlreadyExists (create), kAborted (a conditional update lost),
-/// kUnavailable and kDeadlineExceeded (no answer; a write may have taken effect unless the outcome
-/// is NotRun). Thread safety: the loop's thread only.
+/// Objects that cannot be read are left out of lists and watches. Every error carries the step
+/// (`create`, `read`, `update`, `remove`, `list`, `watch`) and the peer. Codes: kNotFound,
+/// kAlreadyExists (create), kAborted (a conditional update lost), kUnavailable and
+/// kDeadlineExceeded (no answer; a write may have taken effect unless the outcome is NotRun).
+/// Thread safety: the loop's thread only.
 class ObjectClient
 {
 public:
--- a/tests/auto/objectclient/tst_objectclient.cpp
+++ b/tests/auto/objectclient/tst_objectclient.cpp
@@ -1,5 +1,8 @@
 #include "net/httpserver.h"
+#include "objectapi/hostlist.h"
 #include "objectapi/objectclient.h"
+#include "objectapi/objectfollower.h"
+#include "support/loopwait.h"
 #include "support/ports.h"
 
 #include <criterion/criterion.h>
@@ -27,12 +30,60 @@
 
     Fixture() { cr_assert(server.listen(address).ok()); }
 
+    absl::StatusOr<objectapi::ObjectList> list()
+    {
+        absl::StatusOr<objectapi::ObjectList> result = absl::UnknownError("none");
+        client.list("claims", [&](auto list) {
+            result = std::move(list);
+            loop.stop();
+        });
+        loop.run();
+        return result;
+    }
+
+    absl::StatusOr<objectapi::HostListClient::Hosts> hosts()
+    {
+        objectapi::HostListClient hostList(http, address);
+        absl::StatusOr<objectapi::HostListClient::Hosts> result = absl::UnknownError("none");
+        hostList.read([&](auto hosts) {
+            result = std::move(hosts);
+            loop.stop();
+        });
+        loop.run();
+        return result;
+    }
+
     auto stopLoop()
     {
         return [this](const auto &) { loop.stop(); };
     }
 };
 
+std::string nested()
+{
+    constexpr std::size_t depth = 100000;
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string object(const std::string &metadata, const std::string &spec)
+{
+    return R"({"metadata":)" + metadata + R"(,"spec":)" + spec + "}";
+}
+
+/// Objects that another writer may leave among the others.
+const std::vector<std::string> oddObjects {object(R"({"name":"odd"})", nested()),
+                                           object(R"({"name":"odd"})", "1e999"),
+                                           object(R"({"name":"odd"})", "\"\xFF\""),
+                                           object(R"({"name":"\xFF"})", "{}"),
+                                           object(R"({"name":17})", "{}"),
+                                           object("17", "{}"),
+                                           object(nested(), "{}"),
+                                           "17",
+                                           "null",
+                                           "{}"};
+
+const std::string known = object(R"({"name":"known","resourceVersion":"5"})", R"({"a":1})");
+
 } // namespace
 
 // Guards against calls that reach another object, or none, because a name has a meaning in a path
@@ -54,3 +105,86 @@
     cr_expect_eq(fixture.paths[2], expected + "?resourceVersion=7%26x", "%s",
                  fixture.paths[2].c_str());
 }
+
+// Guards against a list that fails, or a process that ends, because of one object that cannot be
+// read.
+Test(objectclient, oddObjectsInAListAreSkipped)
+{
+    for (const std::string &odd : oddObjects) {
+        Fixture fixture;
+        fixture.body
+            = R"({"metadata":{"resourceVersion":"9"},"items":[)" + odd + "," + known + "]}";
+        const auto list = fixture.list();
+        cr_assert(list.ok(), "%s", odd.substr(0, 40).c_str());
+        cr_expect_eq(list->resourceVersion, "9");
+        cr_assert_eq(list->items.size(), 1U, "%s", odd.substr(0, 40).c_str());
+        cr_expect_eq(list->items.front().name, "known");
+    }
+}
+
+// Guards against an incomplete answer that is taken for a list: known objects would count as
+// removed, and the changes between the list and the watch would be lost.
+Test(objectclient, incompleteAnswerIsNoList)
+{
+    for (const char *body :
+         {R"({"metadata":{"resourceVersion":"9"}})",
+          R"({"metadata":{"resourceVersion":"9"},"items":1})", R"({"items":[]})",
+          R"({"metadata":{},"items":[]})", R"({"metadata":17,"items":[]})",
+          R"({"metadata":{"resourceVersion":9},"items":[]})", "[]", "", "null"}) {
+        Fixture fixture;
+        fixture.body = body;
+        cr_expect_not(fixture.list().ok(), "%s", body);
+    }
+}
+
+// Guards against a watch that ends, or a process that ends, because of one event that cannot be
+// read.
+Test(objectclient, oddEventsInAWatchAreSkipped)
+{
+    for (const std::string &odd : oddObjects) {
+        Fixture fixture;
+        const std::string oddEvent = R"({"type":"ADDED","object":)" + odd + "}";
+        const std::string oddType = R"({"type":17,"object":)" + known + "}";
+        const std::string event = R"({"type":"ADDED","object":)" + known + "}";
+        fixture.body = oddEvent + "\n" + oddType + "\n" + nested() + "\n\n" + event + "\n";
+        std::vector<std::string> names;
+        absl::Status end = absl::UnknownError("none");
+        const auto watch = fixture.client.watch(
+            "claims", "1", std::chrono::seconds(1),
+            [&names](const std::string &, const objectapi::Object &object) {
+                names.push_back(object.name);
+            },
+            [&](const absl::Status &status) {
+                end = status;
+                fixture.loop.stop();
+            });
+        fixture.loop.run();
+        cr_expect(end.ok(), "%s", odd.substr(0, 40).c_str());
+        cr_expect(names == std::vector<std::string> {"known"}, "%s", odd.substr(0, 40).c_str());
+    }
+}
+
+// Guards against a list of hosts that fails, or that names hosts that aren't there, because of one
+// entry that cannot be read.
+Test(hostlist, oddEntriesAreSkipped)
+{
+    const json host {{"name", "h1"},   {"role", "daemon"},      {"ip", "10.0.0.1"}, {"port", 7380},
+                     {"region", "r1"}, {"failureDomain", "z1"}, {"state", "live"}};
+    const auto with = [&host](const char *field, const json &value) {
+        json odd = host;
+        odd["name"] = "odd";
+        odd[field] = value;
+        return odd.dump();
+    };
+    for (const std::string &odd :
+         {with("name", 17), with("role", "written by another"), with("ip", "somewhere"),
+          with("port", 70000), with("port", "x"), with("state", "unheard of"),
+          with("region", json()), with("pool", 17), nested(), std::string("17")}) {
+        Fixture fixture;
+        fixture.body = R"({"items":[)" + odd + "," + host.dump() + "]}";
+        const auto hosts = fixture.hosts();
+        cr_assert(hosts.ok() && hosts->has_value(), "%s", odd.substr(0, 99).c_str());
+        cr_assert_eq((*hosts)->size(), 1U, "%s", odd.substr(0, 99).c_str());
+        cr_expect_eq((*hosts)->front().name, "h1");
+    }
+}
