Own object API: delay the call after a watch that ended at once

What callers saw: nothing yet; the object API received calls without a pause from each daemon.

Cause: a watch that the server had ended was followed by the next one at once, however early its end was, and each list reset the delay of retries.

Change: after a watch of less than a second the kind is listed again after the delay of retries, which is reset by an event or by a watch that waited.

--- a/src/libs/objectapi/objectfollower.cpp
+++ b/src/libs/objectapi/objectfollower.cpp
@@ -11,6 +11,8 @@
 // Below half of the 16 s within which a configuration must be in force everywhere.
 constexpr core::Duration maxRetryDelay = std::chrono::seconds(5);
 constexpr core::Duration watchTimeout = std::chrono::seconds(60);
+// A watch that ends earlier did not wait.
+constexpr core::Duration minWatchTime = std::chrono::seconds(1);
 constexpr core::Duration resyncInterval = std::chrono::seconds(10);
 
 } // namespace
@@ -48,7 +50,6 @@
             retryLater();
             return;
         }
-        m_retryDelay = firstRetryDelay;
         m_listedAt = m_timers.now();
         m_resourceVersion = result->resourceVersion;
         m_handlers.listed(result->items);
@@ -67,10 +68,12 @@
 
 void ObjectFollower::watch()
 {
+    m_watchStartedAt = m_timers.now();
     m_watch = m_objects.watch(
         m_kind, m_resourceVersion, watchTimeout,
         [this](const std::string &type, const Object &object) {
             m_resourceVersion = object.resourceVersion;
+            m_retryDelay = firstRetryDelay;
             if (type != "BOOKMARK")
                 m_handlers.changed(type, object);
         },
@@ -79,11 +82,15 @@
 
 void ObjectFollower::watchEnded(const absl::Status &status)
 {
-    if (status.ok()) {
+    const bool hasWaited = m_timers.now() - m_watchStartedAt >= minWatchTime;
+    if (hasWaited)
+        m_retryDelay = firstRetryDelay;
+    if (status.ok() && hasWaited) {
         watch();
         return;
     }
-    m_handlers.failed(status);
+    if (!status.ok())
+        m_handlers.failed(status);
     retryLater();
 }
 
--- a/src/libs/objectapi/objectfollower.h
+++ b/src/libs/objectapi/objectfollower.h
@@ -12,8 +12,9 @@
 
 /// Follows all objects of one kind: lists them once, then watches for changes and continues an
 /// ended watch where it stopped. It lists again only when a watch fails, so that a following daemon
-/// costs one waiting call. Retries are delayed exponentially and at random, so that many daemons do
-/// not call at the same time after an outage. Thread safety: the loop's thread only.
+/// costs one waiting call. Retries, and watches that end at once, are delayed exponentially and at
+/// random, so that many daemons do not call at the same time after an outage. Thread safety: the
+/// loop's thread only.
 class ObjectFollower
 {
 public:
@@ -48,6 +49,7 @@
     std::string m_resourceVersion;
     core::Duration m_retryDelay;
     core::TimePoint m_listedAt;
+    core::TimePoint m_watchStartedAt;
     bool m_isListing = false;
     std::minstd_rand m_random;
     net::HttpCall m_watch;
--- a/tests/auto/objectclient/tst_objectclient.cpp
+++ b/tests/auto/objectclient/tst_objectclient.cpp
@@ -164,6 +164,21 @@
     }
 }
 
+// Guards against a loop of calls to a server that ends each watch at once.
+Test(objectclient, watchesThatEndAtOnceAreDelayed, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.body = R"({"metadata":{"resourceVersion":"9"},"items":[]})";
+    objectapi::ObjectFollower follower(fixture.client, fixture.timers, "claims",
+                                       {.listed = [](const auto &) {},
+                                        .changed = [](const auto &, const auto &) {},
+                                        .failed = [](const absl::Status &) {}});
+    follower.start();
+    testsupport::runFor(fixture.loop, fixture.timers, std::chrono::seconds(4));
+    constexpr std::size_t maxCalls = 20;
+    cr_expect_leq(fixture.paths.size(), maxCalls, "%zu calls", fixture.paths.size());
+}
+
 // Guards against a list of hosts that fails, or that names hosts that aren't there, because of one
 // entry that cannot be read.
 Test(hostlist, oddEntriesAreSkipped)
