--- a/tests/auto/objectclient/tst_objectclient.cpp
+++ b/tests/auto/objectclient/tst_objectclient.cpp
@@ -7,6 +7,8 @@
 
 #include <criterion/criterion.h>
 
+#include <sstream>
+
 using namespace jackdawlead;
 using nlohmann::json;
 
@@ -112,8 +114,9 @@
 {
     for (const std::string &odd : oddObjects) {
         Fixture fixture;
-        fixture.body
-            = R"({"metadata":{"resourceVersion":"9"},"items":[)" + odd + "," + known + "]}";
+        std::ostringstream body;
+        body << R"({"metadata":{"resourceVersion":"9"},"items":[)" << odd << "," << known << "]}";
+        fixture.body = body.str();
         const auto list = fixture.list();
         cr_assert(list.ok(), "%s", odd.substr(0, 40).c_str());
         cr_expect_eq(list->resourceVersion, "9");
@@ -143,10 +146,12 @@
 {
     for (const std::string &odd : oddObjects) {
         Fixture fixture;
-        const std::string oddEvent = R"({"type":"ADDED","object":)" + odd + "}";
-        const std::string oddType = R"({"type":17,"object":)" + known + "}";
-        const std::string event = R"({"type":"ADDED","object":)" + known + "}";
-        fixture.body = oddEvent + "\n" + oddType + "\n" + nested() + "\n\n" + event + "\n";
+        std::ostringstream body;
+        body << R"({"type":"ADDED","object":)" << odd << "}\n"
+             << R"({"type":17,"object":)" << known << "}\n"
+             << nested() << "\n\n"
+             << R"({"type":"ADDED","object":)" << known << "}\n";
+        fixture.body = body.str();
         std::vector<std::string> names;
         absl::Status end = absl::UnknownError("none");
         const auto watch = fixture.client.watch(
--- a/tests/e2e/tst_objectapi.cpp
+++ b/tests/e2e/tst_objectapi.cpp
@@ -222,7 +222,9 @@
              {"a&b", R"({"generation":1000,"release":"x","digest":"x","parts":[]})"},
              {"odd", "17"}}) {
         net::HttpRequest request {"POST", "/apis/jackdawlead.dev/v1/configroots", {}, {}};
-        request.body = R"({"metadata":{"name":")" + name + R"("},"spec":)" + spec + "}";
+        request.body
+            = nlohmann::json {{"metadata", {{"name", name}}}, {"spec", nlohmann::json::parse(spec)}}
+                  .dump();
         cr_assert(fleet.caller().waitForAll({fleet.caller().start(fleet.platformPort(), request)},
                                             limit));
     }
