JSON: the begin of a list is no list

What callers saw: an answer whose connection ends early and that states no length counts as complete. If the list is its last member, as in answers with their members in alphabetical order, it was a shorter list without an error: endpoints that were missing in it were not used or counted as gone.

Cause: memberText() and elementTexts() did not check that the object or the array ends.

Change: both functions require the closing bracket as the last character of their text.

--- a/src/libs/core/boundedjson.cpp
+++ b/src/libs/core/boundedjson.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <optional>
 #include <string>
 #include <type_traits>
 
@@ -99,23 +100,27 @@
     return text.substr(begin, text.find_last_not_of(space) - begin + 1);
 }
 
-/// The parts of an object or array between its commas.
-std::vector<std::string_view> partsOf(std::string_view container, char opening)
+/// The parts of an object or array between its commas; nullopt if the text is none, or only the
+/// begin of one.
+std::optional<std::vector<std::string_view>> partsOf(std::string_view container, char opening,
+                                                     char closing)
 {
     std::vector<std::string_view> parts;
     container = trimmed(container);
-    if (!container.starts_with(opening))
-        return parts;
+    const bool isWhole
+        = container.size() >= 2 && container.front() == opening && container.back() == closing;
+    if (!isWhole)
+        return std::nullopt;
     std::size_t begin = 1;
     while (begin < container.size()) {
         const std::size_t end = valueEnd(container, begin);
         if (const auto part = trimmed(container.substr(begin, end - begin)); !part.empty())
             parts.push_back(part);
         if (end >= container.size() || container[end] != ',')
-            break;
+            return end + 1 == container.size() ? std::optional(parts) : std::nullopt;
         begin = end + 1;
     }
-    return parts;
+    return std::nullopt;
 }
 
 [[noreturn]] void throwWrongType(const char *what)
@@ -145,7 +150,10 @@
 std::string_view memberText(std::string_view object, std::string_view name)
 {
     const std::string key = '"' + std::string(name) + '"';
-    for (const std::string_view part : partsOf(object, '{')) {
+    const auto parts = partsOf(object, '{', '}');
+    if (!parts)
+        return {};
+    for (const std::string_view part : *parts) {
         if (!part.starts_with(key))
             continue;
         const std::string_view rest = trimmed(part.substr(key.size()));
@@ -157,9 +165,10 @@
 
 std::vector<std::string_view> elementTexts(std::string_view array)
 {
-    if (!trimmed(array).starts_with('['))
-        throwWrongType("not an array");
-    return partsOf(array, '[');
+    auto parts = partsOf(array, '[', ']');
+    if (!parts)
+        throwWrongType("not a whole array");
+    return *std::move(parts);
 }
 
 bool booleanOf(std::string_view text)
--- a/tests/auto/objectclient/tst_objectclient.cpp
+++ b/tests/auto/objectclient/tst_objectclient.cpp
@@ -140,6 +140,17 @@
     }
 }
 
+// Guards against a list that was cut off and is taken for a whole one: objects and hosts that are
+// missing in it would count as removed.
+Test(objectclient, beginOfAnAnswerIsNoAnswer)
+{
+    Fixture fixture;
+    fixture.body = R"({"metadata":{"resourceVersion":"9"},"items":[)" + known + ",";
+    cr_expect_not(fixture.list().ok());
+    fixture.body = R"({"items":[{"name":"h1"},)";
+    cr_expect_not(fixture.hosts().ok());
+}
+
 // Guards against a watch that ends, or a process that ends, because of one event that cannot be
 // read.
 Test(objectclient, oddEventsInAWatchAreSkipped)
