JSON: answers with a length may hold an unclosed entry

Cause: a text was refused as a cut-off one if its brackets did not match, also if the answer had arrived as a whole.

Change: elements are read as before.

--- a/src/libs/core/boundedjson.cpp
+++ b/src/libs/core/boundedjson.cpp
@@ -2,7 +2,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <optional>
 #include <string>
 #include <type_traits>
 
@@ -100,27 +99,23 @@
     return text.substr(begin, text.find_last_not_of(space) - begin + 1);
 }
 
-/// The parts of an object or array between its commas; nullopt if the text is none, or only the
-/// begin of one.
-std::optional<std::vector<std::string_view>> partsOf(std::string_view container, char opening,
-                                                     char closing)
+/// The parts of an object or array between its commas.
+std::vector<std::string_view> partsOf(std::string_view container, char opening)
 {
     std::vector<std::string_view> parts;
     container = trimmed(container);
-    const bool isWhole
-        = container.size() >= 2 && container.front() == opening && container.back() == closing;
-    if (!isWhole)
-        return std::nullopt;
+    if (!container.starts_with(opening))
+        return parts;
     std::size_t begin = 1;
     while (begin < container.size()) {
         const std::size_t end = valueEnd(container, begin);
         if (const auto part = trimmed(container.substr(begin, end - begin)); !part.empty())
             parts.push_back(part);
         if (end >= container.size() || container[end] != ',')
-            return end + 1 == container.size() ? std::optional(parts) : std::nullopt;
+            break;
         begin = end + 1;
     }
-    return std::nullopt;
+    return parts;
 }
 
 [[noreturn]] void throwWrongType(const char *what)
@@ -150,10 +145,7 @@
 std::string_view memberText(std::string_view object, std::string_view name)
 {
     const std::string key = '"' + std::string(name) + '"';
-    const auto parts = partsOf(object, '{', '}');
-    if (!parts)
-        return {};
-    for (const std::string_view part : *parts) {
+    for (const std::string_view part : partsOf(object, '{')) {
         if (!part.starts_with(key))
             continue;
         const std::string_view rest = trimmed(part.substr(key.size()));
@@ -165,10 +157,34 @@
 
 std::vector<std::string_view> elementTexts(std::string_view array)
 {
-    auto parts = partsOf(array, '[', ']');
-    if (!parts)
-        throwWrongType("not a whole array");
-    return *std::move(parts);
+    if (!trimmed(array).starts_with('['))
+        throwWrongType("not an array");
+    return partsOf(array, '[');
+}
+
+bool isClosed(std::string_view text)
+{
+    text = trimmed(text);
+    std::size_t depth = 0;
+    bool hasOpened = false;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const char character = text[at];
+        if (character == '"') {
+            at = stringEnd(text, at);
+            continue;
+        }
+        const bool isClosing = character == '}' || character == ']';
+        if (isClosing && depth == 0)
+            return false;
+        if (isClosing)
+            --depth;
+        else if (character == '{' || character == '[')
+            ++depth;
+        hasOpened |= depth > 0;
+        ++at;
+    }
+    return hasOpened && depth == 0;
 }
 
 bool booleanOf(std::string_view text)
--- a/src/libs/core/boundedjson.h
+++ b/src/libs/core/boundedjson.h
@@ -20,13 +20,16 @@
 /// The same for CBOR.
 nlohmann::json parseCbor(std::string_view bytes);
 
-/// The text of a member's value in the text of a JSON object; empty if there is none, or if the
-/// text is only the begin of an object. Nothing is built, so that a value that cannot be parsed
-/// does not affect the others. Thread safety: any thread.
+/// The text of a member's value in the text of a JSON object; empty if there is none. Nothing is
+/// built, so that a value that cannot be parsed does not affect the others. Thread safety: any
+/// thread.
 std::string_view memberText(std::string_view object, std::string_view name);
 /// The texts of the elements of a JSON array. Errors: nlohmann::json::exception if the text is no
-/// whole array. Thread safety: any thread.
+/// array. Thread safety: any thread.
 std::vector<std::string_view> elementTexts(std::string_view array);
+/// Whether each string, object and array in the text of a JSON object or array ends in it, which
+/// those in the begin of such a text do not. Thread safety: any thread.
+bool isClosed(std::string_view text);
 /// The value of a JSON boolean. Errors: nlohmann::json::exception if the text is none. Thread
 /// safety: any thread.
 bool booleanOf(std::string_view text);
--- a/src/libs/objectapi/hostlist.cpp
+++ b/src/libs/objectapi/hostlist.cpp
@@ -55,6 +55,9 @@
 absl::StatusOr<HostListClient::Hosts> parseHosts(const std::string &body, const std::string &peer)
 {
     try {
+        if (!core::isClosed(body))
+            return core::makeError(absl::StatusCode::kInternal, "host-list", peer,
+                                   "the host list was cut off");
         std::vector<HostEntry> entries;
         for (const std::string_view text : core::elementTexts(core::memberText(body, "items"))) {
             if (auto entry = parseEntry(text, peer); entry.ok())
--- a/src/libs/objectapi/objectclient.cpp
+++ b/src/libs/objectapi/objectclient.cpp
@@ -56,7 +56,8 @@
 absl::StatusOr<ObjectList> parseList(const std::string &body, const std::string &peer)
 {
     return catchJsonErrors("list", peer, [&] {
-        const json metadata = core::parseJson(core::memberText(body, "metadata"));
+        const bool isWhole = core::isClosed(body);
+        const json metadata = core::parseJson(isWhole ? core::memberText(body, "metadata") : "");
         ObjectList list;
         list.resourceVersion = metadata.at("resourceVersion").get<std::string>();
         for (const std::string_view text : core::elementTexts(core::memberText(body, "items"))) {
--- a/src/libs/platform/objectstoreclient.cpp
+++ b/src/libs/platform/objectstoreclient.cpp
@@ -260,6 +260,13 @@
     m_era = era;
     if (response->status != 200)
         return errorFromStatus(response->status);
+    // An answer without a length ends with its connection, also if that ends early. Others are
+    // whole, and an entry of another writer in them may be unclosed.
+    const bool hasLength = response->headers.contains("Content-Length")
+        || response->headers.contains("Transfer-Encoding");
+    if (!hasLength && !response->body.empty() && !core::isClosed(response->body))
+        return core::makeError(absl::StatusCode::kUnavailable, "store call", "store",
+                               "the answer was cut off");
     try {
         return decode(response->body, era);
     } catch (const json::exception &error) {
--- a/tests/auto/objectstoreclient/tst_objectstoreclient.cpp
+++ b/tests/auto/objectstoreclient/tst_objectstoreclient.cpp
@@ -80,3 +80,21 @@
     cr_assert(fixture.remove(fixture.listedRecord()).isWritten);
     cr_assert_eq(fixture.fake.count(recordsKind), 0U);
 }
+
+// Guards against a list that is shorter because the connection ended early: such an answer without
+// a length counts as complete.
+Test(objectstoreclient, answerThatWasCutOffIsNoList)
+{
+    const std::string object = R"({"metadata":{"name":"h1","revision":4},"spec":{}})";
+    const std::string begin = R"({"current_rev":9,"has_more":false,"items":[)" + object;
+    for (const std::string &body : {begin, begin + ",", begin + "]"}) {
+        platform::ObjectStoreClient client(
+            [&body](const net::HttpRequest &, core::Duration, const auto &handler) {
+                handler(http::Response {200, {}, body});
+            },
+            {});
+        bool isList = false;
+        client.list(ObjectKind::Daemons, {}, [&isList](auto page) { isList = page.ok(); });
+        cr_expect_not(isList, "%s", body.c_str());
+    }
+}
