--- a/review/standins-2/engine.h
+++ b/review/standins-2/engine.h
@@ -50,8 +50,10 @@
     void serve(Connection &connection, const std::string &id);
     bool serveOrder(Connection &connection, const Message &request);
     int apply(const nlohmann::json &order);
-    /// Whether what the request names is loaded.
-    bool holds(const std::string &model);
+    enum class Admission { Held, Leaving, Missing };
+    /// Whether what a request names is loaded; counts the request as its use if it is.
+    Admission admit(const std::string &model);
+    void endUse(const std::string &model);
     nlohmann::json report();
     nlohmann::json models() const;
     nlohmann::json entry() const;
@@ -67,6 +69,8 @@
     std::int64_t m_born = 0;
     std::optional<Address> m_statedAddress;
     std::map<std::string, Clock::time_point> m_adapters; ///< With the end of the load.
+    std::map<std::string, int> m_uses;                   ///< Requests in progress, by adapter.
+    std::string m_leaving; ///< The adapter whose unload waits for its runs.
     std::uint64_t m_seq = 0;
     std::mutex m_orderMutex;
     std::function<void(const Order &)> m_onOrder;
